--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,85 @@
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+
+const ownPackages = '@filbertlatch/*';
+
+// The layers: a package may import only the packages below it.
+const layers = {
+  core: ['@filbertlatch/*'],
+  router: [
+    '@filbertlatch/standins',
+    '@filbertlatch/daemon',
+    '@filbertlatch/bench',
+    '@filbertlatch/cli',
+  ],
+  standins: ['@filbertlatch/daemon', '@filbertlatch/bench', '@filbertlatch/cli'],
+  daemon: ['@filbertlatch/bench', '@filbertlatch/cli'],
+  bench: ['@filbertlatch/daemon', '@filbertlatch/cli'],
+};
+
+// The core decides; it must not see a socket, a timer, a file or a log.
+const coreForbidden = ['node:*', 'undici', 'hono', 'winston', '@hono/*', 'prom-client'];
+
+export default [
+  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.node,
+  plugins.typescriptEslint,
+  ...configs.base.recommended,
+  ...configs.node.recommended,
+  ...configs.base.typescript,
+  {
+    files: ['**/*.ts', '**/*.js'],
+    rules: {
+      // prettier owns the layout of the text.
+      '@stylistic/max-len': 'off',
+      '@stylistic/indent': 'off',
+      '@stylistic/implicit-arrow-linebreak': 'off',
+      '@stylistic/function-paren-newline': 'off',
+      '@stylistic/object-curly-newline': 'off',
+      '@stylistic/operator-linebreak': 'off',
+      '@stylistic/newline-per-chained-call': 'off',
+      '@stylistic/no-confusing-arrow': 'off',
+      '@stylistic/no-mixed-operators': 'off',
+      '@stylistic/quotes': 'off',
+      '@stylistic/wrap-iife': 'off',
+      '@stylistic/nonblock-statement-body-position': 'off',
+      '@stylistic/brace-style': 'off',
+      '@stylistic/lines-between-class-members': 'off',
+      '@stylistic/generator-star-spacing': 'off',
+      '@stylistic/no-extra-parens': 'off',
+      // Named exports read the same at both ends; Vue's sources do so too.
+      'import-x/prefer-default-export': 'off',
+      // NodeNext wants the ending of the compiled file, which TypeScript resolves itself.
+      'import-x/extensions': 'off',
+      'import-x/no-unresolved': 'off',
+      'import-x/no-rename-default': 'off',
+      // The core's state is changed in place by its commands: copies cost the hot path too much.
+      'no-param-reassign': ['error', { props: false }],
+      // Loops that can stop early read better than callbacks that cannot.
+      'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
+      'no-continue': 'off',
+      'no-await-in-loop': 'off',
+      'no-underscore-dangle': 'off',
+      'max-classes-per-file': 'off',
+    },
+  },
+  {
+    files: ['**/__tests__/**', '*.config.js'],
+    rules: {
+      'import-x/no-extraneous-dependencies': 'off',
+      'n/no-unpublished-import': 'off',
+    },
+  },
+  ...Object.entries(layers).map(([name, patterns]) => ({
+    files: [`packages/${name}/src/**/*.ts`],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [{ group: name === 'core' ? [ownPackages, ...coreForbidden] : patterns }],
+        },
+      ],
+    },
+  })),
+];
--- /dev/null
+++ b/packages/core/src/entry/core.ts
@@ -0,0 +1,73 @@
+import { createAdmissionState, type AdmissionState } from '../admission/index.js';
+import { createHealthState, type HealthState } from '../health/index.js';
+import { createLimitState, type LimitState } from '../limits/index.js';
+import { createMembershipState, type MembershipState } from '../membership/index.js';
+import { createPlacementState, type PlacementState } from '../placement/index.js';
+import { createPredictionState, type PredictionState } from '../prediction/index.js';
+import type { Random } from '../shared/index.js';
+import { createTableState, type TableState } from '../table/index.js';
+import type { Attempt, Request, Verdict, Vm } from '../types/index.js';
+import type { CounterName } from './counters.js';
+
+/** A request that has no final answer yet. */
+export interface LiveRequest {
+  readonly request: Request;
+  /** The attempt in flight, if any. */
+  attemptId: string | null;
+  attempts: number;
+  /** Tokens that the caller has. */
+  delivered: number;
+  /** The worst verdict over all attempts so far. */
+  verdict: Verdict;
+  firstTokenAt: number | null;
+}
+
+/** An attempt in flight. */
+export interface LiveAttempt {
+  readonly attempt: Attempt;
+  readonly expectedTokens: number;
+  produced: number;
+  firstTokenAt: number | null;
+}
+
+/** The whole state of one VM's decisions. */
+export interface Core {
+  readonly random: Random;
+  readonly table: TableState;
+  readonly admission: AdmissionState;
+  readonly placement: PlacementState;
+  readonly prediction: PredictionState;
+  readonly health: HealthState;
+  readonly limits: LimitState;
+  readonly membership: MembershipState;
+  readonly requests: Map<string, LiveRequest>;
+  readonly attempts: Map<string, LiveAttempt>;
+  readonly counters: Map<CounterName, number>;
+  /** Numbers attempts and calls of this incarnation. */
+  sequence: number;
+}
+
+/** Creates the state of a VM that has just started at `now`, epoch milliseconds. */
+export function createCore(self: Vm, random: Random, now: number): Core {
+  return {
+    random,
+    table: createTableState(),
+    admission: createAdmissionState(),
+    placement: createPlacementState(),
+    prediction: createPredictionState(),
+    health: createHealthState(),
+    limits: createLimitState(),
+    membership: createMembershipState(self, now),
+    requests: new Map(),
+    attempts: new Map(),
+    counters: new Map(),
+    sequence: 0,
+  };
+}
+
+/** Returns an id that no other VM and no earlier incarnation gives. */
+export function nextId(core: Core, prefix: string): string {
+  core.sequence += 1;
+  const { self, incarnation } = core.membership;
+  return `${prefix}-${self.id}-${incarnation.toString(36)}-${core.sequence.toString(36)}`;
+}
--- /dev/null
+++ b/packages/core/src/entry/counters.ts
@@ -0,0 +1,29 @@
+import type { Core } from './core.js';
+
+/** Names of the counters that decisions keep; each only rises. */
+export const counterNames = [
+  'requests',
+  'requests_complete',
+  'requests_late',
+  'requests_shed',
+  'requests_refused',
+  'requests_failed',
+  'requests_abandoned',
+  'attempts',
+  'retries',
+  'resumes',
+  'tokens_delivered',
+  'tokens_wasted',
+  'ejections',
+  'tables_accepted',
+  'tables_refused',
+  'lists_accepted',
+] as const;
+
+/** Name of a counter. */
+export type CounterName = (typeof counterNames)[number];
+
+/** Adds to a counter. */
+export function count(core: Core, name: CounterName, by = 1): void {
+  core.counters.set(name, (core.counters.get(name) ?? 0) + by);
+}
--- /dev/null
+++ b/packages/core/src/entry/decide.ts
@@ -0,0 +1,53 @@
+import { match } from 'ts-pattern';
+
+import { recordSuccess } from '../health/index.js';
+import { beginLeaving } from '../membership/index.js';
+import { recordReport } from '../placement/index.js';
+import type { Action } from './action.js';
+import type { Core } from './core.js';
+import type { Message } from './message.js';
+import { onAttemptEnded, onTokensArrived } from './onAttempt.js';
+import { onListOffered, onManifestOffered, onSheetOffered } from './onPlatform.js';
+import { onCallerLeft, onRequestArrived } from './onRequest.js';
+import { onTick } from './onTick.js';
+
+const NO_ACTIONS: readonly Action[] = [];
+
+function ignore(): void {}
+
+/**
+ * The one entry to all decisions: changes the state by a message and returns what to do.
+ * The same state, message, instant and random numbers give the same actions.
+ */
+export function decide(core: Core, message: Message, now: number): readonly Action[] {
+  // Hot path: one message a token, which never asks for an action.
+  if (message.kind === 'tokens-arrived') {
+    onTokensArrived(core, message, now);
+    return NO_ACTIONS;
+  }
+  const actions: Action[] = [];
+  match(message)
+    .with({ kind: 'request-arrived' }, (m) => onRequestArrived(core, m, now, actions))
+    .with({ kind: 'caller-left' }, (m) => onCallerLeft(core, m, actions))
+    .with({ kind: 'attempt-accepted' }, ignore)
+    .with({ kind: 'attempt-ended' }, (m) => onAttemptEnded(core, m, now, actions))
+    .with({ kind: 'probe-ended' }, (m) => {
+      if (m.healthy) recordSuccess(core.health, m.endpointId);
+    })
+    .with({ kind: 'load-reported' }, (m) => recordReport(core.placement, m.report))
+    .with({ kind: 'cache-changed' }, ignore)
+    .with({ kind: 'manifest-offered' }, (m) => onManifestOffered(core, m, now, actions))
+    .with({ kind: 'sheet-offered' }, (m) => onSheetOffered(core, m, now, actions))
+    .with({ kind: 'sheet-missing' }, ignore)
+    .with({ kind: 'list-offered' }, (m) => onListOffered(core, m, now, actions))
+    .with({ kind: 'platform-failed' }, ignore)
+    .with({ kind: 'peer-called' }, ignore)
+    .with({ kind: 'peer-replied' }, ignore)
+    .with({ kind: 'peer-failed' }, ignore)
+    .with({ kind: 'order-ended' }, ignore)
+    .with({ kind: 'drain-began' }, () => beginLeaving(core.membership))
+    .with({ kind: 'woke' }, ignore)
+    .with({ kind: 'tick' }, () => onTick(core, now, actions))
+    .exhaustive();
+  return actions;
+}
--- /dev/null
+++ b/packages/core/src/entry/onAttempt.ts
@@ -0,0 +1,110 @@
+import { requeueRequest } from '../admission/index.js';
+import { recordFailure, recordSuccess } from '../health/index.js';
+import { releaseSlot } from '../placement/index.js';
+import { recordLength } from '../prediction/index.js';
+import { worstVerdict, type AttemptEnd } from '../types/index.js';
+import type { Action } from './action.js';
+import type { Core, LiveAttempt, LiveRequest } from './core.js';
+import { count } from './counters.js';
+import { dispatchWaiting, lengthSource } from './dispatchWaiting.js';
+import { endRequest, refuseRequest } from './finishRequest.js';
+import type { MessageOf } from './message.js';
+
+const MOST_ATTEMPTS = 3;
+
+type Failure = Extract<AttemptEnd, { kind: 'failed' }>;
+
+/** Notes tokens that an attempt has brought. */
+export function onTokensArrived(
+  core: Core,
+  message: MessageOf<'tokens-arrived'>,
+  now: number,
+): void {
+  const live = core.attempts.get(message.attemptId);
+  if (live === undefined) return;
+  live.produced += message.count;
+  live.firstTokenAt ??= now;
+  const request = core.requests.get(live.attempt.requestId);
+  if (request === undefined) return;
+  request.firstTokenAt ??= now;
+  request.delivered = live.attempt.resumeFrom + live.produced;
+}
+
+function mayRetry(live: LiveRequest, failure: Failure, now: number): boolean {
+  if (failure.cause === 'invalid' || live.delivered > 0) return false;
+  if (live.attempts >= MOST_ATTEMPTS || live.request.deadline <= now) return false;
+  return live.request.repeatable || live.verdict === 'not-run';
+}
+
+function onFailed(
+  core: Core,
+  live: LiveRequest,
+  failure: Failure,
+  now: number,
+  actions: Action[],
+): void {
+  if (mayRetry(live, failure, now)) {
+    count(core, 'retries');
+    requeueRequest(core.admission, live.request);
+    return;
+  }
+  const retryable = live.request.repeatable || live.verdict === 'not-run';
+  const refusal = {
+    code: 'endpoint_failed',
+    message: `The endpoint failed (${failure.cause}).`,
+    verdict: live.verdict,
+    retryable,
+    retryAfterMs: failure.retryAfterMs,
+  } as const;
+  refuseRequest(core, live, refusal, 'failed', actions);
+}
+
+function onComplete(
+  core: Core,
+  live: LiveRequest,
+  outputTokens: number,
+  now: number,
+  actions: Action[],
+): void {
+  recordLength(core.prediction, lengthSource(live.request), outputTokens);
+  count(core, 'tokens_delivered', outputTokens);
+  endRequest(core, live, now <= live.request.deadline ? 'complete' : 'late', actions);
+}
+
+function settleHealth(
+  core: Core,
+  ended: LiveAttempt,
+  end: AttemptEnd,
+  now: number,
+  actions: Action[],
+) {
+  const { endpointId } = ended.attempt;
+  if (end.kind === 'complete') recordSuccess(core.health, endpointId);
+  if (end.kind !== 'failed' || end.cause === 'invalid') return;
+  if (!recordFailure(core.health, endpointId, now)) return;
+  count(core, 'ejections');
+  const fields = { endpoint: endpointId, cause: end.cause };
+  actions.push({ kind: 'state-changed', level: 'warn', code: 'endpoint_ejected', fields });
+}
+
+/** Ends an attempt: completes, retries or fails its request and frees the slot. */
+export function onAttemptEnded(
+  core: Core,
+  { attemptId, end }: MessageOf<'attempt-ended'>,
+  now: number,
+  actions: Action[],
+): void {
+  const ended = core.attempts.get(attemptId);
+  if (ended === undefined) return;
+  core.attempts.delete(attemptId);
+  releaseSlot(core.placement, ended.attempt.endpointId, ended.expectedTokens);
+  settleHealth(core, ended, end, now, actions);
+  const live = core.requests.get(ended.attempt.requestId);
+  if (live === undefined || end.kind !== 'complete') count(core, 'tokens_wasted', ended.produced);
+  if (live === undefined) return;
+  live.attemptId = null;
+  live.verdict = worstVerdict(live.verdict, end.kind === 'complete' ? 'ran' : end.verdict);
+  if (end.kind === 'complete') onComplete(core, live, end.outputTokens, now, actions);
+  if (end.kind === 'failed') onFailed(core, live, end, now, actions);
+  dispatchWaiting(core, live.request.pool, now, actions);
+}
--- /dev/null
+++ b/packages/core/src/entry/onRequest.ts
@@ -0,0 +1,72 @@
+import { enqueueRequest, removeRequest } from '../admission/index.js';
+import { listLimits, takeTokens } from '../limits/index.js';
+import { countVms } from '../membership/index.js';
+import type { Refusal, RefusalCode, Request } from '../types/index.js';
+import type { Action } from './action.js';
+import type { Core, LiveRequest } from './core.js';
+import { count } from './counters.js';
+import { dispatchWaiting } from './dispatchWaiting.js';
+import { endRequest, refuseRequest } from './finishRequest.js';
+import type { MessageOf } from './message.js';
+
+const DEFAULT_RETRY_MS = 1000;
+
+function notRun(code: RefusalCode, message: string, retryAfterMs = DEFAULT_RETRY_MS): Refusal {
+  return { code, message, verdict: 'not-run', retryable: true, retryAfterMs };
+}
+
+function findRefusal(core: Core, request: Request, now: number): Refusal | null {
+  const { view } = core.table;
+  const row = view?.classes.get(request.classId);
+  if (core.membership.leaving) return notRun('leaving', 'This VM is leaving; send it again.');
+  if (view === null || row === undefined) return notRun('not_ready', 'No table is in force yet.');
+  if ((view.pools.get(request.pool) ?? []).length === 0) {
+    return notRun('no_endpoint', `No endpoint serves ${request.pool}.`);
+  }
+  const limits = listLimits(view, request.accountId, request.classId);
+  const vms = countVms(core.membership);
+  const waitMs = takeTokens(core.limits, limits, vms, request.promptTokens, now);
+  if (waitMs > 0) return notRun('limit_reached', 'A limit of the table is used up.', waitMs);
+  if (!enqueueRequest(core.admission, request, row.maxQueue)) {
+    return notRun('queue_full', `Too many requests of class ${row.id} wait.`);
+  }
+  return null;
+}
+
+/** Queues a new request, or refuses it before anything has run. */
+export function onRequestArrived(
+  core: Core,
+  { request }: MessageOf<'request-arrived'>,
+  now: number,
+  actions: Action[],
+): void {
+  const live: LiveRequest = {
+    request,
+    attemptId: null,
+    attempts: 0,
+    delivered: 0,
+    verdict: 'not-run',
+    firstTokenAt: null,
+  };
+  core.requests.set(request.id, live);
+  count(core, 'requests');
+  const refusal = findRefusal(core, request, now);
+  if (refusal !== null) {
+    refuseRequest(core, live, refusal, 'refused', actions);
+    return;
+  }
+  dispatchWaiting(core, request.pool, now, actions);
+}
+
+/** Stops the work for a caller that has gone. */
+export function onCallerLeft(
+  core: Core,
+  { requestId }: MessageOf<'caller-left'>,
+  actions: Action[],
+): void {
+  const live = core.requests.get(requestId);
+  if (live === undefined) return;
+  if (live.attemptId === null) removeRequest(core.admission, live.request);
+  else actions.push({ kind: 'cancel-attempt', attemptId: live.attemptId });
+  endRequest(core, live, 'abandoned', actions);
+}
--- /dev/null
+++ b/packages/core/src/health/index.ts
@@ -0,0 +1,3 @@
+export { recordFailure, recordSuccess } from './commands.js';
+export { listUsable } from './queries.js';
+export { createHealthState, type EndpointHealth, type HealthState } from './state.js';
--- /dev/null
+++ b/packages/core/src/limits/index.ts
@@ -0,0 +1,3 @@
+export { takeTokens } from './commands.js';
+export { listLimits } from './queries.js';
+export { createLimitState, type Bucket, type LimitState } from './state.js';
--- /dev/null
+++ b/packages/core/src/prediction/queries.ts
@@ -0,0 +1,35 @@
+import { BUCKET_COUNT, bucketOf, bucketTop } from './buckets.js';
+import type { PredictionState } from './state.js';
+
+/** Below this many answers the caller's own maximum bounds the guess. */
+const FEWEST_ANSWERS = 8;
+
+/** Assumed length of an answer while nothing is known, in tokens. */
+const UNKNOWN_LENGTH = 128;
+
+/**
+ * Predicts how many tokens are still to come, at a quantile of the answers that were
+ * at least as long as what is already there.
+ */
+export function predictRemaining(
+  state: PredictionState,
+  source: string,
+  produced: number,
+  most: number,
+  quantile: number,
+): number {
+  const histogram = state.histograms.get(source);
+  const bound = Math.max(1, most - produced);
+  if (histogram === undefined || histogram.total < FEWEST_ANSWERS) {
+    return Math.min(bound, UNKNOWN_LENGTH);
+  }
+  const first = produced > 0 ? bucketOf(produced) : 0;
+  let longer = 0;
+  for (let bucket = first; bucket < BUCKET_COUNT; bucket += 1) longer += histogram.counts[bucket]!;
+  let wanted = longer * quantile;
+  for (let bucket = first; bucket < BUCKET_COUNT; bucket += 1) {
+    wanted -= histogram.counts[bucket]!;
+    if (wanted <= 0) return Math.min(bound, Math.max(1, bucketTop(bucket) - produced));
+  }
+  return bound;
+}
--- /dev/null
+++ b/packages/core/src/shared/index.ts
@@ -0,0 +1,1 @@
+export { createRandom, nextInteger, type Random } from './random.js';
--- /dev/null
+++ b/packages/core/src/table/checkTable.ts
@@ -0,0 +1,143 @@
+import type { z } from 'zod';
+
+import { tableSchema, type Table } from '../types/index.js';
+
+/** A fault in a table or in settings. */
+export interface Fault {
+  /** Where it is, such as `classes[2].share`. */
+  readonly path: string;
+  readonly expected: string;
+  readonly found: string;
+}
+
+/** The result of a check: a typed value, or every fault found. */
+export type Checked<T> =
+  | { readonly ok: true; readonly value: T }
+  | { readonly ok: false; readonly faults: readonly Fault[] };
+
+function formatPath(path: readonly PropertyKey[]): string {
+  return path.reduce<string>((text, part) => {
+    if (typeof part === 'number') return `${text}[${part}]`;
+    return text === '' ? String(part) : `${text}.${String(part)}`;
+  }, '');
+}
+
+function valueAt(root: unknown, path: readonly PropertyKey[]): unknown {
+  return path.reduce<unknown>(
+    (value, part) =>
+      typeof value === 'object' && value !== null
+        ? (value as Record<PropertyKey, unknown>)[part]
+        : undefined,
+    root,
+  );
+}
+
+const LONGEST_FOUND = 60;
+
+function describeValue(value: unknown): string {
+  if (value === undefined) return 'nothing';
+  return (JSON.stringify(value) ?? typeof value).slice(0, LONGEST_FOUND);
+}
+
+/** Turns zod's issues into faults that name path, expectation and what was found. */
+export function listFaults(issues: readonly z.core.$ZodIssue[], root: unknown): Fault[] {
+  return issues.map((issue) => ({
+    path: formatPath(issue.path) || '(root)',
+    expected: issue.message,
+    found: describeValue(valueAt(root, issue.path)),
+  }));
+}
+
+/** Checks any value against a schema, with faults in the project's form. */
+export function checkShape<S extends z.ZodType>(schema: S, value: unknown): Checked<z.infer<S>> {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return { ok: true, value: parsed.data };
+  return { ok: false, faults: listFaults(parsed.error.issues, value) };
+}
+
+function findRepeats(sheet: string, ids: readonly string[]): Fault[] {
+  const seen = new Set<string>();
+  return ids.flatMap((id, index) => {
+    if (!seen.has(id)) {
+      seen.add(id);
+      return [];
+    }
+    return [{ path: `${sheet}[${index}].id`, expected: 'an id used once', found: id }];
+  });
+}
+
+function findUnknownReferences(table: Table): Fault[] {
+  const classIds = new Set(table.classes.map((row) => row.id));
+  const accountIds = new Set(table.accounts.map((row) => row.id));
+  const modelIds = new Set(table.models.map((row) => row.id));
+  const faults: Fault[] = [];
+  table.accounts.forEach((account, index) => {
+    [account.defaultClass, ...(account.classes ?? [])]
+      .filter((id) => !classIds.has(id))
+      .forEach((found) => {
+        faults.push({ path: `accounts[${index}]`, expected: 'a class in the table', found });
+      });
+  });
+  table.endpoints.forEach((endpoint, index) => {
+    if (endpoint.kind !== 'engine') return;
+    endpoint.models
+      .filter((id) => !modelIds.has(id))
+      .forEach((found) => {
+        const path = `endpoints[${index}].models`;
+        faults.push({ path, expected: 'a model in the table', found });
+      });
+  });
+  table.limits.forEach((limit, index) => {
+    const path = `limits[${index}]`;
+    if (limit.class === undefined && limit.account === undefined) {
+      faults.push({ path, expected: 'a class or an account', found: 'neither' });
+    }
+    if (limit.class !== undefined && !classIds.has(limit.class)) {
+      faults.push({ path, expected: 'a class in the table', found: limit.class });
+    }
+    if (limit.account !== undefined && !accountIds.has(limit.account)) {
+      faults.push({ path, expected: 'an account in the table', found: limit.account });
+    }
+  });
+  return faults;
+}
+
+const LARGEST_SHARE_SUM = 1;
+
+function findShareFaults(table: Table): Fault[] {
+  const sum = table.classes.reduce((total, row) => total + row.share, 0);
+  if (sum <= LARGEST_SHARE_SUM + Number.EPSILON * table.classes.length) return [];
+  return [{ path: 'classes', expected: 'shares that add up to at most 1', found: `${sum}` }];
+}
+
+/** Checks a whole table: the shape of each row, then references and sums over all sheets. */
+export function checkTable(value: unknown): Checked<Table> {
+  const shaped = checkShape(tableSchema, value);
+  if (!shaped.ok) return shaped;
+  const table = shaped.value;
+  const faults = [
+    ...findRepeats(
+      'classes',
+      table.classes.map((row) => row.id),
+    ),
+    ...findRepeats(
+      'accounts',
+      table.accounts.map((row) => row.id),
+    ),
+    ...findRepeats(
+      'models',
+      table.models.map((row) => row.id),
+    ),
+    ...findRepeats(
+      'endpoints',
+      table.endpoints.map((row) => row.id),
+    ),
+    ...findRepeats(
+      'limits',
+      table.limits.map((row) => row.id),
+    ),
+    ...findUnknownReferences(table),
+    ...findShareFaults(table),
+  ];
+  return faults.length === 0 ? { ok: true, value: table } : { ok: false, faults };
+}
--- /dev/null
+++ b/packages/core/src/table/state.ts
@@ -0,0 +1,94 @@
+import type {
+  Account,
+  Class,
+  Endpoint,
+  Limit,
+  Manifest,
+  Model,
+  PoolId,
+  Table,
+} from '../types/index.js';
+
+/** A table in force, indexed for look-ups. */
+export interface TableView {
+  readonly revision: number;
+  readonly classes: ReadonlyMap<string, Class>;
+  readonly accountsByKeyDigest: ReadonlyMap<string, Account>;
+  readonly accounts: ReadonlyMap<string, Account>;
+  readonly models: ReadonlyMap<string, Model>;
+  readonly endpoints: ReadonlyMap<string, Endpoint>;
+  readonly pools: ReadonlyMap<PoolId, readonly Endpoint[]>;
+  readonly limits: ReadonlyMap<string, Limit>;
+}
+
+/** A sheet's content as it was published. */
+export interface Sheet {
+  readonly name: string;
+  readonly digest: string;
+  readonly text: string;
+  readonly rows: readonly unknown[];
+}
+
+/** What this VM knows of the table. */
+export interface TableState {
+  view: TableView | null;
+  manifest: Manifest | null;
+  /** Sheets in force, by name. */
+  sheets: Map<string, Sheet>;
+  /** The newest manifest whose sheets are still being fetched. */
+  wanted: Manifest | null;
+  /** Sheets fetched for `wanted`. */
+  fetched: Map<string, Sheet>;
+  /** Instant of the last word from the configuration service, epoch milliseconds. */
+  heardAt: number;
+  refused: { readonly revision: number; readonly faults: readonly string[] } | null;
+}
+
+/** Creates the state of a VM that knows no table yet. */
+export function createTableState(): TableState {
+  return {
+    view: null,
+    manifest: null,
+    sheets: new Map(),
+    wanted: null,
+    fetched: new Map(),
+    heardAt: 0,
+    refused: null,
+  };
+}
+
+/** Returns the pools that an endpoint belongs to by its row. */
+export function poolsOf(endpoint: Endpoint): PoolId[] {
+  if (endpoint.kind === 'service') return [`service:${endpoint.service}`];
+  return endpoint.models.map((model): PoolId => `model:${model}`);
+}
+
+function groupByPool(endpoints: readonly Endpoint[]): Map<PoolId, Endpoint[]> {
+  const pools = new Map<PoolId, Endpoint[]>();
+  for (const endpoint of endpoints) {
+    for (const pool of poolsOf(endpoint)) {
+      const members = pools.get(pool) ?? [];
+      members.push(endpoint);
+      pools.set(pool, members);
+    }
+  }
+  return pools;
+}
+
+function byId<T extends { readonly id: string }>(rows: readonly T[]): Map<string, T> {
+  return new Map(rows.map((row) => [row.id, row]));
+}
+
+/** Indexes a checked table. */
+export function createTableView(table: Table): TableView {
+  return {
+    revision: table.revision,
+    classes: byId(table.classes),
+    accountsByKeyDigest: new Map(table.accounts.map((account) => [account.keyDigest, account])),
+    accounts: byId(table.accounts),
+    models: byId(table.models),
+    endpoints: byId(table.endpoints),
+    pools: groupByPool(table.endpoints),
+    limits: byId(table.limits),
+  };
+}
--- /dev/null
+++ b/packages/core/src/testing/describe.ts
@@ -0,0 +1,24 @@
+import test, { type ImplementationFn } from 'ava';
+
+const titles: string[] = [];
+
+/** Groups tests under a title; ava has no nested groups, so the titles are joined. */
+export function describe(title: string, body: () => void): void {
+  titles.push(title);
+  body();
+  titles.pop();
+}
+
+function joinTitles(title: string): string {
+  return [...titles, title].join(' > ');
+}
+
+/** Declares a test within the groups around it. */
+export function it(title: string, implementation: ImplementationFn<[]>): void {
+  test(joinTitles(title), implementation);
+}
+
+/** Declares a test that runs alone in its file, for tests that replace the clock. */
+export function itAlone(title: string, implementation: ImplementationFn<[]>): void {
+  test.serial(joinTitles(title), implementation);
+}
--- /dev/null
+++ b/packages/core/src/testing/index.ts
@@ -0,0 +1,1 @@
+export { describe, it, itAlone } from './describe.js';
--- /dev/null
+++ b/packages/core/src/types/endpoint.ts
@@ -0,0 +1,40 @@
+import { z } from 'zod';
+
+const base = {
+  id: z.string().min(1).max(64),
+  url: z.url({ protocol: /^https?$/ }),
+  zone: z.string().min(1),
+  region: z.string().min(1),
+  slots: z.number().int().positive().describe('Requests it can compute at the same time.'),
+  state: z.enum(['live', 'leaving']).default('live'),
+};
+
+/** Shape of an engine's row in the endpoints sheet. */
+export const engineSchema = z.strictObject({
+  ...base,
+  kind: z.literal('engine'),
+  models: z.array(z.string().min(1)).describe('Models it serves when it starts.'),
+  accelerators: z.number().int().positive().default(1),
+  fencing: z.enum(['checked', 'ignored']).describe('Whether it refuses old fencing numbers.'),
+  managed: z.boolean().default(false).describe('True: the router may order loads and unloads.'),
+});
+
+/** Shape of a plain service's row in the endpoints sheet. */
+export const serviceSchema = z.strictObject({
+  ...base,
+  kind: z.literal('service'),
+  service: z.string().regex(/^[a-z0-9-]+$/, 'expected lower-case letters, digits and hyphens'),
+  repeatableMethods: z.array(z.string()).default(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']),
+});
+
+/** Shape of one row of the endpoints sheet. */
+export const endpointSchema = z.discriminatedUnion('kind', [engineSchema, serviceSchema]);
+
+/** A model engine. */
+export type Engine = z.infer<typeof engineSchema>;
+
+/** A plain service beside the engines. */
+export type Service = z.infer<typeof serviceSchema>;
+
+/** Anything that the router sends requests to. */
+export type Endpoint = z.infer<typeof endpointSchema>;
--- /dev/null
+++ b/packages/core/src/types/peerCall.ts
@@ -0,0 +1,98 @@
+import type { Heartbeat } from './heartbeat.js';
+import type { Manifest } from './table.js';
+import type { VmList } from './vm.js';
+
+/** Asks a witness to grant a key to one attempt. */
+export interface ClaimCall {
+  readonly method: 'claim';
+  readonly key: string;
+  readonly fingerprint: string;
+  readonly attemptId: string;
+  readonly claimant: string;
+  readonly endpointId: string;
+  readonly streamId: string;
+  /** When the caller issued the key; null when the key does not say. */
+  readonly issuedAt: number | null;
+  readonly listRevision: number;
+  /** Unsettled earlier lists, oldest first. */
+  readonly chain: readonly VmList[];
+}
+
+/** A witness's answer to a claim. */
+export type ClaimReply =
+  | { readonly kind: 'granted'; readonly incarnation: number; readonly list: VmList | null }
+  | {
+      readonly kind: 'held';
+      readonly attemptId: string;
+      readonly claimant: string;
+      readonly endpointId: string;
+      readonly streamId: string;
+      readonly fingerprint: string;
+    }
+  | {
+      readonly kind: 'abstained';
+      readonly reason: 'started-later' | 'leaving' | 'list-differs' | 'not-a-witness';
+      readonly list: VmList | null;
+      readonly chain: readonly VmList[];
+    };
+
+/** Gives back a grant that was never dispatched. */
+export interface ReleaseCall {
+  readonly method: 'release';
+  readonly key: string;
+  readonly attemptId: string;
+}
+
+/** Asks for a sheet's content, or for the manifest when `sheet` is `manifest`. */
+export interface SheetCall {
+  readonly method: 'sheet';
+  readonly sheet: string;
+  readonly digest: string | null;
+}
+
+/** A sheet's text and position. */
+export interface SheetReply {
+  readonly manifest: Manifest | null;
+  readonly text: string | null;
+}
+
+/** Asks a limit's coordinator for a part of the limit for a few seconds. */
+export interface LeaseCall {
+  readonly method: 'lease';
+  readonly limitId: string;
+  readonly tokensPerSecond: number;
+  readonly from: string;
+  readonly listRevision: number;
+}
+
+/** The part that was leased; zero when the coordinator has none to give yet. */
+export interface LeaseReply {
+  readonly tokensPerSecond: number;
+  readonly durationMs: number;
+}
+
+/** Tells a peer about the sender. */
+export interface HeartbeatCall {
+  readonly method: 'heartbeat';
+  readonly heartbeat: Heartbeat;
+}
+
+/** The receiver's own heartbeat in return. */
+export interface HeartbeatReply {
+  readonly heartbeat: Heartbeat;
+}
+
+/** A call between VMs. */
+export type PeerCall = ClaimCall | ReleaseCall | SheetCall | LeaseCall | HeartbeatCall;
+
+/** The reply to each call, by method. */
+export interface PeerReplies {
+  readonly claim: ClaimReply;
+  readonly release: { readonly released: boolean };
+  readonly sheet: SheetReply;
+  readonly lease: LeaseReply;
+  readonly heartbeat: HeartbeatReply;
+}
+
+/** Any reply. */
+export type PeerReply = PeerReplies[keyof PeerReplies];
--- /dev/null
+++ b/packages/core/src/types/table.ts
@@ -0,0 +1,50 @@
+import { z } from 'zod';
+
+import { accountSchema } from './account.js';
+import { classSchema } from './class.js';
+import { endpointSchema } from './endpoint.js';
+import { limitSchema } from './limit.js';
+import { modelSchema } from './model.js';
+
+/** Names of the table's sheets; accounts are published in shards named `accounts/N`. */
+export const sheetNames = ['classes', 'accounts', 'models', 'endpoints', 'limits'] as const;
+
+/** Name of a sheet. */
+export type SheetName = (typeof sheetNames)[number];
+
+/** Shapes of the rows, by sheet. */
+export const sheetSchemas = {
+  classes: z.array(classSchema),
+  accounts: z.array(accountSchema),
+  models: z.array(modelSchema),
+  endpoints: z.array(endpointSchema),
+  limits: z.array(limitSchema),
+} as const;
+
+/** Shape of the whole table, as the command line reads and checks it. */
+export const tableSchema = z.strictObject({
+  revision: z.number().int().nonnegative(),
+  ...sheetSchemas,
+});
+
+/** The operators' table: everything that the fleet's behaviour is governed by. */
+export type Table = z.infer<typeof tableSchema>;
+
+/** Shape of the manifest that names the sheets of one revision of the table. */
+export const manifestSchema = z.strictObject({
+  revision: z.number().int().nonnegative(),
+  sheets: z.record(
+    z.string().regex(/^(classes|models|endpoints|limits|accounts\/\d+)$/, 'unknown sheet'),
+    z.strictObject({ revision: z.number().int().nonnegative(), digest: z.string().min(1) }),
+  ),
+});
+
+/** Names the sheets of one revision of the table, each with its own revision and digest. */
+export type Manifest = z.infer<typeof manifestSchema>;
+
+/** Position of a sheet's content: two equal positions are the same content. */
+export interface SheetPosition {
+  readonly sheet: string;
+  readonly revision: number;
+  readonly digest: string;
+}
--- /dev/null
+++ b/packages/core/src/types/vm.ts
@@ -0,0 +1,23 @@
+import { z } from 'zod';
+
+/** Shape of one VM in the published list. */
+export const vmSchema = z.strictObject({
+  id: z.string().min(1).max(64),
+  peerUrl: z.url({ protocol: /^https?$/ }),
+  zone: z.string().min(1),
+  region: z.string().min(1),
+  state: z.enum(['live', 'leaving']).default('live'),
+});
+
+/** One of our own VMs. */
+export type Vm = z.infer<typeof vmSchema>;
+
+/** Shape of the published list of VMs. */
+export const vmListSchema = z.strictObject({
+  revision: z.number().int().nonnegative(),
+  vms: z.array(vmSchema),
+  leavingEndpoints: z.array(z.string()).default([]).describe('Endpoints about to stop.'),
+});
+
+/** The published list of our VMs, the authority on who belongs. */
+export type VmList = z.infer<typeof vmListSchema>;
