--- a/eslint.config.js
+++ b/eslint.config.js
@@ -62,10 +62,18 @@
       'no-await-in-loop': 'off',
       'no-underscore-dangle': 'off',
       'max-classes-per-file': 'off',
+      // A floating promise is marked by `void`, as typescript-eslint asks.
+      'no-void': ['error', { allowAsStatement: true }],
+      // Node 20 serves these without a flag; hono is built on them.
+      'n/no-unsupported-features/node-builtins': [
+        'error',
+        { version: '>=20.20.0', ignores: ['fetch', 'Request', 'Response', 'Headers'] },
+      ],
+      'n/no-unsupported-features/es-syntax': ['error', { version: '>=20.20.0' }],
     },
   },
   {
-    files: ['**/__tests__/**', '*.config.js'],
+    files: ['**/__tests__/**', '**/src/testing/**', '*.config.js'],
     rules: {
       'import-x/no-extraneous-dependencies': 'off',
       'n/no-unpublished-import': 'off',
--- /dev/null
+++ b/packages/bench/bin/bench.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { main } from '../dist/src/main.js';
+
+await main(import.meta);
--- /dev/null
+++ b/packages/bench/src/createFleet.ts
@@ -0,0 +1,168 @@
+import { createHash } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { checkTable, type Table } from '@filbertlatch/core';
+import { createRouter, parseSettings, type Router } from '@filbertlatch/router';
+import {
+  createEngine,
+  createPlatform,
+  createService,
+  type StandInEngine,
+  type StandInPlatform,
+  type StandInService,
+} from '@filbertlatch/standins';
+
+import type { Scenario } from './scenario.js';
+
+const READY_POLL_MS = 20;
+const READY_TIMEOUT_MS = 10_000;
+
+/** Token that the fleet's operators use; the fleet listens on loopback only. */
+export const OPERATOR_TOKEN = 'operator-token-of-the-bench';
+
+const SHARED_KEY = 'shared-key-of-the-bench-fleet';
+
+/** Routers and stand-ins of one scenario, all in this process. */
+export interface Fleet {
+  readonly platform: StandInPlatform;
+  readonly engines: readonly StandInEngine[];
+  readonly services: readonly StandInService[];
+  readonly routers: readonly Router[];
+  readonly table: Table;
+  stop(): Promise<void>;
+}
+
+/** Returns the API key of an account of the fleet. */
+export function keyOf(account: string): string {
+  return `key-${account}`;
+}
+
+function zoneAt(scenario: Scenario, index: number): string {
+  return scenario.zones[index % scenario.zones.length]!;
+}
+
+async function createEngines(scenario: Scenario, seed: number): Promise<StandInEngine[]> {
+  const wanted = scenario.engines.flatMap((group) =>
+    Array.from({ length: group.count }, (_, index) => ({
+      id: `${group.model}-${index}`,
+      models: [group.model],
+      slots: group.slots,
+      stepMs: group.stepMs,
+      prefillTokensPerSecond: group.prefillTokensPerSecond,
+    })),
+  );
+  return Promise.all(wanted.map((options, at) => createEngine({ ...options, seed: seed + at })));
+}
+
+async function createServices(scenario: Scenario): Promise<StandInService[]> {
+  const wanted = scenario.services.flatMap(({ name, count, answerMs }) =>
+    Array.from({ length: count }, (_, index) => ({ id: `${name}-${index}`, name, answerMs })),
+  );
+  return Promise.all(wanted.map((options) => createService(options)));
+}
+
+function engineRows(scenario: Scenario, engines: readonly StandInEngine[]) {
+  return engines.map((engine, index) => {
+    const group = scenario.engines.find((g) => engine.id.startsWith(`${g.model}-`))!;
+    return {
+      id: engine.id,
+      kind: 'engine',
+      url: engine.url,
+      zone: zoneAt(scenario, index),
+      region: scenario.region,
+      slots: group.slots,
+      models: [group.model],
+      fencing: 'checked',
+    };
+  });
+}
+
+function serviceRows(scenario: Scenario, services: readonly StandInService[]) {
+  return services.map((service, index) => ({
+    id: service.id,
+    kind: 'service',
+    service: service.name,
+    url: service.url,
+    zone: zoneAt(scenario, index),
+    region: scenario.region,
+    slots: scenario.services.find((s) => s.name === service.name)!.slots,
+  }));
+}
+
+function buildTable(
+  scenario: Scenario,
+  engines: readonly StandInEngine[],
+  services: readonly StandInService[],
+): Table {
+  const classIds = scenario.classes.map((row) => (row as { id: string }).id);
+  const checked = checkTable({
+    revision: 1,
+    classes: scenario.classes,
+    accounts: scenario.accounts.map((id) => ({
+      id,
+      keyDigest: createHash('sha256').update(keyOf(id)).digest('hex'),
+      homeRegion: scenario.region,
+      defaultClass: classIds[0],
+    })),
+    models: scenario.engines.map((group) => ({ id: group.model })),
+    endpoints: [...engineRows(scenario, engines), ...serviceRows(scenario, services)],
+    limits: scenario.limits,
+  });
+  if (checked.ok) return checked.value;
+  throw new TypeError(checked.faults.map((f) => `${f.path}: ${f.expected}`).join('; '));
+}
+
+function createRouterAt(scenario: Scenario, platform: StandInPlatform, index: number) {
+  return createRouter(
+    parseSettings({
+      vm: { id: `vm-${index}`, zone: zoneAt(scenario, index), region: scenario.region },
+      callers: { port: 0 },
+      admin: { port: 0, operatorToken: OPERATOR_TOKEN },
+      peers: { port: 0, sharedKey: SHARED_KEY },
+      platform: { configurationUrl: platform.url, listUrl: platform.url },
+      logLevel: 'error',
+      seed: index + 1,
+    }),
+  );
+}
+
+async function waitUntilReady(routers: readonly Router[], revision: number): Promise<void> {
+  const latest = performance.now() + READY_TIMEOUT_MS;
+  while (routers.some((router) => router.state().table.revision < revision)) {
+    if (performance.now() > latest) throw new Error('the routers did not become ready');
+    await sleep(READY_POLL_MS);
+  }
+}
+
+/** Starts the fleet of a scenario on loopback and waits until each router has the table. */
+export async function createFleet(scenario: Scenario, seed: number): Promise<Fleet> {
+  const platform = await createPlatform();
+  const engines = await createEngines(scenario, seed);
+  const services = await createServices(scenario);
+  const table = buildTable(scenario, engines, services);
+  const indexes = Array.from({ length: scenario.routers }, (_, index) => index);
+  const routers = await Promise.all(
+    indexes.map((index) => createRouterAt(scenario, platform, index)),
+  );
+  const vms = routers.map((router, index) => ({
+    id: `vm-${index}`,
+    peerUrl: router.peerUrl,
+    zone: zoneAt(scenario, index),
+    region: scenario.region,
+    state: 'live' as const,
+  }));
+  platform.publishList({ revision: 1, vms, leavingEndpoints: [] });
+  platform.publishTable(table);
+  await waitUntilReady(routers, table.revision);
+  return {
+    platform,
+    engines,
+    services,
+    routers,
+    table,
+    stop: async () => {
+      await Promise.all(routers.map((router) => router.stop()));
+      await Promise.all([...engines, ...services, platform].map((part) => part.stop()));
+    },
+  };
+}
--- /dev/null
+++ b/packages/bench/src/sendRequest.ts
@@ -0,0 +1,118 @@
+import { request, type Dispatcher } from 'undici';
+
+import { keyOf } from './createFleet.js';
+import type { Load } from './scenario.js';
+
+const CHARACTERS_PER_TOKEN = 4;
+
+/** What a caller saw of one request; times in milliseconds. */
+export interface Sample {
+  readonly class: string;
+  readonly startedAt: number;
+  readonly status: number;
+  readonly firstTokenMs: number | null;
+  readonly wholeMs: number;
+  readonly tokens: number;
+  readonly whole: boolean;
+  /** The error's code and verdict; null for a whole answer. */
+  readonly error: { readonly code: string; readonly run: string } | null;
+}
+
+/** Lengths drawn for one request. */
+export interface Draw {
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+}
+
+function buildCall(load: Load, draw: Draw) {
+  const headers = {
+    authorization: `Bearer ${keyOf(load.account)}`,
+    'filbertlatch-class': load.class,
+    'content-type': 'application/json',
+  };
+  const service = load.target.match(/^service:(\S+) (\S+)$/);
+  if (service !== null) {
+    const path = `/services/${service[1]}${service[2]}`;
+    return { method: load.method, path, headers, body: load.method === 'GET' ? null : '{}' };
+  }
+  const content = 'x'.repeat(draw.promptTokens * CHARACTERS_PER_TOKEN);
+  const body = JSON.stringify({
+    model: load.target,
+    messages: [{ role: 'user', content }],
+    stream: load.streamed,
+    standin: { tokens: draw.outputTokens },
+  });
+  return { method: 'POST', path: '/v1/chat/completions', headers, body };
+}
+
+interface Reading {
+  firstTokenMs: number | null;
+  tokens: number;
+  text: string;
+}
+
+async function readBody(response: Dispatcher.ResponseData, startedAt: number): Promise<Reading> {
+  const reading: Reading = { firstTokenMs: null, tokens: 0, text: '' };
+  const decoder = new TextDecoder();
+  for await (const bytes of response.body) {
+    reading.firstTokenMs ??= performance.now() - startedAt;
+    reading.text += decoder.decode(bytes, { stream: true });
+  }
+  return reading;
+}
+
+function findError(text: string): Sample['error'] {
+  const data = text.match(/"code":"(\w+)","run":"([\w-]+)"/);
+  return data === null ? null : { code: data[1]!, run: data[2]! };
+}
+
+function countTokens(load: Load, text: string): number {
+  if (load.target.startsWith('service:')) return 1;
+  if (!load.streamed) return Number(text.match(/"completion_tokens":(\d+)/)?.[1] ?? 0);
+  return text.split('"content":" w').length - 1;
+}
+
+function isWhole(load: Load, status: number, text: string): boolean {
+  if (status !== 200) return false;
+  return !load.streamed || load.target.startsWith('service:') || text.includes('data: [DONE]');
+}
+
+/** Sends one request as a caller would and tells what came of it. */
+export async function sendRequest(
+  base: string,
+  load: Load,
+  draw: Draw,
+  dispatcher: Dispatcher,
+): Promise<Sample> {
+  const startedAt = performance.now();
+  const { path, ...call } = buildCall(load, draw);
+  const common = { class: load.class, startedAt };
+  try {
+    const response = await request(`${base}${path}`, {
+      ...call,
+      dispatcher,
+    });
+    const { firstTokenMs, text } = await readBody(response, startedAt);
+    const whole = isWhole(load, response.statusCode, text);
+    return {
+      ...common,
+      status: response.statusCode,
+      firstTokenMs: whole ? firstTokenMs : null,
+      wholeMs: performance.now() - startedAt,
+      tokens: whole ? countTokens(load, text) : 0,
+      whole,
+      error: whole ? null : findError(text),
+    };
+  } catch {
+    const wholeMs = performance.now() - startedAt;
+    return {
+      ...common,
+      status: 0,
+      firstTokenMs: null,
+      wholeMs,
+      tokens: 0,
+      whole: false,
+      error: null,
+    };
+  }
+}
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,1 @@
+export { main } from './main.js';
--- a/packages/core/src/shared/random.ts
+++ b/packages/core/src/shared/random.ts
@@ -7,9 +7,13 @@
   next(): number;
 }
 
+// Neighbouring seeds give neighbouring first numbers; later ones are apart.
+const WARM_UP = 32;
+
 /** Creates a random source from a seed. */
 export function createRandom(seed: number): Random {
   const generator = xoroshiro128plus(seed);
+  for (let skipped = 0; skipped < WARM_UP; skipped += 1) uniformFloat64(generator);
   return { next: () => uniformFloat64(generator) };
 }
 
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,1 @@
+export { runDaemon } from './runDaemon.js';
--- /dev/null
+++ b/packages/router/src/admin/index.ts
@@ -0,0 +1,2 @@
+export { createAdminApi, type AdminContext } from './adminApi.js';
+export { dumpState } from './dumpState.js';
--- /dev/null
+++ b/packages/router/src/callers/callerApi.ts
@@ -0,0 +1,214 @@
+import { nextId, type PoolId, type RefusalCode, type Request } from '@filbertlatch/core';
+import type { HttpBindings } from '@hono/node-server';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
+import { Hono, type Context } from 'hono';
+import { bodyLimit } from 'hono/body-limit';
+import type { z } from 'zod';
+
+import { now } from '../clock.js';
+import type { Decider } from '../decider/index.js';
+import type { Settings } from '../settings/index.js';
+import type { Exchange, Payload } from './exchange.js';
+import type { Exchanges } from './exchanges.js';
+import { chatSchema, completionSchema, type GenerateBody } from './generateRequest.js';
+import { CLASS_HEADER, identifyCaller, type Caller } from './identifyCaller.js';
+import { digestPrompt } from './promptDigest.js';
+import { refusalBody, refusalHeaders, refusalStatus } from './refusalResponse.js';
+import { copyServiceHeaders, servicePath } from './serviceRequest.js';
+import { StreamedExchange } from './streamedExchange.js';
+import { WholeExchange } from './wholeExchange.js';
+
+const DEFAULT_MAX_TOKENS = 4096;
+const TIMEOUT_HEADER = 'filbertlatch-timeout-ms';
+const KEY_HEADER = 'idempotency-key';
+const REPEATABLE_HEADER = 'filbertlatch-repeatable';
+
+interface Env {
+  readonly Bindings: HttpBindings;
+}
+type KnownCaller = Extract<Caller, { ok: true }>;
+
+/** What the caller API works with. */
+export interface CallerContext {
+  readonly decider: Decider;
+  readonly exchanges: Exchanges;
+  readonly settings: Settings;
+}
+
+interface Draft {
+  readonly pool: PoolId;
+  readonly promptTokens: number;
+  readonly maxOutputTokens: number;
+  readonly prefixes: readonly string[];
+  readonly fingerprint: string;
+  readonly repeatable: boolean;
+}
+
+function refuse(c: Context<Env>, code: RefusalCode, message: string): Response {
+  const retryable = code === 'not_ready';
+  const refusal = {
+    code,
+    message,
+    verdict: 'not-run',
+    retryable,
+    retryAfterMs: retryable ? 1000 : null,
+  } as const;
+  const id = 'none';
+  return new Response(JSON.stringify(refusalBody(refusal, id)), {
+    status: refusalStatus(refusal),
+    headers: refusalHeaders(refusal, id),
+  });
+}
+
+function readTimeout(c: Context<Env>, caller: KnownCaller): number {
+  const asked = Number(c.req.header(TIMEOUT_HEADER));
+  const { wholeMs } = caller.row.target;
+  return Number.isFinite(asked) && asked > 0 ? Math.min(asked, wholeMs) : wholeMs;
+}
+
+function buildRequest(
+  c: Context<Env>,
+  context: CallerContext,
+  caller: KnownCaller,
+  draft: Draft,
+): Request {
+  const arrivedAt = now();
+  const key = c.req.header(KEY_HEADER);
+  const repeatable = draft.repeatable && c.req.header(REPEATABLE_HEADER) !== 'false';
+  return {
+    ...draft,
+    id: nextId(context.decider.core, 'r'),
+    accountId: caller.account.id,
+    classId: caller.row.id,
+    arrivedAt,
+    deadline: arrivedAt + readTimeout(c, caller),
+    repeatable: repeatable && caller.row.repeatable,
+    key: key === undefined ? null : `${caller.account.id}/${key}`,
+  };
+}
+
+function openExchange(context: CallerContext, c: Context<Env>, exchange: Exchange): Response {
+  const { id } = exchange.request;
+  context.exchanges.add(exchange);
+  c.env.outgoing.once('close', () => {
+    if (context.exchanges.take(id) === undefined) return;
+    context.decider.post({ kind: 'caller-left', requestId: id });
+  });
+  context.decider.post({ kind: 'request-arrived', request: exchange.request });
+  return RESPONSE_ALREADY_SENT;
+}
+
+async function readJson(c: Context<Env>): Promise<unknown> {
+  try {
+    return await c.req.json();
+  } catch {
+    return undefined;
+  }
+}
+
+function draftGenerate(body: GenerateBody): Draft {
+  const { model, ...rest } = body;
+  const digest = digestPrompt(body.messages ?? body.prompt, rest);
+  return {
+    pool: `model:${model}`,
+    promptTokens: digest.tokens,
+    maxOutputTokens: body.max_completion_tokens ?? body.max_tokens ?? DEFAULT_MAX_TOKENS,
+    prefixes: digest.prefixes,
+    fingerprint: digest.fingerprint,
+    repeatable: true,
+  };
+}
+
+function describeIssue(error: z.ZodError): string {
+  const issue = error.issues[0];
+  return `${issue?.path.join('.') || 'body'}: ${issue?.message ?? 'not valid JSON'}`;
+}
+
+function createGenerateHandler(
+  context: CallerContext,
+  path: '/v1/chat/completions' | '/v1/completions',
+  schema: typeof chatSchema | typeof completionSchema,
+) {
+  return async (c: Context<Env>): Promise<Response> => {
+    const { core } = context.decider;
+    const caller = identifyCaller(core, c.req.header('authorization'), c.req.header(CLASS_HEADER));
+    if (!caller.ok) return refuse(c, caller.code, caller.message);
+    const parsed = schema.safeParse(await readJson(c));
+    if (!parsed.success) return refuse(c, 'invalid_request', describeIssue(parsed.error));
+    const body = parsed.data;
+    if (!core.table.view?.models.has(body.model)) {
+      return refuse(c, 'model_not_found', `There is no model ${JSON.stringify(body.model)}.`);
+    }
+    const request = buildRequest(c, context, caller, draftGenerate(body));
+    const payload: Payload = { kind: 'generate', path, body };
+    const exchange =
+      body.stream === true
+        ? new StreamedExchange(request, payload, c.env.outgoing)
+        : new WholeExchange(request, payload, c.env.outgoing);
+    return openExchange(context, c, exchange);
+  };
+}
+
+function createServiceHandler(context: CallerContext) {
+  return async (c: Context<Env>): Promise<Response> => {
+    const { core } = context.decider;
+    const caller = identifyCaller(core, c.req.header('authorization'), c.req.header(CLASS_HEADER));
+    if (!caller.ok) return refuse(c, caller.code, caller.message);
+    const name = c.req.param('name') ?? '';
+    const pool: PoolId = `service:${name}`;
+    const member = core.table.view?.pools.get(pool)?.[0];
+    if (member?.kind !== 'service') {
+      return refuse(c, 'service_not_found', `There is no service ${JSON.stringify(name)}.`);
+    }
+    const path = servicePath(c.req.url, name);
+    if (path === null) return refuse(c, 'invalid_request', 'The path is not in its plain form.');
+    const body = Buffer.from(await c.req.arrayBuffer());
+    const { method } = c.req;
+    const digest = digestPrompt(body.toString('base64'), { method, path });
+    const request = buildRequest(c, context, caller, {
+      pool,
+      promptTokens: 1,
+      maxOutputTokens: 1,
+      prefixes: [],
+      fingerprint: digest.fingerprint,
+      repeatable: member.repeatableMethods.includes(method),
+    });
+    const headers = copyServiceHeaders(c.req.header());
+    const payload: Payload = { kind: 'service', method, path, headers, body };
+    return openExchange(context, c, new WholeExchange(request, payload, c.env.outgoing));
+  };
+}
+
+function listModels(context: CallerContext) {
+  const models = [...(context.decider.core.table.view?.models.keys() ?? [])];
+  return {
+    object: 'list',
+    data: models.map((id) => ({ id, object: 'model', created: 0, owned_by: 'filbertlatch' })),
+  };
+}
+
+/** Creates the API that callers use. */
+export function createCallerApi(context: CallerContext): Hono<Env> {
+  const api = new Hono<Env>();
+  const { maxBodyBytes } = context.settings.callers;
+  api.use(
+    bodyLimit({
+      maxSize: maxBodyBytes,
+      onError: (c) => refuse(c, 'invalid_request', `The body is over ${maxBodyBytes} bytes.`),
+    }),
+  );
+  api.post(
+    '/v1/chat/completions',
+    createGenerateHandler(context, '/v1/chat/completions', chatSchema),
+  );
+  api.post('/v1/completions', createGenerateHandler(context, '/v1/completions', completionSchema));
+  api.get('/v1/models', (c) => c.json(listModels(context)));
+  api.all('/services/:name/*', createServiceHandler(context));
+  api.get('/health', (c) => c.json({ status: 'up' }));
+  api.get('/ready', (c) => {
+    const { table, membership } = context.decider.core;
+    const ready = table.view !== null && !membership.leaving;
+    return c.json({ ready }, ready ? 200 : 503);
+  });
+  return api;
+}
--- /dev/null
+++ b/packages/router/src/callers/wholeExchange.ts
@@ -0,0 +1,53 @@
+import type { ServerResponse } from 'node:http';
+
+import type { Refusal, Request } from '@filbertlatch/core';
+
+import type { Chunk } from '../endpoints/engineProtocol.js';
+import { AnswerAssembler } from './assembleAnswer.js';
+import type { Exchange, Payload, ServiceAnswer } from './exchange.js';
+import { refusalBody, refusalHeaders, refusalStatus } from './refusalResponse.js';
+
+/** Keeps the answer until it is whole, then sends it in one piece. */
+export class WholeExchange implements Exchange {
+  readonly request: Request;
+
+  readonly payload: Payload;
+
+  readonly #response: ServerResponse;
+
+  readonly #assembler = new AnswerAssembler();
+
+  #answer: ServiceAnswer | null = null;
+
+  constructor(request: Request, payload: Payload, response: ServerResponse) {
+    this.request = request;
+    this.payload = payload;
+    this.#response = response;
+  }
+
+  writeChunk(chunk: Chunk): void {
+    this.#assembler.add(chunk);
+  }
+
+  writeAnswer(answer: ServiceAnswer): void {
+    this.#answer = answer;
+  }
+
+  finish(): void {
+    const { id } = this.request;
+    if (this.#answer !== null) {
+      const { status, headers, body } = this.#answer;
+      this.#response.writeHead(status, { ...headers, 'x-request-id': id });
+      this.#response.end(body);
+      return;
+    }
+    const headers = { 'content-type': 'application/json', 'x-request-id': id };
+    this.#response.writeHead(200, headers);
+    this.#response.end(JSON.stringify(this.#assembler.build(id)));
+  }
+
+  refuse(refusal: Refusal): void {
+    this.#response.writeHead(refusalStatus(refusal), refusalHeaders(refusal, this.request.id));
+    this.#response.end(JSON.stringify(refusalBody(refusal, this.request.id)));
+  }
+}
--- /dev/null
+++ b/packages/router/src/decider/index.ts
@@ -0,0 +1,1 @@
+export { Decider } from './decider.js';
--- /dev/null
+++ b/packages/router/src/endpoints/endpointTask.ts
@@ -0,0 +1,150 @@
+import { tierRank, type ActionOf, type AttemptEnd, type Endpoint } from '@filbertlatch/core';
+import { Pool, type Dispatcher } from 'undici';
+
+import type { Exchange } from '../callers/exchange.js';
+import type { Exchanges } from '../callers/exchanges.js';
+import { now } from '../clock.js';
+import type { Decider } from '../decider/index.js';
+import { AttemptError, toAttemptError } from './attemptError.js';
+import { PRIORITY_HEADER, REQUEST_ID_HEADER, TIMEOUT_HEADER } from './engineProtocol.js';
+import { checkStatus, readServiceAnswer, readStream, type Progress } from './readAnswer.js';
+
+const CONNECT_TIMEOUT_MS = 1000;
+const SPARE_CONNECTIONS = 8;
+
+interface Running {
+  readonly stop: AbortController;
+  cancelled: boolean;
+}
+
+function describeEnd(error: unknown, running: Running, delivered: number): AttemptEnd {
+  if (running.cancelled) return { kind: 'cancelled', verdict: 'may-have-run' };
+  const { failure, verdict, status, retryAfterMs } = toAttemptError(error);
+  return { kind: 'failed', cause: failure, verdict, delivered, status, retryAfterMs };
+}
+
+/** The task that owns the connections to one endpoint and the attempts on them. */
+export class EndpointTask {
+  readonly #endpoint: Endpoint;
+
+  readonly #decider: Decider;
+
+  readonly #exchanges: Exchanges;
+
+  readonly #pool: Pool;
+
+  readonly #running = new Map<string, Running>();
+
+  constructor(endpoint: Endpoint, decider: Decider, exchanges: Exchanges) {
+    this.#endpoint = endpoint;
+    this.#decider = decider;
+    this.#exchanges = exchanges;
+    this.#pool = new Pool(new URL(endpoint.url).origin, {
+      connections: endpoint.slots + SPARE_CONNECTIONS,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+
+  /** Runs an attempt and posts how it ended. */
+  async run(action: ActionOf<'dispatch'>): Promise<void> {
+    const exchange = this.#exchanges.find(action.request.id);
+    const running: Running = { stop: new AbortController(), cancelled: false };
+    const { id: attemptId } = action.attempt;
+    this.#running.set(attemptId, running);
+    let delivered = 0;
+    const onTokens = (count: number) => {
+      delivered += count;
+      this.#decider.post({ kind: 'tokens-arrived', attemptId, count });
+    };
+    let end: AttemptEnd;
+    try {
+      if (exchange === undefined) throw new AttemptError('reset', 'not-run', 'the caller left');
+      end = {
+        kind: 'complete',
+        outputTokens: await this.#call(action, exchange, running, onTokens),
+      };
+    } catch (error) {
+      end = describeEnd(error, running, delivered);
+    } finally {
+      this.#running.delete(attemptId);
+    }
+    if (end.kind === 'complete') this.#exchanges.take(action.request.id)?.finish();
+    this.#decider.post({ kind: 'attempt-ended', attemptId, end });
+  }
+
+  /** Stops an attempt; the closed connection tells the endpoint. */
+  cancel(attemptId: string): void {
+    const running = this.#running.get(attemptId);
+    if (running === undefined) return;
+    running.cancelled = true;
+    running.stop.abort();
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await this.#pool.destroy();
+  }
+
+  async #call(
+    action: ActionOf<'dispatch'>,
+    exchange: Exchange,
+    running: Running,
+    onTokens: (count: number) => void,
+  ): Promise<number> {
+    const silence = setTimeout(() => {
+      running.stop.abort(new AttemptError('silent', 'may-have-run', 'the connection is silent'));
+    }, action.silenceMs);
+    const progress: Progress = { onTokens, onBytes: () => silence.refresh() };
+    try {
+      const response = await this.#send(action, exchange, running.stop.signal);
+      silence.refresh();
+      await checkStatus(response);
+      this.#decider.post({ kind: 'attempt-accepted', attemptId: action.attempt.id });
+      if (exchange.payload.kind === 'generate') {
+        return await readStream(response.body, action, exchange, progress);
+      }
+      exchange.writeAnswer(await readServiceAnswer(action, response));
+      return 1;
+    } finally {
+      clearTimeout(silence);
+    }
+  }
+
+  #send(
+    action: ActionOf<'dispatch'>,
+    exchange: Exchange,
+    signal: AbortSignal,
+  ): Promise<Dispatcher.ResponseData> {
+    const { payload } = exchange;
+    const headers = this.#headersOf(action);
+    if (payload.kind === 'service') {
+      return this.#pool.request({
+        method: payload.method,
+        path: payload.path,
+        headers: { ...payload.headers, ...headers },
+        body: payload.body.length > 0 ? payload.body : null,
+        signal,
+      });
+    }
+    const streamOptions = { include_usage: true };
+    const body = { ...payload.body, stream: true, stream_options: streamOptions };
+    return this.#pool.request({
+      method: 'POST',
+      path: payload.path,
+      headers: { ...headers, 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+      signal,
+    });
+  }
+
+  #headersOf({ attempt, request }: ActionOf<'dispatch'>): Record<string, string> {
+    const row = this.#decider.core.table.view?.classes.get(request.classId);
+    return {
+      [REQUEST_ID_HEADER]: attempt.id,
+      [PRIORITY_HEADER]: String(tierRank(row?.tier ?? 'background')),
+      [TIMEOUT_HEADER]: String(Math.max(1, Math.round(request.deadline - now()))),
+    };
+  }
+}
--- /dev/null
+++ b/packages/router/src/endpoints/endpointTasks.ts
@@ -0,0 +1,50 @@
+import type { ActionOf, Endpoint } from '@filbertlatch/core';
+
+import type { Exchanges } from '../callers/exchanges.js';
+import type { Decider } from '../decider/index.js';
+import { EndpointTask } from './endpointTask.js';
+
+/** Keeps one task for each endpoint address and hands attempts to them. */
+export class EndpointTasks {
+  readonly #decider: Decider;
+
+  readonly #exchanges: Exchanges;
+
+  readonly #tasks = new Map<string, EndpointTask>();
+
+  readonly #endpointByAttempt = new Map<string, string>();
+
+  constructor(decider: Decider, exchanges: Exchanges) {
+    this.#decider = decider;
+    this.#exchanges = exchanges;
+  }
+
+  /** Starts an attempt. */
+  dispatch(action: ActionOf<'dispatch'>): void {
+    const { attempt, endpoint } = action;
+    this.#endpointByAttempt.set(attempt.id, endpoint.url);
+    void this.#taskFor(endpoint)
+      .run(action)
+      .finally(() => this.#endpointByAttempt.delete(attempt.id));
+  }
+
+  /** Stops an attempt. */
+  cancel(attemptId: string): void {
+    const url = this.#endpointByAttempt.get(attemptId);
+    if (url !== undefined) this.#tasks.get(url)?.cancel(attemptId);
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await Promise.all([...this.#tasks.values()].map((task) => task.close()));
+  }
+
+  #taskFor(endpoint: Endpoint): EndpointTask {
+    let task = this.#tasks.get(endpoint.url);
+    if (task === undefined) {
+      task = new EndpointTask(endpoint, this.#decider, this.#exchanges);
+      this.#tasks.set(endpoint.url, task);
+    }
+    return task;
+  }
+}
--- /dev/null
+++ b/packages/router/src/endpoints/index.ts
@@ -0,0 +1,11 @@
+export { AttemptError, toAttemptError } from './attemptError.js';
+export { EndpointTasks } from './endpointTasks.js';
+export {
+  DONE,
+  PRIORITY_HEADER,
+  REQUEST_ID_HEADER,
+  TIMEOUT_HEADER,
+  chunkSchema,
+  loadReportSchema,
+  type Chunk,
+} from './engineProtocol.js';
--- /dev/null
+++ b/packages/router/src/errors/index.ts
@@ -0,0 +1,8 @@
+export {
+  CallerGoneError,
+  PeerError,
+  PlatformError,
+  RouterError,
+  SettingsError,
+  type RouterErrorCode,
+} from './routerError.js';
--- /dev/null
+++ b/packages/router/src/errors/routerError.ts
@@ -0,0 +1,53 @@
+import type { Fault } from '@filbertlatch/core';
+
+/** Codes of the errors that the library throws. */
+export type RouterErrorCode =
+  | 'settings_unreadable'
+  | 'settings_invalid'
+  | 'platform_unavailable'
+  | 'peer_unavailable'
+  | 'answer_too_large'
+  | 'caller_gone';
+
+/** Base of all errors that the library throws; `code` tells them apart. */
+export class RouterError extends Error {
+  readonly code: RouterErrorCode;
+
+  constructor(code: RouterErrorCode, message: string, options?: ErrorOptions) {
+    super(message, options);
+    this.name = new.target.name;
+    this.code = code;
+  }
+}
+
+/** Settings that cannot be used; names every fault. */
+export class SettingsError extends RouterError {
+  readonly faults: readonly Fault[];
+
+  constructor(faults: readonly Fault[]) {
+    const lines = faults.map((f) => `${f.path}: expected ${f.expected}, found ${f.found}`);
+    super('settings_invalid', lines.join('\n'));
+    this.faults = faults;
+  }
+}
+
+/** The configuration service or the list of VMs did not answer as it should. */
+export class PlatformError extends RouterError {
+  constructor(message: string, options?: ErrorOptions) {
+    super('platform_unavailable', message, options);
+  }
+}
+
+/** A peer did not answer a call. */
+export class PeerError extends RouterError {
+  constructor(message: string, options?: ErrorOptions) {
+    super('peer_unavailable', message, options);
+  }
+}
+
+/** The caller closed its connection. */
+export class CallerGoneError extends RouterError {
+  constructor() {
+    super('caller_gone', 'The caller closed its connection.');
+  }
+}
--- /dev/null
+++ b/packages/router/src/index.ts
@@ -0,0 +1,26 @@
+export { createRouter, type Router } from './createRouter.js';
+export { now } from './clock.js';
+export { listen, type Listener } from './listen.js';
+export { createLog } from './log/index.js';
+export { digestSheet } from './platform/index.js';
+export {
+  PeerError,
+  PlatformError,
+  RouterError,
+  SettingsError,
+  type RouterErrorCode,
+} from './errors/index.js';
+export {
+  DONE,
+  PRIORITY_HEADER,
+  REQUEST_ID_HEADER,
+  TIMEOUT_HEADER,
+  type Chunk,
+} from './endpoints/index.js';
+export {
+  loadSettings,
+  parseSettings,
+  settingsSchema,
+  type Settings,
+  type SettingsInput,
+} from './settings/index.js';
--- /dev/null
+++ b/packages/router/src/log/index.ts
@@ -0,0 +1,1 @@
+export { createLog } from './createLog.js';
--- /dev/null
+++ b/packages/router/src/metrics/index.ts
@@ -0,0 +1,1 @@
+export { renderMetrics } from './renderMetrics.js';
--- /dev/null
+++ b/packages/router/src/peers/index.ts
@@ -0,0 +1,3 @@
+export { PeerClient } from './peerClient.js';
+export { PeerTask } from './peerTask.js';
+export { areSecretsEqual } from './secretsEqual.js';
--- /dev/null
+++ b/packages/router/src/peers/peerProtocol.ts
@@ -0,0 +1,64 @@
+import { vmListSchema } from '@filbertlatch/core';
+import { z } from 'zod';
+
+const id = z.string().min(1).max(256);
+
+const claimSchema = z.strictObject({
+  method: z.literal('claim'),
+  key: id,
+  fingerprint: id,
+  attemptId: id,
+  claimant: id,
+  endpointId: id,
+  streamId: id,
+  issuedAt: z.number().nullable(),
+  listRevision: z.number().int(),
+  chain: z.array(vmListSchema).max(64),
+});
+
+const heartbeatSchema = z.strictObject({
+  from: id,
+  incarnation: z.number(),
+  sequence: z.number().int(),
+  state: z.enum(['starting', 'live', 'leaving']),
+  listRevision: z.number().int(),
+  tableRevision: z.number().int(),
+  manifestDigest: z.string(),
+  positions: z.array(z.strictObject({ sheet: id, revision: z.number().int(), digest: z.string() })),
+  loads: z.array(
+    z.strictObject({
+      classId: id,
+      pool: id,
+      waiting: z.number(),
+      waitingTokens: z.number(),
+      servedTokensPerSecond: z.number(),
+    }),
+  ),
+  suspects: z.array(z.strictObject({ fingerprint: id, since: z.number() })),
+  members: z.array(
+    z.strictObject({
+      id,
+      incarnation: z.number(),
+      state: z.enum(['starting', 'live', 'leaving', 'unreachable']),
+      heardAt: z.number(),
+    }),
+  ),
+});
+
+/** Shape of every call between VMs, by its method. */
+export const peerCallSchema = z.discriminatedUnion('method', [
+  claimSchema,
+  z.strictObject({ method: z.literal('release'), key: id, attemptId: id }),
+  z.strictObject({ method: z.literal('sheet'), sheet: id, digest: z.string().nullable() }),
+  z.strictObject({
+    method: z.literal('lease'),
+    limitId: id,
+    tokensPerSecond: z.number().nonnegative(),
+    from: id,
+    listRevision: z.number().int(),
+  }),
+  z.strictObject({ method: z.literal('heartbeat'), heartbeat: heartbeatSchema }),
+]);
+
+/** Names of the methods between VMs. */
+export const peerMethods = ['claim', 'release', 'sheet', 'lease', 'heartbeat'] as const;
--- /dev/null
+++ b/packages/router/src/peers/peerTask.ts
@@ -0,0 +1,69 @@
+import { nextId, type ActionOf, type PeerCall, type PeerReply } from '@filbertlatch/core';
+import type { Hono } from 'hono';
+
+import type { Decider } from '../decider/index.js';
+import { PeerError } from '../errors/index.js';
+import { createPeerApi } from './peerApi.js';
+import { PeerClient } from './peerClient.js';
+
+const REPLY_TIMEOUT_MS = 1000;
+
+interface Open {
+  readonly resolve: (reply: PeerReply) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** The task that owns the calls to and from other VMs. */
+export class PeerTask {
+  readonly api: Hono;
+
+  readonly #decider: Decider;
+
+  readonly #client: PeerClient;
+
+  readonly #open = new Map<string, Open>();
+
+  constructor(sharedKey: string, decider: Decider) {
+    this.#decider = decider;
+    this.#client = new PeerClient(sharedKey);
+    this.api = createPeerApi(sharedKey, (call) => this.#receive(call));
+  }
+
+  /** Calls a peer and posts what came of it. */
+  async call({ callId, peer, call }: ActionOf<'call-peer'>): Promise<void> {
+    const { id: peerId } = peer;
+    try {
+      const reply = await this.#client.call(peer, call);
+      this.#decider.post({ kind: 'peer-replied', callId, peerId, call, reply });
+    } catch {
+      this.#decider.post({ kind: 'peer-failed', callId, peerId, call });
+    }
+  }
+
+  /** Sends the core's reply to a peer that called. */
+  reply({ callId, reply }: ActionOf<'reply-peer'>): void {
+    const open = this.#open.get(callId);
+    if (open === undefined) return;
+    this.#open.delete(callId);
+    clearTimeout(open.timer);
+    open.resolve(reply);
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    this.#open.forEach(({ timer }) => clearTimeout(timer));
+    await this.#client.close();
+  }
+
+  #receive(call: PeerCall): Promise<PeerReply> {
+    const callId = nextId(this.#decider.core, 'c');
+    return new Promise((resolve, reject) => {
+      const timer = setTimeout(() => {
+        this.#open.delete(callId);
+        reject(new PeerError('no reply in time'));
+      }, REPLY_TIMEOUT_MS);
+      this.#open.set(callId, { resolve, timer });
+      this.#decider.post({ kind: 'peer-called', callId, call });
+    });
+  }
+}
--- /dev/null
+++ b/packages/standins/src/createService.ts
@@ -0,0 +1,57 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { listen, REQUEST_ID_HEADER } from '@filbertlatch/router';
+import { Hono } from 'hono';
+
+/** How a stand-in plain service behaves. */
+export interface ServiceOptions {
+  readonly id: string;
+  readonly name: string;
+  /** Time of one answer, in milliseconds. */
+  readonly answerMs: number;
+}
+
+/** Failures that a test or an experiment turns on; all off at start. */
+export interface ServiceSwitches {
+  refuses: boolean;
+  misechoes: boolean;
+  fails: boolean;
+}
+
+/** A call that a stand-in service ran. */
+export interface ServiceRun {
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  readonly key: string | null;
+}
+
+/** A stand-in plain service that listens on loopback. */
+export interface StandInService {
+  readonly id: string;
+  readonly name: string;
+  readonly url: string;
+  readonly switches: ServiceSwitches;
+  readonly runs: readonly ServiceRun[];
+  stop(): Promise<void>;
+}
+
+/** Starts a stand-in service that answers each call with what it received. */
+export async function createService(options: ServiceOptions): Promise<StandInService> {
+  const switches: ServiceSwitches = { refuses: false, misechoes: false, fails: false };
+  const runs: ServiceRun[] = [];
+  const app = new Hono();
+  app.all('/*', async (c) => {
+    if (switches.refuses) return c.json({ error: 'refused' }, 503);
+    const id = c.req.header(REQUEST_ID_HEADER) ?? 'none';
+    const { method, path } = c.req;
+    runs.push({ id, method, path, key: c.req.header('idempotency-key') ?? null });
+    await sleep(options.answerMs);
+    if (switches.fails) return c.json({ error: 'failed' }, 500);
+    c.header(REQUEST_ID_HEADER, switches.misechoes ? `other-${id}` : id);
+    return c.json({ service: options.name, method, path, received: await c.req.text() });
+  });
+  const listener = await listen(app, '127.0.0.1', 0);
+  const { id, name } = options;
+  return { id, name, url: listener.url, switches, runs, stop: () => listener.close() };
+}
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,19 @@
+export {
+  createEngine,
+  type EngineOptions,
+  type EngineSwitches,
+  type StandInEngine,
+} from './createEngine.js';
+export {
+  createPlatform,
+  splitTable,
+  type PlatformSwitches,
+  type StandInPlatform,
+} from './createPlatform.js';
+export {
+  createService,
+  type ServiceOptions,
+  type ServiceSwitches,
+  type StandInService,
+} from './createService.js';
+export { EngineQueue, type Stream } from './engineQueue.js';
