--- a/packages/core/src/admission/index.ts
+++ b/packages/core/src/admission/index.ts
@@ -5,5 +5,5 @@
   takeExpired,
   takeNext,
 } from './commands.js';
-export { hasWaiting, listLanes, type LaneLength } from './queries.js';
+export { hasWaiting, listClassLoads, listLanes, type LaneLength } from './queries.js';
 export { createAdmissionState, type AdmissionState, type Lane } from './state.js';
--- a/packages/core/src/admission/queries.ts
+++ b/packages/core/src/admission/queries.ts
@@ -1,4 +1,4 @@
-import type { PoolId } from '../types/index.js';
+import type { ClassLoad, PoolId } from '../types/index.js';
 import type { AdmissionState } from './state.js';
 
 /** How many requests of each class wait for each pool. */
@@ -26,3 +26,16 @@
     })),
   );
 }
+
+/** Lists demand by class and pool, as heartbeats carry it. */
+export function listClassLoads(state: AdmissionState): ClassLoad[] {
+  return [...state.pools].flatMap(([pool, lanes]) =>
+    [...lanes.values()].map((lane) => ({
+      classId: lane.classId,
+      pool,
+      waiting: lane.waiting.length,
+      waitingTokens: lane.waiting.reduce((sum, request) => sum + request.promptTokens, 0),
+      servedTokensPerSecond: 0,
+    })),
+  );
+}
--- a/packages/core/src/entry/decide.ts
+++ b/packages/core/src/entry/decide.ts
@@ -7,6 +7,7 @@
 import type { Core } from './core.js';
 import type { Message } from './message.js';
 import { onAttemptEnded, onTokensArrived } from './onAttempt.js';
+import { onPeerCalled, onPeerFailed, onPeerReplied } from './onPeerCall.js';
 import { onListOffered, onManifestOffered, onSheetOffered } from './onPlatform.js';
 import { onCallerLeft, onRequestArrived } from './onRequest.js';
 import { onTick } from './onTick.js';
@@ -41,9 +42,9 @@
     .with({ kind: 'sheet-missing' }, ignore)
     .with({ kind: 'list-offered' }, (m) => onListOffered(core, m, now, actions))
     .with({ kind: 'platform-failed' }, ignore)
-    .with({ kind: 'peer-called' }, ignore)
-    .with({ kind: 'peer-replied' }, ignore)
-    .with({ kind: 'peer-failed' }, ignore)
+    .with({ kind: 'peer-called' }, (m) => onPeerCalled(core, m, now, actions))
+    .with({ kind: 'peer-replied' }, (m) => onPeerReplied(core, m, now, actions))
+    .with({ kind: 'peer-failed' }, (m) => onPeerFailed(core, m, now, actions))
     .with({ kind: 'order-ended' }, ignore)
     .with({ kind: 'drain-began' }, () => beginLeaving(core.membership))
     .with({ kind: 'woke' }, ignore)
--- a/packages/core/src/entry/dispatchWaiting.ts
+++ b/packages/core/src/entry/dispatchWaiting.ts
@@ -1,28 +1,13 @@
 import { hasWaiting, takeNext } from '../admission/index.js';
 import { listUsable } from '../health/index.js';
 import { isEndpointLeaving } from '../membership/index.js';
-import { chooseEndpoint, reserveSlot } from '../placement/index.js';
-import { predictRemaining } from '../prediction/index.js';
+import { chooseEndpoint } from '../placement/index.js';
 import type { TableView } from '../table/index.js';
-import type { Attempt, Endpoint, PoolId, Request } from '../types/index.js';
+import type { Endpoint, PoolId } from '../types/index.js';
 import type { Action } from './action.js';
-import { nextId, type Core, type LiveRequest } from './core.js';
-import { count } from './counters.js';
-
-const MEDIAN = 0.5;
-const LEAST_SILENCE_MS = 2000;
-const SILENCE_GAPS = 40;
-
-/** Returns the name under which answer lengths of a request are learnt. */
-export function lengthSource(request: Request): string {
-  return `${request.classId}|${request.pool}`;
-}
-
-function expectTokens(core: Core, request: Request): number {
-  const source = lengthSource(request);
-  const output = predictRemaining(core.prediction, source, 0, request.maxOutputTokens, MEDIAN);
-  return request.promptTokens + output;
-}
+import type { Core } from './core.js';
+import { expectTokens } from './expectTokens.js';
+import { startAttempt } from './startAttempt.js';
 
 function listCandidates(core: Core, view: TableView, pool: PoolId, now: number): Endpoint[] {
   const members = (view.pools.get(pool) ?? []).filter(
@@ -38,34 +23,6 @@
   return members.filter((endpoint) => usable.has(endpoint.id));
 }
 
-function startAttempt(
-  core: Core,
-  view: TableView,
-  live: LiveRequest,
-  endpoint: Endpoint,
-  now: number,
-  actions: Action[],
-): void {
-  const { request } = live;
-  const attempt: Attempt = {
-    id: nextId(core, 'a'),
-    requestId: request.id,
-    endpointId: endpoint.id,
-    startedAt: now,
-    resumeFrom: live.delivered,
-    resumeStream: null,
-  };
-  const expectedTokens = expectTokens(core, request);
-  reserveSlot(core.placement, endpoint.id, expectedTokens);
-  core.attempts.set(attempt.id, { attempt, expectedTokens, produced: 0, firstTokenAt: null });
-  live.attemptId = attempt.id;
-  live.attempts += 1;
-  count(core, 'attempts');
-  const gap = view.classes.get(request.classId)?.target.betweenTokensMs ?? 0;
-  const silenceMs = Math.max(LEAST_SILENCE_MS, gap * SILENCE_GAPS);
-  actions.push({ kind: 'dispatch', attempt, request, endpoint, silenceMs });
-}
-
 /** Sends waiting requests of a pool to endpoints while one has room. */
 export function dispatchWaiting(core: Core, pool: PoolId, now: number, actions: Action[]): void {
   const { view } = core.table;
--- a/packages/core/src/entry/onAttempt.ts
+++ b/packages/core/src/entry/onAttempt.ts
@@ -1,14 +1,12 @@
 import { requeueRequest } from '../admission/index.js';
-import { recordFailure, recordSuccess } from '../health/index.js';
-import { releaseSlot } from '../placement/index.js';
-import { recordLength } from '../prediction/index.js';
 import { worstVerdict, type AttemptEnd } from '../types/index.js';
 import type { Action } from './action.js';
-import type { Core, LiveAttempt, LiveRequest } from './core.js';
+import type { Core, LiveRequest } from './core.js';
 import { count } from './counters.js';
-import { dispatchWaiting, lengthSource } from './dispatchWaiting.js';
+import { dispatchWaiting } from './dispatchWaiting.js';
 import { endRequest, refuseRequest } from './finishRequest.js';
 import type { MessageOf } from './message.js';
+import { observeAnswer, observeEnd, observeFirstToken } from './observeAttempt.js';
 
 const MOST_ATTEMPTS = 3;
 
@@ -23,7 +21,7 @@
   const live = core.attempts.get(message.attemptId);
   if (live === undefined) return;
   live.produced += message.count;
-  live.firstTokenAt ??= now;
+  if (live.firstTokenAt === null) observeFirstToken(core, live, now);
   const request = core.requests.get(live.attempt.requestId);
   if (request === undefined) return;
   request.firstTokenAt ??= now;
@@ -66,27 +64,11 @@
   now: number,
   actions: Action[],
 ): void {
-  recordLength(core.prediction, lengthSource(live.request), outputTokens);
+  observeAnswer(core, live, outputTokens);
   count(core, 'tokens_delivered', outputTokens);
   endRequest(core, live, now <= live.request.deadline ? 'complete' : 'late', actions);
 }
 
-function settleHealth(
-  core: Core,
-  ended: LiveAttempt,
-  end: AttemptEnd,
-  now: number,
-  actions: Action[],
-) {
-  const { endpointId } = ended.attempt;
-  if (end.kind === 'complete') recordSuccess(core.health, endpointId);
-  if (end.kind !== 'failed' || end.cause === 'invalid') return;
-  if (!recordFailure(core.health, endpointId, now)) return;
-  count(core, 'ejections');
-  const fields = { endpoint: endpointId, cause: end.cause };
-  actions.push({ kind: 'state-changed', level: 'warn', code: 'endpoint_ejected', fields });
-}
-
 /** Ends an attempt: completes, retries or fails its request and frees the slot. */
 export function onAttemptEnded(
   core: Core,
@@ -97,8 +79,7 @@
   const ended = core.attempts.get(attemptId);
   if (ended === undefined) return;
   core.attempts.delete(attemptId);
-  releaseSlot(core.placement, ended.attempt.endpointId, ended.expectedTokens);
-  settleHealth(core, ended, end, now, actions);
+  observeEnd(core, ended, end, now, actions);
   const live = core.requests.get(ended.attempt.requestId);
   if (live === undefined || end.kind !== 'complete') count(core, 'tokens_wasted', ended.produced);
   if (live === undefined) return;
