--- /dev/null
+++ b/packages/daemon/__tests__/daemonProcess.spec.ts
@@ -0,0 +1,100 @@
+import { spawn, type ChildProcessByStdio } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import type { Readable } from 'node:stream';
+import { text } from 'node:stream/consumers';
+import { fileURLToPath } from 'node:url';
+
+import { describe, it } from '@filbertlatch/core/testing';
+import { createPlatform } from '@filbertlatch/standins';
+import type { ExecutionContext } from 'ava';
+import { request } from 'undici';
+
+const BINARY = fileURLToPath(new URL('../../bin/filbertlatchd.js', import.meta.url));
+
+type Daemon = ChildProcessByStdio<null, Readable, Readable>;
+
+interface Addresses {
+  readonly callerUrl: string;
+  readonly adminUrl: string;
+}
+
+function settingsFor(platformUrl: string): Record<string, unknown> {
+  return {
+    vm: { id: 'vm-1', zone: 'zone-a', region: 'region-1' },
+    callers: { port: 0 },
+    admin: { port: 0, operatorToken: 'operator-token-of-the-test' },
+    peers: { port: 0, sharedKey: 'shared-key-of-the-test' },
+    platform: { configurationUrl: platformUrl, listUrl: platformUrl },
+  };
+}
+
+async function startDaemon(t: ExecutionContext, content: string): Promise<Daemon> {
+  const folder = await mkdtemp(join(tmpdir(), 'filbertlatch-'));
+  const path = join(folder, 'settings.json');
+  await writeFile(path, content);
+  const daemon = spawn(process.execPath, [BINARY, path], { stdio: ['ignore', 'pipe', 'pipe'] });
+  t.teardown(async () => {
+    daemon.kill('SIGKILL');
+    await rm(folder, { recursive: true });
+  });
+  return daemon;
+}
+
+async function readAddresses(daemon: Daemon): Promise<Addresses> {
+  const [line] = (await once(daemon.stdout, 'data')) as [Buffer];
+  return JSON.parse(line.toString()) as Addresses;
+}
+
+async function endOf(daemon: Daemon): Promise<{ code: number | null; errors: string }> {
+  const errors = text(daemon.stderr);
+  const [code] = (await once(daemon, 'exit')) as [number | null];
+  return { code, errors: await errors };
+}
+
+describe('the daemon as a process', () => {
+  it('listens, answers and exits with 0 on SIGTERM', async (t) => {
+    const platform = await createPlatform();
+    t.teardown(() => platform.stop());
+    const daemon = await startDaemon(t, JSON.stringify(settingsFor(platform.url)));
+    const { callerUrl, adminUrl } = await readAddresses(daemon);
+    const health = await request(`${callerUrl}/health`);
+    t.is(health.statusCode, 200);
+    await health.body.dump();
+    const state = await request(`${adminUrl}/admin/state`);
+    t.is(state.statusCode, 401);
+    await state.body.dump();
+    const ended = endOf(daemon);
+    daemon.kill('SIGTERM');
+    t.is((await ended).code, 0);
+  });
+
+  describe('with settings that cannot be used', () => {
+    const faults: readonly [string, (settings: Record<string, unknown>) => void, RegExp][] = [
+      ['an unknown key', (s) => Object.assign(s, { colour: 'red' }), /colour/],
+      ['a missing key', (s) => delete s.vm, /vm: expected .* found nothing/],
+      [
+        'a value out of range',
+        (s) => Object.assign(s, { callers: { port: 70_000 } }),
+        /callers\.port: expected .*65535.*found 70000/,
+      ],
+    ];
+    for (const [title, spoil, expected] of faults) {
+      it(`names ${title} and exits with 2`, async (t) => {
+        const settings = settingsFor('http://127.0.0.1:9');
+        spoil(settings);
+        const { code, errors } = await endOf(await startDaemon(t, JSON.stringify(settings)));
+        t.is(code, 2);
+        t.regex(errors, expected);
+      });
+    }
+
+    it('names a file that is not JSON', async (t) => {
+      const { code, errors } = await endOf(await startDaemon(t, '{'));
+      t.is(code, 2);
+      t.regex(errors, /settings_unreadable/);
+    });
+  });
+});
