Order engines to load what demand asks for, one owner an engine

Cause: a table names models and engines, but demand moves between models. Change: a plan each VM comes to by itself (replicas by demand with a band and a hold time, engines by rendezvous hashing, a minimum for every model), orders given only by the engine's owner, numbered (list, table, counter), read back from reports, given again when lost; a settled fresh list before an engine that checks no fencing number; loads spaced to a share of the weight store's rate; two thirds of a model's engines keep serving through a change of version. Tests: demand shift, sway, jumps for an hour, shortage, lost orders, an owner paused over a list change, weight store's rate. Left out: moving open streams off an engine before its model is unloaded.

--- /dev/null
+++ b/packages/core/__tests__/orders/giveOrders.spec.ts
@@ -0,0 +1,296 @@
+import { describe, it } from '@filbertlatch/core/testing';
+import type { ExecutionContext } from 'ava';
+
+import {
+  checkTable,
+  createCore,
+  createRandom,
+  createTableView,
+  decide,
+  findOwner,
+  type ActionOf,
+  type Core,
+  type Engine,
+  type Member,
+  type Order,
+  type Vm,
+  type VmList,
+} from '../../src/index.js';
+
+const START = 1_000_000_000;
+const MODELS = ['drafting', 'desk'];
+const SECOND_MS = 1000;
+
+function createVm(id: string): Vm {
+  return { id, peerUrl: 'http://127.0.0.1:1', zone: 'zone-a', region: 'region-1', state: 'live' };
+}
+
+const VMS = ['vm-0', 'vm-1', 'vm-2'].map(createVm);
+
+function createTable(fencing: 'checked' | 'ignored', engines: number, weightBytes = 0) {
+  const checked = checkTable({
+    revision: 5,
+    classes: [],
+    accounts: [],
+    limits: [],
+    models: MODELS.map((id) => ({ id, version: '1', weightBytes })),
+    endpoints: Array.from({ length: engines }, (_, index) => ({
+      id: `engine-${index}`,
+      kind: 'engine',
+      url: 'http://127.0.0.1:1',
+      zone: 'zone-a',
+      region: 'region-1',
+      slots: 10,
+      models: ['drafting'],
+      fencing,
+      managed: true,
+    })),
+  });
+  if (!checked.ok) throw new Error(checked.faults.map((f) => f.path).join());
+  return checked.value;
+}
+
+function createList(revision: number, vms: Vm[]): VmList {
+  return { revision, vms, leavingEndpoints: [] };
+}
+
+interface Setup {
+  readonly fencing?: 'checked' | 'ignored';
+  readonly engines?: number;
+  readonly weightBytes?: number;
+  readonly weightsBytesPerSecond?: number;
+}
+
+/** Several VMs' decisions and the engines they order, without sockets. */
+class OrderedFleet {
+  readonly cores: Core[];
+
+  readonly engines: readonly Engine[];
+
+  readonly loaded = new Map<string, readonly string[]>();
+
+  readonly orders: { readonly from: string; readonly at: number; readonly order: Order }[] = [];
+
+  now = START;
+
+  constructor(setup: Setup = {}) {
+    const table = createTable(setup.fencing ?? 'checked', setup.engines ?? 6, setup.weightBytes);
+    this.engines = table.endpoints as Engine[];
+    this.engines.forEach((engine) => this.loaded.set(engine.id, ['drafting@1']));
+    this.cores = VMS.map((vm, index) => {
+      const core = createCore(vm, createRandom(index), START, setup);
+      core.table.view = createTableView(table);
+      decide(core, { kind: 'list-offered', list: createList(1, VMS) }, START);
+      return core;
+    });
+  }
+
+  /** Tells every VM a demand for a model, as a heartbeat of a fourth VM would. */
+  demand(model: string, tokensPerSecond: number): void {
+    for (const core of this.cores) {
+      const loads = [
+        {
+          classId: 'any',
+          pool: `model:${model}`,
+          waiting: 0,
+          waitingTokens: 0,
+          servedTokensPerSecond: tokensPerSecond,
+        },
+      ];
+      const id = `demand-${model}`;
+      // Only the loads of a heartbeat matter here.
+      const member = { id, heartbeat: { loads }, heardAt: this.now } as unknown as Member;
+      core.membership.members.set(id, member);
+    }
+  }
+
+  /** Lets time pass; orders take effect at once unless `applies` says otherwise. */
+  run(seconds: number, applies: (order: Order) => boolean = () => true): void {
+    for (let second = 0; second < seconds; second += 1) {
+      this.now += SECOND_MS;
+      for (const core of this.cores) {
+        for (const member of core.membership.members.values()) member.heardAt = this.now;
+        const actions = decide(core, { kind: 'tick' }, this.now);
+        actions
+          .filter((action): action is ActionOf<'order'> => action.kind === 'order')
+          .forEach(({ order }) => this.take(core, order, applies));
+      }
+      this.report();
+    }
+  }
+
+  models(): string[] {
+    return [...this.loaded.values()].map((models) => models.join()).sort();
+  }
+
+  private take(core: Core, order: Order, applies: (order: Order) => boolean): void {
+    this.orders.push({ from: core.membership.self.id, at: this.now, order });
+    if (applies(order)) this.loaded.set(order.endpointId, order.models);
+  }
+
+  private report(): void {
+    for (const core of this.cores) {
+      for (const { id } of this.engines) {
+        const report = {
+          endpointId: id,
+          measuredAt: this.now,
+          running: 0,
+          waiting: 0,
+          waitingTokens: 0,
+          tokensPerSecond: 0,
+          models: this.loaded.get(id) ?? [],
+        };
+        decide(core, { kind: 'load-reported', report }, this.now);
+      }
+    }
+  }
+}
+
+function countModel(fleet: OrderedFleet, model: string): number {
+  return fleet.models().filter((name) => name.startsWith(`${model}@`)).length;
+}
+
+function assertOneOwner(t: ExecutionContext, fleet: OrderedFleet): void {
+  for (const { from, order } of fleet.orders) {
+    const engine = fleet.engines.find(({ id }) => id === order.endpointId)!;
+    t.is(findOwner(createList(1, VMS), engine)?.id, from);
+  }
+}
+
+describe('giveOrders', () => {
+  describe('when demand moves from one model to another', () => {
+    it('moves engines after it, each ordered by its one owner', (t) => {
+      const fleet = new OrderedFleet();
+      fleet.demand('drafting', 1000);
+      fleet.run(30);
+      t.is(countModel(fleet, 'drafting'), 5);
+      fleet.demand('drafting', 100);
+      fleet.demand('desk', 1000);
+      fleet.run(240);
+      t.is(countModel(fleet, 'desk'), 5);
+      t.is(countModel(fleet, 'drafting'), 1);
+      assertOneOwner(t, fleet);
+    });
+
+    it('does not order a model back and forth when demand sways', (t) => {
+      const fleet = new OrderedFleet();
+      fleet.demand('drafting', 600);
+      fleet.demand('desk', 600);
+      fleet.run(120);
+      const settled = fleet.orders.length;
+      for (let cycle = 0; cycle < 60; cycle += 1) {
+        fleet.demand('drafting', cycle % 2 === 0 ? 700 : 500);
+        fleet.demand('desk', cycle % 2 === 0 ? 500 : 700);
+        fleet.run(5);
+      }
+      t.is(fleet.orders.length, settled);
+    });
+
+    it('changes no engine more than sixty times an hour, however demand jumps', (t) => {
+      const fleet = new OrderedFleet();
+      for (let cycle = 0; cycle < 60; cycle += 1) {
+        fleet.demand('drafting', cycle % 2 === 0 ? 1200 : 0);
+        fleet.demand('desk', cycle % 2 === 0 ? 0 : 1200);
+        fleet.run(60);
+      }
+      t.true(fleet.orders.length > fleet.engines.length);
+      for (const { id } of fleet.engines) {
+        const own = fleet.orders.filter(({ order }) => order.endpointId === id);
+        t.true(own.length <= 60, `${id}: ${own.length}`);
+      }
+    });
+  });
+
+  describe('with more demand than engines', () => {
+    it('leaves every model its minimum', (t) => {
+      const fleet = new OrderedFleet({ engines: 4 });
+      fleet.demand('drafting', 100_000);
+      fleet.demand('desk', 1);
+      fleet.run(120);
+      t.is(countModel(fleet, 'desk'), 1);
+      t.is(countModel(fleet, 'drafting'), 3);
+    });
+  });
+
+  describe('with orders that are lost', () => {
+    it('gives them again until they are read back', (t) => {
+      const fleet = new OrderedFleet({ engines: 2 });
+      let lost = 0;
+      fleet.run(200, () => {
+        lost += 1;
+        return lost > 2;
+      });
+      t.true(lost > 2);
+      t.is(countModel(fleet, 'desk'), 1);
+    });
+  });
+
+  describe('with a paused owner', () => {
+    it('numbers its orders below those of the owner under a later list', (t) => {
+      const fleet = new OrderedFleet({ engines: 2 });
+      fleet.run(15, () => false);
+      const old = fleet.orders.at(-1)!;
+      const others = VMS.filter((vm) => vm.id !== old.from);
+      const list = createList(2, others);
+      fleet.cores
+        .filter((core) => core.membership.self.id !== old.from)
+        .forEach((core) => decide(core, { kind: 'list-offered', list }, fleet.now));
+      fleet.run(60);
+      const later = fleet.orders.find(
+        ({ from, order }) => from !== old.from && order.endpointId === old.order.endpointId,
+      );
+      t.truthy(later);
+      t.true(later!.order.fencing[0] > old.order.fencing[0]);
+    });
+
+    it('forgets what it had under way when it wakes', (t) => {
+      const fleet = new OrderedFleet({ engines: 2 });
+      fleet.run(15, () => false);
+      const { from, order } = fleet.orders.at(-1)!;
+      const core = fleet.cores.find((c) => c.membership.self.id === from)!;
+      t.truthy(core.orders.engines.get(order.endpointId)?.ordered);
+      decide(core, { kind: 'woke', pausedMs: 60_000 }, fleet.now);
+      t.is(core.orders.engines.get(order.endpointId)?.ordered, null);
+    });
+  });
+
+  describe('with an engine that checks no fencing number', () => {
+    it('orders nothing until a list read after the wish is there and settled', (t) => {
+      const fleet = new OrderedFleet({ fencing: 'ignored', engines: 2 });
+      fleet.run(60);
+      t.deepEqual(fleet.orders, []);
+      for (const core of fleet.cores) {
+        decide(core, { kind: 'list-offered', list: createList(1, VMS) }, fleet.now);
+      }
+      fleet.run(5);
+      t.is(fleet.orders.length, 1);
+      t.is(countModel(fleet, 'desk'), 1);
+    });
+  });
+
+  describe('with a weight store of a small rate', () => {
+    it('spaces the loads of the whole fleet to the rate', (t) => {
+      const setup = { engines: 12, weightBytes: 30, weightsBytesPerSecond: 1 };
+      const fleet = new OrderedFleet(setup);
+      fleet.demand('desk', 1800);
+      fleet.demand('drafting', 100);
+      const seconds = 600;
+      fleet.run(seconds);
+      t.true(fleet.orders.length >= 8);
+      const bytes = fleet.orders.length * setup.weightBytes;
+      const burst = VMS.length * setup.weightBytes;
+      t.true(bytes <= seconds * setup.weightsBytesPerSecond + burst);
+    });
+  });
+
+  describe('with an engine that has not reported', () => {
+    it('orders nothing blindly', (t) => {
+      const fleet = new OrderedFleet({ engines: 1 });
+      const core = fleet.cores[0]!;
+      for (let second = 1; second < 60; second += 1) {
+        const actions = decide(core, { kind: 'tick' }, START + second * SECOND_MS);
+        t.false(actions.some((action) => action.kind === 'order'));
+      }
+    });
+  });
+});
--- a/packages/core/src/entry/core.ts
+++ b/packages/core/src/entry/core.ts
@@ -2,6 +2,7 @@
 import { createHealthState, type HealthState } from '../health/index.js';
 import { createLimitState, type LimitState } from '../limits/index.js';
 import { createMembershipState, type MembershipState } from '../membership/index.js';
+import { createOrdersState, type OrdersState } from '../orders/index.js';
 import { createPlacementState, type PlacementState } from '../placement/index.js';
 import { createPredictionState, type PredictionState } from '../prediction/index.js';
 import type { Random } from '../shared/index.js';
@@ -9,6 +10,9 @@
 import type { Attempt, Request, Verdict, Vm } from '../types/index.js';
 import type { CounterName } from './counters.js';
 
+/** Rate of the weight store when the settings name none, in bytes per second. */
+const DEFAULT_WEIGHTS_RATE = 1e9;
+
 /** A request that has no final answer yet. */
 export interface LiveRequest {
   readonly request: Request;
@@ -30,6 +34,12 @@
   firstTokenAt: number | null;
 }
 
+/** What a VM's settings tell its decisions. */
+export interface CoreOptions {
+  /** Rate of the weight store, which all VMs share. */
+  readonly weightsBytesPerSecond?: number;
+}
+
 /** The whole state of one VM's decisions. */
 export interface Core {
   readonly random: Random;
@@ -40,6 +50,7 @@
   readonly health: HealthState;
   readonly limits: LimitState;
   readonly membership: MembershipState;
+  readonly orders: OrdersState;
   readonly requests: Map<string, LiveRequest>;
   readonly attempts: Map<string, LiveAttempt>;
   readonly counters: Map<CounterName, number>;
@@ -48,7 +59,7 @@
 }
 
 /** Creates the state of a VM that has just started at `now`, epoch milliseconds. */
-export function createCore(self: Vm, random: Random, now: number): Core {
+export function createCore(self: Vm, random: Random, now: number, options: CoreOptions = {}): Core {
   return {
     random,
     table: createTableState(),
@@ -58,6 +69,7 @@
     health: createHealthState(),
     limits: createLimitState(),
     membership: createMembershipState(self, now),
+    orders: createOrdersState(options.weightsBytesPerSecond ?? DEFAULT_WEIGHTS_RATE),
     requests: new Map(),
     attempts: new Map(),
     counters: new Map(),
--- a/packages/core/src/entry/counters.ts
+++ b/packages/core/src/entry/counters.ts
@@ -18,6 +18,8 @@
   'tables_accepted',
   'tables_refused',
   'lists_accepted',
+  'orders',
+  'orders_failed',
 ] as const;
 
 /** Name of a counter. */
--- a/packages/core/src/entry/decide.ts
+++ b/packages/core/src/entry/decide.ts
@@ -2,7 +2,7 @@
 
 import { recordSuccess } from '../health/index.js';
 import { beginLeaving } from '../membership/index.js';
-import { recordReport } from '../placement/index.js';
+import { forgetOrders } from '../orders/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
 import type { Message } from './message.js';
@@ -10,6 +10,7 @@
 import { onPeerCalled, onPeerFailed, onPeerReplied } from './onPeerCall.js';
 import { onListOffered, onManifestOffered, onSheetOffered } from './onPlatform.js';
 import { onCallerLeft, onRequestArrived } from './onRequest.js';
+import { onLoadReported, onOrderEnded } from './onReport.js';
 import { onTick } from './onTick.js';
 
 const NO_ACTIONS: readonly Action[] = [];
@@ -35,7 +36,7 @@
     .with({ kind: 'probe-ended' }, (m) => {
       if (m.healthy) recordSuccess(core.health, m.endpointId);
     })
-    .with({ kind: 'load-reported' }, (m) => recordReport(core.placement, m.report))
+    .with({ kind: 'load-reported' }, (m) => onLoadReported(core, m, now, actions))
     .with({ kind: 'cache-changed' }, ignore)
     .with({ kind: 'manifest-offered' }, (m) => onManifestOffered(core, m, now, actions))
     .with({ kind: 'sheet-offered' }, (m) => onSheetOffered(core, m, now, actions))
@@ -45,9 +46,9 @@
     .with({ kind: 'peer-called' }, (m) => onPeerCalled(core, m, now, actions))
     .with({ kind: 'peer-replied' }, (m) => onPeerReplied(core, m, now, actions))
     .with({ kind: 'peer-failed' }, (m) => onPeerFailed(core, m, now, actions))
-    .with({ kind: 'order-ended' }, ignore)
+    .with({ kind: 'order-ended' }, (m) => onOrderEnded(core, m, actions))
     .with({ kind: 'drain-began' }, () => beginLeaving(core.membership))
-    .with({ kind: 'woke' }, ignore)
+    .with({ kind: 'woke' }, () => forgetOrders(core.orders))
     .with({ kind: 'tick' }, () => onTick(core, now, actions))
     .exhaustive();
   return actions;
--- a/packages/core/src/entry/dispatchWaiting.ts
+++ b/packages/core/src/entry/dispatchWaiting.ts
@@ -1,6 +1,7 @@
 import { hasWaiting, takeNext } from '../admission/index.js';
 import { listUsable } from '../health/index.js';
 import { isEndpointLeaving } from '../membership/index.js';
+import { listPoolMembers } from '../orders/index.js';
 import { chooseEndpoint } from '../placement/index.js';
 import type { TableView } from '../table/index.js';
 import type { Endpoint, PoolId } from '../types/index.js';
@@ -10,7 +11,7 @@
 import { startAttempt } from './startAttempt.js';
 
 function listCandidates(core: Core, view: TableView, pool: PoolId, now: number): Endpoint[] {
-  const members = (view.pools.get(pool) ?? []).filter(
+  const members = listPoolMembers(core.orders, view, pool).filter(
     (endpoint) => endpoint.state === 'live' && !isEndpointLeaving(core.membership, endpoint.id),
   );
   const usable = new Set(
--- a/packages/core/src/entry/index.ts
+++ b/packages/core/src/entry/index.ts
@@ -1,5 +1,12 @@
 export type { Action, ActionOf } from './action.js';
-export { createCore, nextId, type Core, type LiveAttempt, type LiveRequest } from './core.js';
+export {
+  createCore,
+  nextId,
+  type Core,
+  type CoreOptions,
+  type LiveAttempt,
+  type LiveRequest,
+} from './core.js';
 export { count, counterNames, type CounterName } from './counters.js';
 export { decide } from './decide.js';
 export type { Message, MessageOf, Source } from './message.js';
--- /dev/null
+++ b/packages/core/src/entry/onReport.ts
@@ -0,0 +1,38 @@
+import { recordLoaded, recordOrderEnd } from '../orders/index.js';
+import { recordReport } from '../placement/index.js';
+import type { Action } from './action.js';
+import type { Core } from './core.js';
+import { count } from './counters.js';
+import { dispatchWaiting } from './dispatchWaiting.js';
+import type { MessageOf } from './message.js';
+
+/** Takes in an engine's report: its load, and the models that it has. */
+export function onLoadReported(
+  core: Core,
+  { report }: MessageOf<'load-reported'>,
+  now: number,
+  actions: Action[],
+): void {
+  recordReport(core.placement, report);
+  const endpoint = core.table.view?.endpoints.get(report.endpointId);
+  if (endpoint?.kind !== 'engine' || !endpoint.managed) return;
+  const before = core.orders.engines.get(report.endpointId)?.loaded ?? [];
+  recordLoaded(core.orders, report.endpointId, report.models, report.measuredAt);
+  if (before.join() === report.models.join()) return;
+  const fields = { endpoint: report.endpointId, models: report.models.join(' ') };
+  actions.push({ kind: 'state-changed', level: 'info', code: 'models_changed', fields });
+  for (const pool of core.admission.pools.keys()) dispatchWaiting(core, pool, now, actions);
+}
+
+/** Takes in how an engine answered an order. */
+export function onOrderEnded(
+  core: Core,
+  { endpointId, end }: MessageOf<'order-ended'>,
+  actions: Action[],
+): void {
+  recordOrderEnd(core.orders, endpointId, end);
+  if (end === 'applied') return;
+  count(core, 'orders_failed');
+  const fields = { endpoint: endpointId, end };
+  actions.push({ kind: 'state-changed', level: 'warn', code: 'order_failed', fields });
+}
--- a/packages/core/src/entry/onRequest.ts
+++ b/packages/core/src/entry/onRequest.ts
@@ -1,6 +1,8 @@
 import { enqueueRequest, removeRequest } from '../admission/index.js';
 import { listLimits, takeTokens } from '../limits/index.js';
 import { countVms } from '../membership/index.js';
+import { listPoolMembers } from '../orders/index.js';
+import type { TableView } from '../table/index.js';
 import type { Refusal, RefusalCode, Request } from '../types/index.js';
 import type { Action } from './action.js';
 import type { Core, LiveRequest } from './core.js';
@@ -15,12 +17,17 @@
   return { code, message, verdict: 'not-run', retryable: true, retryAfterMs };
 }
 
+/** A model without an engine may get one: its requests wait for it. */
+function isLoadable(view: TableView, request: Request): boolean {
+  return view.managed.length > 0 && view.models.has(request.pool.replace(/^model:/, ''));
+}
+
 function findRefusal(core: Core, request: Request, now: number): Refusal | null {
   const { view } = core.table;
   const row = view?.classes.get(request.classId);
   if (core.membership.leaving) return notRun('leaving', 'This VM is leaving; send it again.');
   if (view === null || row === undefined) return notRun('not_ready', 'No table is in force yet.');
-  if ((view.pools.get(request.pool) ?? []).length === 0) {
+  if (listPoolMembers(core.orders, view, request.pool).length === 0 && !isLoadable(view, request)) {
     return notRun('no_endpoint', `No endpoint serves ${request.pool}.`);
   }
   const limits = listLimits(view, request.accountId, request.classId);
--- a/packages/core/src/entry/onTick.ts
+++ b/packages/core/src/entry/onTick.ts
@@ -3,6 +3,7 @@
 import type { Core } from './core.js';
 import { dispatchWaiting } from './dispatchWaiting.js';
 import { refuseRequest } from './finishRequest.js';
+import { giveOrders } from './giveOrders.js';
 
 /** Sheds what can no longer be in time and tries the queues again. */
 export function onTick(core: Core, now: number, actions: Action[]): void {
@@ -18,5 +19,6 @@
     } as const;
     refuseRequest(core, live, refusal, 'shed', actions);
   }
+  giveOrders(core, now, actions);
   for (const pool of core.admission.pools.keys()) dispatchWaiting(core, pool, now, actions);
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from './health/index.js';
 export * from './limits/index.js';
 export * from './membership/index.js';
+export * from './orders/index.js';
 export * from './placement/index.js';
 export * from './prediction/index.js';
 export * from './shared/index.js';
--- /dev/null
+++ b/packages/core/src/orders/queries.ts
@@ -0,0 +1,44 @@
+import { firstMember } from '../shared/index.js';
+import type { TableView } from '../table/index.js';
+import type { Endpoint, Engine, PoolId, Vm, VmList } from '../types/index.js';
+import type { OrdersState } from './state.js';
+
+/** Returns the id of a model named with its version, as `id@version`. */
+export function stripVersion(name: string): string {
+  return name.replace(/@[^@]*$/, '');
+}
+
+/** Returns the VM that may order an engine: one of its region while there is any. */
+export function findOwner(list: VmList, engine: Engine): Vm | undefined {
+  const live = list.vms.filter((vm) => vm.state === 'live');
+  const near = live.filter((vm) => vm.region === engine.region);
+  return firstMember(`orders/${engine.id}`, near.length > 0 ? near : live);
+}
+
+/** Lists the models that an engine serves now: what was read back, else what its row says. */
+export function listServedModels(state: OrdersState, engine: Engine): readonly string[] {
+  if (!engine.managed) return engine.models;
+  return state.engines.get(engine.id)?.loaded?.map(stripVersion) ?? engine.models;
+}
+
+/** Says whether an engine is about to unload a model, and should get no new work for it. */
+export function isUnloading(state: OrdersState, engineId: string, model: string): boolean {
+  const ordered = state.engines.get(engineId)?.ordered;
+  return (ordered ?? null) !== null && !ordered!.map(stripVersion).includes(model);
+}
+
+/** Lists the endpoints that serve a pool now. */
+export function listPoolMembers(
+  state: OrdersState,
+  view: TableView,
+  pool: PoolId,
+): readonly Endpoint[] {
+  if (view.managed.length === 0 || !pool.startsWith('model:')) return view.pools.get(pool) ?? [];
+  const model = pool.slice('model:'.length);
+  const fixed = (view.pools.get(pool) ?? []).filter((e) => e.kind === 'service' || !e.managed);
+  const managed = view.managed.filter(
+    (engine) =>
+      listServedModels(state, engine).includes(model) && !isUnloading(state, engine.id, model),
+  );
+  return [...fixed, ...managed];
+}
--- a/packages/core/src/table/state.ts
+++ b/packages/core/src/table/state.ts
@@ -2,6 +2,7 @@
   Account,
   Class,
   Endpoint,
+  Engine,
   Limit,
   Manifest,
   Model,
@@ -19,6 +20,8 @@
   readonly endpoints: ReadonlyMap<string, Endpoint>;
   readonly pools: ReadonlyMap<PoolId, readonly Endpoint[]>;
   readonly limits: ReadonlyMap<string, Limit>;
+  /** Engines that the fleet may order to load and unload models. */
+  readonly managed: readonly Engine[];
 }
 
 /** A sheet's content as it was published. */
@@ -90,5 +93,6 @@
     endpoints: byId(table.endpoints),
     pools: groupByPool(table.endpoints),
     limits: byId(table.limits),
+    managed: table.endpoints.filter((row): row is Engine => row.kind === 'engine' && row.managed),
   };
 }
