--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -10,6 +10,7 @@
 import { EndpointTasks } from './endpoints/index.js';
 import { listen, type Listener } from './listen.js';
 import { createLog } from './log/index.js';
+import { OrderTask } from './orders/index.js';
 import { PeerTask } from './peers/index.js';
 import { PlatformTask } from './platform/index.js';
 import type { Settings } from './settings/index.js';
@@ -37,13 +38,15 @@
   readonly endpoints: EndpointTasks;
   readonly platform: PlatformTask;
   readonly peers: PeerTask;
+  readonly orders: OrderTask;
   readonly log: Logger;
 }
 
 function createTasks(settings: Settings, self: Vm): Tasks {
   const started = now();
+  const { weightsBytesPerSecond } = settings.platform;
   const random = createRandom(settings.seed ?? Math.floor(started));
-  const decider = new Decider(createCore(self, random, started));
+  const decider = new Decider(createCore(self, random, started, { weightsBytesPerSecond }));
   const exchanges = new Exchanges();
   return {
     decider,
@@ -51,6 +54,7 @@
     endpoints: new EndpointTasks(decider, exchanges),
     platform: new PlatformTask(settings.platform, decider),
     peers: new PeerTask(settings.peers.sharedKey, decider),
+    orders: new OrderTask(decider),
     log: createLog(settings.vm.id, settings.logLevel),
   };
 }
@@ -60,7 +64,15 @@
 }
 
 /** Names the task that carries out each kind of action. */
-function connectTasks({ decider, exchanges, endpoints, platform, peers, log }: Tasks): void {
+function connectTasks({
+  decider,
+  exchanges,
+  endpoints,
+  platform,
+  peers,
+  orders,
+  log,
+}: Tasks): void {
   decider.on('dispatch', (action) => endpoints.dispatch(action));
   decider.on('cancel-attempt', ({ attemptId }) => endpoints.cancel(attemptId));
   decider.on('refuse', ({ requestId, refusal }) => exchanges.take(requestId)?.refuse(refusal));
@@ -70,6 +82,9 @@
   decider.on('call-peer', (action) => {
     void peers.call(action);
   });
+  decider.on('order', (action) => {
+    void orders.give(action);
+  });
   decider.on('reply-peer', (action) => peers.reply(action));
   decider.on('state-changed', (action) => logChange(log, action));
 }
@@ -95,13 +110,13 @@
   const { host, port } = settings.peers;
   const self: Vm = { ...settings.vm, peerUrl: `http://${host}:${port}`, state: 'live' };
   const tasks = createTasks(settings, self);
-  const { decider, exchanges, endpoints, platform, peers } = tasks;
+  const { decider, exchanges, endpoints, platform, peers, orders } = tasks;
   connectTasks(tasks);
   let draining: Promise<void> | null = null;
 
   const stop = async () => {
     decider.stop();
-    await Promise.all([platform.stop(), peers.close(), endpoints.close()]);
+    await Promise.all([platform.stop(), peers.close(), endpoints.close(), orders.close()]);
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- stopped after it opened
     await Promise.all(Object.values(listeners).map((listener) => listener.close()));
   };
--- /dev/null
+++ b/packages/router/src/orders/index.ts
@@ -0,0 +1,1 @@
+export { OrderTask } from './orderTask.js';
--- /dev/null
+++ b/packages/router/src/orders/orderTask.ts
@@ -0,0 +1,50 @@
+import type { ActionOf, Order, OrderEnd } from '@filbertlatch/core';
+import { Agent, request } from 'undici';
+
+import type { Decider } from '../decider/index.js';
+
+const ORDER_TIMEOUT_MS = 5000;
+const CONFLICT = 409;
+
+/** The task that gives orders to engines. */
+export class OrderTask {
+  readonly #decider: Decider;
+
+  readonly #agent = new Agent({
+    headersTimeout: ORDER_TIMEOUT_MS,
+    bodyTimeout: ORDER_TIMEOUT_MS,
+    connect: { timeout: ORDER_TIMEOUT_MS },
+  });
+
+  constructor(decider: Decider) {
+    this.#decider = decider;
+  }
+
+  /** Gives an order and posts how the engine answered it. */
+  async give({ endpoint, order }: ActionOf<'order'>): Promise<void> {
+    const end = await this.#send(endpoint.url, order);
+    this.#decider.post({ kind: 'order-ended', endpointId: endpoint.id, end });
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #send(url: string, order: Order): Promise<OrderEnd> {
+    try {
+      const { statusCode, body } = await request(`${url}/orders`, {
+        method: 'POST',
+        dispatcher: this.#agent,
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(order),
+      });
+      await body.dump();
+      if (statusCode === CONFLICT) return 'fenced';
+      return statusCode < 300 ? 'applied' : 'failed';
+    } catch {
+      // The engine may have taken it all the same: only its report tells.
+      return 'unknown';
+    }
+  }
+}
--- a/packages/router/src/settings/settings.ts
+++ b/packages/router/src/settings/settings.ts
@@ -31,6 +31,11 @@
     configurationUrl: z.url().describe('Base address of the configuration service.'),
     listUrl: z.url().describe('Base address of the list of VMs.'),
     weightsUrl: z.url().optional().describe('Base address of the weight store.'),
+    weightsBytesPerSecond: z
+      .number()
+      .positive()
+      .optional()
+      .describe('Rate of the weight store, which all VMs share, in bytes per second.'),
     watchSeconds: z.number().positive().max(300).default(30),
   }),
   drainSeconds: z.number().positive().default(600).describe('Longest wait for streams to end.'),
--- a/packages/standins/src/createEngine.ts
+++ b/packages/standins/src/createEngine.ts
@@ -7,7 +7,9 @@
 import { Hono } from 'hono';
 import { z } from 'zod';
 
+import { createTimedLoad, EngineModels, type LoadModel } from './engineModels.js';
 import { EngineQueue, type Stream } from './engineQueue.js';
+import { orderSchema } from './orderSchema.js';
 
 const MS_PER_SECOND = 1000;
 const CHARACTERS_PER_TOKEN = 4;
@@ -23,6 +25,10 @@
   readonly stepMs: number;
   readonly prefillTokensPerSecond: number;
   readonly seed: number;
+  /** Whether it refuses orders with an old fencing number; it does when absent. */
+  readonly fencing?: 'checked' | 'ignored';
+  /** How it loads a model; at once when absent. */
+  readonly load?: LoadModel;
 }
 
 /** Failures that a test or an experiment turns on; all off at start. */
@@ -43,6 +49,7 @@
   readonly url: string;
   readonly switches: EngineSwitches;
   readonly queue: EngineQueue;
+  readonly models: EngineModels;
   /** Ids of the streams that began to run, in order. */
   readonly runs: readonly string[];
   stop(): Promise<void>;
@@ -143,11 +150,14 @@
     truncatesAfter: null,
   };
   const runs: string[] = [];
+  const load = options.load ?? createTimedLoad(0);
+  const models = new EngineModels(options.models, options.fencing !== 'ignored', load);
   const app = new Hono<Env>();
 
   app.post('/v1/*', async (c) => {
     if (switches.refuses) return c.json({ error: { message: 'refused' } }, 503);
     const body = bodySchema.parse(await c.req.json());
+    if (!models.serves(body.model)) return c.json({ error: { message: 'not loaded' } }, 503);
     const id = c.req.header(REQUEST_ID_HEADER) ?? 'none';
     const most = body.max_completion_tokens ?? body.max_tokens ?? Infinity;
     const length = Math.min(most, body.standin?.tokens ?? drawLength(random));
@@ -165,9 +175,13 @@
       waiting: queue.waiting.length,
       waitingTokens: queue.waiting.reduce((sum, stream) => sum + stream.promptTokens, 0),
       tokensPerSecond: (queue.running.size * MS_PER_SECOND * switches.speed) / options.stepMs,
-      models: options.models,
+      models: models.loaded,
     }),
   );
+  app.post('/orders', async (c) => {
+    const order = orderSchema.parse(await c.req.json());
+    return models.take(order) ? c.json({ taken: true }) : c.json({ error: 'old order' }, 409);
+  });
 
   let debt = 0;
   const timer = setInterval(() => {
@@ -183,6 +197,7 @@
     url: listener.url,
     switches,
     queue,
+    models,
     runs,
     stop: async () => {
       clearInterval(timer);
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -16,4 +16,6 @@
   type ServiceSwitches,
   type StandInService,
 } from './createService.js';
+export { createWeightStore, type StandInWeightStore } from './createWeightStore.js';
+export { createTimedLoad, EngineModels, type LoadModel } from './engineModels.js';
 export { EngineQueue, type Stream } from './engineQueue.js';
