Let VMs hear of each other by heartbeats, and read again all that is believed after a pause

Cause: calls between VMs were answered by nothing, a sheet that could not be had was never asked for again, and a VM was ready as soon as any table arrived. Change: three heartbeats a second whatever the size of the fleet, nearer peers more often, each in its turn; news of others bounded to six; sheets, manifest and list also come from peers; fetches back off with jitter; a start and a long pause read platform and peers again before anything is dispatched; the time limit of leaving tells callers the truth.

--- /dev/null
+++ b/packages/core/__tests__/membership.spec.ts
@@ -0,0 +1,190 @@
+import { CoreFleet, describe, it, publishTable } from '@filbertlatch/core/testing';
+
+import { isUnreachable, tableRevision, type Vm, type VmList } from '../src/index.js';
+
+const ZONES = ['a', 'b', 'c'];
+
+function createVms(count: number): Vm[] {
+  return Array.from({ length: count }, (_, index) => ({
+    id: `vm-${index}`,
+    peerUrl: `http://127.0.0.1:${9000 + index}`,
+    zone: ZONES[index % ZONES.length]!,
+    region: 'region-1',
+    state: 'live',
+  }));
+}
+
+function listOf(revision: number, vms: readonly Vm[]): VmList {
+  return { revision, vms: [...vms], leavingEndpoints: [] };
+}
+
+function startFleet(count: number, seed = 1): { fleet: CoreFleet; vms: Vm[] } {
+  const fleet = new CoreFleet(seed);
+  const vms = createVms(count);
+  fleet.platform.list = listOf(1, vms);
+  fleet.platform.table = publishTable(1);
+  vms.forEach((vm) => fleet.start(vm));
+  fleet.run(5000);
+  return { fleet, vms };
+}
+
+function seesUnreachable(fleet: CoreFleet, id: string, peer: string): boolean {
+  return isUnreachable(fleet.node(id).core.membership.members.get(peer), fleet.now);
+}
+
+function othersThatMiss(fleet: CoreFleet, peer: string): string[] {
+  return [...fleet.nodes.keys()].filter((id) => id !== peer && seesUnreachable(fleet, id, peer));
+}
+
+describe('heartbeats', () => {
+  describe('in a fleet where nothing fails', () => {
+    it('are a fixed few a second on each VM, whatever the size of the fleet', (t) => {
+      [4, 64].forEach((count) => {
+        const { fleet } = startFleet(count);
+        const node = fleet.node('vm-0');
+        node.sent.length = 0;
+        fleet.run(10_000);
+        const calls = node.sent.filter((action) => action.kind === 'call-peer');
+        t.true(calls.length >= 20 && calls.length <= 40, `${calls.length} calls in 10 s`);
+      });
+    });
+
+    it('reach every VM and make it live', (t) => {
+      const { fleet } = startFleet(8);
+      [...fleet.nodes].forEach(([id, { core }]) => {
+        t.is(core.membership.members.size, 7, id);
+        t.true([...core.membership.members.values()].every((m) => m.state === 'live'));
+      });
+    });
+
+    it('stay within 1,200 bytes at 330 VMs', (t) => {
+      const { fleet } = startFleet(330);
+      const sizes = [...fleet.nodes.values()].flatMap(({ sent }) =>
+        sent
+          .filter((action) => action.kind === 'call-peer')
+          .map((action) => JSON.stringify(action.call).length),
+      );
+      t.true(Math.max(...sizes) <= 1200, `${Math.max(...sizes)} bytes`);
+    });
+  });
+
+  const crashes: [string, (fleet: CoreFleet) => void][] = [
+    ['a crashed VM', (fleet) => fleet.crash('vm-3')],
+    [
+      'a VM that is cut off',
+      (fleet) => {
+        fleet.isLost = (from, to) => from === 'vm-3' || to === 'vm-3';
+      },
+    ],
+    [
+      'a VM that is paused for long',
+      (fleet) => {
+        fleet.node('vm-3').pausedUntil = fleet.now + 60_000;
+      },
+    ],
+  ];
+  crashes.forEach(([title, fail]) => {
+    describe(`with ${title}`, () => {
+      [8, 32].forEach((count) => {
+        it(`tell within 20 s all ${count} VMs that it is out of reach, and it stays listed`, (t) => {
+          const { fleet } = startFleet(count);
+          fail(fleet);
+          fleet.run(20_000);
+          t.is(othersThatMiss(fleet, 'vm-3').length, count - 1);
+          t.is(fleet.node('vm-0').core.membership.list?.vms.length, count);
+        });
+      });
+    });
+  });
+
+  const harmless: [string, (fleet: CoreFleet) => void][] = [
+    [
+      'a tenth of all messages lost',
+      (fleet) => {
+        fleet.isLost = () => fleet.random.next() < 0.1;
+      },
+    ],
+    [
+      'calls one way lost between two VMs',
+      (fleet) => {
+        fleet.isLost = (from, to) => from === 'vm-1' && to === 'vm-2';
+      },
+    ],
+  ];
+  harmless.forEach(([title, fail]) => {
+    describe(`with ${title}`, () => {
+      it('hold no VM to be out of reach for the others', (t) => {
+        const { fleet, vms } = startFleet(8);
+        fail(fleet);
+        fleet.run(30_000);
+        vms.forEach(({ id }) => {
+          const missing = othersThatMiss(fleet, id).filter((by) => by !== 'vm-1' && by !== 'vm-2');
+          t.deepEqual(missing, [], id);
+        });
+      });
+    });
+  });
+
+  describe('with a partition that heals', () => {
+    it('forget it within 10 s of the healing', (t) => {
+      const { fleet, vms } = startFleet(8);
+      const side = (id: string) => Number(id.slice(3)) < 3;
+      fleet.isLost = (from, to) => side(from) !== side(to);
+      fleet.run(20_000);
+      t.true(seesUnreachable(fleet, 'vm-0', 'vm-5'));
+      t.false(seesUnreachable(fleet, 'vm-4', 'vm-5'));
+      fleet.isLost = () => false;
+      fleet.run(10_000);
+      vms.forEach(({ id }) => t.deepEqual(othersThatMiss(fleet, id), [], id));
+    });
+  });
+
+  describe('of a restarted VM', () => {
+    it('are those of a new incarnation, and late ones of the earlier are not believed', (t) => {
+      const { fleet, vms } = startFleet(4);
+      const { membership } = fleet.node('vm-0').core;
+      const earlier = membership.members.get('vm-1')!.heartbeat!;
+      fleet.crash('vm-1');
+      fleet.run(8000);
+      fleet.start(vms[1]!);
+      fleet.run(5000);
+      const member = membership.members.get('vm-1')!;
+      t.true(member.incarnation > earlier.incarnation);
+      t.is(member.state, 'live');
+      const late = { ...earlier, sequence: 9999, state: 'leaving' as const };
+      const call = { method: 'heartbeat', heartbeat: late } as const;
+      fleet.post('vm-0', { kind: 'peer-called', callId: 'late', call });
+      t.is(membership.members.get('vm-1')!.state, 'live');
+    });
+  });
+});
+
+describe('a list that comes 30 s late', () => {
+  it('is learnt from peers that have it', (t) => {
+    const { fleet, vms } = startFleet(4);
+    const newer = listOf(2, vms.slice(0, 3));
+    fleet.offerList('vm-1', newer);
+    fleet.run(10_000);
+    [...fleet.nodes].forEach(([id, { core }]) => t.is(core.membership.list?.revision, 2, id));
+  });
+});
+
+describe('a fleet whose VMs are all replaced one after another', () => {
+  it('keeps the highest table while the service serves an old one', (t) => {
+    const { fleet } = startFleet(6);
+    fleet.platform.table = publishTable(9);
+    fleet.offerTable('vm-0');
+    fleet.run(8000);
+    fleet.platform.table = publishTable(1);
+    for (let index = 0; index < 6; index += 1) {
+      const id = `vm-${index}`;
+      fleet.crash(id);
+      fleet.run(2000);
+      const { self } = fleet.node(id).core.membership;
+      const node = fleet.start(self);
+      for (let waited = 0; waited < 100 && !node.core.membership.ready; waited += 1) fleet.run(100);
+      t.true(node.core.membership.ready, id);
+      t.is(tableRevision(node.core.table), 9, id);
+    }
+  });
+});
--- a/packages/core/src/entry/action.ts
+++ b/packages/core/src/entry/action.ts
@@ -33,7 +33,7 @@
       readonly digest: string;
       readonly peer: Vm | null;
     }
-  | { readonly kind: 'fetch-list' }
+  | { readonly kind: 'fetch-list'; readonly peer: Vm | null }
   | {
       readonly kind: 'call-peer';
       readonly callId: string;
--- /dev/null
+++ b/packages/core/src/entry/buildHeartbeat.ts
@@ -0,0 +1,32 @@
+import { listClassLoads } from '../admission/index.js';
+import { listNews, ownState } from '../membership/index.js';
+import { tableDigest, tableRevision } from '../table/index.js';
+import type { ClassLoad, Heartbeat } from '../types/index.js';
+import type { Core } from './core.js';
+
+const MOST_LOADS = 32;
+
+function listDemand(core: Core): ClassLoad[] {
+  return listClassLoads(core.admission)
+    .filter((load) => load.waiting > 0 || load.servedTokensPerSecond > 0)
+    .slice(0, MOST_LOADS);
+}
+
+/** Builds what this VM tells a peer: bounded in size, whatever the size of the fleet. */
+export function buildHeartbeat(core: Core, now: number): Heartbeat {
+  const { membership, table } = core;
+  membership.sequence += 1;
+  return {
+    from: membership.self.id,
+    incarnation: membership.incarnation,
+    sequence: membership.sequence,
+    state: ownState(membership),
+    listRevision: membership.list?.revision ?? -1,
+    tableRevision: tableRevision(table),
+    manifestDigest: tableDigest(table),
+    positions: [],
+    loads: listDemand(core),
+    suspects: [],
+    members: listNews(membership, now),
+  };
+}
--- a/packages/core/src/entry/counters.ts
+++ b/packages/core/src/entry/counters.ts
@@ -18,6 +18,11 @@
   'tables_accepted',
   'tables_refused',
   'lists_accepted',
+  'table_conflicts',
+  'sheets_missing',
+  'heartbeats',
+  'peers_lost',
+  'pauses',
 ] as const;
 
 /** Name of a counter. */
--- a/packages/core/src/entry/decide.ts
+++ b/packages/core/src/entry/decide.ts
@@ -1,16 +1,24 @@
 import { match } from 'ts-pattern';
 
 import { recordSuccess } from '../health/index.js';
-import { beginLeaving } from '../membership/index.js';
 import { recordReport } from '../placement/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
 import type { Message } from './message.js';
 import { onAttemptEnded, onTokensArrived } from './onAttempt.js';
+import { onDrainBegan, onDrainTimedOut } from './onDrain.js';
 import { onPeerCalled, onPeerFailed, onPeerReplied } from './onPeerCall.js';
-import { onListOffered, onManifestOffered, onSheetOffered } from './onPlatform.js';
+import {
+  onListOffered,
+  onManifestOffered,
+  onPlatformFailed,
+  onPlatformUnchanged,
+  onSheetMissing,
+  onSheetOffered,
+} from './onPlatform.js';
 import { onCallerLeft, onRequestArrived } from './onRequest.js';
 import { onTick } from './onTick.js';
+import { onWoke } from './recheck.js';
 
 const NO_ACTIONS: readonly Action[] = [];
 
@@ -39,15 +47,17 @@
     .with({ kind: 'cache-changed' }, ignore)
     .with({ kind: 'manifest-offered' }, (m) => onManifestOffered(core, m, now, actions))
     .with({ kind: 'sheet-offered' }, (m) => onSheetOffered(core, m, now, actions))
-    .with({ kind: 'sheet-missing' }, ignore)
+    .with({ kind: 'sheet-missing' }, (m) => onSheetMissing(core, m, now))
     .with({ kind: 'list-offered' }, (m) => onListOffered(core, m, now, actions))
-    .with({ kind: 'platform-failed' }, ignore)
+    .with({ kind: 'platform-unchanged' }, (m) => onPlatformUnchanged(core, m, now))
+    .with({ kind: 'platform-failed' }, (m) => onPlatformFailed(core, m, now, actions))
     .with({ kind: 'peer-called' }, (m) => onPeerCalled(core, m, now, actions))
     .with({ kind: 'peer-replied' }, (m) => onPeerReplied(core, m, now, actions))
     .with({ kind: 'peer-failed' }, (m) => onPeerFailed(core, m, now, actions))
     .with({ kind: 'order-ended' }, ignore)
-    .with({ kind: 'drain-began' }, () => beginLeaving(core.membership))
-    .with({ kind: 'woke' }, ignore)
+    .with({ kind: 'drain-began' }, () => onDrainBegan(core, now, actions))
+    .with({ kind: 'drain-timed-out' }, () => onDrainTimedOut(core, actions))
+    .with({ kind: 'woke' }, (m) => onWoke(core, m, now, actions))
     .with({ kind: 'tick' }, () => onTick(core, now, actions))
     .exhaustive();
   return actions;
--- a/packages/core/src/entry/dispatchWaiting.ts
+++ b/packages/core/src/entry/dispatchWaiting.ts
@@ -1,6 +1,6 @@
 import { hasWaiting, takeNext } from '../admission/index.js';
 import { listUsable } from '../health/index.js';
-import { isEndpointLeaving } from '../membership/index.js';
+import { isEndpointLeaving, isStale } from '../membership/index.js';
 import { chooseEndpoint } from '../placement/index.js';
 import type { TableView } from '../table/index.js';
 import type { Endpoint, PoolId } from '../types/index.js';
@@ -26,7 +26,7 @@
 /** Sends waiting requests of a pool to endpoints while one has room. */
 export function dispatchWaiting(core: Core, pool: PoolId, now: number, actions: Action[]): void {
   const { view } = core.table;
-  if (view === null) return;
+  if (view === null || isStale(core.membership)) return;
   while (hasWaiting(core.admission, pool)) {
     const candidates = listCandidates(core, view, pool, now);
     const endpoint = chooseEndpoint(core.placement, candidates, core.random);
--- /dev/null
+++ b/packages/core/src/entry/fetchSheets.ts
@@ -0,0 +1,38 @@
+import { nextInteger } from '../shared/index.js';
+import { listReachablePeers } from '../membership/index.js';
+import { hasFailedFetches, takeDueFetches, type Fetch } from '../table/index.js';
+import type { Vm } from '../types/index.js';
+import type { Action } from './action.js';
+import type { Core } from './core.js';
+
+/** Shortest time between two reads of the manifest while sheets of it cannot be had. */
+const MANIFEST_RETRY_MS = 2000;
+
+function chooseHolder(core: Core, revision: number, now: number): Vm | null {
+  const { members } = core.membership;
+  const holders = listReachablePeers(core.membership, now).filter(
+    (vm) => (members.get(vm.id)?.heartbeat?.tableRevision ?? -1) >= revision,
+  );
+  return holders[nextInteger(core.random, holders.length)] ?? null;
+}
+
+/** The source that told of the revision is asked first, then service and peers in turn. */
+function chooseSource(core: Core, { failures }: Fetch, now: number): Vm | null {
+  const wanted = core.table.wanted!;
+  const isPeersTurn = (wanted.toldBy !== null) === (failures % 2 === 0);
+  return isPeersTurn ? chooseHolder(core, wanted.manifest.revision, now) : null;
+}
+
+/** Asks for the sheets that are missing and due. */
+export function fetchSheets(core: Core, now: number, actions: Action[]): void {
+  const { table } = core;
+  if (table.wanted === null) return;
+  takeDueFetches(table, now).forEach((fetch) => {
+    const { sheet, digest } = fetch;
+    actions.push({ kind: 'fetch-sheet', sheet, digest, peer: chooseSource(core, fetch, now) });
+  });
+  if (!hasFailedFetches(table) || now < table.nextManifestFetchAt) return;
+  // The sheet may be missing because a newer revision has taken its place.
+  table.nextManifestFetchAt = now + MANIFEST_RETRY_MS * (1 + core.random.next());
+  actions.push({ kind: 'fetch-manifest', peer: null });
+}
--- a/packages/core/src/entry/message.ts
+++ b/packages/core/src/entry/message.ts
@@ -33,7 +33,9 @@
       readonly text: string;
     }
   | { readonly kind: 'sheet-missing'; readonly source: Source; readonly sheet: string }
-  | { readonly kind: 'list-offered'; readonly list: VmList }
+  | { readonly kind: 'list-offered'; readonly source: Source; readonly list: VmList }
+  /** The platform answered that nothing changed. */
+  | { readonly kind: 'platform-unchanged'; readonly part: 'configuration' | 'list' }
   | { readonly kind: 'platform-failed'; readonly part: 'configuration' | 'list' }
   | { readonly kind: 'peer-called'; readonly callId: string; readonly call: PeerCall }
   | {
@@ -51,6 +53,8 @@
     }
   | { readonly kind: 'order-ended'; readonly endpointId: string; readonly end: OrderEnd }
   | { readonly kind: 'drain-began' }
+  /** The time that settings give for leaving is over: what still runs is given up. */
+  | { readonly kind: 'drain-timed-out' }
   | { readonly kind: 'woke'; readonly pausedMs: number }
   | { readonly kind: 'tick' };
 
--- /dev/null
+++ b/packages/core/src/entry/onDrain.ts
@@ -0,0 +1,42 @@
+import { removeRequest } from '../admission/index.js';
+import { beginLeaving } from '../membership/index.js';
+import { worstVerdict } from '../types/index.js';
+import type { Action } from './action.js';
+import type { Core, LiveRequest } from './core.js';
+import { refuseRequest } from './finishRequest.js';
+import { sendHeartbeat } from './onHeartbeat.js';
+
+/** Peers that are told at once that this VM leaves. */
+const TOLD_AT_ONCE = 3;
+
+const RETRY_AFTER_MS = 1000;
+
+/** Takes no new work from here on, and says so to peers at once. */
+export function onDrainBegan(core: Core, now: number, actions: Action[]): void {
+  if (core.membership.leaving) return;
+  beginLeaving(core.membership);
+  for (let told = 0; told < TOLD_AT_ONCE; told += 1) sendHeartbeat(core, now, actions);
+  const fields = { openRequests: core.requests.size };
+  actions.push({ kind: 'state-changed', level: 'info', code: 'leaving', fields });
+}
+
+function giveUp(core: Core, live: LiveRequest, actions: Action[]): void {
+  const { request, attemptId } = live;
+  const verdict = attemptId === null ? live.verdict : worstVerdict(live.verdict, 'may-have-run');
+  if (attemptId === null) removeRequest(core.admission, request);
+  // A keyed request runs on at its endpoint: a resend resumes its stream on another VM.
+  else if (request.key === null) actions.push({ kind: 'cancel-attempt', attemptId });
+  const refusal = {
+    code: 'leaving',
+    message: 'This VM stops before the answer is whole; another VM takes a resend.',
+    verdict,
+    retryable: request.repeatable || verdict === 'not-run',
+    retryAfterMs: RETRY_AFTER_MS,
+  } as const;
+  refuseRequest(core, live, refusal, 'failed', actions);
+}
+
+/** Tells the callers of all that still runs the truth, when the time for leaving is over. */
+export function onDrainTimedOut(core: Core, actions: Action[]): void {
+  [...core.requests.values()].forEach((live) => giveUp(core, live, actions));
+}
--- /dev/null
+++ b/packages/core/src/entry/onFleetTick.ts
@@ -0,0 +1,12 @@
+import type { Action } from './action.js';
+import type { Core } from './core.js';
+import { fetchSheets } from './fetchSheets.js';
+import { sendDueHeartbeat } from './onHeartbeat.js';
+import { finishRecheck } from './recheck.js';
+
+/** Does what is due between this VM and the rest of the fleet. */
+export function onFleetTick(core: Core, now: number, actions: Action[]): void {
+  finishRecheck(core, now, actions);
+  sendDueHeartbeat(core, now, actions);
+  fetchSheets(core, now, actions);
+}
--- /dev/null
+++ b/packages/core/src/entry/onHeartbeat.ts
@@ -0,0 +1,114 @@
+import {
+  choosePeer,
+  findVm,
+  forgetMembers,
+  noteRecheck,
+  recordAllNews,
+  recordAnswer,
+  recordHeartbeat,
+  recordSilence,
+} from '../membership/index.js';
+import { highestSeen, noteConflict } from '../table/index.js';
+import type { Heartbeat } from '../types/index.js';
+import type { Action } from './action.js';
+import { buildHeartbeat } from './buildHeartbeat.js';
+import { nextId, type Core } from './core.js';
+import { count } from './counters.js';
+
+/** Mean time between two heartbeats of this VM, whatever the size of the fleet. */
+const HEARTBEAT_MS = 333;
+
+/** Part of the mean by which a wait is drawn at random around it. */
+const JITTER = 0.25;
+
+/** Shortest time between two reads of a manifest that peers know to be newer. */
+const MANIFEST_FETCH_MS = 500;
+
+/** Shortest time between two reads of a list that a peer knows to be newer. */
+const LIST_FETCH_MS = 3000;
+
+function learnRevisions(core: Core, heartbeat: Heartbeat, now: number, actions: Action[]): void {
+  const { membership, table } = core;
+  const peer = findVm(membership, heartbeat.from) ?? null;
+  const isTableOld = heartbeat.tableRevision > highestSeen(table);
+  if (isTableOld && peer !== null && now >= table.nextManifestFetchAt) {
+    table.nextManifestFetchAt = now + MANIFEST_FETCH_MS;
+    actions.push({ kind: 'fetch-manifest', peer });
+  }
+  const { tableRevision: revision, manifestDigest: digest } = heartbeat;
+  if (noteConflict(table, revision, digest)) {
+    count(core, 'table_conflicts');
+    const fields = { revision, peer: heartbeat.from };
+    actions.push({ kind: 'state-changed', level: 'error', code: 'table_conflict', fields });
+  }
+  const isListOld = heartbeat.listRevision > (membership.list?.revision ?? -1);
+  if (isListOld && now >= membership.nextListFetchAt) {
+    membership.nextListFetchAt = now + LIST_FETCH_MS * (1 + core.random.next());
+    actions.push({ kind: 'fetch-list', peer });
+  }
+}
+
+function learnHeartbeat(core: Core, heartbeat: Heartbeat, now: number, actions: Action[]): void {
+  if (!recordHeartbeat(core.membership, heartbeat, now)) return;
+  recordAllNews(core.membership, heartbeat.members, now);
+  learnRevisions(core, heartbeat, now, actions);
+}
+
+/** Takes in a peer's heartbeat and answers with our own. */
+export function onHeartbeatCalled(
+  core: Core,
+  callId: string,
+  heartbeat: Heartbeat,
+  now: number,
+  actions: Action[],
+): void {
+  learnHeartbeat(core, heartbeat, now, actions);
+  const reply = { heartbeat: buildHeartbeat(core, now) };
+  actions.push({ kind: 'reply-peer', callId, reply });
+}
+
+/** Takes in the heartbeat that a peer sent in return. */
+export function onHeartbeatReplied(
+  core: Core,
+  peerId: string,
+  heartbeat: Heartbeat,
+  now: number,
+  actions: Action[],
+): void {
+  recordAnswer(core.membership, peerId, now);
+  noteRecheck(core.membership, 'peer');
+  learnHeartbeat(core, heartbeat, now, actions);
+}
+
+/** Takes in that a peer did not answer a heartbeat. */
+export function onHeartbeatFailed(
+  core: Core,
+  peerId: string,
+  now: number,
+  actions: Action[],
+): void {
+  noteRecheck(core.membership, 'peer');
+  if (!recordSilence(core.membership, peerId, now)) return;
+  count(core, 'peers_lost');
+  const fields = { peer: peerId };
+  actions.push({ kind: 'state-changed', level: 'warn', code: 'peer_unreachable', fields });
+}
+
+/** Sends a heartbeat to the peer whose turn it is. */
+export function sendHeartbeat(core: Core, now: number, actions: Action[]): void {
+  const peer = choosePeer(core.membership, core.random);
+  if (peer === undefined) return;
+  count(core, 'heartbeats');
+  const call = { method: 'heartbeat', heartbeat: buildHeartbeat(core, now) } as const;
+  actions.push({ kind: 'call-peer', callId: nextId(core, 'h'), peer, call });
+}
+
+/** Sends a heartbeat when one is due. */
+export function sendDueHeartbeat(core: Core, now: number, actions: Action[]): void {
+  const { membership } = core;
+  if (now < membership.nextHeartbeatAt) return;
+  const spread = 1 + JITTER * (2 * core.random.next() - 1);
+  membership.nextHeartbeatAt = now + HEARTBEAT_MS * spread;
+  forgetMembers(membership, now);
+  sendHeartbeat(core, now, actions);
+}
--- a/packages/core/src/entry/onPeerCall.ts
+++ b/packages/core/src/entry/onPeerCall.ts
@@ -1,21 +1,26 @@
 import { match } from 'ts-pattern';
 
+import type { HeartbeatReply } from '../types/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
 import type { MessageOf } from './message.js';
+import { onHeartbeatCalled, onHeartbeatFailed, onHeartbeatReplied } from './onHeartbeat.js';
+import { onSheetCalled } from './onSheetCall.js';
 
 function ignore(): void {}
 
 /** Answers a call of another VM by a `reply-peer` action. */
 export function onPeerCalled(
-  _core: Core,
-  { call }: MessageOf<'peer-called'>,
-  _now: number,
-  _actions: Action[],
+  core: Core,
+  { callId, call }: MessageOf<'peer-called'>,
+  now: number,
+  actions: Action[],
 ): void {
   match(call)
-    .with({ method: 'heartbeat' }, ignore)
-    .with({ method: 'sheet' }, ignore)
+    .with({ method: 'heartbeat' }, ({ heartbeat }) => {
+      onHeartbeatCalled(core, callId, heartbeat, now, actions);
+    })
+    .with({ method: 'sheet' }, (sheetCall) => onSheetCalled(core, callId, sheetCall, actions))
     .with({ method: 'claim' }, ignore)
     .with({ method: 'release' }, ignore)
     .with({ method: 'lease' }, ignore)
@@ -24,13 +29,16 @@
 
 /** Takes in what a peer answered. */
 export function onPeerReplied(
-  _core: Core,
-  { call }: MessageOf<'peer-replied'>,
-  _now: number,
-  _actions: Action[],
+  core: Core,
+  { call, peerId, reply }: MessageOf<'peer-replied'>,
+  now: number,
+  actions: Action[],
 ): void {
   match(call)
-    .with({ method: 'heartbeat' }, ignore)
+    .with({ method: 'heartbeat' }, () => {
+      const { heartbeat } = reply as HeartbeatReply;
+      onHeartbeatReplied(core, peerId, heartbeat, now, actions);
+    })
     .with({ method: 'sheet' }, ignore)
     .with({ method: 'claim' }, ignore)
     .with({ method: 'release' }, ignore)
@@ -40,13 +48,13 @@
 
 /** Takes in that a peer did not answer in time. */
 export function onPeerFailed(
-  _core: Core,
-  { call }: MessageOf<'peer-failed'>,
-  _now: number,
-  _actions: Action[],
+  core: Core,
+  { call, peerId }: MessageOf<'peer-failed'>,
+  now: number,
+  actions: Action[],
 ): void {
   match(call)
-    .with({ method: 'heartbeat' }, ignore)
+    .with({ method: 'heartbeat' }, () => onHeartbeatFailed(core, peerId, now, actions))
     .with({ method: 'sheet' }, ignore)
     .with({ method: 'claim' }, ignore)
     .with({ method: 'release' }, ignore)
--- a/packages/core/src/entry/onPlatform.ts
+++ b/packages/core/src/entry/onPlatform.ts
@@ -1,12 +1,20 @@
 import { match } from 'ts-pattern';
 
-import { offerList } from '../membership/index.js';
-import { offerManifest, offerSheet, type OfferResult } from '../table/index.js';
+import { noteRecheck, offerList } from '../membership/index.js';
+import {
+  offerManifest,
+  offerSheet,
+  recordMissing,
+  type Fault,
+  type OfferResult,
+} from '../table/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
 import { count } from './counters.js';
 import { dispatchWaiting } from './dispatchWaiting.js';
-import type { MessageOf } from './message.js';
+import { fetchSheets } from './fetchSheets.js';
+import type { MessageOf, Source } from './message.js';
+import { askPeers } from './recheck.js';
 
 const MOST_FAULTS_LOGGED = 3;
 
@@ -14,30 +22,50 @@
   for (const pool of core.admission.pools.keys()) dispatchWaiting(core, pool, now, actions);
 }
 
+function onAccepted(core: Core, revision: number, now: number, actions: Action[]): void {
+  count(core, 'tables_accepted');
+  const fields = { revision };
+  actions.push({ kind: 'state-changed', level: 'info', code: 'table_accepted', fields });
+  dispatchAll(core, now, actions);
+}
+
+function onRefused(
+  core: Core,
+  revision: number,
+  faults: readonly Fault[],
+  actions: Action[],
+): void {
+  count(core, 'tables_refused');
+  const reasons = faults
+    .slice(0, MOST_FAULTS_LOGGED)
+    .map((fault) => `${fault.path}: expected ${fault.expected}, found ${fault.found}`)
+    .join('; ');
+  const fields = { revision, reasons };
+  actions.push({ kind: 'state-changed', level: 'error', code: 'table_refused', fields });
+}
+
+function onMissing(core: Core, sheet: string, now: number): void {
+  if (recordMissing(core.table, sheet, core.random, now)) count(core, 'sheets_missing');
+}
+
 function onOffer(core: Core, result: OfferResult, now: number, actions: Action[]): void {
   match(result)
     .with({ kind: 'ignored' }, () => {})
-    .with({ kind: 'fetch' }, ({ sheets }) => {
-      sheets.forEach(({ sheet, digest }) => {
-        actions.push({ kind: 'fetch-sheet', sheet, digest, peer: null });
-      });
-    })
-    .with({ kind: 'accepted' }, ({ revision }) => {
-      count(core, 'tables_accepted');
+    .with({ kind: 'wanted' }, () => {})
+    .with({ kind: 'torn' }, ({ sheet }) => onMissing(core, sheet, now))
+    .with({ kind: 'conflict' }, ({ revision }) => {
+      count(core, 'table_conflicts');
       const fields = { revision };
-      actions.push({ kind: 'state-changed', level: 'info', code: 'table_accepted', fields });
-      dispatchAll(core, now, actions);
-    })
-    .with({ kind: 'refused' }, ({ revision, faults }) => {
-      count(core, 'tables_refused');
-      const reasons = faults
-        .slice(0, MOST_FAULTS_LOGGED)
-        .map((fault) => `${fault.path}: expected ${fault.expected}, found ${fault.found}`)
-        .join('; ');
-      const fields = { revision, reasons };
-      actions.push({ kind: 'state-changed', level: 'error', code: 'table_refused', fields });
+      actions.push({ kind: 'state-changed', level: 'error', code: 'table_conflict', fields });
     })
+    .with({ kind: 'accepted' }, ({ revision }) => onAccepted(core, revision, now, actions))
+    .with({ kind: 'refused' }, ({ revision, faults }) => onRefused(core, revision, faults, actions))
     .exhaustive();
+  fetchSheets(core, now, actions);
+}
+
+function peerOf(source: Source): string | null {
+  return source === 'service' ? null : source.peer;
 }
 
 /** Takes in a manifest of the table. */
@@ -47,8 +75,12 @@
   now: number,
   actions: Action[],
 ): void {
-  if (message.source === 'service') core.table.heardAt = now;
-  onOffer(core, offerManifest(core.table, message.manifest), now, actions);
+  const { manifest, source } = message;
+  if (source === 'service') {
+    core.table.heardAt = now;
+    noteRecheck(core.membership, 'table');
+  }
+  onOffer(core, offerManifest(core.table, manifest, peerOf(source), now), now, actions);
 }
 
 /** Takes in one sheet of the table. */
@@ -62,16 +94,55 @@
   onOffer(core, offerSheet(core.table, sheet, digest, text), now, actions);
 }
 
+/** Takes in that a sheet could not be had; it is asked for again later, or elsewhere. */
+export function onSheetMissing(
+  core: Core,
+  { sheet }: MessageOf<'sheet-missing'>,
+  now: number,
+): void {
+  onMissing(core, sheet, now);
+}
+
 /** Takes in a published list of VMs. */
 export function onListOffered(
   core: Core,
-  { list }: MessageOf<'list-offered'>,
+  { list, source }: MessageOf<'list-offered'>,
   now: number,
   actions: Action[],
 ): void {
-  if (!offerList(core.membership, list, now)) return;
-  count(core, 'lists_accepted');
-  const fields = { revision: list.revision, vms: list.vms.length };
-  actions.push({ kind: 'state-changed', level: 'info', code: 'list_accepted', fields });
-  dispatchAll(core, now, actions);
+  const { membership } = core;
+  const heardAt = membership.listHeardAt;
+  const isNewer = offerList(membership, list, now);
+  if (source === 'service') noteRecheck(membership, 'list');
+  // A peer's copy says nothing of the platform: its age stays.
+  else membership.listHeardAt = heardAt;
+  if (isNewer) {
+    count(core, 'lists_accepted');
+    const fields = { revision: list.revision, vms: list.vms.length };
+    actions.push({ kind: 'state-changed', level: 'info', code: 'list_accepted', fields });
+  }
+  askPeers(core, now, actions);
+  if (isNewer) dispatchAll(core, now, actions);
+}
+
+/** Takes in that the platform answered without anything new. */
+export function onPlatformUnchanged(
+  core: Core,
+  { part }: MessageOf<'platform-unchanged'>,
+  now: number,
+): void {
+  if (part === 'list') core.membership.listHeardAt = now;
+  else core.table.heardAt = now;
+  noteRecheck(core.membership, part === 'list' ? 'list' : 'table');
+}
+
+/** Takes in that the platform could not be read: what was last read stays in force. */
+export function onPlatformFailed(
+  core: Core,
+  { part }: MessageOf<'platform-failed'>,
+  now: number,
+  actions: Action[],
+): void {
+  noteRecheck(core.membership, part === 'list' ? 'list' : 'table');
+  askPeers(core, now, actions);
 }
--- a/packages/core/src/entry/onTick.ts
+++ b/packages/core/src/entry/onTick.ts
@@ -3,9 +3,11 @@
 import type { Core } from './core.js';
 import { dispatchWaiting } from './dispatchWaiting.js';
 import { refuseRequest } from './finishRequest.js';
+import { onFleetTick } from './onFleetTick.js';
 
 /** Sheds what can no longer be in time and tries the queues again. */
 export function onTick(core: Core, now: number, actions: Action[]): void {
+  onFleetTick(core, now, actions);
   for (const request of takeExpired(core.admission, now)) {
     const live = core.requests.get(request.id);
     if (live === undefined) continue;
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -1,3 +1,30 @@
-export { beginLeaving, offerList } from './commands.js';
-export { countVms, isEndpointLeaving, listPeers } from './queries.js';
-export { createMembershipState, type Member, type MembershipState } from './state.js';
+export { choosePeer } from './choosePeer.js';
+export { beginLeaving, beginRecheck, endRecheck, noteRecheck, offerList } from './commands.js';
+export {
+  forgetMembers,
+  recordAllNews,
+  recordAnswer,
+  recordHeartbeat,
+  recordSilence,
+} from './hearing.js';
+export {
+  countVms,
+  distanceTo,
+  findVm,
+  hasFailed,
+  isEndpointLeaving,
+  isReady,
+  isStale,
+  isUnreachable,
+  listNews,
+  listPeers,
+  listReachablePeers,
+  ownState,
+} from './queries.js';
+export {
+  createMembershipState,
+  type Distance,
+  type Member,
+  type MembershipState,
+  type Recheck,
+} from './state.js';
--- a/packages/core/src/table/checkTable.ts
+++ b/packages/core/src/table/checkTable.ts
@@ -1,6 +1,6 @@
 import type { z } from 'zod';
 
-import { tableSchema, type Table } from '../types/index.js';
+import { sheetSchemas, tableSchema, type SheetName, type Table } from '../types/index.js';
 
 /** A fault in a table or in settings. */
 export interface Fault {
@@ -110,34 +110,34 @@
   return [{ path: 'classes', expected: 'shares that add up to at most 1', found: `${sum}` }];
 }
 
+const sheetsWithIds = ['classes', 'accounts', 'models', 'endpoints', 'limits'] as const;
+
+/** Checks what spans rows and sheets: ids used once, references and sums. */
+export function checkReferences(table: Table): Fault[] {
+  const repeats = sheetsWithIds.flatMap((sheet) =>
+    findRepeats(
+      sheet,
+      table[sheet].map((row) => row.id),
+    ),
+  );
+  return [...repeats, ...findUnknownReferences(table), ...findShareFaults(table)];
+}
+
 /** Checks a whole table: the shape of each row, then references and sums over all sheets. */
 export function checkTable(value: unknown): Checked<Table> {
   const shaped = checkShape(tableSchema, value);
   if (!shaped.ok) return shaped;
-  const table = shaped.value;
-  const faults = [
-    ...findRepeats(
-      'classes',
-      table.classes.map((row) => row.id),
-    ),
-    ...findRepeats(
-      'accounts',
-      table.accounts.map((row) => row.id),
-    ),
-    ...findRepeats(
-      'models',
-      table.models.map((row) => row.id),
-    ),
-    ...findRepeats(
-      'endpoints',
-      table.endpoints.map((row) => row.id),
-    ),
-    ...findRepeats(
-      'limits',
-      table.limits.map((row) => row.id),
-    ),
-    ...findUnknownReferences(table),
-    ...findShareFaults(table),
-  ];
-  return faults.length === 0 ? { ok: true, value: table } : { ok: false, faults };
+  const faults = checkReferences(shaped.value);
+  return faults.length === 0 ? { ok: true, value: shaped.value } : { ok: false, faults };
+}
+
+/** Checks the rows of one sheet, or of one shard of a sheet such as `accounts/3`. */
+export function checkSheet(name: string, rows: unknown): Checked<readonly unknown[]> {
+  const checked = checkShape(sheetSchemas[name.split('/')[0] as SheetName], rows);
+  if (checked.ok) return checked;
+  const faults = checked.faults.map((fault) => ({
+    ...fault,
+    path: fault.path === '(root)' ? name : `${name}${fault.path}`,
+  }));
+  return { ok: false, faults };
 }
--- a/packages/core/src/table/index.ts
+++ b/packages/core/src/table/index.ts
@@ -1,11 +1,33 @@
-export { checkShape, checkTable, listFaults, type Checked, type Fault } from './checkTable.js';
-export { offerManifest, offerSheet, type OfferResult } from './commands.js';
-export { findAccount, findClass, listPositions, tableRevision } from './queries.js';
+export {
+  checkReferences,
+  checkShape,
+  checkSheet,
+  checkTable,
+  listFaults,
+  type Checked,
+  type Fault,
+} from './checkTable.js';
+export { noteConflict, offerManifest, offerSheet, type OfferResult } from './commands.js';
+export { recordMissing, takeDueFetches } from './fetches.js';
+export {
+  digestManifest,
+  findAccount,
+  findClass,
+  hasFailedFetches,
+  highestSeen,
+  isStalled,
+  listPositions,
+  readSheet,
+  tableDigest,
+  tableRevision,
+} from './queries.js';
 export {
   createTableState,
   createTableView,
   poolsOf,
+  type Fetch,
   type Sheet,
   type TableState,
   type TableView,
+  type Wanted,
 } from './state.js';
--- a/packages/core/src/table/state.ts
+++ b/packages/core/src/table/state.ts
@@ -21,7 +21,7 @@
   readonly limits: ReadonlyMap<string, Limit>;
 }
 
-/** A sheet's content as it was published. */
+/** A sheet's content as it was published, and its checked rows. */
 export interface Sheet {
   readonly name: string;
   readonly digest: string;
@@ -29,16 +29,40 @@
   readonly rows: readonly unknown[];
 }
 
+/** A sheet on its way. */
+export interface Fetch {
+  readonly sheet: string;
+  readonly digest: string;
+  failures: number;
+  /** Instant of the next try, epoch milliseconds; while one runs, when it counts as lost. */
+  nextAt: number;
+}
+
+/** A revision whose sheets are still being fetched. */
+export interface Wanted {
+  readonly manifest: Manifest;
+  readonly since: number;
+  /** Id of the peer that told of it; null when it was the configuration service. */
+  readonly toldBy: string | null;
+}
+
 /** What this VM knows of the table. */
 export interface TableState {
   view: TableView | null;
   manifest: Manifest | null;
+  /** Digest of the manifest in force; empty before the first. */
+  digest: string;
   /** Sheets in force, by name. */
   sheets: Map<string, Sheet>;
-  /** The newest manifest whose sheets are still being fetched. */
-  wanted: Manifest | null;
+  wanted: Wanted | null;
   /** Sheets fetched for `wanted`. */
   fetched: Map<string, Sheet>;
+  /** Sheets still missing for `wanted`, by name. */
+  fetches: Map<string, Fetch>;
+  /** Earliest instant of the next read of a manifest that a peer told of. */
+  nextManifestFetchAt: number;
+  /** The last content that was seen under a revision that has another one here. */
+  conflict: { readonly revision: number; readonly digest: string } | null;
   /** Instant of the last word from the configuration service, epoch milliseconds. */
   heardAt: number;
   refused: { readonly revision: number; readonly faults: readonly string[] } | null;
@@ -49,9 +73,13 @@
   return {
     view: null,
     manifest: null,
+    digest: '',
     sheets: new Map(),
     wanted: null,
     fetched: new Map(),
+    fetches: new Map(),
+    nextManifestFetchAt: 0,
+    conflict: null,
     heardAt: 0,
     refused: null,
   };
--- a/packages/core/src/types/heartbeat.ts
+++ b/packages/core/src/types/heartbeat.ts
@@ -9,13 +9,25 @@
   readonly servedTokensPerSecond: number;
 }
 
+/** What a VM says of itself. */
+export type VmState = 'starting' | 'live' | 'leaving';
+
+/** What a VM has heard of another one; a hint, never authority. */
+export interface MemberNews {
+  readonly id: string;
+  readonly incarnation: number;
+  readonly state: VmState | 'unreachable';
+  /** Instant of its own last word or of the call that it did not answer, epoch milliseconds. */
+  readonly heardAt: number;
+}
+
 /** What one VM tells another about itself; a hint, never authority. */
 export interface Heartbeat {
   readonly from: string;
   /** Start instant of the process: a restarted VM is a new incarnation. */
   readonly incarnation: number;
   readonly sequence: number;
-  readonly state: 'starting' | 'live' | 'leaving';
+  readonly state: VmState;
   readonly listRevision: number;
   readonly tableRevision: number;
   readonly manifestDigest: string;
@@ -24,10 +36,5 @@
   /** Fingerprints suspected of crashing endpoints, with the instant suspicion began. */
   readonly suspects: readonly { readonly fingerprint: string; readonly since: number }[];
   /** What it heard of others lately. */
-  readonly members: readonly {
-    readonly id: string;
-    readonly incarnation: number;
-    readonly state: 'starting' | 'live' | 'leaving' | 'unreachable';
-    readonly heardAt: number;
-  }[];
+  readonly members: readonly MemberNews[];
 }
--- a/packages/core/src/types/peerCall.ts
+++ b/packages/core/src/types/peerCall.ts
@@ -43,7 +43,7 @@
   readonly attemptId: string;
 }
 
-/** Asks for a sheet's content, or for the manifest when `sheet` is `manifest`. */
+/** Asks for a sheet's content, or for the manifest or list when `sheet` is `manifest` or `list`. */
 export interface SheetCall {
   readonly method: 'sheet';
   readonly sheet: string;
@@ -53,6 +53,7 @@
 /** A sheet's text and position. */
 export interface SheetReply {
   readonly manifest: Manifest | null;
+  readonly list?: VmList | null;
   readonly text: string | null;
 }
 
--- a/packages/router/src/callers/callerApi.ts
+++ b/packages/router/src/callers/callerApi.ts
@@ -1,4 +1,4 @@
-import { nextId, type PoolId, type RefusalCode, type Request } from '@filbertlatch/core';
+import { isReady, nextId, type PoolId, type RefusalCode, type Request } from '@filbertlatch/core';
 import type { HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono, type Context } from 'hono';
@@ -206,8 +206,7 @@
   api.all('/services/:name/*', createServiceHandler(context));
   api.get('/health', (c) => c.json({ status: 'up' }));
   api.get('/ready', (c) => {
-    const { table, membership } = context.decider.core;
-    const ready = table.view !== null && !membership.leaving;
+    const ready = isReady(context.decider.core.membership);
     return c.json({ ready }, ready ? 200 : 503);
   });
   return api;
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -65,7 +65,13 @@
   decider.on('cancel-attempt', ({ attemptId }) => endpoints.cancel(attemptId));
   decider.on('refuse', ({ requestId, refusal }) => exchanges.take(requestId)?.refuse(refusal));
   decider.on('fetch-sheet', (action) => {
-    void platform.fetchSheet(action);
+    void (action.peer === null ? platform.fetchSheet(action) : peers.fetch(action));
+  });
+  decider.on('fetch-manifest', (action) => {
+    void (action.peer === null ? platform.fetchManifest() : peers.fetch(action));
+  });
+  decider.on('fetch-list', (action) => {
+    void (action.peer === null ? platform.fetchList() : peers.fetch(action));
   });
   decider.on('call-peer', (action) => {
     void peers.call(action);
@@ -108,6 +114,7 @@
   const finishAndStop = async () => {
     const latest = now() + settings.drainSeconds * MS_PER_SECOND;
     while (exchanges.size > 0 && now() < latest) await sleep(DRAIN_POLL_MS);
+    decider.post({ kind: 'drain-timed-out' });
     await stop();
   };
   const drain = () => {
--- a/packages/router/src/decider/decider.ts
+++ b/packages/router/src/decider/decider.ts
@@ -61,15 +61,23 @@
   }
 
   #tick(): void {
-    const instant = now();
-    const pausedMs = instant - this.#tickedAt;
-    this.#tickedAt = instant;
-    if (pausedMs > PAUSE_MS) this.post({ kind: 'woke', pausedMs });
     this.post({ kind: 'tick' });
+    this.#tickedAt = now();
   }
 
+  // After a pause a socket may speak before the timer does: the core learns of the pause first.
   #handle(message: Message): void {
-    for (const action of decide(this.core, message, now())) {
+    const instant = now();
+    const pausedMs = instant - this.#tickedAt;
+    if (pausedMs > PAUSE_MS && this.#timer !== null) {
+      this.#tickedAt = instant;
+      this.#decide({ kind: 'woke', pausedMs }, instant);
+    }
+    this.#decide(message, instant);
+  }
+
+  #decide(message: Message, instant: number): void {
+    for (const action of decide(this.core, message, instant)) {
       (this.#handlers[action.kind] as Handler<typeof action.kind> | undefined)?.(action);
     }
   }
--- a/packages/router/src/peers/peerTask.ts
+++ b/packages/router/src/peers/peerTask.ts
@@ -4,6 +4,7 @@
 import type { Decider } from '../decider/index.js';
 import { PeerError } from '../errors/index.js';
 import { createPeerApi } from './peerApi.js';
+import { fetchFromPeer } from './fetchFromPeer.js';
 import { PeerClient } from './peerClient.js';
 
 const REPLY_TIMEOUT_MS = 1000;
@@ -40,6 +41,18 @@
     }
   }
 
+  /** Asks a peer for a sheet, the manifest or the list, and posts what it gave. */
+  async fetch(action: ActionOf<'fetch-sheet' | 'fetch-manifest' | 'fetch-list'>): Promise<void> {
+    const source = { peer: action.peer!.id };
+    try {
+      const message = await fetchFromPeer(this.#client, action);
+      if (message !== null) this.#decider.post(message);
+    } catch {
+      if (action.kind !== 'fetch-sheet') return;
+      this.#decider.post({ kind: 'sheet-missing', source, sheet: action.sheet });
+    }
+  }
+
   /** Sends the core's reply to a peer that called. */
   reply({ callId, reply }: ActionOf<'reply-peer'>): void {
     const open = this.#open.get(callId);
--- a/packages/router/src/platform/platformClient.ts
+++ b/packages/router/src/platform/platformClient.ts
@@ -51,6 +51,17 @@
     return this.#watch(`${this.#settings.listUrl}/vms`, after, vmListSchema, signal);
   }
 
+  /** Reads the manifest as it is now; null when none was published. */
+  async readManifest(signal: AbortSignal): Promise<Manifest | null> {
+    const base = this.#settings.configurationUrl;
+    return this.#watch(`${base}/table/manifest`, -1, manifestSchema, signal, 0);
+  }
+
+  /** Reads the list of VMs as it is now; null when none was published. */
+  async readList(signal: AbortSignal): Promise<VmList | null> {
+    return this.#watch(`${this.#settings.listUrl}/vms`, -1, vmListSchema, signal, 0);
+  }
+
   /** Reads one sheet. Throws PlatformError. */
   async readSheet(name: string): Promise<SheetText> {
     const text = await this.#get(`${this.#settings.configurationUrl}/table/sheets/${name}`);
@@ -68,8 +79,8 @@
     after: number,
     schema: S,
     signal: AbortSignal,
+    waitMs = Math.round(this.#settings.watchSeconds * MS_PER_SECOND),
   ): Promise<z.infer<S> | null> {
-    const waitMs = Math.round(this.#settings.watchSeconds * MS_PER_SECOND);
     const text = await this.#get(`${url}?after=${after}&wait=${waitMs}`, signal);
     if (text === null) return null;
     let value: unknown;
--- a/packages/router/src/platform/platformTask.ts
+++ b/packages/router/src/platform/platformTask.ts
@@ -1,10 +1,12 @@
-import type { ActionOf } from '@filbertlatch/core';
+import type { ActionOf, Message } from '@filbertlatch/core';
 
 import type { Decider } from '../decider/index.js';
 import type { Settings } from '../settings/index.js';
 import { PlatformClient } from './platformClient.js';
 import { Watcher } from './watcher.js';
 
+type Part = 'configuration' | 'list';
+
 /** The task that watches the configuration service and the list of VMs. */
 export class PlatformTask {
   readonly #decider: Decider;
@@ -13,6 +15,8 @@
 
   readonly #watchers: readonly Watcher[];
 
+  readonly #stop = new AbortController();
+
   #manifestRevision = -1;
 
   #listRevision = -1;
@@ -23,13 +27,13 @@
     const { random } = decider.core;
     this.#watchers = [
       new Watcher(
-        (signal) => this.#pollManifest(signal),
-        () => decider.post({ kind: 'platform-failed', part: 'configuration' }),
+        (signal) => this.#watchManifest(signal),
+        () => this.#fail('configuration'),
         random,
       ),
       new Watcher(
-        (signal) => this.#pollList(signal),
-        () => decider.post({ kind: 'platform-failed', part: 'list' }),
+        (signal) => this.#watchList(signal),
+        () => this.#fail('list'),
         random,
       ),
     ];
@@ -52,23 +56,61 @@
     }
   }
 
+  /** Reads the manifest now, whatever was read before, and posts it. */
+  async fetchManifest(): Promise<void> {
+    try {
+      const manifest = await this.#client.readManifest(this.#stop.signal);
+      if (manifest === null) this.#fail('configuration');
+      else this.#decider.post({ kind: 'manifest-offered', source: 'service', manifest });
+    } catch {
+      this.#fail('configuration');
+    }
+  }
+
+  /** Reads the list now, whatever was read before, and posts it. */
+  async fetchList(): Promise<void> {
+    try {
+      const list = await this.#client.readList(this.#stop.signal);
+      if (list === null) this.#fail('list');
+      else this.#decider.post({ kind: 'list-offered', source: 'service', list });
+    } catch {
+      this.#fail('list');
+    }
+  }
+
   /** Stops watching and closes the connections. */
   async stop(): Promise<void> {
+    this.#stop.abort();
     this.#watchers.forEach((watcher) => watcher.stop());
     await this.#client.close();
   }
 
-  async #pollManifest(signal: AbortSignal): Promise<void> {
+  #fail(part: Part): void {
+    this.#post({ kind: 'platform-failed', part });
+  }
+
+  #post(message: Message): void {
+    if (!this.#stop.signal.aborted) this.#decider.post(message);
+  }
+
+  async #watchManifest(signal: AbortSignal): Promise<void> {
     const manifest = await this.#client.watchManifest(this.#manifestRevision, signal);
-    if (manifest === null) return;
-    this.#manifestRevision = manifest.revision;
-    this.#decider.post({ kind: 'manifest-offered', source: 'service', manifest });
+    if (manifest === null) {
+      this.#post({ kind: 'platform-unchanged', part: 'configuration' });
+      return;
+    }
+    // A stale replica's manifest is offered too, but never moves the watch back.
+    this.#manifestRevision = Math.max(this.#manifestRevision, manifest.revision);
+    this.#post({ kind: 'manifest-offered', source: 'service', manifest });
   }
 
-  async #pollList(signal: AbortSignal): Promise<void> {
+  async #watchList(signal: AbortSignal): Promise<void> {
     const list = await this.#client.watchList(this.#listRevision, signal);
-    if (list === null) return;
-    this.#listRevision = list.revision;
-    this.#decider.post({ kind: 'list-offered', list });
+    if (list === null) {
+      this.#post({ kind: 'platform-unchanged', part: 'list' });
+      return;
+    }
+    this.#listRevision = Math.max(this.#listRevision, list.revision);
+    this.#post({ kind: 'list-offered', source: 'service', list });
   }
 }
