--- a/packages/core/__tests__/orders/giveOrders.spec.ts
+++ b/packages/core/__tests__/orders/giveOrders.spec.ts
@@ -80,7 +80,7 @@
     this.cores = VMS.map((vm, index) => {
       const core = createCore(vm, createRandom(index), START, setup);
       core.table.view = createTableView(table);
-      decide(core, { kind: 'list-offered', list: createList(1, VMS) }, START);
+      decide(core, { kind: 'list-offered', source: 'service', list: createList(1, VMS) }, START);
       return core;
     });
   }
@@ -234,7 +234,9 @@
       const list = createList(2, others);
       fleet.cores
         .filter((core) => core.membership.self.id !== old.from)
-        .forEach((core) => decide(core, { kind: 'list-offered', list }, fleet.now));
+        .forEach((core) =>
+          decide(core, { kind: 'list-offered', source: 'service', list }, fleet.now),
+        );
       fleet.run(60);
       const later = fleet.orders.find(
         ({ from, order }) => from !== old.from && order.endpointId === old.order.endpointId,
@@ -260,7 +262,11 @@
       fleet.run(60);
       t.deepEqual(fleet.orders, []);
       for (const core of fleet.cores) {
-        decide(core, { kind: 'list-offered', list: createList(1, VMS) }, fleet.now);
+        decide(
+          core,
+          { kind: 'list-offered', source: 'service', list: createList(1, VMS) },
+          fleet.now,
+        );
       }
       fleet.run(5);
       t.is(fleet.orders.length, 1);
