Give the experiment tool scenarios of bursts, faults and baselines

Cause: one demo scenario with uniform load could not show what overload, stragglers, stale reports or uneven entry do, and had nothing to compare with. Change: scenarios with phases, entry weights, faults at instants, variants and targets; round robin and least outstanding with FIFO queues as baselines behind the same stand-ins; figures by class, least shares over 10 s, limits over 5 s, waste, the event loop of the experiment itself; SVG plots; saved figures. Whole answers have no first-token target. The stand-in engine answers whole where asked, keeps step by the clock, and reports its load late, never or wrongly; the stand-in service runs as many calls at once as it has slots.

--- a/packages/bench/bin/bench.js
+++ b/packages/bench/bin/bench.js
@@ -1,4 +1,4 @@
 #!/usr/bin/env node
 import { main } from '../dist/src/main.js';
 
-await main(import.meta);
+process.exitCode = await main(import.meta);
--- /dev/null
+++ b/packages/bench/src/collectFigures.ts
@@ -0,0 +1,47 @@
+import type { Run } from './runScenario.js';
+import type { Figures } from './targets.js';
+
+function round(value: number): number {
+  return Math.round(value * 10_000) / 10_000;
+}
+
+function classEntries({ summary }: Run): [string, number][] {
+  return summary.classes.flatMap((row): [string, number][] => [
+    [`${row.class}.requests`, row.requests],
+    [`${row.class}.attainment`, row.attainment],
+    [`${row.class}.goodput`, row.goodput],
+    [`${row.class}.shed`, row.shed],
+    [`${row.class}.failed`, row.failed],
+    ...Object.entries(row.firstMs ?? {}).map(([name, value]): [string, number] => [
+      `${row.class}.first.${name}Ms`,
+      value,
+    ]),
+  ]);
+}
+
+function shareEntries({ shares }: Run): [string, number][] {
+  return shares.flatMap((share): [string, number][] => [
+    [`${share.class}.leastShare.${share.pool}`, share.least],
+    [`${share.class}.leastShareOfGuaranteed.${share.pool}`, share.ofGuaranteed],
+  ]);
+}
+
+/** Turns a run into flat figures by name, each with a prefix. */
+export function collectFigures(run: Run, prefix = ''): Figures {
+  const { summary, limits, loop } = run;
+  const entries: [string, number][] = [
+    ...classEntries(run),
+    ...shareEntries(run),
+    ...limits.flatMap((use): [string, number][] => [
+      [`limit.${use.limit}.meanUse`, use.mean],
+      [`limit.${use.limit}.mostOver5s`, use.most],
+    ]),
+    ['goodput', summary.goodput],
+    ['goodPerSecond', summary.goodPerSecond],
+    ['waste', summary.waste],
+    ['tokens', summary.tokens],
+    ['loop.lagP99Ms', loop.lagP99Ms],
+    ['loop.busy', loop.busy],
+  ];
+  return Object.fromEntries(entries.map(([name, value]) => [`${prefix}${name}`, round(value)]));
+}
--- a/packages/bench/src/createFleet.ts
+++ b/packages/bench/src/createFleet.ts
@@ -12,6 +12,7 @@
   type StandInService,
 } from '@filbertlatch/standins';
 
+import { createBaseline, type BaselineName } from './baseline/index.js';
 import type { Scenario } from './scenario.js';
 
 const READY_POLL_MS = 20;
@@ -22,13 +23,29 @@
 
 const SHARED_KEY = 'shared-key-of-the-bench-fleet';
 
+/** Which router stands before the endpoints. */
+export type Policy = 'filbertlatch' | BaselineName;
+
+/** One address that callers are sent to. */
+export interface Entry {
+  readonly id: string;
+  readonly url: string;
+  /** False once it was stopped. */
+  isUp(): boolean;
+  stop(): Promise<void>;
+}
+
 /** Routers and stand-ins of one scenario, all in this process. */
 export interface Fleet {
   readonly platform: StandInPlatform;
   readonly engines: readonly StandInEngine[];
   readonly services: readonly StandInService[];
+  /** Routers of this project; none under a baseline. */
   readonly routers: readonly Router[];
+  readonly entries: readonly Entry[];
   readonly table: Table;
+  /** Publishes the list of VMs without those named. */
+  publishListWithout(vms: readonly string[]): void;
   stop(): Promise<void>;
 }
 
@@ -55,8 +72,13 @@
 }
 
 async function createServices(scenario: Scenario): Promise<StandInService[]> {
-  const wanted = scenario.services.flatMap(({ name, count, answerMs }) =>
-    Array.from({ length: count }, (_, index) => ({ id: `${name}-${index}`, name, answerMs })),
+  const wanted = scenario.services.flatMap(({ name, count, answerMs, slots }) =>
+    Array.from({ length: count }, (_, index) => ({
+      id: `${name}-${index}`,
+      name,
+      answerMs,
+      slots,
+    })),
   );
   return Promise.all(wanted.map((options) => createService(options)));
 }
@@ -134,24 +156,63 @@
   }
 }
 
+function createEntry(id: string, part: { callerUrl: string; stop(): Promise<void> }): Entry {
+  let stopping: Promise<void> | null = null;
+  return {
+    id,
+    url: part.callerUrl,
+    isUp: () => stopping === null,
+    stop: () => {
+      stopping ??= part.stop();
+      return stopping;
+    },
+  };
+}
+
+function createListPublisher(
+  scenario: Scenario,
+  platform: StandInPlatform,
+  routers: readonly Router[],
+): Fleet['publishListWithout'] {
+  let revision = 0;
+  return (left) => {
+    revision += 1;
+    const vms = routers.map((router, index) => ({
+      id: `vm-${index}`,
+      peerUrl: router.peerUrl,
+      zone: zoneAt(scenario, index),
+      region: scenario.region,
+      state: 'live' as const,
+    }));
+    platform.publishList({
+      revision,
+      vms: vms.filter((vm) => !left.includes(vm.id)),
+      leavingEndpoints: [],
+    });
+  };
+}
+
 /** Starts the fleet of a scenario on loopback and waits until each router has the table. */
-export async function createFleet(scenario: Scenario, seed: number): Promise<Fleet> {
+export async function createFleet(
+  scenario: Scenario,
+  seed: number,
+  policy: Policy = 'filbertlatch',
+): Promise<Fleet> {
   const platform = await createPlatform();
   const engines = await createEngines(scenario, seed);
   const services = await createServices(scenario);
   const table = buildTable(scenario, engines, services);
   const indexes = Array.from({ length: scenario.routers }, (_, index) => index);
-  const routers = await Promise.all(
-    indexes.map((index) => createRouterAt(scenario, platform, index)),
-  );
-  const vms = routers.map((router, index) => ({
-    id: `vm-${index}`,
-    peerUrl: router.peerUrl,
-    zone: zoneAt(scenario, index),
-    region: scenario.region,
-    state: 'live' as const,
-  }));
-  platform.publishList({ revision: 1, vms, leavingEndpoints: [] });
+  const isOurs = policy === 'filbertlatch';
+  const routers = isOurs
+    ? await Promise.all(indexes.map((index) => createRouterAt(scenario, platform, index)))
+    : [];
+  const parts = isOurs
+    ? routers
+    : await Promise.all(indexes.map(() => createBaseline(policy, table)));
+  const entries = parts.map((part, index) => createEntry(`vm-${index}`, part));
+  const publishListWithout = createListPublisher(scenario, platform, routers);
+  publishListWithout([]);
   platform.publishTable(table);
   await waitUntilReady(routers, table.revision);
   return {
@@ -159,9 +220,11 @@
     engines,
     services,
     routers,
+    entries,
     table,
+    publishListWithout,
     stop: async () => {
-      await Promise.all(routers.map((router) => router.stop()));
+      await Promise.all(entries.map((entry) => entry.stop()));
       await Promise.all([...engines, ...services, platform].map((part) => part.stop()));
     },
   };
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,7 +1,27 @@
-export { createFleet, keyOf, OPERATOR_TOKEN, type Fleet } from './createFleet.js';
-export { formatSummary } from './formatSummary.js';
-export { generateLoad, type Balance } from './generateLoad.js';
-export { loadScenario } from './loadScenario.js';
-export { scenarioSchema, type Load, type Scenario } from './scenario.js';
+export { createBalance, type Balance, type BalanceTarget } from './balance.js';
+export type { ClassFigures } from './classFigures.js';
+export {
+  createFleet,
+  keyOf,
+  OPERATOR_TOKEN,
+  type Entry,
+  type Fleet,
+  type Policy,
+} from './createFleet.js';
+export {
+  findExperiment,
+  listExperiments,
+  type Experiment,
+  type ExperimentOptions,
+  type ExperimentResult,
+} from './experiments/index.js';
+export { formatRun, formatSummary, formatTargets } from './formatSummary.js';
+export { drawArrivals, generateLoad } from './generateLoad.js';
+export { listScenarios, loadScenario } from './loadScenario.js';
+export { drawChart, type Chart } from './plots/index.js';
+export { runScenario, type Run } from './runScenario.js';
+export { applyVariant, scenarioSchema, type Fault, type Load, type Scenario } from './scenario.js';
 export { sendRequest, type Draw, type Sample } from './sendRequest.js';
-export { summarize, type ClassFigures, type Summary } from './summarize.js';
+export { findLeastShares, type LeastShare } from './shares.js';
+export { summarize, type Summary } from './summarize.js';
+export { checkTargets, type Figures, type Target, type TargetResult } from './targets.js';
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,38 +1,90 @@
-import { nextInteger } from '@filbertlatch/core';
 import meow from 'meow';
 
-import { createFleet } from './createFleet.js';
-import { formatSummary } from './formatSummary.js';
-import { generateLoad } from './generateLoad.js';
-import { loadScenario } from './loadScenario.js';
-import { summarize } from './summarize.js';
+import { baselineNames } from './baseline/index.js';
+import type { Policy } from './createFleet.js';
+import { findExperiment, listExperiments, nearestName } from './experiments/index.js';
+import { targetFigures } from './targets.js';
+import { comparePrevious, saveFigures } from './savedFigures.js';
 
-/** Runs the experiment tool's command line. */
-export async function main(importMeta: ImportMeta): Promise<void> {
-  const cli = meow(
-    `
+const HELP = `
   Usage
-    $ bench NAME [--json] [--seed N]
-
-  Example
-    $ bench demo --seed 7
-`,
-    {
-      importMeta,
-      flags: { json: { type: 'boolean' }, seed: { type: 'number', default: 1 } },
-      allowUnknownFlags: false,
+    $ bench NAME [options]
+    $ bench list
+
+  Options
+    --seed N       seed of arrivals, lengths and engines; 1 unless given
+    --policy P     filbertlatch, ${baselineNames.join(', ')}, all, or previous:
+                   ours beside the figures saved last
+    --plot DIR     draw attainment, queues and latencies as SVG
+    --save         keep the figures for --policy previous
+    --json         print the last line only
+
+  Examples
+    $ bench newsroom-burst --policy all
+    $ bench overload-sweep --seed 7 --plot plots
+`;
+
+const OK = 0;
+const USAGE = 2;
+
+function parsePolicies(text: string): readonly Policy[] | null {
+  const names: readonly Policy[] = ['filbertlatch', ...baselineNames];
+  if (text === 'all') return names;
+  if (text === 'previous') return ['filbertlatch'];
+  const found = names.find((name) => name === text);
+  return found === undefined ? null : [found];
+}
+
+function write(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+function fail(text: string): number {
+  process.stderr.write(`bench: ${text}\n`);
+  return USAGE;
+}
+
+async function printList(): Promise<number> {
+  const experiments = await listExperiments();
+  const width = Math.max(...experiments.map(({ name }) => name.length));
+  experiments.forEach(({ name, summary }) => write(`${name.padEnd(width)}  ${summary}`));
+  return OK;
+}
+
+/** Runs the experiment tool's command line; resolves with the exit code. */
+export async function main(importMeta: ImportMeta): Promise<number> {
+  const { input, flags } = meow(HELP, {
+    importMeta,
+    flags: {
+      json: { type: 'boolean', default: false },
+      seed: { type: 'number', default: 1 },
+      policy: { type: 'string', default: 'filbertlatch' },
+      plot: { type: 'string' },
+      save: { type: 'boolean', default: false },
     },
-  );
-  const name = cli.input[0];
-  if (name === undefined) cli.showHelp(2);
-  const { seed } = cli.flags;
-  const scenario = await loadScenario(name!);
-  const fleet = await createFleet(scenario, seed);
-  const urls = fleet.routers.map((router) => router.callerUrl);
-  const samples = await generateLoad(scenario, (r) => urls[nextInteger(r, urls.length)]!, seed);
-  const summary = summarize(fleet.table, fleet, samples);
-  await fleet.stop();
-  if (!cli.flags.json) process.stdout.write(`${formatSummary(summary)}\n`);
-  const result = { experiment: name, seed, figures: summary };
-  process.stdout.write(`${JSON.stringify(result)}\n`);
+    allowUnknownFlags: false,
+  });
+  const [name] = input;
+  if (name === undefined) return fail(`which experiment?\n${HELP}`);
+  if (name === 'list') return printList();
+  const experiment = await findExperiment(name);
+  if (experiment === undefined) {
+    const names = (await listExperiments()).map((known) => known.name);
+    return fail(`no experiment ${JSON.stringify(name)}; did you mean ${nearestName(name, names)}?`);
+  }
+  const policies = parsePolicies(flags.policy);
+  if (policies === null) return fail(`no policy ${JSON.stringify(flags.policy)}`);
+  if (!Number.isInteger(flags.seed)) return fail('--seed takes a whole number');
+  const print = flags.json ? () => {} : write;
+  const result = await experiment.run({
+    seed: flags.seed,
+    policies,
+    plotDirectory: flags.plot ?? null,
+    write: print,
+  });
+  if (flags.policy === 'previous') print(await comparePrevious(name, flags.seed, result.figures));
+  if (flags.save) await saveFigures(name, flags.seed, result.figures);
+  const figures = { ...result.figures, ...targetFigures(result.targets) };
+  write(JSON.stringify({ experiment: name, seed: flags.seed, figures }));
+  return OK;
 }
--- a/packages/bench/src/sendRequest.ts
+++ b/packages/bench/src/sendRequest.ts
@@ -1,4 +1,5 @@
 import { request, type Dispatcher } from 'undici';
+import { v7 as createKey } from 'uuid';
 
 import { keyOf } from './createFleet.js';
 import type { Load } from './scenario.js';
@@ -8,27 +9,40 @@
 /** What a caller saw of one request; times in milliseconds. */
 export interface Sample {
   readonly class: string;
+  /** What it asked for: a model, or a service and path. */
+  readonly target: string;
+  readonly streamed: boolean;
+  /** When it was due, on the clock of `performance.now()`; later sending counts as waiting. */
   readonly startedAt: number;
   readonly status: number;
   readonly firstTokenMs: number | null;
   readonly wholeMs: number;
+  readonly promptTokens: number;
+  /** Tokens of the answer that the request would draw. */
+  readonly askedTokens: number;
+  /** Tokens of a whole answer; 0 for any other. */
   readonly tokens: number;
   readonly whole: boolean;
   /** The error's code and verdict; null for a whole answer. */
   readonly error: { readonly code: string; readonly run: string } | null;
 }
 
-/** Lengths drawn for one request. */
+/** Lengths drawn for one request, and when it is due. */
 export interface Draw {
   readonly promptTokens: number;
   readonly outputTokens: number;
+  readonly arrivedAt?: number;
 }
 
+/** How long a caller of a class waits before it leaves, in milliseconds; null for ever. */
+export type Patience = (classId: string) => number | null;
+
 function buildCall(load: Load, draw: Draw) {
   const headers = {
     authorization: `Bearer ${keyOf(load.account)}`,
     'filbertlatch-class': load.class,
     'content-type': 'application/json',
+    ...(load.keyed ? { 'idempotency-key': createKey() } : {}),
   };
   const service = load.target.match(/^service:(\S+) (\S+)$/);
   if (service !== null) {
@@ -47,12 +61,11 @@
 
 interface Reading {
   firstTokenMs: number | null;
-  tokens: number;
   text: string;
 }
 
 async function readBody(response: Dispatcher.ResponseData, startedAt: number): Promise<Reading> {
-  const reading: Reading = { firstTokenMs: null, tokens: 0, text: '' };
+  const reading: Reading = { firstTokenMs: null, text: '' };
   const decoder = new TextDecoder();
   for await (const bytes of response.body) {
     reading.firstTokenMs ??= performance.now() - startedAt;
@@ -83,36 +96,43 @@
   load: Load,
   draw: Draw,
   dispatcher: Dispatcher,
+  patienceMs: number | null = null,
 ): Promise<Sample> {
-  const startedAt = performance.now();
+  const startedAt = draw.arrivedAt ?? performance.now();
   const { path, ...call } = buildCall(load, draw);
-  const common = { class: load.class, startedAt };
+  const streamed = load.streamed && !load.target.startsWith('service:');
+  const common = {
+    class: load.class,
+    target: load.target,
+    streamed,
+    startedAt,
+    promptTokens: draw.promptTokens,
+    askedTokens: draw.outputTokens,
+  };
+  const signal = patienceMs === null ? null : AbortSignal.timeout(patienceMs);
   try {
-    const response = await request(`${base}${path}`, {
-      ...call,
-      dispatcher,
-    });
+    const response = await request(`${base}${path}`, { ...call, dispatcher, signal });
     const { firstTokenMs, text } = await readBody(response, startedAt);
     const whole = isWhole(load, response.statusCode, text);
     return {
       ...common,
       status: response.statusCode,
-      firstTokenMs: whole ? firstTokenMs : null,
+      firstTokenMs: whole && streamed ? firstTokenMs : null,
       wholeMs: performance.now() - startedAt,
       tokens: whole ? countTokens(load, text) : 0,
       whole,
       error: whole ? null : findError(text),
     };
   } catch {
-    const wholeMs = performance.now() - startedAt;
+    const left = { code: 'caller_left', run: 'unknown' };
     return {
       ...common,
       status: 0,
       firstTokenMs: null,
-      wholeMs,
+      wholeMs: performance.now() - startedAt,
       tokens: 0,
       whole: false,
-      error: null,
+      error: signal?.aborted === true ? left : null,
     };
   }
 }
--- a/packages/standins/src/createEngine.ts
+++ b/packages/standins/src/createEngine.ts
@@ -8,6 +8,8 @@
 import { z } from 'zod';
 
 import { EngineQueue, type Stream } from './engineQueue.js';
+import { LoadReports, type MeasuredLoad } from './loadReports.js';
+import { StepClock } from './stepClock.js';
 
 const MS_PER_SECOND = 1000;
 const CHARACTERS_PER_TOKEN = 4;
@@ -35,6 +37,12 @@
   misechoes: boolean;
   /** Ends each stream after so many tokens, without its last events; null never. */
   truncatesAfter: number | null;
+  /** Age of the load report that it gives, in milliseconds. */
+  reportLagMs: number;
+  /** Answers 503 to readers of its load. */
+  hidesLoad: boolean;
+  /** Reports an idle engine whatever runs. */
+  reportsIdle: boolean;
 }
 
 /** A stand-in engine that listens on loopback. */
@@ -54,6 +62,7 @@
   prompt: z.unknown().optional(),
   max_tokens: z.number().nullish(),
   max_completion_tokens: z.number().nullish(),
+  stream: z.boolean().nullish(),
   standin: z.looseObject({ tokens: z.number().int().positive().optional() }).optional(),
 });
 
@@ -109,18 +118,42 @@
       this.response.destroy();
       return;
     }
+    if (this.body.stream !== true) {
+      if (isLast) this.#sendWhole();
+      return;
+    }
     const id = this.switches.misechoes ? `other-${this.id}` : this.id;
     const chunk = chunkOf(id, this.body, ` w${index}`, isLast ? 'stop' : null);
     this.#send(JSON.stringify(chunk));
     if (!isLast) return;
-    const usage = {
+    this.#send(JSON.stringify({ ...chunk, choices: [], usage: this.#usage() }));
+    this.#send('[DONE]');
+    this.response.end();
+  }
+
+  #usage() {
+    return {
       prompt_tokens: this.promptTokens,
       completion_tokens: this.outputTokens,
       total_tokens: this.promptTokens + this.outputTokens,
     };
-    this.#send(JSON.stringify({ ...chunk, choices: [], usage }));
-    this.#send('[DONE]');
-    this.response.end();
+  }
+
+  #sendWhole(): void {
+    const words = Array.from({ length: this.outputTokens }, (_, index) => ` w${index}`).join('');
+    const choice = { index: 0, finish_reason: 'stop' };
+    const message = { role: 'assistant', content: words };
+    const isChat = this.body.messages !== undefined;
+    const answer = {
+      id: this.switches.misechoes ? `other-${this.id}` : this.id,
+      object: isChat ? 'chat.completion' : 'text_completion',
+      created: 0,
+      model: this.body.model,
+      choices: [isChat ? { ...choice, message } : { ...choice, text: words }],
+      usage: this.#usage(),
+    };
+    this.response.writeHead(200, { 'content-type': 'application/json' });
+    this.response.end(JSON.stringify(answer));
   }
 
   #send(data: string): void {
@@ -131,6 +164,23 @@
   }
 }
 
+function measureLoad(
+  options: EngineOptions,
+  queue: EngineQueue,
+  switches: EngineSwitches,
+): MeasuredLoad {
+  const running = switches.reportsIdle ? 0 : queue.running.size;
+  const waiting = switches.reportsIdle ? [] : queue.waiting;
+  return {
+    measuredAt: performance.timeOrigin + performance.now(),
+    running,
+    waiting: waiting.length,
+    waitingTokens: waiting.reduce((sum, stream) => sum + stream.promptTokens, 0),
+    tokensPerSecond: (queue.running.size * MS_PER_SECOND * switches.speed) / options.stepMs,
+    models: options.models,
+  };
+}
+
 /** Starts a stand-in engine: continuous batching, priorities, and switches for failures. */
 export async function createEngine(options: EngineOptions): Promise<StandInEngine> {
   const random = createRandom(options.seed);
@@ -141,6 +191,9 @@
     refuses: false,
     misechoes: false,
     truncatesAfter: null,
+    reportLagMs: 0,
+    hidesLoad: false,
+    reportsIdle: false,
   };
   const runs: string[] = [];
   const app = new Hono<Env>();
@@ -158,24 +211,16 @@
     outgoing.once('close', () => queue.remove(id));
     return RESPONSE_ALREADY_SENT;
   });
-  app.get('/load', (c) =>
-    c.json({
-      measuredAt: performance.timeOrigin + performance.now(),
-      running: queue.running.size,
-      waiting: queue.waiting.length,
-      waitingTokens: queue.waiting.reduce((sum, stream) => sum + stream.promptTokens, 0),
-      tokensPerSecond: (queue.running.size * MS_PER_SECOND * switches.speed) / options.stepMs,
-      models: options.models,
-    }),
-  );
-
-  let debt = 0;
+  const reports = new LoadReports(() => measureLoad(options, queue, switches));
+  app.get('/load', (c) => {
+    if (switches.hidesLoad) return c.json({ error: { message: 'no report' } }, 503);
+    return c.json(reports.read(switches.reportLagMs));
+  });
+
+  const steps = new StepClock(options.stepMs, performance.now());
   const timer = setInterval(() => {
-    debt += switches.speed;
-    while (debt >= 1) {
-      debt -= 1;
-      queue.step();
-    }
+    for (let due = steps.take(performance.now(), switches.speed); due > 0; due -= 1) queue.step();
+    reports.record();
   }, options.stepMs);
   const listener = await listen(app, '127.0.0.1', 0);
   return {
--- a/packages/standins/src/createService.ts
+++ b/packages/standins/src/createService.ts
@@ -1,14 +1,20 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { listen, REQUEST_ID_HEADER } from '@filbertlatch/router';
+import type { HttpBindings } from '@hono/node-server';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono } from 'hono';
 
+import { Slots } from './slots.js';
+
 /** How a stand-in plain service behaves. */
 export interface ServiceOptions {
   readonly id: string;
   readonly name: string;
   /** Time of one answer, in milliseconds. */
   readonly answerMs: number;
+  /** Calls that it runs at the same time; others wait in turn. */
+  readonly slots?: number;
 }
 
 /** Failures that a test or an experiment turns on; all off at start. */
@@ -40,13 +46,20 @@
 export async function createService(options: ServiceOptions): Promise<StandInService> {
   const switches: ServiceSwitches = { refuses: false, misechoes: false, fails: false };
   const runs: ServiceRun[] = [];
-  const app = new Hono();
+  const slots = new Slots(options.slots ?? Infinity);
+  const app = new Hono<{ readonly Bindings: HttpBindings }>();
   app.all('/*', async (c) => {
     if (switches.refuses) return c.json({ error: 'refused' }, 503);
     const id = c.req.header(REQUEST_ID_HEADER) ?? 'none';
     const { method, path } = c.req;
+    await slots.take();
+    if (c.env.outgoing.destroyed) {
+      slots.release();
+      return RESPONSE_ALREADY_SENT;
+    }
     runs.push({ id, method, path, key: c.req.header('idempotency-key') ?? null });
     await sleep(options.answerMs);
+    slots.release();
     if (switches.fails) return c.json({ error: 'failed' }, 500);
     c.header(REQUEST_ID_HEADER, switches.misechoes ? `other-${id}` : id);
     return c.json({ service: options.name, method, path, received: await c.req.text() });
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -17,3 +17,5 @@
   type StandInService,
 } from './createService.js';
 export { EngineQueue, type Stream } from './engineQueue.js';
+export { LoadReports, type MeasuredLoad } from './loadReports.js';
+export { StepClock } from './stepClock.js';
