--- a/packages/standins/src/createEngine.ts
+++ b/packages/standins/src/createEngine.ts
@@ -1,18 +1,17 @@
-import type { ServerResponse } from 'node:http';
-
 import { createRandom, type Random } from '@filbertlatch/core';
 import { listen, PRIORITY_HEADER, REQUEST_ID_HEADER } from '@filbertlatch/router';
 import type { HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono } from 'hono';
-import { z } from 'zod';
 
-import { EngineQueue, type Stream } from './engineQueue.js';
+import { createTimedLoad, EngineModels, type LoadModel } from './engineModels.js';
+import { EngineQueue } from './engineQueue.js';
+import { bodySchema, EngineStream } from './engineStream.js';
 import { LoadReports, type MeasuredLoad } from './loadReports.js';
+import { orderSchema } from './orderSchema.js';
 import { StepClock } from './stepClock.js';
 
 const MS_PER_SECOND = 1000;
-const CHARACTERS_PER_TOKEN = 4;
 const MEDIAN_TOKENS = 60;
 const LENGTH_SPREAD = 0.7;
 
@@ -25,6 +24,10 @@
   readonly stepMs: number;
   readonly prefillTokensPerSecond: number;
   readonly seed: number;
+  /** Whether it refuses orders with an old fencing number; it does when absent. */
+  readonly fencing?: 'checked' | 'ignored';
+  /** How it loads a model; at once when absent. */
+  readonly load?: LoadModel;
 }
 
 /** Failures that a test or an experiment turns on; all off at start. */
@@ -51,23 +54,12 @@
   readonly url: string;
   readonly switches: EngineSwitches;
   readonly queue: EngineQueue;
+  readonly models: EngineModels;
   /** Ids of the streams that began to run, in order. */
   readonly runs: readonly string[];
   stop(): Promise<void>;
 }
 
-const bodySchema = z.looseObject({
-  model: z.string(),
-  messages: z.unknown().optional(),
-  prompt: z.unknown().optional(),
-  max_tokens: z.number().nullish(),
-  max_completion_tokens: z.number().nullish(),
-  stream: z.boolean().nullish(),
-  standin: z.looseObject({ tokens: z.number().int().positive().optional() }).optional(),
-});
-
-type Body = z.infer<typeof bodySchema>;
-
 interface Env {
   readonly Bindings: HttpBindings;
 }
@@ -79,95 +71,11 @@
   return Math.max(1, Math.round(MEDIAN_TOKENS * Math.exp(LENGTH_SPREAD * normal)));
 }
 
-function chunkOf(id: string, body: Body, text: string, reason: string | null) {
-  const isChat = body.messages !== undefined;
-  const content = isChat ? { delta: { content: text } } : { text };
-  return {
-    id,
-    object: isChat ? 'chat.completion.chunk' : 'text_completion',
-    created: 0,
-    model: body.model,
-    choices: [{ index: 0, ...content, finish_reason: reason }],
-  };
-}
-
-class EngineStream implements Stream {
-  readonly promptTokens: number;
-
-  prefillLeft: number;
-
-  produced = 0;
-
-  constructor(
-    readonly id: string,
-    readonly priority: number,
-    readonly outputTokens: number,
-    private readonly body: Body,
-    private readonly response: ServerResponse,
-    private readonly switches: EngineSwitches,
-    private readonly onStart: () => void,
-  ) {
-    const prompt = JSON.stringify(body.messages ?? body.prompt ?? '');
-    this.promptTokens = Math.max(1, Math.ceil(prompt.length / CHARACTERS_PER_TOKEN));
-    this.prefillLeft = this.promptTokens;
-  }
-
-  onToken(index: number, isLast: boolean): void {
-    if (index === 0) this.onStart();
-    if (this.switches.truncatesAfter !== null && index >= this.switches.truncatesAfter) {
-      this.response.destroy();
-      return;
-    }
-    if (this.body.stream !== true) {
-      if (isLast) this.#sendWhole();
-      return;
-    }
-    const id = this.switches.misechoes ? `other-${this.id}` : this.id;
-    const chunk = chunkOf(id, this.body, ` w${index}`, isLast ? 'stop' : null);
-    this.#send(JSON.stringify(chunk));
-    if (!isLast) return;
-    this.#send(JSON.stringify({ ...chunk, choices: [], usage: this.#usage() }));
-    this.#send('[DONE]');
-    this.response.end();
-  }
-
-  #usage() {
-    return {
-      prompt_tokens: this.promptTokens,
-      completion_tokens: this.outputTokens,
-      total_tokens: this.promptTokens + this.outputTokens,
-    };
-  }
-
-  #sendWhole(): void {
-    const words = Array.from({ length: this.outputTokens }, (_, index) => ` w${index}`).join('');
-    const choice = { index: 0, finish_reason: 'stop' };
-    const message = { role: 'assistant', content: words };
-    const isChat = this.body.messages !== undefined;
-    const answer = {
-      id: this.switches.misechoes ? `other-${this.id}` : this.id,
-      object: isChat ? 'chat.completion' : 'text_completion',
-      created: 0,
-      model: this.body.model,
-      choices: [isChat ? { ...choice, message } : { ...choice, text: words }],
-      usage: this.#usage(),
-    };
-    this.response.writeHead(200, { 'content-type': 'application/json' });
-    this.response.end(JSON.stringify(answer));
-  }
-
-  #send(data: string): void {
-    if (!this.response.headersSent) {
-      this.response.writeHead(200, { 'content-type': 'text/event-stream' });
-    }
-    this.response.write(`data: ${data}\n\n`);
-  }
-}
-
 function measureLoad(
   options: EngineOptions,
   queue: EngineQueue,
   switches: EngineSwitches,
+  models: readonly string[],
 ): MeasuredLoad {
   const running = switches.reportsIdle ? 0 : queue.running.size;
   const waiting = switches.reportsIdle ? [] : queue.waiting;
@@ -177,7 +85,7 @@
     waiting: waiting.length,
     waitingTokens: waiting.reduce((sum, stream) => sum + stream.promptTokens, 0),
     tokensPerSecond: (queue.running.size * MS_PER_SECOND * switches.speed) / options.stepMs,
-    models: options.models,
+    models,
   };
 }
 
@@ -196,11 +104,14 @@
     reportsIdle: false,
   };
   const runs: string[] = [];
+  const load = options.load ?? createTimedLoad(0);
+  const models = new EngineModels(options.models, options.fencing !== 'ignored', load);
   const app = new Hono<Env>();
 
   app.post('/v1/*', async (c) => {
     if (switches.refuses) return c.json({ error: { message: 'refused' } }, 503);
     const body = bodySchema.parse(await c.req.json());
+    if (!models.serves(body.model)) return c.json({ error: { message: 'not loaded' } }, 503);
     const id = c.req.header(REQUEST_ID_HEADER) ?? 'none';
     const most = body.max_completion_tokens ?? body.max_tokens ?? Infinity;
     const length = Math.min(most, body.standin?.tokens ?? drawLength(random));
@@ -211,11 +122,15 @@
     outgoing.once('close', () => queue.remove(id));
     return RESPONSE_ALREADY_SENT;
   });
-  const reports = new LoadReports(() => measureLoad(options, queue, switches));
+  const reports = new LoadReports(() => measureLoad(options, queue, switches, models.loaded));
   app.get('/load', (c) => {
     if (switches.hidesLoad) return c.json({ error: { message: 'no report' } }, 503);
     return c.json(reports.read(switches.reportLagMs));
   });
+  app.post('/orders', async (c) => {
+    const order = orderSchema.parse(await c.req.json());
+    return models.take(order) ? c.json({ taken: true }) : c.json({ error: 'old order' }, 409);
+  });
 
   const steps = new StepClock(options.stepMs, performance.now());
   const timer = setInterval(() => {
@@ -228,6 +143,7 @@
     url: listener.url,
     switches,
     queue,
+    models,
     runs,
     stop: async () => {
       clearInterval(timer);
