--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -19,3 +19,5 @@
 export { createWeightStore, type StandInWeightStore } from './createWeightStore.js';
 export { createTimedLoad, EngineModels, type LoadModel } from './engineModels.js';
 export { EngineQueue, type Stream } from './engineQueue.js';
+export { LoadReports, type MeasuredLoad } from './loadReports.js';
+export { StepClock } from './stepClock.js';
