--- /dev/null
+++ b/packages/core/__tests__/fixtures.ts
@@ -0,0 +1,45 @@
+import { classSchema, type Class, type Request, type Selection, type Tier } from '../src/index.js';
+
+/** Builds a class with usual targets. */
+export function createClass(
+  id: string,
+  tier: Tier,
+  fields: Partial<Omit<Class, 'id' | 'tier'>> = {},
+): Class {
+  const target = { firstTokenMs: 300, betweenTokensMs: 30, wholeMs: 5000 };
+  return classSchema.parse({ id, tier, target, share: 0.1, ...fields });
+}
+
+/** Builds a request of a class. */
+export function createRequest(id: string, classId: string, fields: Partial<Request> = {}): Request {
+  return {
+    id,
+    classId,
+    accountId: 'station-1',
+    pool: 'model:small',
+    arrivedAt: 0,
+    deadline: 5000,
+    promptTokens: 10,
+    maxOutputTokens: 100,
+    prefixes: [],
+    repeatable: true,
+    key: null,
+    fingerprint: id,
+    ...fields,
+  };
+}
+
+/** Builds a selection in which every tier has room and nothing is urgent. */
+export function createSelection(
+  rows: readonly Class[],
+  fields: Partial<Selection> = {},
+): Selection {
+  return {
+    classes: new Map(rows.map((row) => [row.id, row])),
+    now: 0,
+    hasRoom: () => true,
+    shareBoost: () => 1,
+    isUrgent: () => false,
+    ...fields,
+  };
+}
--- a/packages/core/__tests__/takeNext.spec.ts
+++ b/packages/core/__tests__/takeNext.spec.ts
@@ -1,82 +1,126 @@
 import { describe, it } from '@filbertlatch/core/testing';
 
-import {
-  classSchema,
-  createAdmissionState,
-  enqueueRequest,
-  takeNext,
-  type Class,
-  type Request,
-  type Tier,
-} from '../src/index.js';
+import { createAdmissionState, enqueueRequest, takeNext, takeOverflow } from '../src/index.js';
+import { createClass, createRequest, createSelection } from './fixtures.js';
 
-const MOST = 10;
-
-function createClass(id: string, tier: Tier, weight = 1): Class {
-  const target = { firstTokenMs: 300, betweenTokensMs: 30, wholeMs: 5000 };
-  return classSchema.parse({ id, tier, target, share: 0.1, weight });
-}
-
-function createRequest(id: string, classId: string): Request {
-  return {
-    id,
-    classId,
-    accountId: 'station-1',
-    pool: 'model:small',
-    arrivedAt: 0,
-    deadline: 5000,
-    promptTokens: 10,
-    maxOutputTokens: 100,
-    prefixes: [],
-    repeatable: true,
-    key: null,
-    fingerprint: id,
-  };
-}
+const POOL = 'model:small';
+const COST = 10;
 
 describe('takeNext', () => {
-  const classes = new Map(
-    [
-      createClass('headline', 'critical'),
-      createClass('bulletin', 'standard', 3),
-      createClass('summary', 'standard', 1),
-    ].map((row) => [row.id, row]),
-  );
+  const headline = createClass('headline', 'critical', { share: 0.1 });
+  const bulletin = createClass('bulletin', 'standard', { weight: 3, share: 0 });
+  const summary = createClass('summary', 'standard', { weight: 1, share: 0 });
+  const digest = createClass('digest', 'background', { share: 0.2 });
+  const selection = createSelection([headline, bulletin, summary, digest]);
 
   describe('with two tiers waiting', () => {
     it('serves the higher tier first, whatever came first', (t) => {
       const state = createAdmissionState();
-      enqueueRequest(state, createRequest('r1', 'bulletin'), MOST);
-      enqueueRequest(state, createRequest('r2', 'headline'), MOST);
-      t.is(takeNext(state, 'model:small', classes, () => 1)?.id, 'r2');
-      t.is(takeNext(state, 'model:small', classes, () => 1)?.id, 'r1');
-      t.is(
-        takeNext(state, 'model:small', classes, () => 1),
-        undefined,
-      );
+      enqueueRequest(state, createRequest('r1', 'bulletin'), bulletin, COST, 1, 0);
+      enqueueRequest(state, createRequest('r2', 'headline'), headline, COST, 1, 0);
+      t.is(takeNext(state, POOL, selection)?.id, 'r2');
+      t.is(takeNext(state, POOL, selection)?.id, 'r1');
+      t.is(takeNext(state, POOL, selection), undefined);
+    });
+
+    it('serves a lower tier up to its minimum share', (t) => {
+      const state = createAdmissionState();
+      for (let i = 0; i < 100; i += 1) {
+        enqueueRequest(state, createRequest(`h${i}`, 'headline'), headline, COST, 1, 0);
+        enqueueRequest(state, createRequest(`d${i}`, 'digest'), digest, COST, 1, 0);
+      }
+      const taken = Array.from({ length: 50 }, () => takeNext(state, POOL, selection));
+      const digests = taken.filter((request) => request?.classId === 'digest').length;
+      t.is(digests, 10);
+    });
+
+    it('holds the minimum share back while a higher tier is about to miss its target', (t) => {
+      const state = createAdmissionState();
+      const urgent = createSelection([headline, digest], {
+        isUrgent: (lane) => lane.classId === 'headline',
+      });
+      for (let i = 0; i < 20; i += 1) {
+        enqueueRequest(state, createRequest(`h${i}`, 'headline'), headline, COST, 1, 0);
+        enqueueRequest(state, createRequest(`d${i}`, 'digest'), digest, COST, 1, 0);
+      }
+      const taken = Array.from({ length: 20 }, () => takeNext(state, POOL, urgent));
+      t.true(taken.every((request) => request?.classId === 'headline'));
+    });
+
+    it('skips a tier that has no room', (t) => {
+      const state = createAdmissionState();
+      const narrow = createSelection([headline, bulletin], { hasRoom: (rank) => rank === 0 });
+      enqueueRequest(state, createRequest('b1', 'bulletin'), bulletin, COST, 1, 0);
+      t.is(takeNext(state, POOL, narrow), undefined);
+      t.is(takeNext(state, POOL, selection)?.id, 'b1');
     });
   });
 
   describe('within one tier', () => {
     it('shares by weight', (t) => {
       const state = createAdmissionState();
-      for (let i = 0; i < MOST; i += 1) {
-        enqueueRequest(state, createRequest(`b${i}`, 'bulletin'), MOST);
-        enqueueRequest(state, createRequest(`s${i}`, 'summary'), MOST);
+      for (let i = 0; i < 10; i += 1) {
+        enqueueRequest(state, createRequest(`b${i}`, 'bulletin'), bulletin, COST, 1, 0);
+        enqueueRequest(state, createRequest(`s${i}`, 'summary'), summary, COST, 1, 0);
       }
-      const taken = Array.from({ length: 8 }, () =>
-        takeNext(state, 'model:small', classes, () => 1),
-      );
+      const taken = Array.from({ length: 8 }, () => takeNext(state, POOL, selection));
       t.is(taken.filter((request) => request?.classId === 'bulletin').length, 6);
     });
   });
 
-  describe('with a full lane', () => {
-    it('refuses the request and keeps those that wait', (t) => {
+  describe('within one class', () => {
+    it('shares among accounts by weight, whoever sends more', (t) => {
+      const state = createAdmissionState();
+      for (let i = 0; i < 90; i += 1) {
+        const fields = { accountId: i % 9 === 0 ? 'small' : 'large' };
+        const weight = fields.accountId === 'large' ? 2 : 1;
+        enqueueRequest(
+          state,
+          createRequest(`b${i}`, 'bulletin', fields),
+          bulletin,
+          COST,
+          weight,
+          0,
+        );
+      }
+      const taken = Array.from({ length: 15 }, () => takeNext(state, POOL, selection));
+      t.is(taken.filter((request) => request?.accountId === 'small').length, 5);
+    });
+
+    it('serves a request that can meet its target before one that cannot', (t) => {
       const state = createAdmissionState();
-      t.true(enqueueRequest(state, createRequest('r1', 'summary'), 1));
-      t.false(enqueueRequest(state, createRequest('r2', 'summary'), 1));
-      t.is(takeNext(state, 'model:small', classes, () => 1)?.id, 'r1');
+      const later = createSelection([bulletin], { now: 1000 });
+      const fresh = createRequest('new', 'bulletin', { arrivedAt: 900 });
+      enqueueRequest(state, createRequest('old', 'bulletin'), bulletin, COST, 1, 0);
+      enqueueRequest(state, fresh, bulletin, COST, 1, 900);
+      t.is(takeNext(state, POOL, later)?.id, 'new');
+      t.is(takeNext(state, POOL, later)?.id, 'old');
     });
   });
 });
+
+describe('takeOverflow', () => {
+  const bulletin = createClass('bulletin', 'standard');
+
+  it('takes the newest of the account that waits most', (t) => {
+    const state = createAdmissionState();
+    const large = { accountId: 'large' };
+    enqueueRequest(state, createRequest('l1', 'bulletin', large), bulletin, COST, 1, 0);
+    enqueueRequest(state, createRequest('l2', 'bulletin', large), bulletin, COST, 1, 0);
+    enqueueRequest(state, createRequest('s1', 'bulletin'), bulletin, COST, 1, 0);
+    const taken = takeOverflow(state, POOL, 'bulletin', 2, Infinity);
+    t.deepEqual(
+      taken.map((request) => request.id),
+      ['l2'],
+    );
+  });
+
+  it('keeps as much as waits within the bound of cost', (t) => {
+    const state = createAdmissionState();
+    for (let i = 0; i < 10; i += 1) {
+      enqueueRequest(state, createRequest(`b${i}`, 'bulletin'), bulletin, COST, 1, 0);
+    }
+    t.is(takeOverflow(state, POOL, 'bulletin', Infinity, 4 * COST).length, 5);
+    t.is(takeOverflow(state, POOL, 'bulletin', Infinity, 4 * COST).length, 0);
+  });
+});
--- a/packages/core/src/admission/commands.ts
+++ b/packages/core/src/admission/commands.ts
@@ -1,76 +1,232 @@
+import { addToRate } from '../shared/index.js';
 import type { Class, PoolId, Request } from '../types/index.js';
 import { tierRank } from '../types/index.js';
-import type { AdmissionState, Lane } from './state.js';
+import { chooseLane, type Selection } from './chooseLane.js';
+import {
+  createLane,
+  createPoolQueue,
+  type AccountLane,
+  type AdmissionState,
+  type Lane,
+  type PoolQueue,
+  type Waiting,
+} from './state.js';
 
-function laneFor(state: AdmissionState, pool: PoolId, classId: string): Lane {
-  let lanes = state.pools.get(pool);
-  if (lanes === undefined) {
-    lanes = new Map();
-    state.pools.set(pool, lanes);
+/** A share that cannot be served now is remembered for at most so many requests. */
+const MOST_OWED_REQUESTS = 8;
+
+function queueFor(state: AdmissionState, pool: PoolId): PoolQueue {
+  let queue = state.pools.get(pool);
+  if (queue === undefined) {
+    queue = createPoolQueue();
+    state.pools.set(pool, queue);
   }
+  return queue;
+}
+
+function laneFor(state: AdmissionState, pool: PoolId, classId: string): Lane {
+  const { lanes } = queueFor(state, pool);
   let lane = lanes.get(classId);
   if (lane === undefined) {
-    lane = { classId, waiting: [], virtualTime: 0 };
+    lane = createLane(classId);
     lanes.set(classId, lane);
   }
   return lane;
 }
 
-/** Puts a request at the end of its class's lane; false when the lane is full. */
-export function enqueueRequest(state: AdmissionState, request: Request, most: number): boolean {
+function accountFor(lane: Lane, accountId: string, weight: number): AccountLane {
+  let account = lane.accounts.get(accountId);
+  if (account === undefined) {
+    account = { accountId, weight, waiting: [], cost: 0, virtualTime: lane.accountClock };
+    lane.accounts.set(accountId, account);
+  }
+  return account;
+}
+
+function addCost(lane: Lane, account: AccountLane, waiting: Waiting): void {
+  account.cost += waiting.cost;
+  lane.cost += waiting.cost;
+  lane.size += 1;
+}
+
+function takeAt(lane: Lane, account: AccountLane, index: number): Waiting {
+  const [taken] = account.waiting.splice(index, 1) as [Waiting];
+  account.cost -= taken.cost;
+  lane.cost -= taken.cost;
+  lane.size -= 1;
+  if (lane.size === 0) {
+    lane.cost = 0;
+    lane.owed = Math.min(lane.owed, 0);
+  }
+  return taken;
+}
+
+// An account that leaves keeps no state: its place in the order is lost, as is any credit.
+function forgetIfEmpty(lane: Lane, account: AccountLane): void {
+  if (account.waiting.length === 0) lane.accounts.delete(account.accountId);
+}
+
+/** Puts a request at the end of its account's lane; weight is the account's. */
+export function enqueueRequest(
+  state: AdmissionState,
+  request: Request,
+  row: Class,
+  cost: number,
+  weight: number,
+  now: number,
+): void {
   const lane = laneFor(state, request.pool, request.classId);
-  if (lane.waiting.length >= most) return false;
-  lane.waiting.push(request);
-  return true;
+  if (lane.size === 0) {
+    const clock = queueFor(state, request.pool).clocks[tierRank(row.tier)] ?? 0;
+    lane.virtualTime = Math.max(lane.virtualTime, clock);
+  }
+  const account = accountFor(lane, request.accountId, weight);
+  const waiting = { request, cost };
+  account.waiting.push(waiting);
+  addCost(lane, account, waiting);
+  addToRate(lane.arrived, cost, now);
+  addToRate(lane.arrivals, 1, now);
 }
 
-/** Puts a request back at the head of its lane, for a retry. */
+/** Puts a request back at the head of its account's lane; its cost was charged before. */
 export function requeueRequest(state: AdmissionState, request: Request): void {
-  laneFor(state, request.pool, request.classId).waiting.unshift(request);
+  const lane = laneFor(state, request.pool, request.classId);
+  const account = accountFor(lane, request.accountId, 1);
+  const waiting = { request, cost: 0 };
+  account.waiting.unshift(waiting);
+  addCost(lane, account, waiting);
 }
 
 /** Takes a request out of its lane; false when it no longer waits. */
 export function removeRequest(state: AdmissionState, request: Request): boolean {
-  const lane = state.pools.get(request.pool)?.get(request.classId);
-  const index = lane?.waiting.indexOf(request) ?? -1;
-  if (lane === undefined || index < 0) return false;
-  lane.waiting.splice(index, 1);
+  const lane = state.pools.get(request.pool)?.lanes.get(request.classId);
+  const account = lane?.accounts.get(request.accountId);
+  const index = account?.waiting.findIndex((w) => w.request.id === request.id) ?? -1;
+  if (lane === undefined || account === undefined || index < 0) return false;
+  takeAt(lane, account, index);
+  forgetIfEmpty(lane, account);
   return true;
 }
 
-/** Takes the request to serve next: the highest tier, then the least virtual time. */
+/** Charges what was sent: moves the virtual times and the guaranteed shares of all lanes. */
+function charge(
+  queue: PoolQueue,
+  lane: Lane,
+  cost: number,
+  { classes, shareBoost, now }: Selection,
+): void {
+  const row = classes.get(lane.classId);
+  lane.virtualTime += cost / (row?.weight ?? 1);
+  queue.clocks[tierRank(row?.tier ?? 'background')] = lane.virtualTime;
+  addToRate(lane.served, cost, now);
+  addToRate(queue.served, cost, now);
+  for (const other of queue.lanes.values()) {
+    if (other.size === 0 && other !== lane) continue;
+    const share = (classes.get(other.classId)?.share ?? 0) * shareBoost(other.classId);
+    const mean = other.size > 0 ? other.cost / other.size : cost;
+    other.owed = Math.min(other.owed + share * cost, MOST_OWED_REQUESTS * Math.max(1, mean));
+  }
+  // Service beyond the share is not held against the class: at most one request's worth is.
+  lane.owed = Math.max(lane.owed - cost, -cost);
+}
+
+function chooseAccount(lane: Lane): AccountLane {
+  let chosen: AccountLane | undefined;
+  for (const account of lane.accounts.values()) {
+    if (chosen === undefined || account.virtualTime < chosen.virtualTime) chosen = account;
+  }
+  return chosen!;
+}
+
+// A request whose first-token target is lost goes after those that can still meet theirs.
+function chooseIndex(account: AccountLane, firstTokenMs: number, now: number): number {
+  const index = account.waiting.findIndex(
+    ({ request, cost }) => cost === 0 || request.arrivedAt + firstTokenMs > now,
+  );
+  return Math.max(0, index);
+}
+
+/** Takes the request to serve next, or undefined when no allowed lane has one. */
 export function takeNext(
   state: AdmissionState,
   pool: PoolId,
-  classes: ReadonlyMap<string, Class>,
-  expectedTokens: (request: Request) => number,
+  selection: Selection,
 ): Request | undefined {
-  const lanes = [...(state.pools.get(pool)?.values() ?? [])].filter(
-    (lane) => lane.waiting.length > 0,
-  );
-  const rankOf = (lane: Lane) => tierRank(classes.get(lane.classId)?.tier ?? 'background');
-  lanes.sort((a, b) => rankOf(a) - rankOf(b) || a.virtualTime - b.virtualTime);
-  const lane = lanes[0];
-  const request = lane?.waiting.shift();
-  if (lane === undefined || request === undefined) return undefined;
-  lane.virtualTime += expectedTokens(request) / (classes.get(lane.classId)?.weight ?? 1);
+  const queue = state.pools.get(pool);
+  const lane = queue === undefined ? undefined : chooseLane(queue, selection);
+  if (queue === undefined || lane === undefined) return undefined;
+  const account = chooseAccount(lane);
+  const target = selection.classes.get(lane.classId)?.target.firstTokenMs ?? Infinity;
+  const { request, cost } = takeAt(lane, account, chooseIndex(account, target, selection.now));
+  account.virtualTime += cost / account.weight;
+  lane.accountClock = account.virtualTime;
+  forgetIfEmpty(lane, account);
+  charge(queue, lane, cost, selection);
   return request;
 }
 
-/** Takes out all requests whose deadline has passed. */
-export function takeExpired(state: AdmissionState, now: number): Request[] {
-  const expired: Request[] = [];
-  for (const lanes of state.pools.values()) {
-    for (const lane of lanes.values()) {
-      const late = lane.waiting.filter((request) => request.deadline <= now);
-      if (late.length === 0) continue;
-      expired.push(...late);
-      lane.waiting.splice(
-        0,
-        lane.waiting.length,
-        ...lane.waiting.filter((request) => request.deadline > now),
-      );
+/** Corrects the account of a class once the true cost of a request is known. */
+export function correctCost(
+  state: AdmissionState,
+  pool: PoolId,
+  row: Class,
+  difference: number,
+): void {
+  const lane = state.pools.get(pool)?.lanes.get(row.id);
+  if (lane === undefined) return;
+  lane.virtualTime += difference / row.weight;
+  if (lane.size > 0) lane.owed -= difference;
+}
+
+function heaviestAccount(lane: Lane): AccountLane | undefined {
+  let heaviest: AccountLane | undefined;
+  for (const account of lane.accounts.values()) {
+    const load = account.cost / account.weight;
+    if (heaviest === undefined || load > heaviest.cost / heaviest.weight) heaviest = account;
+  }
+  return heaviest;
+}
+
+/**
+ * Takes out what waits beyond the bounds of a lane: the newest requests of the accounts
+ * with the most waiting. `mostCost` bounds the cost that waits ahead of the last one.
+ */
+export function takeOverflow(
+  state: AdmissionState,
+  pool: PoolId,
+  classId: string,
+  mostRequests: number,
+  mostCost: number,
+): Request[] {
+  const lane = state.pools.get(pool)?.lanes.get(classId);
+  const taken: Request[] = [];
+  while (lane !== undefined && lane.size > 0) {
+    const account = heaviestAccount(lane)!;
+    const last = account.waiting.at(-1)!;
+    if (lane.size <= mostRequests && lane.cost - last.cost <= mostCost) break;
+    // A request that was put back for a retry has run in part; it is not shed for its place.
+    if (last.cost === 0) break;
+    taken.push(takeAt(lane, account, account.waiting.length - 1).request);
+    forgetIfEmpty(lane, account);
+  }
+  return taken;
+}
+
+/** Takes out every waiting request of a pool that a test names hopeless. */
+export function takeHopeless(
+  state: AdmissionState,
+  pool: PoolId,
+  isHopeless: (waiting: Waiting) => boolean,
+): Request[] {
+  const taken: Request[] = [];
+  for (const lane of state.pools.get(pool)?.lanes.values() ?? []) {
+    for (const account of lane.accounts.values()) {
+      for (let index = account.waiting.length - 1; index >= 0; index -= 1) {
+        if (!isHopeless(account.waiting[index]!)) continue;
+        taken.push(takeAt(lane, account, index).request);
+      }
+      forgetIfEmpty(lane, account);
     }
   }
-  return expired;
+  return taken;
 }
--- a/packages/core/src/admission/index.ts
+++ b/packages/core/src/admission/index.ts
@@ -1,9 +1,30 @@
+export { addPeerLoad } from './peerLoads.js';
+export type { Selection } from './chooseLane.js';
 export {
+  correctCost,
   enqueueRequest,
   removeRequest,
   requeueRequest,
-  takeExpired,
+  takeHopeless,
   takeNext,
+  takeOverflow,
 } from './commands.js';
-export { hasWaiting, listClassLoads, listLanes, type LaneLength } from './queries.js';
-export { createAdmissionState, type AdmissionState, type Lane } from './state.js';
+export {
+  arrivalRate,
+  classRate,
+  hasWaiting,
+  listClassLoads,
+  listLanes,
+  listWaitingPools,
+  type LaneLength,
+} from './queries.js';
+export {
+  createAdmissionState,
+  type AccountLane,
+  type AdmissionState,
+  type Lane,
+  type PeerDemand,
+  type PeerDemands,
+  type PoolQueue,
+  type Waiting,
+} from './state.js';
--- a/packages/core/src/admission/queries.ts
+++ b/packages/core/src/admission/queries.ts
@@ -1,5 +1,8 @@
-import type { ClassLoad, PoolId } from '../types/index.js';
-import type { AdmissionState } from './state.js';
+import { readRate } from '../shared/index.js';
+import { tierRank, type Class, type ClassLoad, type PoolId } from '../types/index.js';
+import type { AdmissionState, Lane, PoolQueue } from './state.js';
+
+const MS_PER_SECOND = 1000;
 
 /** How many requests of each class wait for each pool. */
 export interface LaneLength {
@@ -10,32 +13,79 @@
 
 /** Says whether any request waits for a pool. */
 export function hasWaiting(state: AdmissionState, pool: PoolId): boolean {
-  for (const lane of state.pools.get(pool)?.values() ?? []) {
-    if (lane.waiting.length > 0) return true;
+  for (const lane of state.pools.get(pool)?.lanes.values() ?? []) {
+    if (lane.size > 0) return true;
   }
   return false;
 }
 
+/** Lists the pools that requests wait for. */
+export function listWaitingPools(state: AdmissionState): PoolId[] {
+  return [...state.pools.keys()].filter((pool) => hasWaiting(state, pool));
+}
+
 /** Lists the lengths of all lanes. */
 export function listLanes(state: AdmissionState): LaneLength[] {
-  return [...state.pools].flatMap(([pool, lanes]) =>
-    [...lanes.values()].map((lane) => ({
-      pool,
-      classId: lane.classId,
-      waiting: lane.waiting.length,
-    })),
+  return [...state.pools].flatMap(([pool, { lanes }]) =>
+    [...lanes.values()].map((lane) => ({ pool, classId: lane.classId, waiting: lane.size })),
   );
 }
 
-/** Lists demand by class and pool, as heartbeats carry it. */
-export function listClassLoads(state: AdmissionState): ClassLoad[] {
-  return [...state.pools].flatMap(([pool, lanes]) =>
+/** Lists demand and service by class and pool, as heartbeats carry them; idle ones are left out. */
+export function listClassLoads(state: AdmissionState, now: number): ClassLoad[] {
+  const loads = [...state.pools].flatMap(([pool, { lanes }]) =>
     [...lanes.values()].map((lane) => ({
       classId: lane.classId,
       pool,
-      waiting: lane.waiting.length,
-      waitingTokens: lane.waiting.reduce((sum, request) => sum + request.promptTokens, 0),
-      servedTokensPerSecond: 0,
+      waiting: lane.size,
+      waitingTokens: Math.round(lane.cost),
+      servedTokensPerSecond: Math.round(readRate(lane.served, now) * MS_PER_SECOND),
     })),
   );
+  return loads.filter((load) => load.waiting > 0 || load.servedTokensPerSecond > 0);
+}
+
+function rankOf(lane: Lane, classes: ReadonlyMap<string, Class>): number {
+  return tierRank(classes.get(lane.classId)?.tier ?? 'background');
+}
+
+/**
+ * Returns the cost per millisecond that a class can count on in a pool that serves
+ * `poolRate`: what higher tiers leave, less the lower classes' minimum shares under
+ * demand, divided by weight within the tier; never below the class's own share.
+ */
+export function classRate(
+  queue: PoolQueue,
+  row: Class,
+  poolRate: number,
+  now: number,
+  classes: ReadonlyMap<string, Class>,
+): number {
+  const rank = tierRank(row.tier);
+  let left = poolRate;
+  let weights = row.weight;
+  for (const lane of queue.lanes.values()) {
+    if (lane.classId === row.id) continue;
+    const other = classes.get(lane.classId);
+    if (other === undefined) continue;
+    const otherRank = rankOf(lane, classes);
+    if (otherRank < rank) left -= readRate(lane.arrived, now);
+    if (otherRank > rank && lane.size > 0) left -= other.share * poolRate;
+    if (otherRank === rank && lane.size > 0) weights += other.weight;
+  }
+  return Math.max((left * row.weight) / weights, row.share * poolRate, 0);
+}
+
+/** Returns the arrivals of a tier per millisecond in a pool. */
+export function arrivalRate(
+  queue: PoolQueue,
+  rank: number,
+  now: number,
+  classes: ReadonlyMap<string, Class>,
+): number {
+  let rate = 0;
+  for (const lane of queue.lanes.values()) {
+    if (rankOf(lane, classes) === rank) rate += readRate(lane.arrivals, now);
+  }
+  return rate;
 }
--- a/packages/core/src/admission/state.ts
+++ b/packages/core/src/admission/state.ts
@@ -1,19 +1,98 @@
+import { createRate, type Rate } from '../shared/index.js';
 import type { PoolId, Request } from '../types/index.js';
 
-/** Requests of one class waiting for one pool, first come first. */
+const RATE_TIME_CONSTANT_MS = 5000;
+
+/** A request that waits, with its predicted cost in tokens. */
+export interface Waiting {
+  readonly request: Request;
+  readonly cost: number;
+}
+
+/** Requests of one account within a lane, first come first. */
+export interface AccountLane {
+  readonly accountId: string;
+  readonly weight: number;
+  readonly waiting: Waiting[];
+  /** Sum of the predicted costs that wait. */
+  cost: number;
+  /** Cost served over the account's weight: the account with the least goes next. */
+  virtualTime: number;
+}
+
+/** Requests of one class waiting for one pool. */
 export interface Lane {
   readonly classId: string;
-  readonly waiting: Request[];
-  /** Tokens served so far over the class's share: the lane with the least goes next. */
+  /** Accounts that wait now, by id. */
+  readonly accounts: Map<string, AccountLane>;
+  /** Virtual time of the account served last: an account that begins to wait starts there. */
+  accountClock: number;
+  size: number;
+  /** Sum of the predicted costs that wait. */
+  cost: number;
+  /** Cost served over the class's weight: the lane of a tier with the least goes next. */
   virtualTime: number;
+  /** Cost still owed to the class's guaranteed minimum share; at most 0 when it is met. */
+  owed: number;
+  readonly arrived: Rate;
+  readonly served: Rate;
+  /** Requests that arrived, for the reserve of a critical class. */
+  readonly arrivals: Rate;
+}
+
+/** All lanes of one pool. */
+export interface PoolQueue {
+  readonly lanes: Map<string, Lane>;
+  /** Virtual time of the lane served last, by tier rank. */
+  readonly clocks: number[];
+  /** Cost that this VM has sent to the pool lately. */
+  readonly served: Rate;
 }
 
-/** What waits on this VM. */
+/** What the peers said of one pool. */
+export interface PeerDemand {
+  /** Requests waiting at peers, by tier rank. */
+  readonly waitingByRank: number[];
+  /** Predicted cost waiting at peers, by class. */
+  readonly waitingByClass: Map<string, number>;
+  /** Cost that the peers send to the pool per millisecond. */
+  servedPerMs: number;
+}
+
+/** What the peers said of all pools. */
+export interface PeerDemands {
+  refreshedAt: number;
+  readonly pools: Map<string, PeerDemand>;
+}
+
+/** What waits on this VM, and what the peers say waits on theirs. */
 export interface AdmissionState {
-  readonly pools: Map<PoolId, Map<string, Lane>>;
+  readonly pools: Map<PoolId, PoolQueue>;
+  readonly peers: PeerDemands;
 }
 
 /** Creates the state of a VM on which nothing waits. */
 export function createAdmissionState(): AdmissionState {
-  return { pools: new Map() };
+  return { pools: new Map(), peers: { refreshedAt: 0, pools: new Map() } };
+}
+
+/** Creates the queue of a pool that nothing waits for. */
+export function createPoolQueue(): PoolQueue {
+  return { lanes: new Map(), clocks: [], served: createRate(RATE_TIME_CONSTANT_MS) };
+}
+
+/** Creates the lane of a class that has not waited yet. */
+export function createLane(classId: string): Lane {
+  return {
+    classId,
+    accounts: new Map(),
+    accountClock: 0,
+    size: 0,
+    cost: 0,
+    virtualTime: 0,
+    owed: 0,
+    arrived: createRate(RATE_TIME_CONSTANT_MS),
+    served: createRate(RATE_TIME_CONSTANT_MS),
+    arrivals: createRate(RATE_TIME_CONSTANT_MS),
+  };
 }
--- a/packages/core/src/entry/decide.ts
+++ b/packages/core/src/entry/decide.ts
@@ -1,8 +1,7 @@
 import { match } from 'ts-pattern';
 
-import { recordSuccess } from '../health/index.js';
 import { beginLeaving } from '../membership/index.js';
-import { recordReport } from '../placement/index.js';
+import { recordCacheEvent, recordReport } from '../placement/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
 import type { Message } from './message.js';
@@ -11,6 +10,7 @@
 import { onListOffered, onManifestOffered, onSheetOffered } from './onPlatform.js';
 import { onCallerLeft, onRequestArrived } from './onRequest.js';
 import { onTick } from './onTick.js';
+import { onProbeEnded } from './watchHealth.js';
 
 const NO_ACTIONS: readonly Action[] = [];
 
@@ -32,11 +32,9 @@
     .with({ kind: 'caller-left' }, (m) => onCallerLeft(core, m, actions))
     .with({ kind: 'attempt-accepted' }, ignore)
     .with({ kind: 'attempt-ended' }, (m) => onAttemptEnded(core, m, now, actions))
-    .with({ kind: 'probe-ended' }, (m) => {
-      if (m.healthy) recordSuccess(core.health, m.endpointId);
-    })
-    .with({ kind: 'load-reported' }, (m) => recordReport(core.placement, m.report))
-    .with({ kind: 'cache-changed' }, ignore)
+    .with({ kind: 'probe-ended' }, (m) => onProbeEnded(core, m, now))
+    .with({ kind: 'load-reported' }, (m) => recordReport(core.placement, m.report, now))
+    .with({ kind: 'cache-changed' }, (m) => recordCacheEvent(core.placement.caches, m.event))
     .with({ kind: 'manifest-offered' }, (m) => onManifestOffered(core, m, now, actions))
     .with({ kind: 'sheet-offered' }, (m) => onSheetOffered(core, m, now, actions))
     .with({ kind: 'sheet-missing' }, ignore)
--- a/packages/core/src/entry/dispatchWaiting.ts
+++ b/packages/core/src/entry/dispatchWaiting.ts
@@ -1,39 +1,125 @@
-import { hasWaiting, takeNext } from '../admission/index.js';
-import { listUsable } from '../health/index.js';
-import { isEndpointLeaving } from '../membership/index.js';
-import { chooseEndpoint } from '../placement/index.js';
+import {
+  hasWaiting,
+  requeueRequest,
+  takeNext,
+  type Lane,
+  type Selection,
+} from '../admission/index.js';
+import {
+  chooseEndpoint,
+  expectPrefixes,
+  firstTokenMs,
+  msPerToken,
+  noteSent,
+} from '../placement/index.js';
 import type { TableView } from '../table/index.js';
-import type { Endpoint, PoolId } from '../types/index.js';
+import { tierRank, type PoolId, type Request } from '../types/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
-import { expectTokens } from './expectTokens.js';
+import { expectRemaining, expectTokens } from './expectTokens.js';
+import { listCandidates } from './listCandidates.js';
+import { refreshPeerDemand, shareBoost } from './peerDemand.js';
+import { hasRoomFor, mayUse, measureRoom, overcommitOf, type PoolRoom } from './poolRoom.js';
+import { shedOverflow, shedRequests } from './shedWaiting.js';
 import { startAttempt } from './startAttempt.js';
 
-function listCandidates(core: Core, view: TableView, pool: PoolId, now: number): Endpoint[] {
-  const members = (view.pools.get(pool) ?? []).filter(
-    (endpoint) => endpoint.state === 'live' && !isEndpointLeaving(core.membership, endpoint.id),
-  );
-  const usable = new Set(
-    listUsable(
-      core.health,
-      members.map((endpoint) => endpoint.id),
-      now,
-    ),
-  );
-  return members.filter((endpoint) => usable.has(endpoint.id));
+const SHORTEST_RETRY_MS = 250;
+
+function rankOf(view: TableView, request: Request): number {
+  return tierRank(view.classes.get(request.classId)?.tier ?? 'background');
+}
+
+/** Says whether the oldest request of a lane would lose its target by waiting for one more slot. */
+function isUrgent(core: Core, view: TableView, pool: PoolId, lane: Lane, now: number): boolean {
+  const target = view.classes.get(lane.classId)?.target.firstTokenMs ?? Infinity;
+  const slack = target - firstTokenMs(core.placement, pool);
+  for (const { waiting } of lane.accounts.values()) {
+    const head = waiting[0];
+    if (head !== undefined && now - head.request.arrivedAt > slack) return true;
+  }
+  return false;
+}
+
+function createSelection(
+  core: Core,
+  view: TableView,
+  pool: PoolId,
+  room: PoolRoom,
+  now: number,
+): Selection {
+  return {
+    classes: view.classes,
+    now,
+    hasRoom: (rank) => hasRoomFor(core, room, rank),
+    shareBoost: (classId) => shareBoost(core, pool, classId, now),
+    isUrgent: (lane) => isUrgent(core, view, pool, lane, now),
+  };
+}
+
+function isHopeless(core: Core, request: Request, produced: number, now: number): boolean {
+  const cost = expectRemaining(core, request, produced);
+  return now + cost * msPerToken(core.placement, request.pool) > request.deadline;
 }
 
-/** Sends waiting requests of a pool to endpoints while one has room. */
+/** Sends a request to the best endpoint; false when none takes it after all. */
+function sendRequest(
+  core: Core,
+  view: TableView,
+  request: Request,
+  room: PoolRoom,
+  now: number,
+  actions: Action[],
+): boolean {
+  const live = core.requests.get(request.id);
+  if (live === undefined) return true;
+  if (isHopeless(core, request, live.delivered, now)) {
+    shedRequests(core, [request], 'deadline_unreachable', SHORTEST_RETRY_MS, actions);
+    return true;
+  }
+  const rank = rankOf(view, request);
+  const { zone, region } = core.membership.self;
+  const placing = {
+    request,
+    cost: expectTokens(core, request),
+    zone,
+    region,
+    overcommit: overcommitOf(rank),
+    now,
+  };
+  const usable = room.candidates.filter((c) => mayUse(core, c, rank));
+  const endpoint = chooseEndpoint(core.placement, usable, placing, core.random);
+  if (endpoint === undefined) {
+    requeueRequest(core.admission, request);
+    return false;
+  }
+  noteSent(core.placement, endpoint.id, now);
+  expectPrefixes(core.placement.caches, endpoint.id, request.prefixes);
+  startAttempt(core, view, live, endpoint, now, actions);
+  return true;
+}
+
+/** Sends waiting requests of a pool to endpoints while there is room for their tier. */
 export function dispatchWaiting(core: Core, pool: PoolId, now: number, actions: Action[]): void {
   const { view } = core.table;
-  if (view === null) return;
-  while (hasWaiting(core.admission, pool)) {
-    const candidates = listCandidates(core, view, pool, now);
-    const endpoint = chooseEndpoint(core.placement, candidates, core.random);
-    if (endpoint === undefined) return;
-    const request = takeNext(core.admission, pool, view.classes, (r) => expectTokens(core, r));
+  if (view === null || !hasWaiting(core.admission, pool)) return;
+  refreshPeerDemand(core, now);
+  const room = measureRoom(core, view, pool, listCandidates(core, view, pool), now);
+  const selection = createSelection(core, view, pool, room, now);
+  for (;;) {
+    const request = takeNext(core.admission, pool, selection);
     if (request === undefined) return;
-    const live = core.requests.get(request.id);
-    if (live !== undefined) startAttempt(core, view, live, endpoint, now, actions);
+    if (!sendRequest(core, view, request, room, now, actions)) return;
+  }
+}
+
+/** Sheds what waits beyond the targets of the classes of a pool. */
+export function shedPool(core: Core, pool: PoolId, now: number, actions: Action[]): void {
+  const { view } = core.table;
+  const queue = core.admission.pools.get(pool);
+  if (view === null || queue === undefined || !hasWaiting(core.admission, pool)) return;
+  const room = measureRoom(core, view, pool, listCandidates(core, view, pool), now);
+  for (const classId of queue.lanes.keys()) {
+    const row = view.classes.get(classId);
+    if (row !== undefined) shedOverflow(core, view, pool, row, room, now, actions);
   }
 }
--- a/packages/core/src/entry/expectTokens.ts
+++ b/packages/core/src/entry/expectTokens.ts
@@ -1,17 +1,36 @@
-import { predictRemaining } from '../prediction/index.js';
+import { PROMPT_TOKEN_COST } from '../placement/index.js';
+import { predictMean, predictRemaining } from '../prediction/index.js';
 import type { Request } from '../types/index.js';
 import type { Core } from './core.js';
 
-const MEDIAN = 0.5;
+/** Quantile of the answer's length by which a request is held to be able to end in time. */
+const IN_TIME_QUANTILE = 0.5;
 
 /** Returns the name under which answer lengths of a request are learnt. */
 export function lengthSource(request: Request): string {
   return `${request.classId}|${request.pool}`;
 }
 
-/** Returns the tokens a request is expected to cost: its prompt and its predicted answer. */
+/** Returns the cost of a request whose answer has so many tokens, in output tokens. */
+export function costOf(request: Request, outputTokens: number): number {
+  return request.promptTokens * PROMPT_TOKEN_COST + outputTokens;
+}
+
+/** Returns the cost a request is expected to have, in output tokens. */
 export function expectTokens(core: Core, request: Request): number {
+  const output = predictMean(core.prediction, lengthSource(request), request.maxOutputTokens);
+  return costOf(request, output);
+}
+
+/** Returns the cost still to come of a request of which some tokens are there. */
+export function expectRemaining(core: Core, request: Request, produced: number): number {
   const source = lengthSource(request);
-  const output = predictRemaining(core.prediction, source, 0, request.maxOutputTokens, MEDIAN);
-  return request.promptTokens + output;
+  const output = predictRemaining(
+    core.prediction,
+    source,
+    produced,
+    request.maxOutputTokens,
+    IN_TIME_QUANTILE,
+  );
+  return costOf(request, output);
 }
--- a/packages/core/src/entry/observeAttempt.ts
+++ b/packages/core/src/entry/observeAttempt.ts
@@ -1,15 +1,78 @@
+import { correctCost, hasWaiting } from '../admission/index.js';
 import { recordFailure, recordSuccess } from '../health/index.js';
-import { releaseSlot } from '../placement/index.js';
+import {
+  countInFlight,
+  hasReportedRoom,
+  observeFirstTokenAt,
+  observePace,
+  releaseSlot,
+  windowOf,
+} from '../placement/index.js';
 import { recordLength } from '../prediction/index.js';
-import type { AttemptEnd } from '../types/index.js';
+import type { AttemptEnd, Class, Endpoint, PoolId } from '../types/index.js';
 import type { Action } from './action.js';
 import type { Core, LiveAttempt, LiveRequest } from './core.js';
 import { count } from './counters.js';
-import { lengthSource } from './expectTokens.js';
+import { costOf, lengthSource } from './expectTokens.js';
+
+/** Part of the tightest first-token target of a pool that may pass in an endpoint's queue. */
+const ENDPOINT_WAIT_PART = 0.25;
+
+function mostWaitMs(core: Core, pool: PoolId, classes: ReadonlyMap<string, Class>): number {
+  let tightest = Infinity;
+  for (const classId of core.admission.pools.get(pool)?.lanes.keys() ?? []) {
+    tightest = Math.min(tightest, classes.get(classId)?.target.firstTokenMs ?? Infinity);
+  }
+  return tightest * ENDPOINT_WAIT_PART;
+}
+
+function isLimited(core: Core, endpoint: Endpoint, pool: PoolId): boolean {
+  if (hasWaiting(core.admission, pool)) return true;
+  return countInFlight(core.placement, endpoint.id) >= windowOf(core.placement, endpoint);
+}
 
 /** Learns from the first token of an attempt. */
-export function observeFirstToken(_core: Core, ended: LiveAttempt, now: number): void {
+export function observeFirstToken(core: Core, ended: LiveAttempt, now: number): void {
   ended.firstTokenAt = now;
+  const { view } = core.table;
+  const { endpointId, requestId, startedAt } = ended.attempt;
+  const endpoint = view?.endpoints.get(endpointId);
+  const pool = core.requests.get(requestId)?.request.pool;
+  if (view === null || endpoint === undefined || pool === undefined) return;
+  const seen = {
+    endpoint,
+    pool,
+    elapsedMs: now - startedAt,
+    mostWaitMs: mostWaitMs(core, pool, view.classes),
+    isLimited: isLimited(core, endpoint, pool),
+    hasRoom: hasReportedRoom(core.placement, endpoint, now),
+  };
+  observeFirstTokenAt(core.placement, seen, now);
+}
+
+function observeComplete(
+  core: Core,
+  ended: LiveAttempt,
+  { request }: LiveRequest,
+  outputTokens: number,
+  now: number,
+): void {
+  const { endpointId, startedAt } = ended.attempt;
+  const cost = costOf(request, outputTokens);
+  observePace(core.placement, endpointId, request.pool, now - startedAt, cost);
+}
+
+// What an attempt truly cost replaces what was charged for it when it was sent.
+function settleCost(
+  core: Core,
+  ended: LiveAttempt,
+  { request }: LiveRequest,
+  tokens: number,
+): void {
+  const row = core.table.view?.classes.get(request.classId);
+  if (row === undefined) return;
+  const difference = costOf(request, tokens) - ended.expectedTokens;
+  correctCost(core.admission, request.pool, row, difference);
 }
 
 /** Learns from the end of an attempt, and frees its slot. */
@@ -20,9 +83,15 @@
   now: number,
   actions: Action[],
 ): void {
-  const { endpointId } = ended.attempt;
-  releaseSlot(core.placement, endpointId, ended.expectedTokens);
-  if (end.kind === 'complete') recordSuccess(core.health, endpointId);
+  const { endpointId, requestId } = ended.attempt;
+  releaseSlot(core.placement, endpointId, ended.expectedTokens, now);
+  const live = core.requests.get(requestId);
+  const tokens = end.kind === 'complete' ? end.outputTokens : ended.produced;
+  if (live !== undefined) settleCost(core, ended, live, tokens);
+  if (end.kind === 'complete') {
+    recordSuccess(core.health, endpointId);
+    if (live !== undefined) observeComplete(core, ended, live, end.outputTokens, now);
+  }
   if (end.kind !== 'failed' || end.cause === 'invalid') return;
   if (!recordFailure(core.health, endpointId, now)) return;
   count(core, 'ejections');
--- a/packages/core/src/entry/onRequest.ts
+++ b/packages/core/src/entry/onRequest.ts
@@ -5,7 +5,8 @@
 import type { Action } from './action.js';
 import type { Core, LiveRequest } from './core.js';
 import { count } from './counters.js';
-import { dispatchWaiting } from './dispatchWaiting.js';
+import { dispatchWaiting, shedPool } from './dispatchWaiting.js';
+import { expectTokens } from './expectTokens.js';
 import { endRequest, refuseRequest } from './finishRequest.js';
 import type { MessageOf } from './message.js';
 
@@ -27,9 +28,8 @@
   const vms = countVms(core.membership);
   const waitMs = takeTokens(core.limits, limits, vms, request.promptTokens, now);
   if (waitMs > 0) return notRun('limit_reached', 'A limit of the table is used up.', waitMs);
-  if (!enqueueRequest(core.admission, request, row.maxQueue)) {
-    return notRun('queue_full', `Too many requests of class ${row.id} wait.`);
-  }
+  const weight = view.accounts.get(request.accountId)?.weight ?? 1;
+  enqueueRequest(core.admission, request, row, expectTokens(core, request), weight, now);
   return null;
 }
 
@@ -56,6 +56,7 @@
     return;
   }
   dispatchWaiting(core, request.pool, now, actions);
+  shedPool(core, request.pool, now, actions);
 }
 
 /** Stops the work for a caller that has gone. */
--- a/packages/core/src/entry/onTick.ts
+++ b/packages/core/src/entry/onTick.ts
@@ -1,22 +1,16 @@
-import { takeExpired } from '../admission/index.js';
+import { listWaitingPools } from '../admission/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
-import { dispatchWaiting } from './dispatchWaiting.js';
-import { refuseRequest } from './finishRequest.js';
+import { dispatchWaiting, shedPool } from './dispatchWaiting.js';
+import { shedHopeless } from './shedWaiting.js';
+import { watchHealth } from './watchHealth.js';
 
-/** Sheds what can no longer be in time and tries the queues again. */
+/** Watches the endpoints, sheds what can no longer be in time and tries the queues again. */
 export function onTick(core: Core, now: number, actions: Action[]): void {
-  for (const request of takeExpired(core.admission, now)) {
-    const live = core.requests.get(request.id);
-    if (live === undefined) continue;
-    const refusal = {
-      code: 'deadline_unreachable',
-      message: 'The answer could not be in time.',
-      verdict: live.verdict,
-      retryable: request.repeatable || live.verdict === 'not-run',
-      retryAfterMs: 1000,
-    } as const;
-    refuseRequest(core, live, refusal, 'shed', actions);
+  watchHealth(core, now, actions);
+  for (const pool of listWaitingPools(core.admission)) {
+    shedHopeless(core, pool, now, actions);
+    dispatchWaiting(core, pool, now, actions);
+    shedPool(core, pool, now, actions);
   }
-  for (const pool of core.admission.pools.keys()) dispatchWaiting(core, pool, now, actions);
 }
--- /dev/null
+++ b/packages/core/src/entry/watchHealth.ts
@@ -0,0 +1,50 @@
+import {
+  compareMembers,
+  isScanDue,
+  recordProbe,
+  scanProgress,
+  takeProbes,
+  type PhaseChange,
+  type StreamProgress,
+} from '../health/index.js';
+import type { Action } from './action.js';
+import type { Core } from './core.js';
+import { count } from './counters.js';
+import type { MessageOf } from './message.js';
+
+function listStreams(core: Core): StreamProgress[] {
+  const streams: StreamProgress[] = [];
+  for (const [attemptId, { attempt, firstTokenAt, produced }] of core.attempts) {
+    if (firstTokenAt === null) continue;
+    streams.push({ attemptId, endpointId: attempt.endpointId, produced });
+  }
+  return streams;
+}
+
+function tellChange(core: Core, change: PhaseChange, actions: Action[]): void {
+  const isEjected = change.phase === 'ejected';
+  if (isEjected) count(core, 'ejections');
+  const code = isEjected ? 'endpoint_ejected' : 'endpoint_restored';
+  const fields = { endpoint: change.endpointId, cause: 'straggler' };
+  actions.push({ kind: 'state-changed', level: isEjected ? 'warn' : 'info', code, fields });
+}
+
+/** Compares the endpoints of each pool and probes those whose ejection is over. */
+export function watchHealth(core: Core, now: number, actions: Action[]): void {
+  const { view } = core.table;
+  if (view === null || !isScanDue(core.health, now)) return;
+  scanProgress(core.health, listStreams(core), now);
+  for (const pool of core.admission.pools.keys()) {
+    const ids = (view.pools.get(pool) ?? []).map((endpoint) => endpoint.id);
+    compareMembers(core.health, ids, now).forEach((change) => tellChange(core, change, actions));
+  }
+  takeProbes(core.health, now).forEach((id) => {
+    const endpoint = view.endpoints.get(id);
+    if (endpoint !== undefined) actions.push({ kind: 'probe', endpoint });
+  });
+}
+
+/** Takes in what a probe told. */
+export function onProbeEnded(core: Core, message: MessageOf<'probe-ended'>, now: number): void {
+  recordProbe(core.health, message.endpointId, message.healthy, now);
+}
--- a/packages/core/src/health/index.ts
+++ b/packages/core/src/health/index.ts
@@ -1,3 +1,23 @@
-export { recordFailure, recordSuccess } from './commands.js';
-export { listUsable } from './queries.js';
-export { createHealthState, type EndpointHealth, type HealthState } from './state.js';
+export {
+  ejectEndpoint,
+  recordFailure,
+  recordProbe,
+  recordSuccess,
+  restoreEndpoint,
+  takeProbes,
+} from './commands.js';
+export { listUsable, phaseOf } from './queries.js';
+export {
+  compareMembers,
+  isScanDue,
+  scanProgress,
+  type PhaseChange,
+  type StreamProgress,
+} from './scanProgress.js';
+export {
+  createHealthState,
+  type EjectionCause,
+  type EndpointHealth,
+  type HealthPhase,
+  type HealthState,
+} from './state.js';
--- /dev/null
+++ b/packages/core/src/placement/chooseSubset.ts
@@ -0,0 +1,24 @@
+import { rankMembers } from '../shared/index.js';
+import type { Endpoint, PoolId } from '../types/index.js';
+import type { PlacementState } from './state.js';
+
+/** Most endpoints of one pool that one VM uses. */
+const LARGEST_SUBSET = 24;
+
+/**
+ * Returns the endpoints of a pool that this VM uses: all of a small pool, of a large one those
+ * that rendezvous hashing names, so that connections and reports do not grow with the fleet.
+ */
+export function chooseSubset(
+  state: PlacementState,
+  pool: PoolId,
+  members: readonly Endpoint[],
+  vmId: string,
+): readonly Endpoint[] {
+  if (members.length <= LARGEST_SUBSET) return members;
+  const known = state.subsets.get(pool);
+  if (known?.members === members) return known.chosen;
+  const chosen = rankMembers(`${vmId} ${pool}`, members).slice(0, LARGEST_SUBSET);
+  state.subsets.set(pool, { members, chosen });
+  return chosen;
+}
--- a/packages/core/src/placement/queries.ts
+++ b/packages/core/src/placement/queries.ts
@@ -1,22 +1,57 @@
 import type { Endpoint } from '../types/index.js';
-import { nextInteger, type Random } from '../shared/index.js';
-import type { PlacementState } from './state.js';
+import type { EndpointLoad, PlacementState } from './state.js';
+
+/** A report older than this says nothing any more. */
+const OLDEST_REPORT_MS = 6000;
+
+/** Slot time of one token before any attempt has ended, in milliseconds. */
+const UNKNOWN_MS_PER_TOKEN = 20;
 
 /** Returns how many attempts of this VM are in flight at an endpoint. */
 export function countInFlight(state: PlacementState, endpointId: string): number {
   return state.loads.get(endpointId)?.inFlight ?? 0;
 }
 
-/** Chooses between two candidates at random: the one with less in flight for its size. */
-export function chooseEndpoint(
-  state: PlacementState,
-  candidates: readonly Endpoint[],
-  random: Random,
-): Endpoint | undefined {
-  const free = candidates.filter((c) => countInFlight(state, c.id) < c.slots);
-  if (free.length < 2) return free[0];
-  const first = free[nextInteger(random, free.length)]!;
-  const second = free[nextInteger(random, free.length)]!;
-  const fill = (endpoint: Endpoint) => countInFlight(state, endpoint.id) / endpoint.slots;
-  return fill(first) <= fill(second) ? first : second;
+/** Returns how many attempts this VM may have in flight at an endpoint. */
+export function windowOf(state: PlacementState, endpoint: Endpoint): number {
+  return state.loads.get(endpoint.id)?.window ?? endpoint.slots;
+}
+
+/** Returns the slot time of one token of cost in a pool, in milliseconds. */
+export function msPerToken(state: PlacementState, pool: string): number {
+  return state.pools.get(pool)?.msPerToken ?? UNKNOWN_MS_PER_TOKEN;
+}
+
+/** Returns the usual time from dispatch to the first token in a pool, in milliseconds. */
+export function firstTokenMs(state: PlacementState, pool: string): number {
+  return state.pools.get(pool)?.firstTokenMs ?? 0;
+}
+
+function countAfter(instants: readonly number[], instant: number): number {
+  let count = 0;
+  for (let index = instants.length - 1; index >= 0; index -= 1) {
+    if (instants[index]! <= instant) break;
+    count += 1;
+  }
+  return count;
+}
+
+/**
+ * Estimates how many requests of all VMs an endpoint has now: its report, corrected by what
+ * this VM sent and saw ending since; never fewer than this VM's own.
+ */
+export function estimateLoad(load: EndpointLoad | undefined, now: number): number {
+  if (load === undefined) return 0;
+  const { report } = load;
+  if (report === null || now - report.measuredAt > OLDEST_REPORT_MS) return load.inFlight;
+  const sent = countAfter(load.sentAt, report.measuredAt);
+  const ended = countAfter(load.endedAt, report.measuredAt);
+  return Math.max(load.inFlight, report.running + report.waiting + sent - ended);
+}
+
+/** Says whether an endpoint's own report shows a free slot now. */
+export function hasReportedRoom(state: PlacementState, endpoint: Endpoint, now: number): boolean {
+  const load = state.loads.get(endpoint.id);
+  if (load?.report == null || now - load.report.measuredAt > OLDEST_REPORT_MS) return false;
+  return estimateLoad(load, now) < endpoint.slots;
 }
--- a/packages/core/src/prediction/buckets.ts
+++ b/packages/core/src/prediction/buckets.ts
@@ -13,3 +13,8 @@
 export function bucketTop(bucket: number): number {
   return 2 ** ((bucket + 1) / BUCKETS_PER_DOUBLING);
 }
+
+/** Returns the middle of a bucket, in tokens; the narrow first buckets hold one length. */
+export function bucketMiddle(bucket: number): number {
+  return Math.max(1, 2 ** ((bucket + 0.5) / BUCKETS_PER_DOUBLING));
+}
--- a/packages/core/src/prediction/index.ts
+++ b/packages/core/src/prediction/index.ts
@@ -1,3 +1,3 @@
 export { recordLength } from './commands.js';
-export { predictRemaining } from './queries.js';
+export { predictMean, predictRemaining } from './queries.js';
 export { createPredictionState, type LengthHistogram, type PredictionState } from './state.js';
--- a/packages/core/src/prediction/queries.ts
+++ b/packages/core/src/prediction/queries.ts
@@ -1,4 +1,4 @@
-import { BUCKET_COUNT, bucketOf, bucketTop } from './buckets.js';
+import { BUCKET_COUNT, bucketMiddle, bucketOf, bucketTop } from './buckets.js';
 import type { PredictionState } from './state.js';
 
 /** Below this many answers the caller's own maximum bounds the guess. */
@@ -33,3 +33,16 @@
   }
   return bound;
 }
+
+/** Predicts the mean length of a whole answer, in tokens; what a request will cost. */
+export function predictMean(state: PredictionState, source: string, most: number): number {
+  const histogram = state.histograms.get(source);
+  if (histogram === undefined || histogram.total < FEWEST_ANSWERS) {
+    return Math.min(most, UNKNOWN_LENGTH);
+  }
+  let sum = 0;
+  histogram.counts.forEach((count, bucket) => {
+    sum += count * bucketMiddle(bucket);
+  });
+  return Math.min(most, Math.max(1, sum / histogram.total));
+}
--- a/packages/core/src/shared/index.ts
+++ b/packages/core/src/shared/index.ts
@@ -1,3 +1,4 @@
 export { digestText, hashText } from './hash.js';
 export { createRandom, nextInteger, type Random } from './random.js';
+export { addToRate, createRate, readRate, type Rate } from './rate.js';
 export { firstMember, rankMembers } from './rendezvous.js';
--- /dev/null
+++ b/packages/core/src/shared/rate.ts
@@ -0,0 +1,27 @@
+/** A rate that forgets: each amount fades with the time constant. */
+export interface Rate {
+  readonly timeConstantMs: number;
+  sum: number;
+  updatedAt: number;
+}
+
+/** Creates a rate of nothing so far; the time constant is in milliseconds. */
+export function createRate(timeConstantMs: number): Rate {
+  return { timeConstantMs, sum: 0, updatedAt: 0 };
+}
+
+function fade(rate: Rate, now: number): number {
+  const elapsed = Math.max(0, now - rate.updatedAt);
+  return rate.sum * Math.exp(-elapsed / rate.timeConstantMs);
+}
+
+/** Adds an amount at an instant. */
+export function addToRate(rate: Rate, amount: number, now: number): void {
+  rate.sum = fade(rate, now) + amount;
+  rate.updatedAt = Math.max(rate.updatedAt, now);
+}
+
+/** Returns the amount per millisecond lately. */
+export function readRate(rate: Rate, now: number): number {
+  return fade(rate, now) / rate.timeConstantMs;
+}
