--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -16,6 +16,7 @@
   estimateLoad,
   firstTokenMs,
   hasReportedRoom,
+  listActiveEndpoints,
   msPerToken,
   windowOf,
 } from './queries.js';
--- a/packages/core/src/placement/queries.ts
+++ b/packages/core/src/placement/queries.ts
@@ -4,6 +4,9 @@
 /** A report older than this says nothing any more. */
 const OLDEST_REPORT_MS = 6000;
 
+/** An endpoint that got nothing for so long is no longer in use. */
+const RECENT_MS = 5000;
+
 /** Slot time of one token before any attempt has ended, in milliseconds. */
 const UNKNOWN_MS_PER_TOKEN = 20;
 
@@ -55,3 +58,10 @@
   if (load?.report == null || now - load.report.measuredAt > OLDEST_REPORT_MS) return false;
   return estimateLoad(load, now) < endpoint.slots;
 }
+
+/** Lists the endpoints that this VM uses now or used lately. */
+export function listActiveEndpoints(state: PlacementState, now: number): string[] {
+  return [...state.loads]
+    .filter(([, { inFlight, sentAt }]) => inFlight > 0 || (sentAt.at(-1) ?? 0) > now - RECENT_MS)
+    .map(([id]) => id);
+}
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -12,6 +12,7 @@
 import { createLog } from './log/index.js';
 import { PeerTask } from './peers/index.js';
 import { PlatformTask } from './platform/index.js';
+import { ReportTask } from './reports/index.js';
 import type { Settings } from './settings/index.js';
 
 const DRAIN_POLL_MS = 50;
@@ -37,6 +38,7 @@
   readonly endpoints: EndpointTasks;
   readonly platform: PlatformTask;
   readonly peers: PeerTask;
+  readonly reports: ReportTask;
   readonly log: Logger;
 }
 
@@ -51,6 +53,7 @@
     endpoints: new EndpointTasks(decider, exchanges),
     platform: new PlatformTask(settings.platform, decider),
     peers: new PeerTask(settings.peers.sharedKey, decider),
+    reports: new ReportTask(decider),
     log: createLog(settings.vm.id, settings.logLevel),
   };
 }
@@ -60,7 +63,8 @@
 }
 
 /** Names the task that carries out each kind of action. */
-function connectTasks({ decider, exchanges, endpoints, platform, peers, log }: Tasks): void {
+function connectTasks(tasks: Tasks): void {
+  const { decider, exchanges, endpoints, platform, peers, reports, log } = tasks;
   decider.on('dispatch', (action) => endpoints.dispatch(action));
   decider.on('cancel-attempt', ({ attemptId }) => endpoints.cancel(attemptId));
   decider.on('refuse', ({ requestId, refusal }) => exchanges.take(requestId)?.refuse(refusal));
@@ -71,6 +75,9 @@
     void peers.call(action);
   });
   decider.on('reply-peer', (action) => peers.reply(action));
+  decider.on('probe', ({ endpoint }) => {
+    void reports.probe(endpoint);
+  });
   decider.on('state-changed', (action) => logChange(log, action));
 }
 
@@ -95,13 +102,13 @@
   const { host, port } = settings.peers;
   const self: Vm = { ...settings.vm, peerUrl: `http://${host}:${port}`, state: 'live' };
   const tasks = createTasks(settings, self);
-  const { decider, exchanges, endpoints, platform, peers } = tasks;
+  const { decider, exchanges, endpoints, platform, peers, reports } = tasks;
   connectTasks(tasks);
   let draining: Promise<void> | null = null;
 
   const stop = async () => {
     decider.stop();
-    await Promise.all([platform.stop(), peers.close(), endpoints.close()]);
+    await Promise.all([platform.stop(), peers.close(), reports.stop(), endpoints.close()]);
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- stopped after it opened
     await Promise.all(Object.values(listeners).map((listener) => listener.close()));
   };
@@ -123,6 +130,7 @@
   });
   decider.start();
   platform.start();
+  reports.start();
   return {
     callerUrl: listeners.callers.url,
     adminUrl: listeners.admin.url,
--- /dev/null
+++ b/packages/router/src/reports/index.ts
@@ -0,0 +1,2 @@
+export { cacheEventsSchema } from './cacheEvents.js';
+export { ReportTask } from './reportTask.js';
