--- a/packages/core/src/entry/buildHeartbeat.ts
+++ b/packages/core/src/entry/buildHeartbeat.ts
@@ -6,8 +6,8 @@
 
 const MOST_LOADS = 32;
 
-function listDemand(core: Core): ClassLoad[] {
-  return listClassLoads(core.admission)
+function listDemand(core: Core, now: number): ClassLoad[] {
+  return listClassLoads(core.admission, now)
     .filter((load) => load.waiting > 0 || load.servedTokensPerSecond > 0)
     .slice(0, MOST_LOADS);
 }
@@ -25,7 +25,7 @@
     tableRevision: tableRevision(table),
     manifestDigest: tableDigest(table),
     positions: [],
-    loads: listDemand(core),
+    loads: listDemand(core, now),
     suspects: [],
     members: listNews(membership, now),
   };
--- a/packages/core/src/entry/onReport.ts
+++ b/packages/core/src/entry/onReport.ts
@@ -13,7 +13,7 @@
   now: number,
   actions: Action[],
 ): void {
-  recordReport(core.placement, report);
+  recordReport(core.placement, report, now);
   const endpoint = core.table.view?.endpoints.get(report.endpointId);
   if (endpoint?.kind !== 'engine' || !endpoint.managed) return;
   const before = core.orders.engines.get(report.endpointId)?.loaded ?? [];
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -13,6 +13,7 @@
 import { OrderTask } from './orders/index.js';
 import { PeerTask } from './peers/index.js';
 import { PlatformTask } from './platform/index.js';
+import { ReportTask } from './reports/index.js';
 import type { Settings } from './settings/index.js';
 
 const DRAIN_POLL_MS = 50;
@@ -39,6 +40,7 @@
   readonly platform: PlatformTask;
   readonly peers: PeerTask;
   readonly orders: OrderTask;
+  readonly reports: ReportTask;
   readonly log: Logger;
 }
 
@@ -55,6 +57,7 @@
     platform: new PlatformTask(settings.platform, decider),
     peers: new PeerTask(settings.peers.sharedKey, decider),
     orders: new OrderTask(decider),
+    reports: new ReportTask(decider),
     log: createLog(settings.vm.id, settings.logLevel),
   };
 }
@@ -64,15 +67,8 @@
 }
 
 /** Names the task that carries out each kind of action. */
-function connectTasks({
-  decider,
-  exchanges,
-  endpoints,
-  platform,
-  peers,
-  orders,
-  log,
-}: Tasks): void {
+function connectTasks(tasks: Tasks): void {
+  const { decider, exchanges, endpoints, platform, peers, orders, reports, log } = tasks;
   decider.on('dispatch', (action) => endpoints.dispatch(action));
   decider.on('cancel-attempt', ({ attemptId }) => endpoints.cancel(attemptId));
   decider.on('refuse', ({ requestId, refusal }) => exchanges.take(requestId)?.refuse(refusal));
@@ -92,6 +88,9 @@
     void orders.give(action);
   });
   decider.on('reply-peer', (action) => peers.reply(action));
+  decider.on('probe', ({ endpoint }) => {
+    void reports.probe(endpoint);
+  });
   decider.on('state-changed', (action) => logChange(log, action));
 }
 
@@ -116,13 +115,14 @@
   const { host, port } = settings.peers;
   const self: Vm = { ...settings.vm, peerUrl: `http://${host}:${port}`, state: 'live' };
   const tasks = createTasks(settings, self);
-  const { decider, exchanges, endpoints, platform, peers, orders } = tasks;
+  const { decider, exchanges, endpoints, platform, peers, orders, reports } = tasks;
   connectTasks(tasks);
   let draining: Promise<void> | null = null;
 
   const stop = async () => {
     decider.stop();
-    await Promise.all([platform.stop(), peers.close(), endpoints.close(), orders.close()]);
+    await Promise.all([platform.stop(), reports.stop()]);
+    await Promise.all([peers.close(), endpoints.close(), orders.close()]);
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- stopped after it opened
     await Promise.all(Object.values(listeners).map((listener) => listener.close()));
   };
@@ -145,6 +145,7 @@
   });
   decider.start();
   platform.start();
+  reports.start();
   return {
     callerUrl: listeners.callers.url,
     adminUrl: listeners.admin.url,
