Show operators what each class gets now and why each request went where it did

Cause: the admin API had a dump and a drain only, metrics were registered anew at each scrape, and nothing told attainment while a router runs.

Change: two tasks watch what passes the decider. Attainment keeps HDR histograms and counts by class over a sliding minute and since start; DecisionLog keeps the steps of the latest requests in a bounded cache. The admin API has commands and queries apart, two roles and an OpenAPI document built from the schemas of its answers. Metrics are registered once and read at each scrape; no label names an account. Peer and platform bodies are counted, and the processor time of decisions by message.

A request whose caller left before its window ended is left out of attainment; one whose caller left after it counts as missed.

--- /dev/null
+++ b/packages/bench/__tests__/adminApi.spec.ts
@@ -0,0 +1,139 @@
+import { describe, it } from '@filbertlatch/core/testing';
+import {
+  accountsSchema,
+  checkSchema,
+  classesSchema,
+  createOpenApi,
+  endpointsSchema,
+  membersSchema,
+  requestSchema,
+  stateSchema,
+  tableInForceSchema,
+} from '@filbertlatch/router';
+import type { ExecutionContext } from 'ava';
+import { request } from 'undici';
+import type { z } from 'zod';
+
+import { createFleet, keyOf, loadScenario, OPERATOR_TOKEN, type Fleet } from '../src/index.js';
+
+const SEED = 21;
+const PROMPT = 'Cyclone Freddy nears Rodrigues';
+const ACCOUNT = 'station-port-louis';
+
+async function createSmallFleet(t: ExecutionContext): Promise<Fleet> {
+  const scenario = await loadScenario('demo');
+  const fleet = await createFleet({ ...scenario, routers: 1 }, SEED);
+  t.teardown(() => fleet.stop());
+  return fleet;
+}
+
+async function call(fleet: Fleet, path: string, method: 'GET' | 'POST' = 'GET', body = '') {
+  const response = await request(`${fleet.routers[0]!.adminUrl}${path}`, {
+    method,
+    headers: { authorization: `Bearer ${OPERATOR_TOKEN}`, 'content-type': 'application/json' },
+    body: method === 'GET' ? null : body,
+  });
+  return { status: response.statusCode, text: await response.body.text() };
+}
+
+async function ask(fleet: Fleet): Promise<string> {
+  const response = await request(`${fleet.routers[0]!.callerUrl}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${keyOf(ACCOUNT)}`, 'content-type': 'application/json' },
+    body: JSON.stringify({
+      model: 'desk',
+      messages: [{ role: 'user', content: PROMPT }],
+      standin: { tokens: 3 },
+    }),
+  });
+  await response.body.dump();
+  return String(response.headers['x-request-id']);
+}
+
+const queries: readonly (readonly [string, z.ZodType])[] = [
+  ['/admin/state', stateSchema],
+  ['/admin/table', tableInForceSchema],
+  ['/admin/table/accounts?limit=2', accountsSchema],
+  ['/admin/classes', classesSchema],
+  ['/admin/endpoints?pool=model:desk', endpointsSchema],
+  ['/admin/members', membersSchema],
+];
+
+describe('the admin API', () => {
+  queries.forEach(([path, schema]) => {
+    it(`answers ${path} in its documented shape`, async (t) => {
+      const fleet = await createSmallFleet(t);
+      const { status, text } = await call(fleet, path);
+      t.is(status, 200);
+      t.true(schema.safeParse(JSON.parse(text)).success, text);
+      t.true(Object.keys(createOpenApi().paths as object).includes(path.split('?')[0]!));
+    });
+  });
+
+  it('explains what was decided about a request', async (t) => {
+    const fleet = await createSmallFleet(t);
+    const id = await ask(fleet);
+    const { status, text } = await call(fleet, `/admin/requests/${id}`);
+    t.is(status, 200);
+    const record = requestSchema.parse(JSON.parse(text));
+    const kinds = record.steps.map((step) => step.kind);
+    t.deepEqual(kinds, ['dispatched', 'accepted', 'first-token', 'attempt-ended', 'ended']);
+    t.regex(record.explanation[1]!, /sent to desk-\d/);
+    t.is((await call(fleet, '/admin/requests/r-unknown')).status, 404);
+  });
+
+  it('shows attainment by class after a request', async (t) => {
+    const fleet = await createSmallFleet(t);
+    await ask(fleet);
+    const { classes } = classesSchema.parse(JSON.parse((await call(fleet, '/admin/classes')).text));
+    const own = classes.find((row) => row.id === 'cyclone-headline')!;
+    t.is(own.requests, 1);
+    t.is(own.goodput, 1);
+    t.true(own.firstTokenMs.p50! > 0);
+    const { text } = await call(fleet, '/metrics');
+    t.regex(
+      text,
+      /filbertlatch_class_requests_total\{class="cyclone-headline",tier="critical"\} 1/,
+    );
+    t.regex(
+      text,
+      /filbertlatch_first_token_seconds\{class="cyclone-headline",quantile="0.95"\} \d/,
+    );
+  });
+
+  it('tells no prompt, key, digest of a key or token', async (t) => {
+    const fleet = await createSmallFleet(t);
+    const id = await ask(fleet);
+    const paths = [...queries.map(([path]) => path), `/admin/requests/${id}`, '/metrics'];
+    const texts = await Promise.all(paths.map(async (path) => (await call(fleet, path)).text));
+    const digests = fleet.table.accounts.map((account) => account.keyDigest);
+    const secrets = [PROMPT, keyOf(ACCOUNT), OPERATOR_TOKEN, 'shared-key', ...digests];
+    texts.forEach((text, index) => {
+      secrets.forEach((secret) => t.false(text.includes(secret), `${paths[index]}: ${secret}`));
+    });
+  });
+
+  it('checks a table and names every fault', async (t) => {
+    const fleet = await createSmallFleet(t);
+    const good = await call(fleet, '/admin/table/check', 'POST', JSON.stringify(fleet.table));
+    t.deepEqual(JSON.parse(good.text), { ok: true, faults: [] });
+    const [first, ...rest] = fleet.table.classes;
+    const bad = { ...fleet.table, classes: [{ ...first, share: 2, tier: 'top' }, ...rest] };
+    const faulty = await call(fleet, '/admin/table/check', 'POST', JSON.stringify(bad));
+    const { ok, faults } = checkSchema.parse(JSON.parse(faulty.text));
+    t.false(ok);
+    t.deepEqual(faults.map((fault) => fault.path).sort(), ['classes[0].share', 'classes[0].tier']);
+    t.is((await call(fleet, '/admin/table/check', 'POST', '{')).status, 400);
+  });
+
+  it('scrapes the same names again and again', async (t) => {
+    const fleet = await createSmallFleet(t);
+    await ask(fleet);
+    const first = (await call(fleet, '/metrics')).text;
+    const second = (await call(fleet, '/metrics')).text;
+    const namesOf = (text: string) => text.match(/^# TYPE .+$/gm);
+    t.deepEqual(namesOf(first), namesOf(second));
+    t.regex(second, /filbertlatch_requests_total 1/);
+    t.notRegex(second, /station-/);
+  });
+});
--- a/packages/core/src/health/index.ts
+++ b/packages/core/src/health/index.ts
@@ -1,3 +1,3 @@
 export { recordFailure, recordSuccess } from './commands.js';
-export { listUsable } from './queries.js';
+export { listEjected, listUsable } from './queries.js';
 export { createHealthState, type EndpointHealth, type HealthState } from './state.js';
--- a/packages/core/src/health/queries.ts
+++ b/packages/core/src/health/queries.ts
@@ -15,3 +15,8 @@
   const kept = new Set(ejected.sort((a, b) => ejectedUntil(b) - ejectedUntil(a)).slice(0, most));
   return endpointIds.filter((id) => !kept.has(id));
 }
+
+/** Lists the endpoints that are ejected now. */
+export function listEjected(state: HealthState, now: number): string[] {
+  return [...state.endpoints].filter(([, health]) => health.ejectedUntil > now).map(([id]) => id);
+}
--- /dev/null
+++ b/packages/router/src/admin/context.ts
@@ -0,0 +1,14 @@
+import type { Decider } from '../decider/index.js';
+import type { RouterMetrics } from '../metrics/index.js';
+import type { Attainment, DecisionLog } from '../observation/index.js';
+import type { AdminTokens } from './roles.js';
+
+/** What the admin API works with. */
+export interface AdminContext {
+  readonly decider: Decider;
+  readonly attainment: Attainment;
+  readonly decisions: DecisionLog;
+  readonly metrics: RouterMetrics;
+  readonly tokens: AdminTokens;
+  readonly beginDrain: () => void;
+}
--- a/packages/router/src/admin/dumpState.ts
+++ b/packages/router/src/admin/dumpState.ts
@@ -1,16 +1,24 @@
 import { countInFlight, listLanes, tableRevision, type Core } from '@filbertlatch/core';
 
+import type { Attainment } from '../observation/index.js';
+import { dumpClasses } from './dumpClasses.js';
+import type { State } from './schemas.js';
+
+function copyRefused({ revision, faults }: NonNullable<Core['table']['refused']>) {
+  return { revision, faults: [...faults] };
+}
+
 /** Dumps the state of one VM; carries no prompt, key or token. */
-export function dumpState(core: Core, now: number) {
+export function dumpState(core: Core, attainment: Attainment, now: number): State {
   const { membership, table } = core;
   return {
-    vm: membership.self,
+    vm: membership.self.id,
     incarnation: membership.incarnation,
     leaving: membership.leaving,
     table: {
       revision: tableRevision(table),
       ageMs: table.heardAt === 0 ? null : now - table.heardAt,
-      refused: table.refused,
+      refused: table.refused === null ? null : copyRefused(table.refused),
     },
     list: {
       revision: membership.list?.revision ?? -1,
@@ -24,6 +32,7 @@
       slots,
       inFlight: countInFlight(core.placement, id),
     })),
+    classes: dumpClasses(core, attainment, now),
     openRequests: core.requests.size,
     counters: Object.fromEntries(core.counters),
   };
--- a/packages/router/src/admin/index.ts
+++ b/packages/router/src/admin/index.ts
@@ -1,2 +1,17 @@
-export { createAdminApi, type AdminContext } from './adminApi.js';
+export { createAdminApi } from './adminApi.js';
+export type { AdminContext } from './context.js';
 export { dumpState } from './dumpState.js';
+export { createOpenApi } from './openApi.js';
+export type { AdminTokens, Role } from './roles.js';
+export {
+  accountsSchema,
+  checkSchema,
+  classesSchema,
+  endpointsSchema,
+  membersSchema,
+  requestSchema,
+  stateSchema,
+  tableSchema as tableInForceSchema,
+  type ClassReport,
+  type State,
+} from './schemas.js';
--- /dev/null
+++ b/packages/router/src/admin/roles.ts
@@ -0,0 +1,40 @@
+import type { Context, MiddlewareHandler } from 'hono';
+import { createMiddleware } from 'hono/factory';
+
+import { areSecretsEqual } from '../peers/index.js';
+
+/** What a token allows: a reader sees, an operator also acts. */
+export type Role = 'reader' | 'operator';
+
+/** Tokens of the admin API, read anew at each use so that they can be replaced. */
+export interface AdminTokens {
+  operator(): readonly string[];
+  reader(): readonly string[];
+}
+
+function findRole(token: string, tokens: AdminTokens): Role | null {
+  const isOneOf = (secrets: readonly string[]) =>
+    secrets.map((secret) => areSecretsEqual(token, secret)).includes(true);
+  if (isOneOf(tokens.operator())) return 'operator';
+  return isOneOf(tokens.reader()) ? 'reader' : null;
+}
+
+function roleOf(c: Context, tokens: AdminTokens): Role | null {
+  const token = c.req.header('authorization')?.match(/^Bearer (\S+)$/i)?.[1];
+  return token === undefined ? null : findRole(token, tokens);
+}
+
+/** Lets a request pass when its token has a role. */
+export function requireRole(role: Role, tokens: AdminTokens): MiddlewareHandler {
+  return createMiddleware(async (c, next) => {
+    const found = roleOf(c, tokens);
+    if (found === null) {
+      c.header('www-authenticate', 'Bearer');
+      return c.json({ error: 'unknown token' }, 401);
+    }
+    if (role === 'operator' && found !== 'operator') {
+      return c.json({ error: 'the operator role is needed' }, 403);
+    }
+    return next();
+  });
+}
--- /dev/null
+++ b/packages/router/src/createObservers.ts
@@ -0,0 +1,25 @@
+import type { Decider } from './decider/index.js';
+import { RouterMetrics, type ControlTraffic } from './metrics/index.js';
+import { Attainment, DecisionLog } from './observation/index.js';
+
+/** The tasks that only watch. */
+export interface Observers {
+  readonly attainment: Attainment;
+  readonly decisions: DecisionLog;
+  readonly metrics: RouterMetrics;
+}
+
+/** Creates the tasks that watch what passes the decider. */
+export function createObservers(
+  decider: Decider,
+  traffic: ControlTraffic,
+  keptDecisions: number,
+  countOpen: () => number,
+): Observers {
+  const attainment = new Attainment(decider.core);
+  const decisions = new DecisionLog(decider.core, keptDecisions);
+  decider.watch((message, actions, now) => attainment.watch(message, actions, now));
+  decider.watch((message, actions, now) => decisions.watch(message, actions, now));
+  const metrics = new RouterMetrics({ decider, attainment, traffic, countOpen });
+  return { attainment, decisions, metrics };
+}
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -3,13 +3,15 @@
 import { createCore, createRandom, type ActionOf, type Vm } from '@filbertlatch/core';
 import type { Logger } from 'winston';
 
-import { createAdminApi, dumpState } from './admin/index.js';
+import { createAdminApi, dumpState, type AdminTokens } from './admin/index.js';
 import { createCallerApi, Exchanges } from './callers/index.js';
 import { now } from './clock.js';
+import { createObservers, type Observers } from './createObservers.js';
 import { Decider } from './decider/index.js';
 import { EndpointTasks } from './endpoints/index.js';
 import { listen, type Listener } from './listen.js';
 import { createLog } from './log/index.js';
+import { ControlTraffic } from './metrics/index.js';
 import { PeerTask } from './peers/index.js';
 import { PlatformTask } from './platform/index.js';
 import type { Settings } from './settings/index.js';
@@ -38,6 +40,7 @@
   readonly platform: PlatformTask;
   readonly peers: PeerTask;
   readonly log: Logger;
+  readonly observers: Observers;
 }
 
 function createTasks(settings: Settings, self: Vm): Tasks {
@@ -45,12 +48,15 @@
   const random = createRandom(settings.seed ?? Math.floor(started));
   const decider = new Decider(createCore(self, random, started));
   const exchanges = new Exchanges();
+  const traffic = new ControlTraffic();
+  const { keptDecisions } = settings.admin;
   return {
     decider,
     exchanges,
+    observers: createObservers(decider, traffic, keptDecisions, () => exchanges.size),
     endpoints: new EndpointTasks(decider, exchanges),
-    platform: new PlatformTask(settings.platform, decider),
-    peers: new PeerTask(settings.peers.sharedKey, decider),
+    platform: new PlatformTask(settings.platform, decider, traffic),
+    peers: new PeerTask(settings.peers.sharedKey, decider, traffic),
     log: createLog(settings.vm.id, settings.logLevel),
   };
 }
@@ -74,14 +80,20 @@
   decider.on('state-changed', (action) => logChange(log, action));
 }
 
+function readTokens({ operatorToken, readerToken }: Settings['admin']): AdminTokens {
+  const readers = readerToken === undefined ? [] : [readerToken];
+  return { operator: () => [operatorToken], reader: () => readers };
+}
+
 async function openListeners(
   settings: Settings,
   tasks: Tasks,
   beginDrain: () => void,
 ): Promise<{ callers: Listener; admin: Listener; peers: Listener }> {
-  const { decider, exchanges } = tasks;
+  const { decider, exchanges, observers } = tasks;
+  const tokens = readTokens(settings.admin);
   const callerApi = createCallerApi({ decider, exchanges, settings });
-  const adminApi = createAdminApi({ decider, settings: settings.admin, beginDrain });
+  const adminApi = createAdminApi({ decider, ...observers, tokens, beginDrain });
   const [callers, admin, peers] = await Promise.all([
     listen(callerApi, settings.callers.host, settings.callers.port),
     listen(adminApi, settings.admin.host, settings.admin.port),
@@ -127,7 +139,7 @@
     callerUrl: listeners.callers.url,
     adminUrl: listeners.admin.url,
     peerUrl: listeners.peers.url,
-    state: () => dumpState(decider.core, now()),
+    state: () => dumpState(decider.core, tasks.observers.attainment, now()),
     drain,
     stop,
   };
--- a/packages/router/src/decider/decider.ts
+++ b/packages/router/src/decider/decider.ts
@@ -8,6 +8,7 @@
 const PAUSE_MS = 2000;
 
 type Handler<K extends Action['kind']> = (action: ActionOf<K>) => void;
+type Watcher = (message: Message, actions: readonly Action[], now: number) => void;
 type Handlers = { [K in Action['kind']]?: Handler<K> };
 
 /** The task that owns the core: takes messages in turn and hands its actions to the others. */
@@ -16,6 +17,10 @@
 
   readonly #handlers: Handlers = {};
 
+  readonly #watchers: Watcher[] = [];
+
+  readonly #spentMs = new Map<Message['kind'], number>();
+
   readonly #waiting: Message[] = [];
 
   #busy = false;
@@ -33,6 +38,16 @@
     this.#handlers[kind] = handler as Handlers[K];
   }
 
+  /** Shows each message and its actions to a watcher, before they are carried out. */
+  watch(watcher: Watcher): void {
+    this.#watchers.push(watcher);
+  }
+
+  /** Returns the time spent since start on each kind of message, in milliseconds. */
+  get spentMs(): ReadonlyMap<Message['kind'], number> {
+    return this.#spentMs;
+  }
+
   /** Gives the core a message; one posted by a handler waits until the present one is done. */
   post(message: Message): void {
     if (this.#busy) {
@@ -69,8 +84,13 @@
   }
 
   #handle(message: Message): void {
-    for (const action of decide(this.core, message, now())) {
+    const instant = now();
+    const actions = decide(this.core, message, instant);
+    for (const watcher of this.#watchers) watcher(message, actions, instant);
+    for (const action of actions) {
       (this.#handlers[action.kind] as Handler<typeof action.kind> | undefined)?.(action);
     }
+    const spent = this.#spentMs.get(message.kind) ?? 0;
+    this.#spentMs.set(message.kind, spent + now() - instant);
   }
 }
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,4 +1,17 @@
 export { createRouter, type Router } from './createRouter.js';
+export {
+  accountsSchema,
+  checkSchema,
+  classesSchema,
+  createOpenApi,
+  endpointsSchema,
+  membersSchema,
+  requestSchema,
+  stateSchema,
+  tableInForceSchema,
+  type ClassReport,
+  type State,
+} from './admin/index.js';
 export { now } from './clock.js';
 export { listen, type Listener } from './listen.js';
 export { createLog } from './log/index.js';
--- a/packages/router/src/metrics/index.ts
+++ b/packages/router/src/metrics/index.ts
@@ -1,1 +1,2 @@
-export { renderMetrics } from './renderMetrics.js';
+export { ControlTraffic, type ControlPart, type TrafficCount } from './controlTraffic.js';
+export { RouterMetrics, type MetricsContext } from './routerMetrics.js';
--- /dev/null
+++ b/packages/router/src/metrics/routerMetrics.ts
@@ -0,0 +1,203 @@
+import {
+  counterNames,
+  listEjected,
+  listLanes,
+  tableRevision,
+  type Class,
+  type Core,
+} from '@filbertlatch/core';
+import { Counter, Gauge, Registry } from 'prom-client';
+
+import { now } from '../clock.js';
+import type { Decider } from '../decider/index.js';
+import type { Attainment, ClassCounts, Percentiles } from '../observation/index.js';
+import type { ControlTraffic } from './controlTraffic.js';
+
+const MS_PER_SECOND = 1000;
+const MICROSECONDS_PER_SECOND = 1_000_000;
+const PREFIX = 'filbertlatch_';
+
+/** What the metrics are read from. */
+export interface MetricsContext {
+  readonly decider: Decider;
+  readonly attainment: Attainment;
+  readonly traffic: ControlTraffic;
+  /** Number of requests that have no final answer yet. */
+  readonly countOpen: () => number;
+}
+
+type Labels = Readonly<Record<string, string>>;
+type Report = (labels: Labels, value: number) => void;
+
+const classCounters: readonly (readonly [string, keyof ClassCounts, string])[] = [
+  ['class_requests_total', 'requests', 'Requests of the class that ended.'],
+  ['class_attained_total', 'met', 'Whole answers within every latency target of the class.'],
+  ['class_in_window_total', 'inWindow', 'Whole answers within the window of the class.'],
+  ['class_shed_total', 'shed', 'Requests of the class that were shed or refused.'],
+  ['class_failed_total', 'failed', 'Requests of the class that failed at endpoints.'],
+  ['class_abandoned_total', 'abandoned', 'Requests whose caller left.'],
+  ['class_produced_tokens_total', 'producedTokens', 'Tokens that endpoints produced.'],
+  ['class_wasted_tokens_total', 'wastedTokens', 'Tokens that nobody received in time.'],
+];
+
+function listClasses(core: Core): Class[] {
+  return [...(core.table.view?.classes.values() ?? [])];
+}
+
+/** The metrics of one router: registered once, read from its state at each scrape. */
+export class RouterMetrics {
+  readonly #registry = new Registry();
+
+  readonly #context: MetricsContext;
+
+  constructor(context: MetricsContext) {
+    this.#context = context;
+    this.#addDecisions();
+    this.#addClasses();
+    this.#addPlatform();
+    this.#addProcess();
+  }
+
+  /** Renders all metrics in the Prometheus text format. */
+  async render(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  #counter(name: string, help: string, labels: readonly string[], read: (add: Report) => void) {
+    const counter: Counter = new Counter({
+      name: `${PREFIX}${name}`,
+      help,
+      labelNames: labels,
+      registers: [this.#registry],
+      collect: () => {
+        counter.reset();
+        read((values, value) => counter.inc(values, value));
+      },
+    });
+  }
+
+  #gauge(name: string, help: string, labels: readonly string[], read: (set: Report) => void) {
+    const gauge: Gauge = new Gauge({
+      name: `${PREFIX}${name}`,
+      help,
+      labelNames: labels,
+      registers: [this.#registry],
+      collect: () => {
+        gauge.reset();
+        read((values, value) => gauge.set(values, value));
+      },
+    });
+  }
+
+  #addDecisions(): void {
+    const { decider, countOpen } = this.#context;
+    const { core } = decider;
+    for (const name of counterNames) {
+      this.#counter(`${name}_total`, `Number of ${name.replaceAll('_', ' ')}.`, [], (add) => {
+        add({}, core.counters.get(name) ?? 0);
+      });
+    }
+    this.#gauge('open_requests', 'Requests without a final answer.', [], (set) => {
+      set({}, countOpen());
+    });
+    const help = 'Processor time of decisions, by the message that led to them.';
+    this.#counter('decision_seconds_total', help, ['message'], (add) => {
+      decider.spentMs.forEach((ms, message) => add({ message }, ms / MS_PER_SECOND));
+    });
+  }
+
+  #addClasses(): void {
+    const { decider, attainment } = this.#context;
+    const { core } = decider;
+    for (const [name, field, help] of classCounters) {
+      this.#counter(name, help, ['class', 'tier'], (add) => {
+        listClasses(core).forEach(({ id, tier }) => {
+          add({ class: id, tier }, attainment.totals(id)[field]);
+        });
+      });
+    }
+    this.#addQuantiles('first_token_seconds', 'From arrival to the first token.', 'firstTokenMs');
+    this.#addQuantiles('between_tokens_seconds', 'Mean gap of an answer.', 'betweenTokensMs');
+    this.#addQuantiles('answer_seconds', 'From arrival to the last token.', 'wholeMs');
+    const labels = ['class', 'pool'];
+    this.#gauge('queue_requests', 'Requests that wait on this VM.', labels, (set) => {
+      listLanes(core.admission).forEach(({ classId, pool, waiting }) => {
+        set({ class: classId, pool }, waiting);
+      });
+    });
+  }
+
+  #addQuantiles(
+    name: string,
+    help: string,
+    field: 'firstTokenMs' | 'betweenTokensMs' | 'wholeMs',
+  ): void {
+    const { decider, attainment } = this.#context;
+    const quantiles: readonly (readonly [string, keyof Percentiles])[] = [
+      ['0.5', 'p50'],
+      ['0.95', 'p95'],
+      ['0.99', 'p99'],
+    ];
+    this.#gauge(name, `${help} Over the last minute.`, ['class', 'quantile'], (set) => {
+      listClasses(decider.core).forEach(({ id }) => {
+        const percentiles = attainment.figures(id, now())[field];
+        for (const [quantile, key] of quantiles) {
+          const ms = percentiles[key];
+          if (ms !== null) set({ class: id, quantile }, ms / MS_PER_SECOND);
+        }
+      });
+    });
+  }
+
+  #addPlatform(): void {
+    const { core } = this.#context.decider;
+    this.#gauge('table_revision', 'Revision in force; -1 before the first.', [], (set) => {
+      set({}, tableRevision(core.table));
+    });
+    this.#gauge('table_age_seconds', 'Since the service last answered.', [], (set) => {
+      if (core.table.heardAt > 0) set({}, (now() - core.table.heardAt) / MS_PER_SECOND);
+    });
+    this.#gauge('list_revision', 'Revision of the list of VMs; -1 before the first.', [], (set) => {
+      set({}, core.membership.list?.revision ?? -1);
+    });
+    this.#gauge('list_age_seconds', 'Since the list of VMs last came.', [], (set) => {
+      const { listHeardAt } = core.membership;
+      if (listHeardAt > 0) set({}, (now() - listHeardAt) / MS_PER_SECOND);
+    });
+    this.#gauge('vms', 'VMs in the published list.', ['state'], (set) => {
+      const vms = core.membership.list?.vms ?? [];
+      for (const state of ['live', 'leaving']) {
+        set({ state }, vms.filter((vm) => vm.state === state).length);
+      }
+    });
+    this.#gauge('endpoints', 'Endpoints of the table.', ['kind', 'state'], (set) => {
+      const endpoints = [...(core.table.view?.endpoints.values() ?? [])];
+      const ejected = new Set(listEjected(core.health, now()));
+      for (const kind of ['engine', 'service']) {
+        const own = endpoints.filter((endpoint) => endpoint.kind === kind);
+        const out = own.filter(({ id }) => ejected.has(id)).length;
+        set({ kind, state: 'usable' }, own.length - out);
+        set({ kind, state: 'ejected' }, out);
+      }
+    });
+    const help = 'Bodies of calls to peers and the platform.';
+    this.#counter('control_body_bytes_total', help, ['part', 'direction'], (add) => {
+      this.#context.traffic.list().forEach(({ part, direction, bytes }) => {
+        add({ part, direction }, bytes);
+      });
+    });
+  }
+
+  #addProcess(): void {
+    this.#counter('process_cpu_seconds_total', 'Processor time of the process.', [], (add) => {
+      const { user, system } = process.cpuUsage();
+      add({}, (user + system) / MICROSECONDS_PER_SECOND);
+    });
+    this.#gauge('process_resident_memory_bytes', 'Resident memory.', [], (set) => {
+      set({}, process.memoryUsage.rss());
+    });
+    this.#gauge('process_heap_used_bytes', 'Heap in use.', [], (set) => {
+      set({}, process.memoryUsage().heapUsed);
+    });
+  }
+}
--- /dev/null
+++ b/packages/router/src/observation/index.ts
@@ -0,0 +1,7 @@
+export { Attainment, WINDOW_MS } from './attainment.js';
+export type { ClassCounts, ClassFigures } from './classFigures.js';
+export { DecisionLog } from './decisionLog.js';
+export type { Candidate, DecisionRecord, DecisionStep } from './decisionRecord.js';
+export { explainRecord } from './explainRecord.js';
+export { createHistogram, readPercentiles, recordMs, type Percentiles } from './latencies.js';
+export { SlidingWindow } from './slidingWindow.js';
--- a/packages/router/src/peers/peerApi.ts
+++ b/packages/router/src/peers/peerApi.ts
@@ -3,6 +3,7 @@
 import { bodyLimit } from 'hono/body-limit';
 import { JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0';
 
+import type { ControlTraffic } from '../metrics/index.js';
 import { peerCallSchema, peerMethods } from './peerProtocol.js';
 import { areSecretsEqual } from './secretsEqual.js';
 
@@ -19,6 +20,7 @@
 /** Creates the API that other VMs call. */
 export function createPeerApi(
   sharedKey: string,
+  traffic: ControlTraffic,
   handle: (call: PeerCall) => Promise<PeerReply>,
 ): Hono {
   const server = new JSONRPCServer();
@@ -30,8 +32,13 @@
   api.post('/rpc', async (c) => {
     const key = c.req.header('authorization')?.replace(/^Bearer /, '') ?? '';
     if (!areSecretsEqual(key, sharedKey)) return c.json({ error: 'unauthorized' }, 401);
-    const reply = await server.receiveJSON(await c.req.text());
-    return reply === null ? c.body(null, 204) : c.json(reply);
+    const text = await c.req.text();
+    traffic.add('peers', 'received', Buffer.byteLength(text));
+    const reply = await server.receiveJSON(text);
+    if (reply === null) return c.body(null, 204);
+    const answer = JSON.stringify(reply);
+    traffic.add('peers', 'sent', Buffer.byteLength(answer));
+    return c.body(answer, 200, { 'content-type': 'application/json' });
   });
   return api;
 }
--- a/packages/router/src/peers/peerClient.ts
+++ b/packages/router/src/peers/peerClient.ts
@@ -3,6 +3,7 @@
 import { Agent, request } from 'undici';
 
 import { PeerError } from '../errors/index.js';
+import type { ControlTraffic } from '../metrics/index.js';
 
 const CALL_TIMEOUT_MS = 1000;
 
@@ -10,12 +11,15 @@
 export class PeerClient {
   readonly #sharedKey: string;
 
+  readonly #traffic: ControlTraffic;
+
   readonly #agent = new Agent({ connections: 4, connect: { timeout: CALL_TIMEOUT_MS } });
 
   readonly #clients = new Map<string, JSONRPCClient>();
 
-  constructor(sharedKey: string) {
+  constructor(sharedKey: string, traffic: ControlTraffic) {
     this.#sharedKey = sharedKey;
+    this.#traffic = traffic;
   }
 
   /** Calls a peer. Throws PeerError when it does not answer in time. */
@@ -47,6 +51,8 @@
   }
 
   async #send(url: string, payload: unknown): Promise<unknown> {
+    const body = JSON.stringify(payload);
+    this.#traffic.add('peers', 'sent', Buffer.byteLength(body));
     const response = await request(`${url}/rpc`, {
       method: 'POST',
       dispatcher: this.#agent,
@@ -55,12 +61,14 @@
         authorization: `Bearer ${this.#sharedKey}`,
         'content-type': 'application/json',
       },
-      body: JSON.stringify(payload),
+      body,
     });
     if (response.statusCode !== 200) {
       await response.body.dump();
       throw new PeerError(`status ${response.statusCode}`);
     }
-    return response.body.json();
+    const text = await response.body.text();
+    this.#traffic.add('peers', 'received', Buffer.byteLength(text));
+    return JSON.parse(text);
   }
 }
--- a/packages/router/src/peers/peerTask.ts
+++ b/packages/router/src/peers/peerTask.ts
@@ -3,6 +3,7 @@
 
 import type { Decider } from '../decider/index.js';
 import { PeerError } from '../errors/index.js';
+import type { ControlTraffic } from '../metrics/index.js';
 import { createPeerApi } from './peerApi.js';
 import { PeerClient } from './peerClient.js';
 
@@ -23,10 +24,10 @@
 
   readonly #open = new Map<string, Open>();
 
-  constructor(sharedKey: string, decider: Decider) {
+  constructor(sharedKey: string, decider: Decider, traffic: ControlTraffic) {
     this.#decider = decider;
-    this.#client = new PeerClient(sharedKey);
-    this.api = createPeerApi(sharedKey, (call) => this.#receive(call));
+    this.#client = new PeerClient(sharedKey, traffic);
+    this.api = createPeerApi(sharedKey, traffic, (call) => this.#receive(call));
   }
 
   /** Calls a peer and posts what came of it. */
--- a/packages/router/src/platform/platformClient.ts
+++ b/packages/router/src/platform/platformClient.ts
@@ -11,6 +11,7 @@
 import type { z } from 'zod';
 
 import { PlatformError } from '../errors/index.js';
+import type { ControlTraffic } from '../metrics/index.js';
 import type { Settings } from '../settings/index.js';
 
 const MS_PER_SECOND = 1000;
@@ -32,10 +33,13 @@
 export class PlatformClient {
   readonly #settings: Settings['platform'];
 
+  readonly #traffic: ControlTraffic;
+
   readonly #agent: Agent;
 
-  constructor(settings: Settings['platform']) {
+  constructor(settings: Settings['platform'], traffic: ControlTraffic) {
     this.#settings = settings;
+    this.#traffic = traffic;
     const patienceMs = settings.watchSeconds * MS_PER_SECOND + SPARE_MS;
     this.#agent = new Agent({ headersTimeout: patienceMs, bodyTimeout: patienceMs });
   }
@@ -88,6 +92,7 @@
     try {
       const response = await request(url, { dispatcher: this.#agent, signal });
       const text = await response.body.text();
+      this.#traffic.add('platform', 'received', Buffer.byteLength(text));
       if (response.statusCode === NOT_MODIFIED) return null;
       if (response.statusCode !== 200) throw new PlatformError(`status ${response.statusCode}`);
       return text;
--- a/packages/router/src/platform/platformTask.ts
+++ b/packages/router/src/platform/platformTask.ts
@@ -1,6 +1,7 @@
 import type { ActionOf } from '@filbertlatch/core';
 
 import type { Decider } from '../decider/index.js';
+import type { ControlTraffic } from '../metrics/index.js';
 import type { Settings } from '../settings/index.js';
 import { PlatformClient } from './platformClient.js';
 import { Watcher } from './watcher.js';
@@ -17,9 +18,9 @@
 
   #listRevision = -1;
 
-  constructor(settings: Settings['platform'], decider: Decider) {
+  constructor(settings: Settings['platform'], decider: Decider, traffic: ControlTraffic) {
     this.#decider = decider;
-    this.#client = new PlatformClient(settings);
+    this.#client = new PlatformClient(settings, traffic);
     const { random } = decider.core;
     this.#watchers = [
       new Watcher(
--- a/packages/router/src/settings/settings.ts
+++ b/packages/router/src/settings/settings.ts
@@ -21,6 +21,13 @@
     port: port.describe('Port of the admin API; 0 takes a free one.'),
     operatorToken: z.string().min(16).describe('Token that may read and act.'),
     readerToken: z.string().min(16).optional().describe('Token that may only read.'),
+    keptDecisions: z
+      .number()
+      .int()
+      .positive()
+      .max(100_000)
+      .default(2000)
+      .describe('Requests whose decisions are kept to be explained.'),
   }),
   peers: z.strictObject({
     host,
