Bound what callers hold, and take keys and certificates from files that may change

Change: TLS to callers and operators, mutual TLS or shared keys between VMs, all read again from their files on a change or on SIGHUP, with the last good ones kept. Peers beyond loopback without key or TLS are refused as settings. Bounds on headers, times, connections, open requests, kept answers and events. The silence of an endpoint is not counted while its caller does not read; such a caller is cut off after stallSeconds. Paths that could be read in two ways are refused also when encoded twice.

--- a/packages/daemon/src/runDaemon.ts
+++ b/packages/daemon/src/runDaemon.ts
@@ -7,6 +7,9 @@
   await new Promise<void>((resolve) => {
     process.once('SIGTERM', () => resolve());
     process.once('SIGINT', () => resolve());
+    process.on('SIGHUP', () => {
+      void router.reloadCredentials();
+    });
     process.on('SIGUSR2', () => process.stderr.write(`${JSON.stringify(router.state())}\n`));
   });
 }
--- a/packages/router/src/admin/roles.ts
+++ b/packages/router/src/admin/roles.ts
@@ -1,7 +1,7 @@
 import type { Context, MiddlewareHandler } from 'hono';
 import { createMiddleware } from 'hono/factory';
 
-import { areSecretsEqual } from '../peers/index.js';
+import { isOneOfSecrets } from '../security/index.js';
 
 /** What a token allows: a reader sees, an operator also acts. */
 export type Role = 'reader' | 'operator';
@@ -13,10 +13,8 @@
 }
 
 function findRole(token: string, tokens: AdminTokens): Role | null {
-  const isOneOf = (secrets: readonly string[]) =>
-    secrets.map((secret) => areSecretsEqual(token, secret)).includes(true);
-  if (isOneOf(tokens.operator())) return 'operator';
-  return isOneOf(tokens.reader()) ? 'reader' : null;
+  if (isOneOfSecrets(token, tokens.operator())) return 'operator';
+  return isOneOfSecrets(token, tokens.reader()) ? 'reader' : null;
 }
 
 function roleOf(c: Context, tokens: AdminTokens): Role | null {
--- a/packages/router/src/callers/assembleAnswer.ts
+++ b/packages/router/src/callers/assembleAnswer.ts
@@ -33,6 +33,12 @@
   }
 }
 
+// Hot path for whole answers: the one field of almost every event is counted as it is.
+function sizeOf({ content, ...rest }: Record<string, unknown>): number {
+  const own = typeof content === 'string' ? content.length : 0;
+  return Object.keys(rest).length === 0 ? own : own + JSON.stringify(rest).length;
+}
+
 /** Puts the events of one stream together into the answer that it stands for. */
 export class AnswerAssembler {
   readonly #choices = new Map<number, Choice>();
@@ -41,6 +47,13 @@
 
   #usage: unknown = null;
 
+  #size = 0;
+
+  /** Characters of text taken so far. */
+  get size(): number {
+    return this.#size;
+  }
+
   /** Takes the next event. */
   add(chunk: Chunk): void {
     const { choices, usage, ...head } = chunk;
@@ -50,8 +63,12 @@
       const choice = this.#choices.get(index) ?? { index, finish_reason: null };
       this.#choices.set(index, choice);
       if (reason !== undefined && reason !== null) choice.finish_reason = reason;
-      if (text !== undefined) appendText(choice, 'text', text);
+      if (text !== undefined) {
+        this.#size += text.length;
+        appendText(choice, 'text', text);
+      }
       if (delta !== undefined) {
+        this.#size += sizeOf(delta);
         const message = (choice.message ?? { role: 'assistant', content: null }) as Message;
         choice.message = message;
         mergeDelta(message, delta);
--- a/packages/router/src/callers/callerApi.ts
+++ b/packages/router/src/callers/callerApi.ts
@@ -14,10 +14,12 @@
 import { CLASS_HEADER, identifyCaller, type Caller } from './identifyCaller.js';
 import { digestPrompt } from './promptDigest.js';
 import { refusalBody, refusalHeaders, refusalStatus } from './refusalResponse.js';
-import { copyServiceHeaders, servicePath } from './serviceRequest.js';
+import { copyServiceHeaders, isServiceMethod, servicePath } from './serviceRequest.js';
 import { StreamedExchange } from './streamedExchange.js';
 import { WholeExchange } from './wholeExchange.js';
 
+const MS_PER_SECOND = 1000;
+const NOT_FOUND = 404;
 const DEFAULT_MAX_TOKENS = 4096;
 const TIMEOUT_HEADER = 'filbertlatch-timeout-ms';
 const KEY_HEADER = 'idempotency-key';
@@ -45,7 +47,7 @@
 }
 
 function refuse(c: Context<Env>, code: RefusalCode, message: string): Response {
-  const retryable = code === 'not_ready';
+  const retryable = code === 'not_ready' || code === 'overloaded';
   const refusal = {
     code,
     message,
@@ -129,6 +131,8 @@
   path: '/v1/chat/completions' | '/v1/completions',
   schema: typeof chatSchema | typeof completionSchema,
 ) {
+  const { stallSeconds, maxAnswerBytes } = context.settings.callers;
+  const stallMs = stallSeconds * MS_PER_SECOND;
   return async (c: Context<Env>): Promise<Response> => {
     const { core } = context.decider;
     const caller = identifyCaller(core, c.req.header('authorization'), c.req.header(CLASS_HEADER));
@@ -143,8 +147,8 @@
     const payload: Payload = { kind: 'generate', path, body };
     const exchange =
       body.stream === true
-        ? new StreamedExchange(request, payload, c.env.outgoing)
-        : new WholeExchange(request, payload, c.env.outgoing);
+        ? new StreamedExchange(request, payload, c.env.outgoing, stallMs)
+        : new WholeExchange(request, payload, c.env.outgoing, maxAnswerBytes);
     return openExchange(context, c, exchange);
   };
 }
@@ -162,6 +166,9 @@
     }
     const path = servicePath(c.req.url, name);
     if (path === null) return refuse(c, 'invalid_request', 'The path is not in its plain form.');
+    if (!isServiceMethod(c.req.method)) {
+      return refuse(c, 'invalid_request', `The method ${c.req.method} is not passed on.`);
+    }
     const body = Buffer.from(await c.req.arrayBuffer());
     const { method } = c.req;
     const digest = digestPrompt(body.toString('base64'), { method, path });
@@ -175,7 +182,12 @@
     });
     const headers = copyServiceHeaders(c.req.header());
     const payload: Payload = { kind: 'service', method, path, headers, body };
-    return openExchange(context, c, new WholeExchange(request, payload, c.env.outgoing));
+    const { maxAnswerBytes } = context.settings.callers;
+    return openExchange(
+      context,
+      c,
+      new WholeExchange(request, payload, c.env.outgoing, maxAnswerBytes),
+    );
   };
 }
 
@@ -190,7 +202,11 @@
 /** Creates the API that callers use. */
 export function createCallerApi(context: CallerContext): Hono<Env> {
   const api = new Hono<Env>();
-  const { maxBodyBytes } = context.settings.callers;
+  const { maxBodyBytes, maxOpenRequests } = context.settings.callers;
+  api.use(async (c, next) => {
+    if (context.exchanges.size < maxOpenRequests) return next();
+    return refuse(c, 'overloaded', 'This VM holds as many requests as it may; send it again.');
+  });
   api.use(
     bodyLimit({
       maxSize: maxBodyBytes,
@@ -210,5 +226,10 @@
     const ready = table.view !== null && !membership.leaving;
     return c.json({ ready }, ready ? 200 : 503);
   });
+  api.notFound((c) => {
+    const { body, headers } = refuse(c, 'invalid_request', `There is no ${c.req.path}.`);
+    return new Response(body, { status: NOT_FOUND, headers });
+  });
+  api.onError((_error, c) => refuse(c, 'internal', 'The router failed before anything ran.'));
   return api;
 }
--- a/packages/router/src/callers/identifyCaller.ts
+++ b/packages/router/src/callers/identifyCaller.ts
@@ -12,6 +12,8 @@
 /** Header that names the class of a request. */
 export const CLASS_HEADER = 'filbertlatch-class';
 
+const LONGEST_SHOWN = 64;
+
 /** Who calls, and in which class. */
 export type Caller =
   | { readonly ok: true; readonly account: Account; readonly row: Class }
@@ -40,7 +42,8 @@
   const row = findClass(core.table, classId);
   const allowed = account.classes === undefined || account.classes.includes(classId);
   if (row === undefined || !allowed) {
-    const message = `This account may not use the class ${JSON.stringify(classId)}.`;
+    const shown = JSON.stringify(classId.slice(0, LONGEST_SHOWN));
+    const message = `This account may not use the class ${shown}.`;
     return { ok: false, code: 'class_not_allowed', message };
   }
   return { ok: true, account, row };
--- a/packages/router/src/callers/serviceRequest.ts
+++ b/packages/router/src/callers/serviceRequest.ts
@@ -9,7 +9,15 @@
   'user-agent',
 ];
 
-const UNPLAIN = /%2e|%2f|%5c|%00|\\|\/\//i;
+const METHODS = new Set(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']);
+
+// Encoded dots, slashes and control characters, once or twice over, and empty segments.
+const UNPLAIN = /%(25)*(2e|2f|5c|[01][0-9a-f]|7f)|\\|\/\//i;
+
+/** Says whether calls with a method are passed on to plain services. */
+export function isServiceMethod(method: string): boolean {
+  return METHODS.has(method);
+}
 
 /**
  * Returns the path and query at the service, or null when the path could be read in two
--- a/packages/router/src/callers/streamedExchange.ts
+++ b/packages/router/src/callers/streamedExchange.ts
@@ -15,10 +15,14 @@
 
   readonly #response: ServerResponse;
 
-  constructor(request: Request, payload: Payload, response: ServerResponse) {
+  readonly #stallMs: number;
+
+  /** A caller that reads nothing for `stallMs` while its answer waits is cut off. */
+  constructor(request: Request, payload: Payload, response: ServerResponse, stallMs: number) {
     this.request = request;
     this.payload = payload;
     this.#response = response;
+    this.#stallMs = stallMs;
   }
 
   writeChunk(chunk: Chunk): void | Promise<void> {
@@ -62,10 +66,12 @@
   async #waitForRoom(): Promise<void> {
     const stop = new AbortController();
     const options = { signal: stop.signal };
+    const stall = setTimeout(() => this.#response.destroy(), this.#stallMs);
     await Promise.race([
       once(this.#response, 'drain', options),
       once(this.#response, 'close', options),
     ]).catch(() => {});
+    clearTimeout(stall);
     stop.abort();
   }
 }
--- a/packages/router/src/callers/wholeExchange.ts
+++ b/packages/router/src/callers/wholeExchange.ts
@@ -2,6 +2,7 @@
 
 import type { Refusal, Request } from '@filbertlatch/core';
 
+import { AttemptError } from '../endpoints/attemptError.js';
 import type { Chunk } from '../endpoints/engineProtocol.js';
 import { AnswerAssembler } from './assembleAnswer.js';
 import type { Exchange, Payload, ServiceAnswer } from './exchange.js';
@@ -15,18 +16,28 @@
 
   readonly #response: ServerResponse;
 
+  readonly #maxAnswerBytes: number;
+
   readonly #assembler = new AnswerAssembler();
 
   #answer: ServiceAnswer | null = null;
 
-  constructor(request: Request, payload: Payload, response: ServerResponse) {
+  constructor(
+    request: Request,
+    payload: Payload,
+    response: ServerResponse,
+    maxAnswerBytes: number,
+  ) {
     this.request = request;
     this.payload = payload;
     this.#response = response;
+    this.#maxAnswerBytes = maxAnswerBytes;
   }
 
   writeChunk(chunk: Chunk): void {
     this.#assembler.add(chunk);
+    if (this.#assembler.size <= this.#maxAnswerBytes) return;
+    throw new AttemptError('invalid', 'ran', `the answer is over ${this.#maxAnswerBytes} bytes`);
   }
 
   writeAnswer(answer: ServiceAnswer): void {
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -3,7 +3,7 @@
 import { createCore, createRandom, type ActionOf, type Vm } from '@filbertlatch/core';
 import type { Logger } from 'winston';
 
-import { createAdminApi, dumpState, type AdminTokens } from './admin/index.js';
+import { createAdminApi, dumpState } from './admin/index.js';
 import { createCallerApi, Exchanges } from './callers/index.js';
 import { now } from './clock.js';
 import { createObservers, type Observers } from './createObservers.js';
@@ -14,6 +14,7 @@
 import { ControlTraffic } from './metrics/index.js';
 import { PeerTask } from './peers/index.js';
 import { PlatformTask } from './platform/index.js';
+import { CredentialTask } from './security/index.js';
 import type { Settings } from './settings/index.js';
 
 const DRAIN_POLL_MS = 50;
@@ -26,6 +27,8 @@
   readonly peerUrl: string;
   /** Dumps the state; carries no prompt, key or token. */
   state(): ReturnType<typeof dumpState>;
+  /** Reads keys, tokens and certificates again from their files. */
+  reloadCredentials(): Promise<void>;
   /** Takes no new work, finishes what runs, then stops; resolves when stopped. */
   drain(): Promise<void>;
   /** Stops at once and cuts what runs. */
@@ -39,11 +42,14 @@
   readonly endpoints: EndpointTasks;
   readonly platform: PlatformTask;
   readonly peers: PeerTask;
+  readonly credentials: CredentialTask;
   readonly log: Logger;
   readonly observers: Observers;
 }
 
-function createTasks(settings: Settings, self: Vm): Tasks {
+async function createTasks(settings: Settings, self: Vm): Promise<Tasks> {
+  const log = createLog(settings.vm.id, settings.logLevel);
+  const credentials = await CredentialTask.create(settings, log);
   const started = now();
   const random = createRandom(settings.seed ?? Math.floor(started));
   const decider = new Decider(createCore(self, random, started));
@@ -54,10 +60,11 @@
     decider,
     exchanges,
     observers: createObservers(decider, traffic, keptDecisions, () => exchanges.size),
-    endpoints: new EndpointTasks(decider, exchanges),
+    endpoints: new EndpointTasks(decider, exchanges, settings.callers.maxAnswerBytes),
     platform: new PlatformTask(settings.platform, decider, traffic),
-    peers: new PeerTask(settings.peers.sharedKey, decider, traffic),
-    log: createLog(settings.vm.id, settings.logLevel),
+    peers: new PeerTask(() => credentials.current, decider, traffic),
+    credentials,
+    log,
   };
 }
 
@@ -80,39 +87,49 @@
   decider.on('state-changed', (action) => logChange(log, action));
 }
 
-function readTokens({ operatorToken, readerToken }: Settings['admin']): AdminTokens {
-  const readers = readerToken === undefined ? [] : [readerToken];
-  return { operator: () => [operatorToken], reader: () => readers };
-}
-
 async function openListeners(
   settings: Settings,
   tasks: Tasks,
   beginDrain: () => void,
 ): Promise<{ callers: Listener; admin: Listener; peers: Listener }> {
-  const { decider, exchanges, observers } = tasks;
-  const tokens = readTokens(settings.admin);
+  const { decider, exchanges, observers, credentials } = tasks;
+  const tokens = {
+    operator: () => credentials.current.operatorTokens,
+    reader: () => credentials.current.readerTokens,
+  };
+  const { callerTls, adminTls, peerTls } = credentials.current;
   const callerApi = createCallerApi({ decider, exchanges, settings });
   const adminApi = createAdminApi({ decider, ...observers, tokens, beginDrain });
+  const callerOptions = { tls: callerTls, limits: settings.callers };
+  const peerOptions = { tls: peerTls, isMutual: true };
   const [callers, admin, peers] = await Promise.all([
-    listen(callerApi, settings.callers.host, settings.callers.port),
-    listen(adminApi, settings.admin.host, settings.admin.port),
-    listen(tasks.peers.api, settings.peers.host, settings.peers.port),
+    listen(callerApi, settings.callers.host, settings.callers.port, callerOptions),
+    listen(adminApi, settings.admin.host, settings.admin.port, { tls: adminTls }),
+    listen(tasks.peers.api, settings.peers.host, settings.peers.port, peerOptions),
   ]);
+  credentials.onChange((changed) => {
+    if (changed.callerTls !== null) callers.setTls(changed.callerTls);
+    if (changed.adminTls !== null) admin.setTls(changed.adminTls);
+    if (changed.peerTls !== null) peers.setTls(changed.peerTls);
+    tasks.peers.renewCredentials();
+  });
+  credentials.start();
   return { callers, admin, peers };
 }
 
 /** Starts a router; resolves when it listens. */
 export async function createRouter(settings: Settings): Promise<Router> {
   const { host, port } = settings.peers;
-  const self: Vm = { ...settings.vm, peerUrl: `http://${host}:${port}`, state: 'live' };
-  const tasks = createTasks(settings, self);
+  const scheme = settings.peers.tls === undefined ? 'http' : 'https';
+  const self: Vm = { ...settings.vm, peerUrl: `${scheme}://${host}:${port}`, state: 'live' };
+  const tasks = await createTasks(settings, self);
   const { decider, exchanges, endpoints, platform, peers } = tasks;
   connectTasks(tasks);
   let draining: Promise<void> | null = null;
 
   const stop = async () => {
     decider.stop();
+    tasks.credentials.stop();
     await Promise.all([platform.stop(), peers.close(), endpoints.close()]);
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- stopped after it opened
     await Promise.all(Object.values(listeners).map((listener) => listener.close()));
@@ -140,6 +157,7 @@
     adminUrl: listeners.admin.url,
     peerUrl: listeners.peers.url,
     state: () => dumpState(decider.core, tasks.observers.attainment, now()),
+    reloadCredentials: () => tasks.credentials.reload(),
     drain,
     stop,
   };
--- a/packages/router/src/endpoints/attemptError.ts
+++ b/packages/router/src/endpoints/attemptError.ts
@@ -41,6 +41,9 @@
   if (code !== undefined && UNSENT_CODES.has(code)) {
     return new AttemptError('connect', 'not-run', text, { cause: error });
   }
+  if (code === 'UND_ERR_RES_EXCEEDED_MAX_SIZE') {
+    return new AttemptError('invalid', 'ran', 'the answer is too large', { cause: error });
+  }
   if (code?.startsWith('UND_ERR_') === true && code.endsWith('TIMEOUT')) {
     return new AttemptError('silent', 'may-have-run', text, { cause: error });
   }
--- a/packages/router/src/endpoints/endpointTask.ts
+++ b/packages/router/src/endpoints/endpointTask.ts
@@ -35,7 +35,7 @@
 
   readonly #running = new Map<string, Running>();
 
-  constructor(endpoint: Endpoint, decider: Decider, exchanges: Exchanges) {
+  constructor(endpoint: Endpoint, decider: Decider, exchanges: Exchanges, maxAnswerBytes: number) {
     this.#endpoint = endpoint;
     this.#decider = decider;
     this.#exchanges = exchanges;
@@ -44,6 +44,8 @@
       connect: { timeout: CONNECT_TIMEOUT_MS },
       headersTimeout: 0,
       bodyTimeout: 0,
+      // A stream passes through; a service's answer is kept until it is whole.
+      ...(endpoint.kind === 'service' ? { maxResponseSize: maxAnswerBytes } : {}),
     });
   }
 
@@ -93,10 +95,22 @@
     running: Running,
     onTokens: (count: number) => void,
   ): Promise<number> {
+    let isPaused = false;
     const silence = setTimeout(() => {
+      // A caller that does not read is no fault of the endpoint.
+      if (isPaused) return;
       running.stop.abort(new AttemptError('silent', 'may-have-run', 'the connection is silent'));
     }, action.silenceMs);
-    const progress: Progress = { onTokens, onBytes: () => silence.refresh() };
+    const progress: Progress = {
+      onTokens,
+      onBytes: () => {
+        isPaused = false;
+        silence.refresh();
+      },
+      onPause: () => {
+        isPaused = true;
+      },
+    };
     try {
       const response = await this.#send(action, exchange, running.stop.signal);
       silence.refresh();
--- a/packages/router/src/endpoints/endpointTasks.ts
+++ b/packages/router/src/endpoints/endpointTasks.ts
@@ -10,11 +10,14 @@
 
   readonly #exchanges: Exchanges;
 
+  readonly #maxAnswerBytes: number;
+
   readonly #tasks = new Map<string, EndpointTask>();
 
   readonly #endpointByAttempt = new Map<string, string>();
 
-  constructor(decider: Decider, exchanges: Exchanges) {
+  constructor(decider: Decider, exchanges: Exchanges, maxAnswerBytes: number) {
+    this.#maxAnswerBytes = maxAnswerBytes;
     this.#decider = decider;
     this.#exchanges = exchanges;
   }
@@ -42,7 +45,7 @@
   #taskFor(endpoint: Endpoint): EndpointTask {
     let task = this.#tasks.get(endpoint.url);
     if (task === undefined) {
-      task = new EndpointTask(endpoint, this.#decider, this.#exchanges);
+      task = new EndpointTask(endpoint, this.#decider, this.#exchanges, this.#maxAnswerBytes);
       this.#tasks.set(endpoint.url, task);
     }
     return task;
--- a/packages/router/src/endpoints/readAnswer.ts
+++ b/packages/router/src/endpoints/readAnswer.ts
@@ -9,6 +9,7 @@
 const TOO_MANY_REQUESTS = 429;
 const UNAVAILABLE = 503;
 const MS_PER_SECOND = 1000;
+const MOST_EVENT_CHARACTERS = 1_048_576;
 
 function readRetryAfter(response: Dispatcher.ResponseData): number | null {
   const seconds = Number(response.headers['retry-after']);
@@ -52,6 +53,8 @@
 export interface Progress {
   onTokens(count: number): void;
   onBytes(): void;
+  /** The caller does not read: nothing is read from the endpoint until the next bytes. */
+  onPause(): void;
 }
 
 /** Reads an engine's stream to its end, passes it on, and returns the tokens it carried. */
@@ -63,7 +66,14 @@
 ): Promise<number> {
   const events: string[] = [];
   const decoder = new TextDecoder();
-  const parser = createParser({ onEvent: ({ data }) => events.push(data) });
+  const parser = createParser({
+    onEvent: ({ data }) => events.push(data),
+    onError: ({ type }) => {
+      if (type !== 'max-buffer-size-exceeded') return;
+      throw new AttemptError('malformed', 'ran', 'an event has no end');
+    },
+    maxBufferSize: MOST_EVENT_CHARACTERS,
+  });
   let tokens = 0;
   for await (const bytes of body) {
     progress.onBytes();
@@ -80,7 +90,11 @@
       }
       if (hasToken(chunk)) arrived += 1;
       const room = exchange.writeChunk(chunk);
-      if (room !== undefined) await room;
+      if (room !== undefined) {
+        progress.onPause();
+        await room;
+        progress.onBytes();
+      }
     }
     events.length = 0;
     tokens += arrived;
--- a/packages/router/src/errors/routerError.ts
+++ b/packages/router/src/errors/routerError.ts
@@ -4,6 +4,7 @@
 export type RouterErrorCode =
   | 'settings_unreadable'
   | 'settings_invalid'
+  | 'credentials_unreadable'
   | 'platform_unavailable'
   | 'peer_unavailable'
   | 'answer_too_large'
--- a/packages/router/src/peers/peerClient.ts
+++ b/packages/router/src/peers/peerClient.ts
@@ -4,22 +4,28 @@
 
 import { PeerError } from '../errors/index.js';
 import type { ControlTraffic } from '../metrics/index.js';
+import type { Credentials, TlsMaterial } from '../security/index.js';
 
 const CALL_TIMEOUT_MS = 1000;
 
+function createAgent(tls: TlsMaterial | null): Agent {
+  return new Agent({ connections: 4, connect: { timeout: CALL_TIMEOUT_MS, ...tls } });
+}
+
 /** Calls other VMs: json-rpc-2.0 over kept-alive HTTP. */
 export class PeerClient {
-  readonly #sharedKey: string;
+  readonly #readCredentials: () => Credentials;
 
   readonly #traffic: ControlTraffic;
 
-  readonly #agent = new Agent({ connections: 4, connect: { timeout: CALL_TIMEOUT_MS } });
+  #agent: Agent;
 
   readonly #clients = new Map<string, JSONRPCClient>();
 
-  constructor(sharedKey: string, traffic: ControlTraffic) {
-    this.#sharedKey = sharedKey;
+  constructor(readCredentials: () => Credentials, traffic: ControlTraffic) {
+    this.#readCredentials = readCredentials;
     this.#traffic = traffic;
+    this.#agent = createAgent(readCredentials().peerTls);
   }
 
   /** Calls a peer. Throws PeerError when it does not answer in time. */
@@ -33,11 +39,24 @@
     }
   }
 
+  /** Uses the credentials in force for new connections; calls on the old ones end first. */
+  renew(): void {
+    const old = this.#agent;
+    this.#agent = createAgent(this.#readCredentials().peerTls);
+    void old.close();
+  }
+
   /** Closes the connections. */
   async close(): Promise<void> {
     await this.#agent.destroy();
   }
 
+  #headers(): Record<string, string> {
+    const key = this.#readCredentials().peerKeys[0];
+    const type = { 'content-type': 'application/json' };
+    return key === undefined ? type : { ...type, authorization: `Bearer ${key}` };
+  }
+
   #clientFor(url: string): JSONRPCClient {
     let client = this.#clients.get(url);
     if (client === undefined) {
@@ -57,10 +76,7 @@
       method: 'POST',
       dispatcher: this.#agent,
       headersTimeout: CALL_TIMEOUT_MS,
-      headers: {
-        authorization: `Bearer ${this.#sharedKey}`,
-        'content-type': 'application/json',
-      },
+      headers: this.#headers(),
       body,
     });
     if (response.statusCode !== 200) {
--- a/packages/router/src/peers/peerTask.ts
+++ b/packages/router/src/peers/peerTask.ts
@@ -4,6 +4,7 @@
 import type { Decider } from '../decider/index.js';
 import { PeerError } from '../errors/index.js';
 import type { ControlTraffic } from '../metrics/index.js';
+import type { Credentials } from '../security/index.js';
 import { createPeerApi } from './peerApi.js';
 import { PeerClient } from './peerClient.js';
 
@@ -24,10 +25,14 @@
 
   readonly #open = new Map<string, Open>();
 
-  constructor(sharedKey: string, decider: Decider, traffic: ControlTraffic) {
+  constructor(readCredentials: () => Credentials, decider: Decider, traffic: ControlTraffic) {
     this.#decider = decider;
-    this.#client = new PeerClient(sharedKey, traffic);
-    this.api = createPeerApi(sharedKey, traffic, (call) => this.#receive(call));
+    this.#client = new PeerClient(readCredentials, traffic);
+    this.api = createPeerApi(
+      () => readCredentials().peerKeys,
+      traffic,
+      (call) => this.#receive(call),
+    );
   }
 
   /** Calls a peer and posts what came of it. */
@@ -50,6 +55,11 @@
     open.resolve(reply);
   }
 
+  /** Uses the credentials in force for new connections. */
+  renewCredentials(): void {
+    this.#client.renew();
+  }
+
   /** Closes the connections. */
   async close(): Promise<void> {
     this.#open.forEach(({ timer }) => clearTimeout(timer));
--- a/packages/router/src/peers/secretsEqual.ts
+++ b/packages/router/src/security/secretsEqual.ts
@@ -8,3 +8,8 @@
 export function areSecretsEqual(left: string, right: string): boolean {
   return timingSafeEqual(digest(left), digest(right));
 }
+
+/** Says whether a text is one of several secrets; looks at all of them. */
+export function isOneOfSecrets(text: string, secrets: readonly string[]): boolean {
+  return secrets.map((secret) => areSecretsEqual(text, secret)).includes(true);
+}
--- /dev/null
+++ b/packages/router/src/settings/findCredentialFaults.ts
@@ -0,0 +1,38 @@
+/** The parts of the settings that say who may call. */
+interface CredentialSettings {
+  readonly admin: { readonly operatorToken?: string; readonly operatorTokenFile?: string };
+  readonly peers: {
+    readonly host: string;
+    readonly sharedKey?: string;
+    readonly sharedKeyFile?: string;
+    readonly tls?: unknown;
+  };
+}
+
+/** A fault of the settings as a whole. */
+interface CredentialFault {
+  readonly path: readonly string[];
+  readonly message: string;
+}
+
+const LOOPBACK = /^(127\.\d{1,3}\.\d{1,3}\.\d{1,3}|::1|localhost)$/;
+
+/** Finds credentials that are missing or given twice. */
+export function findCredentialFaults({ admin, peers }: CredentialSettings): CredentialFault[] {
+  const faults: CredentialFault[] = [];
+  if (admin.operatorToken === undefined && admin.operatorTokenFile === undefined) {
+    const message = 'an operatorToken or an operatorTokenFile';
+    faults.push({ path: ['admin', 'operatorToken'], message });
+  }
+  if (peers.sharedKey !== undefined && peers.sharedKeyFile !== undefined) {
+    const message = 'either a sharedKey or a sharedKeyFile, not both';
+    faults.push({ path: ['peers', 'sharedKeyFile'], message });
+  }
+  const isOpen =
+    peers.sharedKey === undefined && peers.sharedKeyFile === undefined && peers.tls === undefined;
+  if (isOpen && !LOOPBACK.test(peers.host)) {
+    const message = 'a sharedKey, a sharedKeyFile or tls, because peers listens beyond loopback';
+    faults.push({ path: ['peers', 'sharedKey'], message });
+  }
+  return faults;
+}
--- a/packages/router/src/settings/settings.ts
+++ b/packages/router/src/settings/settings.ts
@@ -1,26 +1,110 @@
 import { z } from 'zod';
 
-const port = z.number().int().min(0).max(65_535);
-const host = z.string().min(1).default('127.0.0.1');
+import { findCredentialFaults } from './findCredentialFaults.js';
 
-/** Shape of the settings of one daemon. */
-export const settingsSchema = z.strictObject({
-  vm: z.strictObject({
+const host = z
+  .string()
+  .min(1)
+  .default('127.0.0.1')
+  .describe('Address to listen on; the default is reached from this VM only.');
+const file = z.string().min(1);
+const secret = z
+  .string()
+  .min(16)
+  .max(512)
+  .regex(/^[\x21-\x7e]+$/, 'expected 16 to 512 visible ASCII characters');
+
+const portOf = (use: string) =>
+  z.number().int().min(0).max(65_535).describe(`Port ${use}; 0 takes a free one.`);
+
+const tlsSchema = z
+  .strictObject({
+    certificateFile: file.describe('PEM file with the certificate and its chain.'),
+    keyFile: file.describe('PEM file with the private key.'),
+  })
+  .describe('TLS; both files are read again when they change.');
+
+const peerTlsSchema = z
+  .strictObject({
+    ...tlsSchema.shape,
+    authorityFile: file.describe('PEM file with the authorities that peers must be signed by.'),
+  })
+  .describe('Mutual TLS: both sides show a certificate that an authority signed.');
+
+const vmSchema = z
+  .strictObject({
     id: z.string().min(1).max(64).describe('Id of this VM in the published list.'),
     zone: z.string().min(1).describe('Availability zone of this VM.'),
     region: z.string().min(1).describe('Region of this VM.'),
-  }),
-  callers: z.strictObject({
+  })
+  .describe('Which VM this is.');
+
+const callersSchema = z
+  .strictObject({
     host,
-    port: port.describe('Port of the API for callers; 0 takes a free one.'),
-    maxBodyBytes: z.number().int().positive().default(1_048_576),
-    maxAnswerBytes: z.number().int().positive().default(8_388_608),
-  }),
-  admin: z.strictObject({
+    port: portOf('of the API for callers'),
+    tls: tlsSchema.optional(),
+    maxBodyBytes: z
+      .number()
+      .int()
+      .positive()
+      .default(1_048_576)
+      .describe('Largest body of a request.'),
+    maxAnswerBytes: z
+      .number()
+      .int()
+      .positive()
+      .default(8_388_608)
+      .describe('Largest answer that is kept until it is whole.'),
+    maxHeaderBytes: z
+      .number()
+      .int()
+      .min(1024)
+      .max(1_048_576)
+      .default(16_384)
+      .describe('Largest sum of the headers of a request.'),
+    maxConnections: z
+      .number()
+      .int()
+      .positive()
+      .default(16_384)
+      .describe('Most open connections; further ones are closed at once.'),
+    maxOpenRequests: z
+      .number()
+      .int()
+      .positive()
+      .default(8192)
+      .describe('Most requests without a final answer; further ones are refused.'),
+    headersTimeoutSeconds: z
+      .number()
+      .positive()
+      .max(600)
+      .default(10)
+      .describe('Longest time for a caller to send the headers.'),
+    requestTimeoutSeconds: z
+      .number()
+      .positive()
+      .max(3600)
+      .default(60)
+      .describe('Longest time for a caller to send the whole request.'),
+    stallSeconds: z
+      .number()
+      .positive()
+      .max(600)
+      .default(10)
+      .describe('Longest time that a caller may not read while its answer waits.'),
+  })
+  .describe('The API for callers.');
+
+const adminSchema = z
+  .strictObject({
     host,
-    port: port.describe('Port of the admin API; 0 takes a free one.'),
-    operatorToken: z.string().min(16).describe('Token that may read and act.'),
-    readerToken: z.string().min(16).optional().describe('Token that may only read.'),
+    port: portOf('of the admin API'),
+    tls: tlsSchema.optional(),
+    operatorToken: secret.optional().describe('Token that may read and act.'),
+    operatorTokenFile: file.optional().describe('File with such tokens, one a line.'),
+    readerToken: secret.optional().describe('Token that may only read.'),
+    readerTokenFile: file.optional().describe('File with such tokens, one a line.'),
     keptDecisions: z
       .number()
       .int()
@@ -28,22 +112,52 @@
       .max(100_000)
       .default(2000)
       .describe('Requests whose decisions are kept to be explained.'),
-  }),
-  peers: z.strictObject({
+  })
+  .describe('The API for operators; it needs operatorToken or operatorTokenFile.');
+
+const peersSchema = z
+  .strictObject({
     host,
-    port: port.describe('Port for calls between VMs; 0 takes a free one.'),
-    sharedKey: z.string().min(16).describe('Key that all VMs of the fleet share.'),
-  }),
-  platform: z.strictObject({
+    port: portOf('for calls between VMs'),
+    sharedKey: secret.optional().describe('Key that all VMs of the fleet share.'),
+    sharedKeyFile: file
+      .optional()
+      .describe('File with such keys, one a line: the first is sent, all are taken.'),
+    tls: peerTlsSchema.optional(),
+  })
+  .describe('Calls between VMs; beyond loopback they need a shared key or mutual TLS.');
+
+const platformSchema = z
+  .strictObject({
     configurationUrl: z.url().describe('Base address of the configuration service.'),
     listUrl: z.url().describe('Base address of the list of VMs.'),
     weightsUrl: z.url().optional().describe('Base address of the weight store.'),
-    watchSeconds: z.number().positive().max(300).default(30),
-  }),
-  drainSeconds: z.number().positive().default(600).describe('Longest wait for streams to end.'),
-  logLevel: z.enum(['error', 'warn', 'info']).default('info'),
-  seed: z.number().int().optional().describe('Seed of the random source; absent: the clock.'),
-});
+    watchSeconds: z
+      .number()
+      .positive()
+      .max(300)
+      .default(30)
+      .describe('Longest wait of one watch for a change.'),
+  })
+  .describe('What the platform publishes; it is only read.');
+
+/** Shape of the settings of one daemon. */
+export const settingsSchema = z
+  .strictObject({
+    vm: vmSchema,
+    callers: callersSchema,
+    admin: adminSchema,
+    peers: peersSchema,
+    platform: platformSchema,
+    drainSeconds: z.number().positive().default(600).describe('Longest wait for streams to end.'),
+    logLevel: z.enum(['error', 'warn', 'info']).default('info').describe('Least level of lines.'),
+    seed: z.number().int().optional().describe('Seed of the random source; absent: the clock.'),
+  })
+  .superRefine((settings, context) => {
+    findCredentialFaults(settings).forEach(({ path, message }) => {
+      context.addIssue({ code: 'custom', path: [...path], message });
+    });
+  });
 
 /** Settings of one daemon. */
 export type Settings = z.infer<typeof settingsSchema>;
