--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -6,14 +6,17 @@
 import { createAdminApi, dumpState } from './admin/index.js';
 import { createCallerApi, Exchanges } from './callers/index.js';
 import { now } from './clock.js';
+import { createObservers, type Observers } from './createObservers.js';
 import { Decider } from './decider/index.js';
 import { EndpointTasks } from './endpoints/index.js';
 import { listen, type Listener } from './listen.js';
 import { createLog } from './log/index.js';
+import { ControlTraffic } from './metrics/index.js';
 import { OrderTask } from './orders/index.js';
 import { PeerTask } from './peers/index.js';
 import { PlatformTask } from './platform/index.js';
 import { ReportTask } from './reports/index.js';
+import { CredentialTask } from './security/index.js';
 import type { Settings } from './settings/index.js';
 
 const DRAIN_POLL_MS = 50;
@@ -26,6 +29,8 @@
   readonly peerUrl: string;
   /** Dumps the state; carries no prompt, key or token. */
   state(): ReturnType<typeof dumpState>;
+  /** Reads keys, tokens and certificates again from their files. */
+  reloadCredentials(): Promise<void>;
   /** Takes no new work, finishes what runs, then stops; resolves when stopped. */
   drain(): Promise<void>;
   /** Stops at once and cuts what runs. */
@@ -41,24 +46,32 @@
   readonly peers: PeerTask;
   readonly orders: OrderTask;
   readonly reports: ReportTask;
+  readonly credentials: CredentialTask;
   readonly log: Logger;
+  readonly observers: Observers;
 }
 
-function createTasks(settings: Settings, self: Vm): Tasks {
+async function createTasks(settings: Settings, self: Vm): Promise<Tasks> {
+  const log = createLog(settings.vm.id, settings.logLevel);
+  const credentials = await CredentialTask.create(settings, log);
   const started = now();
   const { weightsBytesPerSecond } = settings.platform;
   const random = createRandom(settings.seed ?? Math.floor(started));
   const decider = new Decider(createCore(self, random, started, { weightsBytesPerSecond }));
   const exchanges = new Exchanges();
+  const traffic = new ControlTraffic();
+  const { keptDecisions } = settings.admin;
   return {
     decider,
     exchanges,
-    endpoints: new EndpointTasks(decider, exchanges),
-    platform: new PlatformTask(settings.platform, decider),
-    peers: new PeerTask(settings.peers.sharedKey, decider),
     orders: new OrderTask(decider),
     reports: new ReportTask(decider),
-    log: createLog(settings.vm.id, settings.logLevel),
+    observers: createObservers(decider, traffic, keptDecisions, () => exchanges.size),
+    endpoints: new EndpointTasks(decider, exchanges, settings.callers.maxAnswerBytes),
+    platform: new PlatformTask(settings.platform, decider, traffic),
+    peers: new PeerTask(() => credentials.current, decider, traffic),
+    credentials,
+    log,
   };
 }
 
@@ -99,22 +112,37 @@
   tasks: Tasks,
   beginDrain: () => void,
 ): Promise<{ callers: Listener; admin: Listener; peers: Listener }> {
-  const { decider, exchanges } = tasks;
+  const { decider, exchanges, observers, credentials } = tasks;
+  const tokens = {
+    operator: () => credentials.current.operatorTokens,
+    reader: () => credentials.current.readerTokens,
+  };
+  const { callerTls, adminTls, peerTls } = credentials.current;
   const callerApi = createCallerApi({ decider, exchanges, settings });
-  const adminApi = createAdminApi({ decider, settings: settings.admin, beginDrain });
+  const adminApi = createAdminApi({ decider, ...observers, tokens, beginDrain });
+  const callerOptions = { tls: callerTls, limits: settings.callers };
+  const peerOptions = { tls: peerTls, isMutual: true };
   const [callers, admin, peers] = await Promise.all([
-    listen(callerApi, settings.callers.host, settings.callers.port),
-    listen(adminApi, settings.admin.host, settings.admin.port),
-    listen(tasks.peers.api, settings.peers.host, settings.peers.port),
+    listen(callerApi, settings.callers.host, settings.callers.port, callerOptions),
+    listen(adminApi, settings.admin.host, settings.admin.port, { tls: adminTls }),
+    listen(tasks.peers.api, settings.peers.host, settings.peers.port, peerOptions),
   ]);
+  credentials.onChange((changed) => {
+    if (changed.callerTls !== null) callers.setTls(changed.callerTls);
+    if (changed.adminTls !== null) admin.setTls(changed.adminTls);
+    if (changed.peerTls !== null) peers.setTls(changed.peerTls);
+    tasks.peers.renewCredentials();
+  });
+  credentials.start();
   return { callers, admin, peers };
 }
 
 /** Starts a router; resolves when it listens. */
 export async function createRouter(settings: Settings): Promise<Router> {
   const { host, port } = settings.peers;
-  const self: Vm = { ...settings.vm, peerUrl: `http://${host}:${port}`, state: 'live' };
-  const tasks = createTasks(settings, self);
+  const scheme = settings.peers.tls === undefined ? 'http' : 'https';
+  const self: Vm = { ...settings.vm, peerUrl: `${scheme}://${host}:${port}`, state: 'live' };
+  const tasks = await createTasks(settings, self);
   const { decider, exchanges, endpoints, platform, peers, orders, reports } = tasks;
   connectTasks(tasks);
   let draining: Promise<void> | null = null;
@@ -123,6 +151,7 @@
     decider.stop();
     await Promise.all([platform.stop(), reports.stop()]);
     await Promise.all([peers.close(), endpoints.close(), orders.close()]);
+    tasks.credentials.stop();
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- stopped after it opened
     await Promise.all(Object.values(listeners).map((listener) => listener.close()));
   };
@@ -150,7 +179,8 @@
     callerUrl: listeners.callers.url,
     adminUrl: listeners.admin.url,
     peerUrl: listeners.peers.url,
-    state: () => dumpState(decider.core, now()),
+    state: () => dumpState(decider.core, tasks.observers.attainment, now()),
+    reloadCredentials: () => tasks.credentials.reload(),
     drain,
     stop,
   };
