--- a/packages/core/src/entry/counters.ts
+++ b/packages/core/src/entry/counters.ts
@@ -23,6 +23,8 @@
   'heartbeats',
   'peers_lost',
   'pauses',
+  'orders',
+  'orders_failed',
 ] as const;
 
 /** Name of a counter. */
--- a/packages/core/src/entry/decide.ts
+++ b/packages/core/src/entry/decide.ts
@@ -1,7 +1,6 @@
 import { match } from 'ts-pattern';
 
 import { recordSuccess } from '../health/index.js';
-import { recordReport } from '../placement/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
 import type { Message } from './message.js';
@@ -17,6 +16,7 @@
   onSheetOffered,
 } from './onPlatform.js';
 import { onCallerLeft, onRequestArrived } from './onRequest.js';
+import { onLoadReported, onOrderEnded } from './onReport.js';
 import { onTick } from './onTick.js';
 import { onWoke } from './recheck.js';
 
@@ -43,7 +43,7 @@
     .with({ kind: 'probe-ended' }, (m) => {
       if (m.healthy) recordSuccess(core.health, m.endpointId);
     })
-    .with({ kind: 'load-reported' }, (m) => recordReport(core.placement, m.report))
+    .with({ kind: 'load-reported' }, (m) => onLoadReported(core, m, now, actions))
     .with({ kind: 'cache-changed' }, ignore)
     .with({ kind: 'manifest-offered' }, (m) => onManifestOffered(core, m, now, actions))
     .with({ kind: 'sheet-offered' }, (m) => onSheetOffered(core, m, now, actions))
@@ -54,10 +54,10 @@
     .with({ kind: 'peer-called' }, (m) => onPeerCalled(core, m, now, actions))
     .with({ kind: 'peer-replied' }, (m) => onPeerReplied(core, m, now, actions))
     .with({ kind: 'peer-failed' }, (m) => onPeerFailed(core, m, now, actions))
-    .with({ kind: 'order-ended' }, ignore)
     .with({ kind: 'drain-began' }, () => onDrainBegan(core, now, actions))
     .with({ kind: 'drain-timed-out' }, () => onDrainTimedOut(core, actions))
     .with({ kind: 'woke' }, (m) => onWoke(core, m, now, actions))
+    .with({ kind: 'order-ended' }, (m) => onOrderEnded(core, m, actions))
     .with({ kind: 'tick' }, () => onTick(core, now, actions))
     .exhaustive();
   return actions;
--- a/packages/core/src/entry/message.ts
+++ b/packages/core/src/entry/message.ts
@@ -33,7 +33,8 @@
       readonly text: string;
     }
   | { readonly kind: 'sheet-missing'; readonly source: Source; readonly sheet: string }
-  | { readonly kind: 'list-offered'; readonly source: Source; readonly list: VmList }
+  /** Without a source it was read from the platform. */
+  | { readonly kind: 'list-offered'; readonly source?: Source; readonly list: VmList }
   /** The platform answered that nothing changed. */
   | { readonly kind: 'platform-unchanged'; readonly part: 'configuration' | 'list' }
   | { readonly kind: 'platform-failed'; readonly part: 'configuration' | 'list' }
--- a/packages/core/src/entry/recheck.ts
+++ b/packages/core/src/entry/recheck.ts
@@ -5,6 +5,7 @@
   listPeers,
   type Recheck,
 } from '../membership/index.js';
+import { forgetOrders } from '../orders/index.js';
 import { tableRevision } from '../table/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
@@ -31,6 +32,7 @@
 ): void {
   count(core, 'pauses');
   beginRecheck(core.membership, now);
+  forgetOrders(core.orders);
   actions.push({ kind: 'fetch-manifest', peer: null }, { kind: 'fetch-list', peer: null });
   askPeers(core, now, actions);
   const fields = { pausedMs: Math.round(pausedMs) };
--- a/packages/core/src/table/queries.ts
+++ b/packages/core/src/table/queries.ts
@@ -1,4 +1,4 @@
-import { hashText } from '../shared/index.js';
+import { digestText } from '../shared/index.js';
 import type { Account, Class, Manifest, SheetPosition } from '../types/index.js';
 import type { Sheet, TableState } from './state.js';
 
@@ -35,7 +35,7 @@
 /** Returns a digest of what a manifest names: two equal digests are the same table. */
 export function digestManifest(manifest: Manifest): string {
   const names = Object.keys(manifest.sheets).sort();
-  return hashText(names.map((name) => `${name}=${manifest.sheets[name]!.digest}`).join('\n'));
+  return digestText(names.map((name) => `${name}=${manifest.sheets[name]!.digest}`).join('\n'));
 }
 
 /** Returns the digest of the table in force, or an empty text before the first. */
--- a/packages/core/src/testing/coreFleet.ts
+++ b/packages/core/src/testing/coreFleet.ts
@@ -6,7 +6,7 @@
   type Core,
   type Message,
 } from '../entry/index.js';
-import { createRandom, hashText, type Random } from '../shared/index.js';
+import { createRandom, digestText, type Random } from '../shared/index.js';
 import type { PeerReply, SheetReply, Vm, VmList } from '../types/index.js';
 import type { PublishedTable } from './publishedTable.js';
 
@@ -192,7 +192,7 @@
   }
 
   #fetch(id: string, action: ActionOf<'fetch-manifest' | 'fetch-list' | 'fetch-sheet'>): void {
-    const { peer } = action;
+    const { peer = null } = action;
     if (peer === null) {
       this.#fetchFromService(id, action);
       return;
@@ -216,7 +216,7 @@
   }
 
   #offerText(id: string, source: 'service' | { peer: string }, sheet: string, text: string): void {
-    this.post(id, { kind: 'sheet-offered', source, sheet, digest: hashText(text), text });
+    this.post(id, { kind: 'sheet-offered', source, sheet, digest: digestText(text), text });
   }
 
   #fetchFromService(
--- a/packages/core/src/testing/publishedTable.ts
+++ b/packages/core/src/testing/publishedTable.ts
@@ -1,4 +1,4 @@
-import { hashText } from '../shared/index.js';
+import { digestText } from '../shared/index.js';
 import type { Manifest } from '../types/index.js';
 
 /** A revision of the table as a platform publishes it. */
@@ -26,7 +26,7 @@
   const texts = new Map(Object.entries(sheets).map(([name, rows]) => [name, JSON.stringify(rows)]));
   const positions: Manifest['sheets'] = {};
   texts.forEach((text, name) => {
-    positions[name] = { revision, digest: hashText(text) };
+    positions[name] = { revision, digest: digestText(text) };
   });
   return { manifest: { revision, sheets: positions }, texts };
 }
