Keep the revision in force from falling in any order of service, peers and restarts

Cause: a property test over random orders found four faults: a VM that starts while the whole platform is away knew no list and so asked no peer; a revision whose sheets could not be had hid a lower one that peers had in force; re-reading the manifest for missing sheets used up the turns in which peers were asked; a watch that had seen a revision never offered it again. Change: heartbeats carry the address of the sender, used only while no list is known; a stalled revision gives way to a lower one above the one in force; the two waits are apart; watches ask after what the core has seen. Calls to the platform have a budget: the fleet's rate over the listed VMs.

--- a/packages/core/src/entry/action.ts
+++ b/packages/core/src/entry/action.ts
@@ -26,6 +26,8 @@
   /** The caller waits for, or is given, the answer of another request with the same key. */
   | { readonly kind: 'join'; readonly requestId: string; readonly joined: string }
   | { readonly kind: 'probe'; readonly endpoint: Endpoint }
+  /** Connections that wait on the platform may not have lived through a pause. */
+  | { readonly kind: 'restart-watches' }
   | { readonly kind: 'fetch-manifest'; readonly peer: Vm | null }
   | {
       readonly kind: 'fetch-sheet';
--- a/packages/core/src/entry/buildHeartbeat.ts
+++ b/packages/core/src/entry/buildHeartbeat.ts
@@ -1,5 +1,5 @@
 import { listClassLoads } from '../admission/index.js';
-import { listNews, ownState } from '../membership/index.js';
+import { listNews, ownPeerUrl, ownState } from '../membership/index.js';
 import { tableDigest, tableRevision } from '../table/index.js';
 import type { ClassLoad, Heartbeat } from '../types/index.js';
 import type { Core } from './core.js';
@@ -18,6 +18,7 @@
   membership.sequence += 1;
   return {
     from: membership.self.id,
+    peerUrl: ownPeerUrl(membership),
     incarnation: membership.incarnation,
     sequence: membership.sequence,
     state: ownState(membership),
--- a/packages/core/src/entry/fetchSheets.ts
+++ b/packages/core/src/entry/fetchSheets.ts
@@ -31,8 +31,8 @@
     const { sheet, digest } = fetch;
     actions.push({ kind: 'fetch-sheet', sheet, digest, peer: chooseSource(core, fetch, now) });
   });
-  if (!hasFailedFetches(table) || now < table.nextManifestFetchAt) return;
+  if (!hasFailedFetches(table) || now < table.nextManifestRetryAt) return;
   // The sheet may be missing because a newer revision has taken its place.
-  table.nextManifestFetchAt = now + MANIFEST_RETRY_MS * (1 + core.random.next());
+  table.nextManifestRetryAt = now + MANIFEST_RETRY_MS * (1 + core.random.next());
   actions.push({ kind: 'fetch-manifest', peer: null });
 }
--- a/packages/core/src/entry/onHeartbeat.ts
+++ b/packages/core/src/entry/onHeartbeat.ts
@@ -8,8 +8,8 @@
   recordHeartbeat,
   recordSilence,
 } from '../membership/index.js';
-import { highestSeen, noteConflict } from '../table/index.js';
-import type { Heartbeat } from '../types/index.js';
+import { isWorthFetching, noteConflict } from '../table/index.js';
+import type { Heartbeat, Vm } from '../types/index.js';
 import type { Action } from './action.js';
 import { buildHeartbeat } from './buildHeartbeat.js';
 import { nextId, type Core } from './core.js';
@@ -27,10 +27,18 @@
 /** Shortest time between two reads of a list that a peer knows to be newer. */
 const LIST_FETCH_MS = 3000;
 
+/** Until a list is known, the sender's own address serves to ask it for one. */
+function findSender({ membership }: Core, { from, peerUrl }: Heartbeat): Vm | null {
+  const listed = findVm(membership, from);
+  if (listed !== undefined) return listed;
+  if (membership.list !== null || peerUrl === undefined) return null;
+  return { id: from, peerUrl, zone: '', region: '', state: 'live' };
+}
+
 function learnRevisions(core: Core, heartbeat: Heartbeat, now: number, actions: Action[]): void {
   const { membership, table } = core;
-  const peer = findVm(membership, heartbeat.from) ?? null;
-  const isTableOld = heartbeat.tableRevision > highestSeen(table);
+  const peer = findSender(core, heartbeat);
+  const isTableOld = isWorthFetching(table, heartbeat.tableRevision, now);
   if (isTableOld && peer !== null && now >= table.nextManifestFetchAt) {
     table.nextManifestFetchAt = now + MANIFEST_FETCH_MS;
     actions.push({ kind: 'fetch-manifest', peer });
--- a/packages/core/src/entry/recheck.ts
+++ b/packages/core/src/entry/recheck.ts
@@ -33,6 +33,7 @@
   count(core, 'pauses');
   beginRecheck(core.membership, now);
   forgetOrders(core.orders);
+  actions.push({ kind: 'restart-watches' });
   actions.push({ kind: 'fetch-manifest', peer: null }, { kind: 'fetch-list', peer: null });
   askPeers(core, now, actions);
   const fields = { pausedMs: Math.round(pausedMs) };
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -19,6 +19,7 @@
   listNews,
   listPeers,
   listReachablePeers,
+  ownPeerUrl,
   ownState,
 } from './queries.js';
 export {
--- a/packages/core/src/membership/queries.ts
+++ b/packages/core/src/membership/queries.ts
@@ -62,6 +62,11 @@
   return place.zone === self.zone ? 'zone' : 'region';
 }
 
+/** Returns the address at which other VMs call this one: the published one, if there is one. */
+export function ownPeerUrl(state: MembershipState): string {
+  return findVm(state, state.self.id)?.peerUrl ?? state.self.peerUrl;
+}
+
 /** Tells what this VM says of itself. */
 export function ownState(state: MembershipState): VmState {
   if (state.leaving) return 'leaving';
--- a/packages/core/src/table/commands.ts
+++ b/packages/core/src/table/commands.ts
@@ -1,6 +1,6 @@
 import type { Manifest, Table } from '../types/index.js';
 import { checkReferences, checkSheet, type Checked, type Fault } from './checkTable.js';
-import { digestManifest, highestSeen, isStalled, tableRevision } from './queries.js';
+import { digestManifest, isWorthFetching, tableRevision } from './queries.js';
 import { createTableView, type Sheet, type TableState, type Wanted } from './state.js';
 
 /** What came of an offered manifest or sheet. */
@@ -100,13 +100,6 @@
   return true;
 }
 
-function isWorthFetching(state: TableState, revision: number, now: number): boolean {
-  if (revision > highestSeen(state)) return true;
-  const isInForceOrRefused =
-    revision <= tableRevision(state) || revision <= (state.refused?.revision ?? -1);
-  return !isInForceOrRefused && isStalled(state, now) && state.wanted!.manifest.revision > revision;
-}
-
 /**
  * Takes a manifest with a higher revision than any seen; the revision in force never falls.
  * A lower one than the one on its way is taken only when that one has stalled.
--- a/packages/core/src/table/index.ts
+++ b/packages/core/src/table/index.ts
@@ -15,7 +15,7 @@
   findClass,
   hasFailedFetches,
   highestSeen,
-  isStalled,
+  isWorthFetching,
   listPositions,
   readSheet,
   tableDigest,
--- a/packages/core/src/table/queries.ts
+++ b/packages/core/src/table/queries.ts
@@ -58,9 +58,16 @@
   return sheets.find((sheet) => sheet !== undefined && isAsked(sheet, digest))?.text ?? null;
 }
 
-/** Says whether a revision on its way has failed to arrive for so long that it may be lost. */
-export function isStalled(state: TableState, now: number): boolean {
-  return state.wanted !== null && now - state.wanted.since > STALLED_MS;
+/**
+ * Says whether a revision is to be fetched: it is higher than any seen, or higher than the one
+ * in force while the one on its way cannot be had.
+ */
+export function isWorthFetching(state: TableState, revision: number, now: number): boolean {
+  if (revision > highestSeen(state)) return true;
+  const { wanted, refused } = state;
+  if (wanted === null || now - wanted.since <= STALLED_MS) return false;
+  const isBelowWanted = revision < wanted.manifest.revision;
+  return isBelowWanted && revision > Math.max(tableRevision(state), refused?.revision ?? -1);
 }
 
 /** Says whether sheets of the revision on its way could not be had so far. */
--- a/packages/core/src/table/state.ts
+++ b/packages/core/src/table/state.ts
@@ -64,6 +64,8 @@
   fetches: Map<string, Fetch>;
   /** Earliest instant of the next read of a manifest that a peer told of. */
   nextManifestFetchAt: number;
+  /** Earliest instant of the next read of the manifest because sheets cannot be had. */
+  nextManifestRetryAt: number;
   /** The last content that was seen under a revision that has another one here. */
   conflict: { readonly revision: number; readonly digest: string } | null;
   /** Instant of the last word from the configuration service, epoch milliseconds. */
@@ -82,6 +84,7 @@
     fetched: new Map(),
     fetches: new Map(),
     nextManifestFetchAt: 0,
+    nextManifestRetryAt: 0,
     conflict: null,
     heardAt: 0,
     refused: null,
--- a/packages/core/src/testing/coreFleet.ts
+++ b/packages/core/src/testing/coreFleet.ts
@@ -14,6 +14,9 @@
 const TIMEOUT_MS = 1000;
 const TICK_MS = 100;
 
+/** No two starts of a VM happen at the same instant. */
+const START_MS = 1;
+
 /** One VM of the fleet: its core and whether it runs. */
 export interface Node {
   core: Core;
@@ -65,6 +68,7 @@
 
   /** Starts a VM, or starts it again with nothing remembered. */
   start(vm: Vm): Node {
+    this.now += START_MS;
     const random = createRandom(Math.floor(this.random.next() * 2 ** 31));
     const core = createCore(vm, random, this.now);
     const node: Node = { core, isUp: true, pausedUntil: 0, told: [], sent: [] };
--- a/packages/core/src/types/heartbeat.ts
+++ b/packages/core/src/types/heartbeat.ts
@@ -24,6 +24,8 @@
 /** What one VM tells another about itself; a hint, never authority. */
 export interface Heartbeat {
   readonly from: string;
+  /** Where a VM that knows no list yet may call the sender. */
+  readonly peerUrl?: string;
   /** Start instant of the process: a restarted VM is a new incarnation. */
   readonly incarnation: number;
   readonly sequence: number;
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -85,6 +85,7 @@
   decider.on('fetch-list', (action) => {
     void ((action.peer ?? null) === null ? platform.fetchList() : peers.fetch(action));
   });
+  decider.on('restart-watches', () => platform.restart());
   decider.on('call-peer', (action) => {
     void peers.call(action);
   });
--- a/packages/router/src/peers/peerProtocol.ts
+++ b/packages/router/src/peers/peerProtocol.ts
@@ -18,6 +18,7 @@
 
 const heartbeatSchema = z.strictObject({
   from: id,
+  peerUrl: z.url({ protocol: /^https?$/ }).optional(),
   incarnation: z.number(),
   sequence: z.number().int(),
   state: z.enum(['starting', 'live', 'leaving']),
--- a/packages/router/src/platform/platformClient.ts
+++ b/packages/router/src/platform/platformClient.ts
@@ -12,6 +12,7 @@
 
 import { PlatformError } from '../errors/index.js';
 import type { Settings } from '../settings/index.js';
+import { CallBudget } from './callBudget.js';
 
 const MS_PER_SECOND = 1000;
 const SPARE_MS = 5000;
@@ -34,7 +35,10 @@
 
   readonly #agent: Agent;
 
-  constructor(settings: Settings['platform']) {
+  readonly #budget: CallBudget;
+
+  constructor(settings: Settings['platform'], countVms: () => number) {
+    this.#budget = new CallBudget(settings.callsPerSecond, countVms);
     this.#settings = settings;
     const patienceMs = settings.watchSeconds * MS_PER_SECOND + SPARE_MS;
     this.#agent = new Agent({ headersTimeout: patienceMs, bodyTimeout: patienceMs });
@@ -97,6 +101,7 @@
 
   async #get(url: string, signal?: AbortSignal): Promise<string | null> {
     try {
+      await this.#budget.take(signal);
       const response = await request(url, { dispatcher: this.#agent, signal });
       const text = await response.body.text();
       if (response.statusCode === NOT_MODIFIED) return null;
--- a/packages/router/src/platform/platformTask.ts
+++ b/packages/router/src/platform/platformTask.ts
@@ -1,4 +1,4 @@
-import type { ActionOf, Message } from '@filbertlatch/core';
+import { countVms, highestSeen, type ActionOf, type Message } from '@filbertlatch/core';
 
 import type { Decider } from '../decider/index.js';
 import type { Settings } from '../settings/index.js';
@@ -17,13 +17,9 @@
 
   readonly #stop = new AbortController();
 
-  #manifestRevision = -1;
-
-  #listRevision = -1;
-
   constructor(settings: Settings['platform'], decider: Decider) {
     this.#decider = decider;
-    this.#client = new PlatformClient(settings);
+    this.#client = new PlatformClient(settings, () => countVms(decider.core.membership));
     const { random } = decider.core;
     this.#watchers = [
       new Watcher(
@@ -78,6 +74,11 @@
     }
   }
 
+  /** Starts the watches again: their connections may not have lived through a pause. */
+  restart(): void {
+    this.#watchers.forEach((watcher) => watcher.restart());
+  }
+
   /** Stops watching and closes the connections. */
   async stop(): Promise<void> {
     this.#stop.abort();
@@ -93,24 +94,20 @@
     if (!this.#stop.signal.aborted) this.#decider.post(message);
   }
 
-  async #watchManifest(signal: AbortSignal): Promise<void> {
-    const manifest = await this.#client.watchManifest(this.#manifestRevision, signal);
-    if (manifest === null) {
-      this.#post({ kind: 'platform-unchanged', part: 'configuration' });
-      return;
-    }
-    // A stale replica's manifest is offered too, but never moves the watch back.
-    this.#manifestRevision = Math.max(this.#manifestRevision, manifest.revision);
-    this.#post({ kind: 'manifest-offered', source: 'service', manifest });
+  /** Resolves with true when the answer was newer than what is known. */
+  async #watchManifest(signal: AbortSignal): Promise<boolean> {
+    const after = highestSeen(this.#decider.core.table);
+    const manifest = await this.#client.watchManifest(after, signal);
+    if (manifest === null) this.#post({ kind: 'platform-unchanged', part: 'configuration' });
+    else this.#post({ kind: 'manifest-offered', source: 'service', manifest });
+    return manifest !== null && manifest.revision > after;
   }
 
-  async #watchList(signal: AbortSignal): Promise<void> {
-    const list = await this.#client.watchList(this.#listRevision, signal);
-    if (list === null) {
-      this.#post({ kind: 'platform-unchanged', part: 'list' });
-      return;
-    }
-    this.#listRevision = Math.max(this.#listRevision, list.revision);
-    this.#post({ kind: 'list-offered', source: 'service', list });
+  async #watchList(signal: AbortSignal): Promise<boolean> {
+    const after = this.#decider.core.membership.list?.revision ?? -1;
+    const list = await this.#client.watchList(after, signal);
+    if (list === null) this.#post({ kind: 'platform-unchanged', part: 'list' });
+    else this.#post({ kind: 'list-offered', source: 'service', list });
+    return list !== null && list.revision > after;
   }
 }
--- a/packages/router/src/platform/watcher.ts
+++ b/packages/router/src/platform/watcher.ts
@@ -6,15 +6,21 @@
 const LONGEST_BACKOFF_MS = 10_000;
 const LARGEST_EXPONENT = 10;
 
+/** Wait after an answer that brought nothing new, so that one given at once cannot spin. */
+const IDLE_MS = 500;
+
 /** Returns the wait before the next try, with full jitter, in milliseconds. */
 export function backoffMs(failures: number, random: Random): number {
   const exponent = Math.min(failures, LARGEST_EXPONENT);
   return random.next() * Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** exponent);
 }
 
+/** Reads once; resolves with true when the answer was new. */
+export type Poll = (signal: AbortSignal) => Promise<boolean>;
+
 /** The task that keeps one long poll open and starts it again after each answer. */
 export class Watcher {
-  readonly #poll: (signal: AbortSignal) => Promise<void>;
+  readonly #poll: Poll;
 
   readonly #onFailure: (error: unknown) => void;
 
@@ -22,11 +28,9 @@
 
   readonly #stop = new AbortController();
 
-  constructor(
-    poll: (signal: AbortSignal) => Promise<void>,
-    onFailure: (error: unknown) => void,
-    random: Random,
-  ) {
+  #attempt = new AbortController();
+
+  constructor(poll: Poll, onFailure: (error: unknown) => void, random: Random) {
     this.#poll = poll;
     this.#onFailure = onFailure;
     this.#random = random;
@@ -34,23 +38,35 @@
 
   /** Polls until stopped; a failure waits with backoff and jitter. */
   async run(): Promise<void> {
-    const { signal } = this.#stop;
     let failures = 0;
-    while (!signal.aborted) {
+    while (!this.#stop.signal.aborted) {
+      this.#attempt = new AbortController();
+      const signal = AbortSignal.any([this.#stop.signal, this.#attempt.signal]);
       try {
-        await this.#poll(signal);
+        const isNew = await this.#poll(signal);
         failures = 0;
+        if (!isNew) await this.#wait(IDLE_MS * this.#random.next());
       } catch (error) {
-        if (signal.aborted) return;
+        if (this.#stop.signal.aborted) return;
+        if (this.#attempt.signal.aborted) continue;
         failures += 1;
         this.#onFailure(error);
-        await sleep(backoffMs(failures, this.#random), undefined, { signal }).catch(() => {});
+        await this.#wait(backoffMs(failures, this.#random));
       }
     }
   }
 
+  /** Drops the open poll, which may be on a dead connection, and starts another. */
+  restart(): void {
+    this.#attempt.abort();
+  }
+
   /** Ends the open poll and all later ones. */
   stop(): void {
     this.#stop.abort();
   }
+
+  async #wait(ms: number): Promise<void> {
+    await sleep(ms, undefined, { signal: this.#stop.signal }).catch(() => {});
+  }
 }
--- a/packages/router/src/settings/settings.ts
+++ b/packages/router/src/settings/settings.ts
@@ -36,6 +36,11 @@
       .positive()
       .optional()
       .describe('Rate of the weight store, which all VMs share, in bytes per second.'),
+    callsPerSecond: z
+      .number()
+      .positive()
+      .default(1000)
+      .describe('Calls a second to the platform that the whole fleet may make.'),
     watchSeconds: z.number().positive().max(300).default(30),
   }),
   drainSeconds: z.number().positive().default(600).describe('Longest wait for streams to end.'),
