--- a/packages/core/src/entry/counters.ts
+++ b/packages/core/src/entry/counters.ts
@@ -18,13 +18,13 @@
   'tables_accepted',
   'tables_refused',
   'lists_accepted',
+  'orders',
+  'orders_failed',
   'table_conflicts',
   'sheets_missing',
   'heartbeats',
   'peers_lost',
   'pauses',
-  'orders',
-  'orders_failed',
 ] as const;
 
 /** Name of a counter. */
--- a/packages/core/src/entry/decide.ts
+++ b/packages/core/src/entry/decide.ts
@@ -1,6 +1,6 @@
 import { match } from 'ts-pattern';
 
-import { recordSuccess } from '../health/index.js';
+import { recordCacheEvent } from '../placement/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
 import type { Message } from './message.js';
@@ -19,6 +19,7 @@
 import { onLoadReported, onOrderEnded } from './onReport.js';
 import { onTick } from './onTick.js';
 import { onWoke } from './recheck.js';
+import { onProbeEnded } from './watchHealth.js';
 
 const NO_ACTIONS: readonly Action[] = [];
 
@@ -40,11 +41,9 @@
     .with({ kind: 'caller-left' }, (m) => onCallerLeft(core, m, actions))
     .with({ kind: 'attempt-accepted' }, ignore)
     .with({ kind: 'attempt-ended' }, (m) => onAttemptEnded(core, m, now, actions))
-    .with({ kind: 'probe-ended' }, (m) => {
-      if (m.healthy) recordSuccess(core.health, m.endpointId);
-    })
     .with({ kind: 'load-reported' }, (m) => onLoadReported(core, m, now, actions))
-    .with({ kind: 'cache-changed' }, ignore)
+    .with({ kind: 'probe-ended' }, (m) => onProbeEnded(core, m, now))
+    .with({ kind: 'cache-changed' }, (m) => recordCacheEvent(core.placement.caches, m.event))
     .with({ kind: 'manifest-offered' }, (m) => onManifestOffered(core, m, now, actions))
     .with({ kind: 'sheet-offered' }, (m) => onSheetOffered(core, m, now, actions))
     .with({ kind: 'sheet-missing' }, (m) => onSheetMissing(core, m, now))
@@ -54,10 +53,10 @@
     .with({ kind: 'peer-called' }, (m) => onPeerCalled(core, m, now, actions))
     .with({ kind: 'peer-replied' }, (m) => onPeerReplied(core, m, now, actions))
     .with({ kind: 'peer-failed' }, (m) => onPeerFailed(core, m, now, actions))
+    .with({ kind: 'order-ended' }, (m) => onOrderEnded(core, m, actions))
     .with({ kind: 'drain-began' }, () => onDrainBegan(core, now, actions))
     .with({ kind: 'drain-timed-out' }, () => onDrainTimedOut(core, actions))
     .with({ kind: 'woke' }, (m) => onWoke(core, m, now, actions))
-    .with({ kind: 'order-ended' }, (m) => onOrderEnded(core, m, actions))
     .with({ kind: 'tick' }, () => onTick(core, now, actions))
     .exhaustive();
   return actions;
--- a/packages/core/src/entry/giveOrders.ts
+++ b/packages/core/src/entry/giveOrders.ts
@@ -1,5 +1,5 @@
 import { listClassLoads } from '../admission/index.js';
-import { isEndpointLeaving } from '../membership/index.js';
+import { isEndpointLeaving, isStale } from '../membership/index.js';
 import {
   assignModels,
   earnLoadBudget,
@@ -50,7 +50,7 @@
   const add = (load: ClassLoad) => {
     demand.set(load.pool, (demand.get(load.pool) ?? 0) + demandOf(load));
   };
-  listClassLoads(core.admission).forEach(add);
+  listClassLoads(core.admission, now).forEach(add);
   for (const member of core.membership.members.values()) {
     if (now - member.heardAt <= DEMAND_FRESH_MS) member.heartbeat?.loads.forEach(add);
   }
@@ -96,7 +96,7 @@
   const { listHeardAt } = core.membership;
   if (orders.confirmingSince === null) {
     orders.confirmingSince = now;
-    actions.push({ kind: 'fetch-list' });
+    actions.push({ kind: 'fetch-list', peer: null });
     return false;
   }
   return now - orders.confirmingSince >= SETTLE_MS && listHeardAt > orders.confirmingSince;
@@ -151,7 +151,8 @@
 export function giveOrders(core: Core, now: number, actions: Action[]): void {
   const { view } = core.table;
   const { list, leaving, self } = core.membership;
-  if (view === null || list === null || leaving || view.managed.length === 0) return;
+  if (view === null || list === null || view.managed.length === 0) return;
+  if (leaving || isStale(core.membership)) return;
   if (now - core.orders.plannedAt < PLAN_INTERVAL_MS) return;
   core.orders.plannedAt = now;
   earnBudget(core, now);
--- a/packages/standins/src/createEngine.ts
+++ b/packages/standins/src/createEngine.ts
@@ -1,18 +1,17 @@
-import type { ServerResponse } from 'node:http';
-
 import { createRandom, type Random } from '@filbertlatch/core';
 import { listen, PRIORITY_HEADER, REQUEST_ID_HEADER } from '@filbertlatch/router';
 import type { HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono } from 'hono';
-import { z } from 'zod';
 
 import { createTimedLoad, EngineModels, type LoadModel } from './engineModels.js';
-import { EngineQueue, type Stream } from './engineQueue.js';
+import { EngineQueue } from './engineQueue.js';
+import { bodySchema, EngineStream } from './engineStream.js';
+import { LoadReports, type MeasuredLoad } from './loadReports.js';
 import { orderSchema } from './orderSchema.js';
+import { StepClock } from './stepClock.js';
 
 const MS_PER_SECOND = 1000;
-const CHARACTERS_PER_TOKEN = 4;
 const MEDIAN_TOKENS = 60;
 const LENGTH_SPREAD = 0.7;
 
@@ -41,6 +40,12 @@
   misechoes: boolean;
   /** Ends each stream after so many tokens, without its last events; null never. */
   truncatesAfter: number | null;
+  /** Age of the load report that it gives, in milliseconds. */
+  reportLagMs: number;
+  /** Answers 503 to readers of its load. */
+  hidesLoad: boolean;
+  /** Reports an idle engine whatever runs. */
+  reportsIdle: boolean;
 }
 
 /** A stand-in engine that listens on loopback. */
@@ -55,17 +60,6 @@
   stop(): Promise<void>;
 }
 
-const bodySchema = z.looseObject({
-  model: z.string(),
-  messages: z.unknown().optional(),
-  prompt: z.unknown().optional(),
-  max_tokens: z.number().nullish(),
-  max_completion_tokens: z.number().nullish(),
-  standin: z.looseObject({ tokens: z.number().int().positive().optional() }).optional(),
-});
-
-type Body = z.infer<typeof bodySchema>;
-
 interface Env {
   readonly Bindings: HttpBindings;
 }
@@ -77,67 +71,24 @@
   return Math.max(1, Math.round(MEDIAN_TOKENS * Math.exp(LENGTH_SPREAD * normal)));
 }
 
-function chunkOf(id: string, body: Body, text: string, reason: string | null) {
-  const isChat = body.messages !== undefined;
-  const content = isChat ? { delta: { content: text } } : { text };
+function measureLoad(
+  options: EngineOptions,
+  queue: EngineQueue,
+  switches: EngineSwitches,
+  models: readonly string[],
+): MeasuredLoad {
+  const running = switches.reportsIdle ? 0 : queue.running.size;
+  const waiting = switches.reportsIdle ? [] : queue.waiting;
   return {
-    id,
-    object: isChat ? 'chat.completion.chunk' : 'text_completion',
-    created: 0,
-    model: body.model,
-    choices: [{ index: 0, ...content, finish_reason: reason }],
+    measuredAt: performance.timeOrigin + performance.now(),
+    running,
+    waiting: waiting.length,
+    waitingTokens: waiting.reduce((sum, stream) => sum + stream.promptTokens, 0),
+    tokensPerSecond: (queue.running.size * MS_PER_SECOND * switches.speed) / options.stepMs,
+    models,
   };
 }
 
-class EngineStream implements Stream {
-  readonly promptTokens: number;
-
-  prefillLeft: number;
-
-  produced = 0;
-
-  constructor(
-    readonly id: string,
-    readonly priority: number,
-    readonly outputTokens: number,
-    private readonly body: Body,
-    private readonly response: ServerResponse,
-    private readonly switches: EngineSwitches,
-    private readonly onStart: () => void,
-  ) {
-    const prompt = JSON.stringify(body.messages ?? body.prompt ?? '');
-    this.promptTokens = Math.max(1, Math.ceil(prompt.length / CHARACTERS_PER_TOKEN));
-    this.prefillLeft = this.promptTokens;
-  }
-
-  onToken(index: number, isLast: boolean): void {
-    if (index === 0) this.onStart();
-    if (this.switches.truncatesAfter !== null && index >= this.switches.truncatesAfter) {
-      this.response.destroy();
-      return;
-    }
-    const id = this.switches.misechoes ? `other-${this.id}` : this.id;
-    const chunk = chunkOf(id, this.body, ` w${index}`, isLast ? 'stop' : null);
-    this.#send(JSON.stringify(chunk));
-    if (!isLast) return;
-    const usage = {
-      prompt_tokens: this.promptTokens,
-      completion_tokens: this.outputTokens,
-      total_tokens: this.promptTokens + this.outputTokens,
-    };
-    this.#send(JSON.stringify({ ...chunk, choices: [], usage }));
-    this.#send('[DONE]');
-    this.response.end();
-  }
-
-  #send(data: string): void {
-    if (!this.response.headersSent) {
-      this.response.writeHead(200, { 'content-type': 'text/event-stream' });
-    }
-    this.response.write(`data: ${data}\n\n`);
-  }
-}
-
 /** Starts a stand-in engine: continuous batching, priorities, and switches for failures. */
 export async function createEngine(options: EngineOptions): Promise<StandInEngine> {
   const random = createRandom(options.seed);
@@ -148,6 +99,9 @@
     refuses: false,
     misechoes: false,
     truncatesAfter: null,
+    reportLagMs: 0,
+    hidesLoad: false,
+    reportsIdle: false,
   };
   const runs: string[] = [];
   const load = options.load ?? createTimedLoad(0);
@@ -168,28 +122,20 @@
     outgoing.once('close', () => queue.remove(id));
     return RESPONSE_ALREADY_SENT;
   });
-  app.get('/load', (c) =>
-    c.json({
-      measuredAt: performance.timeOrigin + performance.now(),
-      running: queue.running.size,
-      waiting: queue.waiting.length,
-      waitingTokens: queue.waiting.reduce((sum, stream) => sum + stream.promptTokens, 0),
-      tokensPerSecond: (queue.running.size * MS_PER_SECOND * switches.speed) / options.stepMs,
-      models: models.loaded,
-    }),
-  );
+  const reports = new LoadReports(() => measureLoad(options, queue, switches, models.loaded));
+  app.get('/load', (c) => {
+    if (switches.hidesLoad) return c.json({ error: { message: 'no report' } }, 503);
+    return c.json(reports.read(switches.reportLagMs));
+  });
   app.post('/orders', async (c) => {
     const order = orderSchema.parse(await c.req.json());
     return models.take(order) ? c.json({ taken: true }) : c.json({ error: 'old order' }, 409);
   });
 
-  let debt = 0;
+  const steps = new StepClock(options.stepMs, performance.now());
   const timer = setInterval(() => {
-    debt += switches.speed;
-    while (debt >= 1) {
-      debt -= 1;
-      queue.step();
-    }
+    for (let due = steps.take(performance.now(), switches.speed); due > 0; due -= 1) queue.step();
+    reports.record();
   }, options.stepMs);
   const listener = await listen(app, '127.0.0.1', 0);
   return {
