Read engine streams by a handler, and measure the router's own cost

Cause: each token passed through a Readable, its iterator and a promise; leaving the iterator at the last event also closed the connection, so each stream opened a new one. Change: StreamReader, a dispatch handler that parses, checks the echo, writes on once a read and holds the connection back while the caller has no room; the connection is kept after a whole stream. The forwarding experiment: engines, callers and one router each in processes of their own, the same streams straight to the engines and through the router, each event stamped with the monotonic clock.

--- a/packages/bench/src/experiments/experiment.ts
+++ b/packages/bench/src/experiments/experiment.ts
@@ -7,6 +7,8 @@
   readonly policies: readonly Policy[];
   /** Directory for SVG plots; null draws none. */
   readonly plotDirectory: string | null;
+  /** Directory for processor profiles of the routers' processes; null takes none. */
+  readonly profileDirectory: string | null;
   /** Takes text for people; not called when only JSON is wanted. */
   write(text: string): void;
 }
--- a/packages/bench/src/experiments/registry.ts
+++ b/packages/bench/src/experiments/registry.ts
@@ -1,11 +1,12 @@
 import { distance } from 'fastest-levenshtein';
 
+import { forwardingExperiment } from '../forwarding/index.js';
 import { listScenarios, loadScenario } from '../loadScenario.js';
 import type { Experiment } from './experiment.js';
 import { ScenarioExperiment } from './scenarioExperiment.js';
 
 /** Experiments that are more than a scenario under load. */
-const codedExperiments: readonly Experiment[] = [];
+const codedExperiments: readonly Experiment[] = [forwardingExperiment];
 
 /** Lists every experiment, by name. */
 export async function listExperiments(): Promise<Experiment[]> {
--- /dev/null
+++ b/packages/bench/src/forwarding/index.ts
@@ -0,0 +1,1 @@
+export { forwardingExperiment } from './forwardingExperiment.js';
--- /dev/null
+++ b/packages/bench/src/forwarding/worker.ts
@@ -0,0 +1,47 @@
+import { match } from 'ts-pattern';
+
+import { startEngines } from './engineGroup.js';
+import type { Answer, Ask } from './protocol.js';
+import { runStreams } from './runStreams.js';
+import { startRouter } from './startRouter.js';
+
+const US_PER_MS = 1000;
+
+function readUsage(): Answer {
+  const { user, system } = process.cpuUsage();
+  const cpuMs = (user + system) / US_PER_MS;
+  return { kind: 'usage', cpuMs, rssBytes: process.memoryUsage.rss(), atMs: performance.now() };
+}
+
+async function answer(ask: Ask): Promise<Answer> {
+  return match(ask)
+    .returnType<Promise<Answer>>()
+    .with({ kind: 'start-engines' }, async ({ group }) => {
+      const engines = await startEngines(group);
+      return { kind: 'engines-started', urls: engines.map((engine) => engine.url) };
+    })
+    .with({ kind: 'start-router' }, async ({ table }) => {
+      const router = await startRouter(table);
+      return { kind: 'router-started', callerUrl: router.callerUrl };
+    })
+    .with({ kind: 'run-streams' }, async ({ load }) => ({
+      kind: 'streams-ran',
+      result: await runStreams(load),
+    }))
+    .with({ kind: 'read-usage' }, async () => readUsage())
+    .exhaustive();
+}
+
+// The experiment is gone: its engines and streams must not outlive it.
+function leave(): void {
+  // eslint-disable-next-line n/no-process-exit -- timers and sockets would keep it alive
+  process.exit(0);
+}
+
+process.on('message', (ask: Ask) => {
+  answer(ask)
+    .catch((error: unknown): Answer => ({ kind: 'failed', message: String(error) }))
+    .then((reply) => process.send?.(reply))
+    .catch(leave);
+});
+process.on('disconnect', leave);
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -16,6 +16,7 @@
     --policy P     filbertlatch, ${baselineNames.join(', ')}, all, or previous:
                    ours beside the figures saved last
     --plot DIR     draw attainment, queues and latencies as SVG
+    --profile DIR  take processor profiles of routers in their own process
     --save         keep the figures for --policy previous
     --json         print the last line only
 
@@ -60,6 +61,7 @@
       seed: { type: 'number', default: 1 },
       policy: { type: 'string', default: 'filbertlatch' },
       plot: { type: 'string' },
+      profile: { type: 'string' },
       save: { type: 'boolean', default: false },
     },
     allowUnknownFlags: false,
@@ -80,6 +82,7 @@
     seed: flags.seed,
     policies,
     plotDirectory: flags.plot ?? null,
+    profileDirectory: flags.profile ?? null,
     write: print,
   });
   if (flags.policy === 'previous') print(await comparePrevious(name, flags.seed, result.figures));
--- a/packages/router/src/callers/exchange.ts
+++ b/packages/router/src/callers/exchange.ts
@@ -24,6 +24,9 @@
       readonly body: Buffer;
     };
 
+/** A payload of one kind. */
+export type PayloadOf<K extends Payload['kind']> = Extract<Payload, { kind: K }>;
+
 /** One caller's side of a request: owns the response until its final answer. */
 export interface Exchange {
   readonly request: Request;
--- a/packages/router/src/endpoints/endpointTask.ts
+++ b/packages/router/src/endpoints/endpointTask.ts
@@ -1,13 +1,14 @@
 import { tierRank, type ActionOf, type AttemptEnd, type Endpoint } from '@filbertlatch/core';
-import { Pool, type Dispatcher } from 'undici';
+import { Pool } from 'undici';
 
-import type { Exchange } from '../callers/exchange.js';
+import type { Exchange, PayloadOf, ServiceAnswer } from '../callers/exchange.js';
 import type { Exchanges } from '../callers/exchanges.js';
 import { now } from '../clock.js';
 import type { Decider } from '../decider/index.js';
 import { AttemptError, toAttemptError } from './attemptError.js';
 import { PRIORITY_HEADER, REQUEST_ID_HEADER, TIMEOUT_HEADER } from './engineProtocol.js';
-import { checkStatus, readServiceAnswer, readStream, type Progress } from './readAnswer.js';
+import { checkStatus, readServiceAnswer } from './readAnswer.js';
+import { StreamReader, type Progress } from './streamReader.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
 const SPARE_CONNECTIONS = 8;
@@ -96,47 +97,62 @@
     const silence = setTimeout(() => {
       running.stop.abort(new AttemptError('silent', 'may-have-run', 'the connection is silent'));
     }, action.silenceMs);
-    const progress: Progress = { onTokens, onBytes: () => silence.refresh() };
+    const progress: Progress = {
+      onAccepted: () => {
+        silence.refresh();
+        this.#decider.post({ kind: 'attempt-accepted', attemptId: action.attempt.id });
+      },
+      onTokens,
+      onBytes: () => silence.refresh(),
+    };
+    const { signal } = running.stop;
     try {
-      const response = await this.#send(action, exchange, running.stop.signal);
-      silence.refresh();
-      await checkStatus(response);
-      this.#decider.post({ kind: 'attempt-accepted', attemptId: action.attempt.id });
       if (exchange.payload.kind === 'generate') {
-        return await readStream(response.body, action, exchange, progress);
+        return await this.#stream(action, exchange, exchange.payload, progress, signal);
       }
-      exchange.writeAnswer(await readServiceAnswer(action, response));
+      exchange.writeAnswer(await this.#ask(action, exchange.payload, progress, signal));
       return 1;
     } finally {
       clearTimeout(silence);
     }
   }
 
-  #send(
+  #stream(
     action: ActionOf<'dispatch'>,
     exchange: Exchange,
+    payload: PayloadOf<'generate'>,
+    progress: Progress,
     signal: AbortSignal,
-  ): Promise<Dispatcher.ResponseData> {
-    const { payload } = exchange;
-    const headers = this.#headersOf(action);
-    if (payload.kind === 'service') {
-      return this.#pool.request({
-        method: payload.method,
-        path: payload.path,
-        headers: { ...payload.headers, ...headers },
-        body: payload.body.length > 0 ? payload.body : null,
-        signal,
-      });
-    }
+  ): Promise<number> {
     const streamOptions = { include_usage: true };
     const body = { ...payload.body, stream: true, stream_options: streamOptions };
-    return this.#pool.request({
+    const reader = new StreamReader(action.attempt.id, exchange, progress, signal);
+    const options = {
       method: 'POST',
       path: payload.path,
-      headers: { ...headers, 'content-type': 'application/json' },
+      headers: { ...this.#headersOf(action), 'content-type': 'application/json' },
       body: JSON.stringify(body),
+    } as const;
+    this.#pool.dispatch(options, reader);
+    return reader.result;
+  }
+
+  async #ask(
+    action: ActionOf<'dispatch'>,
+    payload: PayloadOf<'service'>,
+    progress: Progress,
+    signal: AbortSignal,
+  ): Promise<ServiceAnswer> {
+    const response = await this.#pool.request({
+      method: payload.method,
+      path: payload.path,
+      headers: { ...payload.headers, ...this.#headersOf(action) },
+      body: payload.body.length > 0 ? payload.body : null,
       signal,
     });
+    await checkStatus(response);
+    progress.onAccepted();
+    return readServiceAnswer(action, response);
   }
 
   #headersOf({ attempt, request }: ActionOf<'dispatch'>): Record<string, string> {
--- a/packages/standins/src/createEngine.ts
+++ b/packages/standins/src/createEngine.ts
@@ -46,6 +46,8 @@
   hidesLoad: boolean;
   /** Reports an idle engine whatever runs. */
   reportsIdle: boolean;
+  /** Writes the monotonic clock, in microseconds, as the instant of each event. */
+  stampsEvents: boolean;
 }
 
 /** A stand-in engine that listens on loopback. */
@@ -102,6 +104,7 @@
     reportLagMs: 0,
     hidesLoad: false,
     reportsIdle: false,
+    stampsEvents: false,
   };
   const runs: string[] = [];
   const load = options.load ?? createTimedLoad(0);
--- a/packages/standins/src/engineStream.ts
+++ b/packages/standins/src/engineStream.ts
@@ -6,6 +6,7 @@
 import type { Stream } from './engineQueue.js';
 
 const CHARACTERS_PER_TOKEN = 4;
+const NS_PER_US = 1000;
 
 /** Shape of a call for generated text. */
 export const bodySchema = z.looseObject({
@@ -21,13 +22,17 @@
 /** A call for generated text. */
 export type Body = z.infer<typeof bodySchema>;
 
-function chunkOf(id: string, body: Body, text: string, reason: string | null) {
+function readClock(): number {
+  return Math.round(Number(process.hrtime.bigint()) / NS_PER_US);
+}
+
+function chunkOf(id: string, body: Body, created: number, text: string, reason: string | null) {
   const isChat = body.messages !== undefined;
   const content = isChat ? { delta: { content: text } } : { text };
   return {
     id,
     object: isChat ? 'chat.completion.chunk' : 'text_completion',
-    created: 0,
+    created,
     model: body.model,
     choices: [{ index: 0, ...content, finish_reason: reason }],
   };
@@ -66,7 +71,8 @@
       return;
     }
     const id = this.switches.misechoes ? `other-${this.id}` : this.id;
-    const chunk = chunkOf(id, this.body, ` w${index}`, isLast ? 'stop' : null);
+    const created = this.switches.stampsEvents ? readClock() : 0;
+    const chunk = chunkOf(id, this.body, created, ` w${index}`, isLast ? 'stop' : null);
     this.#send(JSON.stringify(chunk));
     if (!isLast) return;
     this.#send(JSON.stringify({ ...chunk, choices: [], usage: this.#usage() }));
