Prove that a caller which pauses and reads again keeps its answer

A caller that never reads is cut off by stallSeconds either way; the pause matters to one that reads again.

Change: a test of that caller. It pauses for 2.5 s, longer than the 2 s of silence that its engine is allowed, and reads again.

--- a/packages/bench/__tests__/slowCaller.spec.ts
+++ b/packages/bench/__tests__/slowCaller.spec.ts
@@ -1,15 +1,22 @@
+import { once } from 'node:events';
 import { createServer, type Server } from 'node:http';
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { describe, it } from '@filbertlatch/core/testing';
+import { requestSchema } from '@filbertlatch/router';
 import type { ExecutionContext } from 'ava';
+import { request } from 'undici';
 
-import { createTestRouter, waitUntil } from './createTestRouter.js';
+import { createTestRouter, TOKEN, waitUntil } from './createTestRouter.js';
 import { createTestTable, KEY } from './createTestTable.js';
 
 const BYTES_PER_EVENT = 65_536;
-const OFFERED_BYTES = 512 * 1024 * 1024;
+const ENDLESS_BYTES = 512 * 1024 * 1024;
+const LONG_BYTES = 32 * 1024 * 1024;
+
+// Longer than the silence that an endpoint is allowed with the target of the test's table.
+const PAUSE_MS = 2500;
 
 // Four socket buffers of the kernel, each up to some megabytes, and the router's own.
 const MOST_TAKEN_BYTES = 64 * 1024 * 1024;
@@ -22,7 +29,7 @@
 }
 
 /** An engine that writes as fast as it is read. */
-async function createFlood(t: ExecutionContext): Promise<Flood> {
+async function createFlood(t: ExecutionContext, offeredBytes: number): Promise<Flood> {
   const flood = { url: '', taken: 0, closed: false };
   const server: Server = createServer((incoming, response) => {
     if (incoming.method !== 'POST') {
@@ -33,7 +40,11 @@
     const content = 'x'.repeat(BYTES_PER_EVENT);
     const event = `data: ${JSON.stringify({ id, choices: [{ index: 0, delta: { content } }] })}\n\n`;
     const send = () => {
-      if (flood.closed || flood.taken >= OFFERED_BYTES) return;
+      if (flood.closed) return;
+      if (flood.taken >= offeredBytes) {
+        response.end('data: [DONE]\n\n');
+        return;
+      }
       response.write(event, (error) => {
         // A closed connection takes nothing, though it calls back at once.
         if (error) return;
@@ -79,19 +90,55 @@
   });
 }
 
+async function readRequestId(socket: Socket): Promise<string> {
+  const [bytes] = (await once(socket.resume(), 'data')) as [Buffer];
+  return bytes.toString().match(/x-request-id: (\S+)/i)![1]!;
+}
+
+/** Reads how the attempts of a request ended: whether its engine was blamed. */
+async function readEnds(adminUrl: string, id: string) {
+  const headers = { authorization: `Bearer ${TOKEN}` };
+  const { body } = await request(`${adminUrl}/admin/requests/${id}`, { headers });
+  const { steps } = requestSchema.parse(await body.json());
+  return steps
+    .filter((step) => step.kind === 'attempt-ended')
+    .map(({ end, cause }) => ({ end, cause }));
+}
+
 describe('a caller that does not read', () => {
   it('stops the reading of its engine and is cut off in the end', async (t) => {
-    const flood = await createFlood(t);
+    const flood = await createFlood(t, ENDLESS_BYTES);
     const table = createTestTable({ engine: flood.url });
     const router = await createTestRouter(t, table, { callers: { stallSeconds: 3 } });
-    askWithoutReading(t, router.callerUrl);
+    const socket = askWithoutReading(t, router.callerUrl);
     await waitUntilStill(flood);
     t.true(flood.taken < MOST_TAKEN_BYTES, `${flood.taken} bytes were taken`);
-    t.log(`${flood.taken} of ${OFFERED_BYTES} bytes taken`);
+    t.log(`${flood.taken} of ${ENDLESS_BYTES} bytes taken`);
     await waitUntil(() => flood.closed);
     await waitUntil(() => router.state().openRequests === 0);
     const { counters } = router.state();
     t.is(counters.requests_abandoned, 1);
-    t.is(counters.ejections, undefined, 'the engine is not to blame');
+    t.deepEqual(await readEnds(router.adminUrl, await readRequestId(socket)), [
+      { end: 'cancelled', cause: null },
+    ]);
+  });
+
+  it('gets its whole answer when it reads again, and its engine is not held to be silent', async (t) => {
+    const flood = await createFlood(t, LONG_BYTES);
+    const table = createTestTable({ engine: flood.url });
+    const router = await createTestRouter(t, table, { callers: { stallSeconds: 60 } });
+    const socket = askWithoutReading(t, router.callerUrl);
+    await waitUntilStill(flood);
+    await sleep(PAUSE_MS);
+    let tail = '';
+    socket.on('data', (bytes: Buffer) => {
+      tail = (tail + bytes.toString('latin1')).slice(-100);
+    });
+    socket.resume();
+    await waitUntil(() => router.state().openRequests === 0);
+    const { counters } = router.state();
+    t.is(counters.requests_complete, 1, JSON.stringify(counters));
+    t.is(counters.attempts, 1);
+    await waitUntil(() => tail.includes('data: [DONE]'));
   });
 });
