--- a/packages/bench/src/collectFigures.ts
+++ b/packages/bench/src/collectFigures.ts
@@ -40,6 +40,7 @@
     ['goodPerSecond', summary.goodPerSecond],
     ['waste', summary.waste],
     ['tokens', summary.tokens],
+    ['loads', summary.loads],
     ['loop.lagP99Ms', loop.lagP99Ms],
     ['loop.busy', loop.busy],
   ];
--- a/packages/bench/src/createFleet.ts
+++ b/packages/bench/src/createFleet.ts
@@ -7,10 +7,13 @@
   createEngine,
   createPlatform,
   createService,
+  createWeightStore,
   type StandInEngine,
   type StandInPlatform,
   type StandInService,
+  type StandInWeightStore,
 } from '@filbertlatch/standins';
+import { request } from 'undici';
 
 import { createBaseline, type BaselineName } from './baseline/index.js';
 import type { Scenario } from './scenario.js';
@@ -58,11 +61,22 @@
   return scenario.zones[index % scenario.zones.length]!;
 }
 
-async function createEngines(scenario: Scenario, seed: number): Promise<StandInEngine[]> {
+async function loadWeights(store: StandInWeightStore, bytes: number, name: string): Promise<void> {
+  const { body } = await request(`${store.url}/weights/${name}?bytes=${bytes}`);
+  await body.dump();
+}
+
+async function createEngines(
+  scenario: Scenario,
+  seed: number,
+  store: StandInWeightStore,
+): Promise<StandInEngine[]> {
+  const load = (name: string) => loadWeights(store, scenario.weights.bytesPerModel, name);
   const wanted = scenario.engines.flatMap((group) =>
     Array.from({ length: group.count }, (_, index) => ({
       id: `${group.model}-${index}`,
-      models: [group.model],
+      models: [group.managed ? `${group.model}@1` : group.model],
+      load,
       slots: group.slots,
       stepMs: group.stepMs,
       prefillTokensPerSecond: group.prefillTokensPerSecond,
@@ -95,6 +109,7 @@
       slots: group.slots,
       models: [group.model],
       fencing: 'checked',
+      managed: group.managed,
     };
   });
 }
@@ -126,7 +141,10 @@
       homeRegion: scenario.region,
       defaultClass: classIds[0],
     })),
-    models: scenario.engines.map((group) => ({ id: group.model })),
+    models: scenario.engines.map((group) => ({
+      id: group.model,
+      weightBytes: scenario.weights.bytesPerModel,
+    })),
     endpoints: [...engineRows(scenario, engines), ...serviceRows(scenario, services)],
     limits: scenario.limits,
   });
@@ -141,7 +159,11 @@
       callers: { port: 0 },
       admin: { port: 0, operatorToken: OPERATOR_TOKEN },
       peers: { port: 0, sharedKey: SHARED_KEY },
-      platform: { configurationUrl: platform.url, listUrl: platform.url },
+      platform: {
+        configurationUrl: platform.url,
+        listUrl: platform.url,
+        weightsBytesPerSecond: scenario.weights.bytesPerSecond,
+      },
       logLevel: 'error',
       seed: index + 1,
     }),
@@ -199,7 +221,8 @@
   policy: Policy = 'filbertlatch',
 ): Promise<Fleet> {
   const platform = await createPlatform();
-  const engines = await createEngines(scenario, seed);
+  const weights = await createWeightStore(scenario.weights.bytesPerSecond);
+  const engines = await createEngines(scenario, seed, weights);
   const services = await createServices(scenario);
   const table = buildTable(scenario, engines, services);
   const indexes = Array.from({ length: scenario.routers }, (_, index) => index);
@@ -225,7 +248,7 @@
     publishListWithout,
     stop: async () => {
       await Promise.all(entries.map((entry) => entry.stop()));
-      await Promise.all([...engines, ...services, platform].map((part) => part.stop()));
+      await Promise.all([...engines, ...services, platform, weights].map((part) => part.stop()));
     },
   };
 }
--- a/packages/bench/src/scenario.ts
+++ b/packages/bench/src/scenario.ts
@@ -54,6 +54,8 @@
   phases: z.record(z.string(), z.array(phaseSchema)).default({}),
   entryWeights: z.array(z.number().nonnegative()).optional(),
   faults: z.array(faultSchema).default([]),
+  /** Whether the engines of the scenario are managed; absent: as their group says. */
+  managed: z.boolean().optional(),
 });
 
 /** Shape of a scenario file. */
@@ -73,8 +75,15 @@
       slots: z.number().int().positive(),
       stepMs: z.number().positive(),
       prefillTokensPerSecond: z.number().positive(),
+      managed: z.boolean().default(false).describe('The routers order what it loads.'),
     }),
   ),
+  weights: z
+    .strictObject({
+      bytesPerModel: z.number().nonnegative(),
+      bytesPerSecond: z.number().positive(),
+    })
+    .prefault({ bytesPerModel: 0, bytesPerSecond: 1e9 }),
   services: z
     .array(
       z.strictObject({
@@ -113,6 +122,10 @@
     ...scenario,
     entryWeights: variant.entryWeights ?? scenario.entryWeights,
     faults: [...scenario.faults, ...variant.faults],
+    engines: scenario.engines.map((group) => ({
+      ...group,
+      managed: variant.managed ?? group.managed,
+    })),
     loads: scenario.loads.map((load) => ({
       ...load,
       ratePerSecond: load.ratePerSecond * variant.loadFactor,
--- a/packages/bench/src/summarize.ts
+++ b/packages/bench/src/summarize.ts
@@ -12,6 +12,8 @@
   /** Part of the computed tokens that no caller received whole and in time, 0 to 1. */
   readonly waste: number;
   readonly tokens: number;
+  /** Loads of models that the engines were ordered to make. */
+  readonly loads: number;
   /** Part of all requests answered whole within their windows, 0 to 1. */
   readonly goodput: number;
   /** Answers whole within their windows a second, between the warm-up and the load's end. */
@@ -44,6 +46,7 @@
     classes: rows.map((row) => figuresOf(row, samples)),
     waste: computed === 0 ? 0 : Math.max(0, 1 - useful / computed),
     tokens: computed,
+    loads: fleet.engines.reduce((sum, engine) => sum + engine.models.taken.length, 0),
     goodput: samples.length === 0 ? 1 : good.length / samples.length,
     goodPerSecond: inTime.length / Math.max(1, until - seconds.from),
   };
