--- a/packages/core/src/entry/giveOrders.ts
+++ b/packages/core/src/entry/giveOrders.ts
@@ -50,7 +50,7 @@
   const add = (load: ClassLoad) => {
     demand.set(load.pool, (demand.get(load.pool) ?? 0) + demandOf(load));
   };
-  listClassLoads(core.admission).forEach(add);
+  listClassLoads(core.admission, now).forEach(add);
   for (const member of core.membership.members.values()) {
     if (now - member.heardAt <= DEMAND_FRESH_MS) member.heartbeat?.loads.forEach(add);
   }
--- a/packages/router/src/endpoints/endpointTask.ts
+++ b/packages/router/src/endpoints/endpointTask.ts
@@ -36,7 +36,7 @@
 
   readonly #running = new Map<string, Running>();
 
-  constructor(endpoint: Endpoint, decider: Decider, exchanges: Exchanges) {
+  constructor(endpoint: Endpoint, decider: Decider, exchanges: Exchanges, maxAnswerBytes: number) {
     this.#endpoint = endpoint;
     this.#decider = decider;
     this.#exchanges = exchanges;
@@ -45,6 +45,8 @@
       connect: { timeout: CONNECT_TIMEOUT_MS },
       headersTimeout: 0,
       bodyTimeout: 0,
+      // A stream passes through; a service's answer is kept until it is whole.
+      ...(endpoint.kind === 'service' ? { maxResponseSize: maxAnswerBytes } : {}),
     });
   }
 
@@ -94,7 +96,10 @@
     running: Running,
     onTokens: (count: number) => void,
   ): Promise<number> {
+    let isPaused = false;
     const silence = setTimeout(() => {
+      // A caller that does not read is no fault of the endpoint.
+      if (isPaused) return;
       running.stop.abort(new AttemptError('silent', 'may-have-run', 'the connection is silent'));
     }, action.silenceMs);
     const progress: Progress = {
@@ -103,7 +108,13 @@
         this.#decider.post({ kind: 'attempt-accepted', attemptId: action.attempt.id });
       },
       onTokens,
-      onBytes: () => silence.refresh(),
+      onBytes: () => {
+        isPaused = false;
+        silence.refresh();
+      },
+      onPause: () => {
+        isPaused = true;
+      },
     };
     const { signal } = running.stop;
     try {
--- a/packages/router/src/endpoints/streamReader.ts
+++ b/packages/router/src/endpoints/streamReader.ts
@@ -11,6 +11,7 @@
 
 const LONGEST_ERROR_TEXT = 2000;
 const END_TIMEOUT_MS = 1000;
+const MOST_EVENT_CHARACTERS = 1_048_576;
 const FIRST_ERROR_STATUS = 400;
 
 /** What reading a stream tells while it goes on. */
@@ -19,6 +20,8 @@
   onAccepted(): void;
   onTokens(count: number): void;
   onBytes(): void;
+  /** The caller does not read: nothing is read from the endpoint until the next bytes. */
+  onPause(): void;
 }
 
 function countTokens(events: readonly StreamEvent[]): number {
@@ -51,7 +54,14 @@
 
   readonly #events: StreamEvent[] = [];
 
-  readonly #parser = createParser({ onEvent: ({ data }) => this.#takeEvent(data) });
+  readonly #parser = createParser({
+    onEvent: ({ data }) => this.#takeEvent(data),
+    onError: ({ type }) => {
+      if (type !== 'max-buffer-size-exceeded') return;
+      throw new AttemptError('malformed', 'ran', 'an event has no end');
+    },
+    maxBufferSize: MOST_EVENT_CHARACTERS,
+  });
 
   #resolve!: (tokens: number) => void;
 
@@ -142,7 +152,11 @@
     if (arrived > 0) this.#progress.onTokens(arrived);
     if (room === undefined) return;
     controller.pause();
-    void room.then(() => controller.resume());
+    this.#progress.onPause();
+    void room.then(() => {
+      this.#progress.onBytes();
+      controller.resume();
+    });
   }
 
   #finish(controller: Dispatcher.DispatchController): void {
