--- a/packages/core/src/entry/onPlatform.ts
+++ b/packages/core/src/entry/onPlatform.ts
@@ -106,7 +106,7 @@
 /** Takes in a published list of VMs. */
 export function onListOffered(
   core: Core,
-  { list, source }: MessageOf<'list-offered'>,
+  { list, source = 'service' }: MessageOf<'list-offered'>,
   now: number,
   actions: Action[],
 ): void {
--- a/packages/router/src/settings/settings.ts
+++ b/packages/router/src/settings/settings.ts
@@ -137,6 +137,11 @@
       .positive()
       .optional()
       .describe('Rate of the weight store, which all VMs share, in bytes per second.'),
+    callsPerSecond: z
+      .number()
+      .positive()
+      .default(1000)
+      .describe('Calls a second to the platform that the whole fleet may make.'),
     watchSeconds: z
       .number()
       .positive()
