--- a/packages/router/src/endpoints/streamReader.ts
+++ b/packages/router/src/endpoints/streamReader.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http';
+import { StringDecoder } from 'node:string_decoder';
 
 import { createParser } from 'eventsource-parser';
 import type { Dispatcher } from 'undici';
@@ -12,6 +13,7 @@
 const LONGEST_ERROR_TEXT = 2000;
 const MOST_EVENT_CHARACTERS = 1_048_576;
 const END_TIMEOUT_MS = 1000;
+const MOST_EVENT_CHARACTERS = 1_048_576;
 const FIRST_ERROR_STATUS = 400;
 
 /** What reading a stream tells while it goes on. */
@@ -50,7 +52,7 @@
 
   readonly #signal: AbortSignal;
 
-  readonly #decoder = new TextDecoder();
+  readonly #decoder = new StringDecoder('utf8');
 
   readonly #events: StreamEvent[] = [];
 
@@ -105,7 +107,7 @@
 
   onResponseData(controller: Dispatcher.DispatchController, bytes: Buffer): void {
     this.#progress.onBytes();
-    const text = this.#decoder.decode(bytes, { stream: true });
+    const text = this.#decoder.write(bytes);
     if (this.#failure !== null) {
       this.#failure.text = (this.#failure.text + text).slice(0, LONGEST_ERROR_TEXT);
       return;
