--- a/packages/core/src/entry/buildHeartbeat.ts
+++ b/packages/core/src/entry/buildHeartbeat.ts
@@ -12,13 +12,18 @@
     .slice(0, MOST_LOADS);
 }
 
+/** A peer that has a list finds our address there. */
+function knowsList({ membership }: Core, peerId: string): boolean {
+  return (membership.members.get(peerId)?.heartbeat?.listRevision ?? -1) >= 0;
+}
+
 /** Builds what this VM tells a peer: bounded in size, whatever the size of the fleet. */
-export function buildHeartbeat(core: Core, now: number): Heartbeat {
+export function buildHeartbeat(core: Core, peerId: string, now: number): Heartbeat {
   const { membership, table } = core;
   membership.sequence += 1;
   return {
     from: membership.self.id,
-    peerUrl: ownPeerUrl(membership),
+    ...(knowsList(core, peerId) ? {} : { peerUrl: ownPeerUrl(membership) }),
     incarnation: membership.incarnation,
     sequence: membership.sequence,
     state: ownState(membership),
--- a/packages/core/src/entry/fetchSheets.ts
+++ b/packages/core/src/entry/fetchSheets.ts
@@ -16,10 +16,14 @@
   return holders[nextInteger(core.random, holders.length)] ?? null;
 }
 
-/** The source that told of the revision is asked first, then service and peers in turn. */
+/**
+ * The source that told of the revision is asked first, then service and peers in turn. A VM
+ * that starts needs every sheet at once: it spares the service as soon as a peer can serve.
+ */
 function chooseSource(core: Core, { failures }: Fetch, now: number): Vm | null {
   const wanted = core.table.wanted!;
-  const isPeersTurn = (wanted.toldBy !== null) === (failures % 2 === 0);
+  const startsWithPeers = wanted.toldBy !== null || core.table.view === null;
+  const isPeersTurn = startsWithPeers === (failures % 2 === 0);
   return isPeersTurn ? chooseHolder(core, wanted.manifest.revision, now) : null;
 }
 
--- a/packages/core/src/entry/onHeartbeat.ts
+++ b/packages/core/src/entry/onHeartbeat.ts
@@ -71,7 +71,7 @@
   actions: Action[],
 ): void {
   learnHeartbeat(core, heartbeat, now, actions);
-  const reply = { heartbeat: buildHeartbeat(core, now) };
+  const reply = { heartbeat: buildHeartbeat(core, heartbeat.from, now) };
   actions.push({ kind: 'reply-peer', callId, reply });
 }
 
@@ -107,7 +107,7 @@
   const peer = choosePeer(core.membership, core.random);
   if (peer === undefined) return;
   count(core, 'heartbeats');
-  const call = { method: 'heartbeat', heartbeat: buildHeartbeat(core, now) } as const;
+  const call = { method: 'heartbeat', heartbeat: buildHeartbeat(core, peer.id, now) } as const;
   actions.push({ kind: 'call-peer', callId: nextId(core, 'h'), peer, call });
 }
 
--- a/packages/core/src/membership/choosePeer.ts
+++ b/packages/core/src/membership/choosePeer.ts
@@ -58,11 +58,21 @@
   return groups;
 }
 
+function takeDoubted(state: MembershipState): Vm | undefined {
+  const [id] = state.doubted;
+  if (id === undefined) return undefined;
+  state.doubted.delete(id);
+  return listPeers(state).find((vm) => vm.id === id);
+}
+
 /**
- * Chooses the peer to call next: each has its turn before any has a second one at the same
+ * Chooses the peer to call next: one that did not answer its last call, so that a lost message
+ * is soon told from a lost VM, else the one whose turn it is. Each has its turn before any has a second one at the same
  * distance, so that the time until a peer is called again has a bound.
  */
 export function choosePeer(state: MembershipState, random: Random): Vm | undefined {
+  const doubted = takeDoubted(state);
+  if (doubted !== undefined) return doubted;
   const groups = groupByDistance(state);
   if (groups.size === 0) return undefined;
   const distance = chooseDistance(groups, random);
--- a/packages/core/src/membership/hearing.ts
+++ b/packages/core/src/membership/hearing.ts
@@ -1,5 +1,5 @@
 import type { Heartbeat, MemberNews } from '../types/index.js';
-import { findVm, isUnreachable } from './queries.js';
+import { findVm, hasFailed, isUnreachable } from './queries.js';
 import type { Member, MembershipState } from './state.js';
 
 /** Members that are not listed are forgotten after this silence. */
@@ -8,7 +8,7 @@
 /** Word of a member's silence counts only when we have not heard from it ourselves for so long. */
 const OWN_WORD_MS = 4000;
 
-function memberOf(state: MembershipState, id: string, now: number): Member {
+function memberOf(state: MembershipState, id: string): Member {
   let member = state.members.get(id);
   if (member === undefined) {
     member = {
@@ -18,7 +18,7 @@
       heartbeat: null,
       heardAt: 0,
       knownAt: 0,
-      changedAt: now,
+      changedAt: 0,
       failures: 0,
     };
     state.members.set(id, member);
@@ -26,10 +26,15 @@
   return member;
 }
 
+// That a VM has become ready is no news: nothing is decided by it elsewhere.
+function isNews(before: MemberNews['state'], after: MemberNews['state']): boolean {
+  return after === 'leaving' || after === 'unreachable' || before === 'unreachable';
+}
+
 function changeState(member: Member, told: MemberNews['state'], now: number): void {
   if (member.state === told) return;
+  if (isNews(member.state, told)) member.changedAt = now;
   member.state = told;
-  member.changedAt = now;
 }
 
 function adoptIncarnation(member: Member, incarnation: number, now: number): void {
@@ -51,7 +56,7 @@
 ): boolean {
   const { from, incarnation, sequence } = heartbeat;
   if (from === state.self.id) return false;
-  const member = memberOf(state, from, now);
+  const member = memberOf(state, from);
   if (incarnation < member.incarnation) return false;
   if (incarnation > member.incarnation) member.failures = 0;
   adoptIncarnation(member, incarnation, now);
@@ -65,15 +70,16 @@
 
 /** Notes that a peer answered a call. */
 export function recordAnswer(state: MembershipState, id: string, now: number): void {
-  const member = memberOf(state, id, now);
+  const member = memberOf(state, id);
   member.failures = 0;
   member.heardAt = now;
 }
 
 /** Notes that a peer did not answer a call; true when it is now held to be unreachable. */
 export function recordSilence(state: MembershipState, id: string, now: number): boolean {
-  const member = memberOf(state, id, now);
+  const member = memberOf(state, id);
   member.failures += 1;
+  if (!hasFailed(member)) state.doubted.add(id);
   if (member.state === 'unreachable' || !isUnreachable(member, now)) return false;
   member.knownAt = now;
   changeState(member, 'unreachable', now);
@@ -82,7 +88,7 @@
 
 function recordNews(state: MembershipState, news: MemberNews, now: number): void {
   if (news.id === state.self.id || findVm(state, news.id) === undefined) return;
-  const member = memberOf(state, news.id, now);
+  const member = memberOf(state, news.id);
   if (news.incarnation < member.incarnation) return;
   const isNewer = news.incarnation > member.incarnation;
   adoptIncarnation(member, news.incarnation, now);
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -7,6 +7,7 @@
   recordHeartbeat,
   recordSilence,
 } from './hearing.js';
+export { isReader } from './isReader.js';
 export {
   countVms,
   distanceTo,
--- a/packages/core/src/membership/queries.ts
+++ b/packages/core/src/membership/queries.ts
@@ -2,15 +2,15 @@
 import type { Distance, Member, MembershipState } from './state.js';
 
 /** Calls in a row without an answer after which a peer is held to be out of reach. */
-const FAILURES_UNREACHABLE = 2;
+const FAILURES_UNREACHABLE = 3;
 
 /** Silence after which a peer that also fails to answer is told to be unreachable. */
 const SILENCE_MS = 4000;
 
 /** Time over which a change of a member is told to others. */
-const NEWS_MS = 30_000;
+const NEWS_MS = 20_000;
 
-const MOST_NEWS = 6;
+const MOST_NEWS = 4;
 
 /** Lists the other VMs that are published as live. */
 export function listPeers(state: MembershipState): Vm[] {
--- a/packages/core/src/membership/state.ts
+++ b/packages/core/src/membership/state.ts
@@ -42,6 +42,8 @@
   nextHeartbeatAt: number;
   /** Earliest instant of the next read of a list that a peer knows to be newer. */
   nextListFetchAt: number;
+  /** Peers that did not answer their last call and are called again before any other. */
+  readonly doubted: Set<string>;
   /** Peers still to be called in this round, by distance. */
   readonly rounds: Map<Distance, string[]>;
   /** Null when nothing believed may be out of date. */
@@ -82,6 +84,7 @@
     sequence: 0,
     nextHeartbeatAt: 0,
     nextListFetchAt: 0,
+    doubted: new Set(),
     rounds: new Map(),
     recheck: createRecheck(incarnation),
     ready: false,
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -1,6 +1,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { createCore, createRandom, type ActionOf, type Vm } from '@filbertlatch/core';
+import {
+  createCore,
+  createRandom,
+  isReady,
+  tableRevision,
+  type ActionOf,
+  type Vm,
+} from '@filbertlatch/core';
 import type { Logger } from 'winston';
 
 import { createAdminApi, dumpState } from './admin/index.js';
@@ -26,6 +33,10 @@
   readonly peerUrl: string;
   /** Dumps the state; carries no prompt, key or token. */
   state(): ReturnType<typeof dumpState>;
+  /** Returns the revisions of table and list in force; -1 before the first. */
+  revisions(): { readonly table: number; readonly list: number };
+  /** Says whether it takes work. */
+  isReady(): boolean;
   /** Takes no new work, finishes what runs, then stops; resolves when stopped. */
   drain(): Promise<void>;
   /** Stops at once and cuts what runs. */
@@ -151,6 +162,11 @@
     callerUrl: listeners.callers.url,
     adminUrl: listeners.admin.url,
     peerUrl: listeners.peers.url,
+    revisions: () => ({
+      table: tableRevision(decider.core.table),
+      list: decider.core.membership.list?.revision ?? -1,
+    }),
+    isReady: () => isReady(decider.core.membership),
     state: () => dumpState(decider.core, now()),
     drain,
     stop,
--- a/packages/router/src/platform/platformTask.ts
+++ b/packages/router/src/platform/platformTask.ts
@@ -1,5 +1,6 @@
-import { countVms, highestSeen, type ActionOf, type Message } from '@filbertlatch/core';
+import { countVms, highestSeen, isReader, type ActionOf, type Message } from '@filbertlatch/core';
 
+import { now } from '../clock.js';
 import type { Decider } from '../decider/index.js';
 import type { Settings } from '../settings/index.js';
 import { PlatformClient } from './platformClient.js';
@@ -20,17 +21,22 @@
   constructor(settings: Settings['platform'], decider: Decider) {
     this.#decider = decider;
     this.#client = new PlatformClient(settings, () => countVms(decider.core.membership));
-    const { random } = decider.core;
+    const { random, membership } = decider.core;
+    const { readersPerZone } = settings;
+    const isActive = () =>
+      readersPerZone === undefined || isReader(membership, readersPerZone, now());
     this.#watchers = [
       new Watcher(
         (signal) => this.#watchManifest(signal),
         () => this.#fail('configuration'),
         random,
+        isActive,
       ),
       new Watcher(
         (signal) => this.#watchList(signal),
         () => this.#fail('list'),
         random,
+        isActive,
       ),
     ];
   }
--- a/packages/router/src/platform/watcher.ts
+++ b/packages/router/src/platform/watcher.ts
@@ -9,6 +9,9 @@
 /** Wait after an answer that brought nothing new, so that one given at once cannot spin. */
 const IDLE_MS = 500;
 
+/** Shortest time after which a VM that does not watch looks again whether it should. */
+const INACTIVE_MS = 1000;
+
 /** Returns the wait before the next try, with full jitter, in milliseconds. */
 export function backoffMs(failures: number, random: Random): number {
   const exponent = Math.min(failures, LARGEST_EXPONENT);
@@ -26,11 +29,19 @@
 
   readonly #random: Random;
 
+  readonly #isReader: () => boolean;
+
   readonly #stop = new AbortController();
 
   #attempt = new AbortController();
 
-  constructor(poll: Poll, onFailure: (error: unknown) => void, random: Random) {
+  constructor(
+    poll: Poll,
+    onFailure: (error: unknown) => void,
+    random: Random,
+    isReader: () => boolean = () => true,
+  ) {
+    this.#isReader = isReader;
     this.#poll = poll;
     this.#onFailure = onFailure;
     this.#random = random;
@@ -40,6 +51,10 @@
   async run(): Promise<void> {
     let failures = 0;
     while (!this.#stop.signal.aborted) {
+      if (!this.#isReader()) {
+        await this.#wait(INACTIVE_MS * (1 + this.#random.next()));
+        continue;
+      }
       this.#attempt = new AbortController();
       const signal = AbortSignal.any([this.#stop.signal, this.#attempt.signal]);
       try {
--- a/packages/router/src/settings/settings.ts
+++ b/packages/router/src/settings/settings.ts
@@ -41,6 +41,12 @@
       .positive()
       .default(1000)
       .describe('Calls a second to the platform that the whole fleet may make.'),
+    readersPerZone: z
+      .number()
+      .int()
+      .positive()
+      .optional()
+      .describe('VMs a zone that watch the platform; absent: all.'),
     watchSeconds: z.number().positive().max(300).default(30),
   }),
   drainSeconds: z.number().positive().default(600).describe('Longest wait for streams to end.'),
