--- a/packages/core/src/entry/decide.ts
+++ b/packages/core/src/entry/decide.ts
@@ -1,7 +1,8 @@
 import { match } from 'ts-pattern';
 
 import { beginLeaving } from '../membership/index.js';
-import { recordCacheEvent, recordReport } from '../placement/index.js';
+import { forgetOrders } from '../orders/index.js';
+import { recordCacheEvent } from '../placement/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
 import type { Message } from './message.js';
@@ -9,6 +10,7 @@
 import { onPeerCalled, onPeerFailed, onPeerReplied } from './onPeerCall.js';
 import { onListOffered, onManifestOffered, onSheetOffered } from './onPlatform.js';
 import { onCallerLeft, onRequestArrived } from './onRequest.js';
+import { onLoadReported, onOrderEnded } from './onReport.js';
 import { onTick } from './onTick.js';
 import { onProbeEnded } from './watchHealth.js';
 
@@ -33,7 +35,7 @@
     .with({ kind: 'attempt-accepted' }, ignore)
     .with({ kind: 'attempt-ended' }, (m) => onAttemptEnded(core, m, now, actions))
     .with({ kind: 'probe-ended' }, (m) => onProbeEnded(core, m, now))
-    .with({ kind: 'load-reported' }, (m) => recordReport(core.placement, m.report, now))
+    .with({ kind: 'load-reported' }, (m) => onLoadReported(core, m, now, actions))
     .with({ kind: 'cache-changed' }, (m) => recordCacheEvent(core.placement.caches, m.event))
     .with({ kind: 'manifest-offered' }, (m) => onManifestOffered(core, m, now, actions))
     .with({ kind: 'sheet-offered' }, (m) => onSheetOffered(core, m, now, actions))
@@ -43,9 +45,9 @@
     .with({ kind: 'peer-called' }, (m) => onPeerCalled(core, m, now, actions))
     .with({ kind: 'peer-replied' }, (m) => onPeerReplied(core, m, now, actions))
     .with({ kind: 'peer-failed' }, (m) => onPeerFailed(core, m, now, actions))
-    .with({ kind: 'order-ended' }, ignore)
+    .with({ kind: 'order-ended' }, (m) => onOrderEnded(core, m, actions))
     .with({ kind: 'drain-began' }, () => beginLeaving(core.membership))
-    .with({ kind: 'woke' }, ignore)
+    .with({ kind: 'woke' }, () => forgetOrders(core.orders))
     .with({ kind: 'tick' }, () => onTick(core, now, actions))
     .exhaustive();
   return actions;
--- a/packages/core/src/entry/onTick.ts
+++ b/packages/core/src/entry/onTick.ts
@@ -2,6 +2,7 @@
 import type { Action } from './action.js';
 import type { Core } from './core.js';
 import { dispatchWaiting, shedPool } from './dispatchWaiting.js';
+import { giveOrders } from './giveOrders.js';
 import { shedHopeless } from './shedWaiting.js';
 import { watchHealth } from './watchHealth.js';
 
@@ -13,4 +14,5 @@
     dispatchWaiting(core, pool, now, actions);
     shedPool(core, pool, now, actions);
   }
+  giveOrders(core, now, actions);
 }
--- a/packages/core/src/entry/shedWaiting.ts
+++ b/packages/core/src/entry/shedWaiting.ts
@@ -76,7 +76,9 @@
   const rate = classRate(queue, row, poolRate(core, room, pool), now, view.classes);
   const waitMs = longestWait(core, pool, row, lane.cost / lane.size);
   const retryMs = retryAfter(queue, row, rate, now);
-  const late = takeOverflow(core.admission, pool, row.id, Infinity, rate * waitMs);
+  // Without an endpoint there is no rate: requests wait within their windows for one to come.
+  const mostCost = room.candidates.length === 0 ? Infinity : rate * waitMs;
+  const late = takeOverflow(core.admission, pool, row.id, Infinity, mostCost);
   shedRequests(core, late, 'overloaded', retryMs, actions);
   const excess = takeOverflow(core.admission, pool, row.id, row.maxQueue, Infinity);
   shedRequests(core, excess, 'queue_full', retryMs, actions);
--- /dev/null
+++ b/packages/standins/src/engineStream.ts
@@ -0,0 +1,108 @@
+import type { ServerResponse } from 'node:http';
+
+import { z } from 'zod';
+
+import type { EngineSwitches } from './createEngine.js';
+import type { Stream } from './engineQueue.js';
+
+const CHARACTERS_PER_TOKEN = 4;
+
+/** Shape of a call for generated text. */
+export const bodySchema = z.looseObject({
+  model: z.string(),
+  messages: z.unknown().optional(),
+  prompt: z.unknown().optional(),
+  max_tokens: z.number().nullish(),
+  max_completion_tokens: z.number().nullish(),
+  stream: z.boolean().nullish(),
+  standin: z.looseObject({ tokens: z.number().int().positive().optional() }).optional(),
+});
+
+/** A call for generated text. */
+export type Body = z.infer<typeof bodySchema>;
+
+function chunkOf(id: string, body: Body, text: string, reason: string | null) {
+  const isChat = body.messages !== undefined;
+  const content = isChat ? { delta: { content: text } } : { text };
+  return {
+    id,
+    object: isChat ? 'chat.completion.chunk' : 'text_completion',
+    created: 0,
+    model: body.model,
+    choices: [{ index: 0, ...content, finish_reason: reason }],
+  };
+}
+
+/** One answer of a stand-in engine, sent token by token or whole as the caller asked. */
+export class EngineStream implements Stream {
+  readonly promptTokens: number;
+
+  prefillLeft: number;
+
+  produced = 0;
+
+  constructor(
+    readonly id: string,
+    readonly priority: number,
+    readonly outputTokens: number,
+    private readonly body: Body,
+    private readonly response: ServerResponse,
+    private readonly switches: EngineSwitches,
+    private readonly onStart: () => void,
+  ) {
+    const prompt = JSON.stringify(body.messages ?? body.prompt ?? '');
+    this.promptTokens = Math.max(1, Math.ceil(prompt.length / CHARACTERS_PER_TOKEN));
+    this.prefillLeft = this.promptTokens;
+  }
+
+  onToken(index: number, isLast: boolean): void {
+    if (index === 0) this.onStart();
+    if (this.switches.truncatesAfter !== null && index >= this.switches.truncatesAfter) {
+      this.response.destroy();
+      return;
+    }
+    if (this.body.stream !== true) {
+      if (isLast) this.#sendWhole();
+      return;
+    }
+    const id = this.switches.misechoes ? `other-${this.id}` : this.id;
+    const chunk = chunkOf(id, this.body, ` w${index}`, isLast ? 'stop' : null);
+    this.#send(JSON.stringify(chunk));
+    if (!isLast) return;
+    this.#send(JSON.stringify({ ...chunk, choices: [], usage: this.#usage() }));
+    this.#send('[DONE]');
+    this.response.end();
+  }
+
+  #usage() {
+    return {
+      prompt_tokens: this.promptTokens,
+      completion_tokens: this.outputTokens,
+      total_tokens: this.promptTokens + this.outputTokens,
+    };
+  }
+
+  #sendWhole(): void {
+    const words = Array.from({ length: this.outputTokens }, (_, index) => ` w${index}`).join('');
+    const choice = { index: 0, finish_reason: 'stop' };
+    const message = { role: 'assistant', content: words };
+    const isChat = this.body.messages !== undefined;
+    const answer = {
+      id: this.switches.misechoes ? `other-${this.id}` : this.id,
+      object: isChat ? 'chat.completion' : 'text_completion',
+      created: 0,
+      model: this.body.model,
+      choices: [isChat ? { ...choice, message } : { ...choice, text: words }],
+      usage: this.#usage(),
+    };
+    this.response.writeHead(200, { 'content-type': 'application/json' });
+    this.response.end(JSON.stringify(answer));
+  }
+
+  #send(data: string): void {
+    if (!this.response.headersSent) {
+      this.response.writeHead(200, { 'content-type': 'text/event-stream' });
+    }
+    this.response.write(`data: ${data}\n\n`);
+  }
+}
