Divide the slots among the VMs by demand, keep room for critical arrivals, move what waits

Change: parts of every endpoint by the VMs' announced demand, tier by tier; a reserve by the critical load; critical attempts without a token move to a free slot; a class inside its share goes first in its tier; streams that cannot end in time are cut; unknown lengths no longer refuse the first requests of a class.

--- a/packages/core/src/admission/chooseLane.ts
+++ b/packages/core/src/admission/chooseLane.ts
@@ -19,13 +19,15 @@
 
 function isBefore(left: Lane, right: Lane, classes: ReadonlyMap<string, Class>): boolean {
   const byTier = rankOf(left, classes) - rankOf(right, classes);
-  return byTier < 0 || (byTier === 0 && left.virtualTime < right.virtualTime);
+  if (byTier !== 0) return byTier < 0;
+  const byCredit = Number(right.credit > 0) - Number(left.credit > 0);
+  return byCredit < 0 || (byCredit === 0 && left.virtualTime < right.virtualTime);
 }
 
 /**
  * Chooses the lane to serve next: one that is owed a part of its minimum share, unless a
- * request of a higher tier would miss its window by that; else the highest tier, then the
- * least virtual time.
+ * request of a higher tier would miss its window by that; else the highest tier, in it a class
+ * that stays within its share, then the least virtual time.
  */
 export function chooseLane(queue: PoolQueue, selection: Selection): Lane | undefined {
   const { classes, hasRoom, isUrgent } = selection;
--- a/packages/core/src/admission/commands.ts
+++ b/packages/core/src/admission/commands.ts
@@ -1,4 +1,4 @@
-import { addToRate } from '../shared/index.js';
+import { addToRate, readRate } from '../shared/index.js';
 import type { Class, PoolId, Request } from '../types/index.js';
 import { tierRank } from '../types/index.js';
 import { chooseLane, type Selection } from './chooseLane.js';
@@ -15,6 +15,12 @@
 /** A share that cannot be served now is remembered for at most so many requests. */
 const MOST_OWED_REQUESTS = 8;
 
+/** A class may send its share of so much time at once and still go before others of its tier. */
+const CREDIT_MS = 2000;
+
+/** Offers are announced anew when they change by more than this part. */
+const ANNOUNCED_CHANGE = 0.25;
+
 function queueFor(state: AdmissionState, pool: PoolId): PoolQueue {
   let queue = state.pools.get(pool);
   if (queue === undefined) {
@@ -85,7 +91,7 @@
   account.waiting.push(waiting);
   addCost(lane, account, waiting);
   addToRate(lane.arrived, cost, now);
-  addToRate(lane.arrivals, 1, now);
+  addToRate(lane.burst, cost, now);
 }
 
 /** Puts a request back at the head of its account's lane; its cost was charged before. */
@@ -108,26 +114,30 @@
   return true;
 }
 
+/** Adds a lane's part of what was sent to what its class is owed, and to its credit. */
+function earn(lane: Lane, part: number, mostCredit: number): void {
+  lane.credit = Math.min(mostCredit, lane.credit + part);
+  if (lane.size === 0) return;
+  const mean = lane.cost / lane.size;
+  lane.owed = Math.min(lane.owed + part, MOST_OWED_REQUESTS * Math.max(1, mean));
+}
+
 /** Charges what was sent: moves the virtual times and the guaranteed shares of all lanes. */
-function charge(
-  queue: PoolQueue,
-  lane: Lane,
-  cost: number,
-  { classes, shareBoost, now }: Selection,
-): void {
+function charge(queue: PoolQueue, lane: Lane, cost: number, selection: Selection): void {
+  const { classes, shareBoost, now } = selection;
   const row = classes.get(lane.classId);
   lane.virtualTime += cost / (row?.weight ?? 1);
   queue.clocks[tierRank(row?.tier ?? 'background')] = lane.virtualTime;
   addToRate(lane.served, cost, now);
   addToRate(queue.served, cost, now);
+  const burst = readRate(queue.served, now) * CREDIT_MS;
   for (const other of queue.lanes.values()) {
-    if (other.size === 0 && other !== lane) continue;
     const share = (classes.get(other.classId)?.share ?? 0) * shareBoost(other.classId);
-    const mean = other.size > 0 ? other.cost / other.size : cost;
-    other.owed = Math.min(other.owed + share * cost, MOST_OWED_REQUESTS * Math.max(1, mean));
+    earn(other, share * cost, share * burst);
   }
   // Service beyond the share is not held against the class: at most one request's worth is.
   lane.owed = Math.max(lane.owed - cost, -cost);
+  lane.credit = Math.max(lane.credit - cost, -cost);
 }
 
 function chooseAccount(lane: Lane): AccountLane {
@@ -175,9 +185,24 @@
   const lane = state.pools.get(pool)?.lanes.get(row.id);
   if (lane === undefined) return;
   lane.virtualTime += difference / row.weight;
+  lane.credit -= difference;
   if (lane.size > 0) lane.owed -= difference;
 }
 
+/**
+ * Announces what arrives in each lane. Small swings are left out: the VMs divide an endpoint's
+ * slots without overlap only while they reckon with the same numbers.
+ */
+export function announceOffers(state: AdmissionState, now: number): void {
+  for (const { lanes } of state.pools.values()) {
+    for (const lane of lanes.values()) {
+      const rate = readRate(lane.arrived, now);
+      const change = Math.abs(rate - lane.announced);
+      if (change > ANNOUNCED_CHANGE * lane.announced) lane.announced = rate;
+    }
+  }
+}
+
 function heaviestAccount(lane: Lane): AccountLane | undefined {
   let heaviest: AccountLane | undefined;
   for (const account of lane.accounts.values()) {
--- a/packages/core/src/admission/index.ts
+++ b/packages/core/src/admission/index.ts
@@ -1,6 +1,8 @@
-export { addPeerLoad } from './peerLoads.js';
+export { clearPeerLoads, offersOf, recordPeerLoads } from './peerLoads.js';
+export { divideSlots, type Division, type VmDemand } from './divideSlots.js';
 export type { Selection } from './chooseLane.js';
 export {
+  announceOffers,
   correctCost,
   enqueueRequest,
   removeRequest,
@@ -10,12 +12,12 @@
   takeOverflow,
 } from './commands.js';
 export {
-  arrivalRate,
   classRate,
   hasWaiting,
   listClassLoads,
   listLanes,
   listWaitingPools,
+  offeredRate,
   type LaneLength,
 } from './queries.js';
 export {
@@ -23,8 +25,8 @@
   type AccountLane,
   type AdmissionState,
   type Lane,
+  type Offers,
   type PeerDemand,
-  type PeerDemands,
   type PoolQueue,
   type Waiting,
 } from './state.js';
--- a/packages/core/src/admission/peerLoads.ts
+++ b/packages/core/src/admission/peerLoads.ts
@@ -1,28 +1,36 @@
-import { tierRank, tiers, type Class, type ClassLoad } from '../types/index.js';
-import type { PeerDemand, PeerDemands } from './state.js';
+import type { ClassLoad } from '../types/index.js';
+import type { Offers, PeerDemand } from './state.js';
 
 const MS_PER_SECOND = 1000;
+const NOTHING: Offers = new Map();
 
-function demandFor(peers: PeerDemands, pool: string): PeerDemand {
-  let demand = peers.pools.get(pool);
-  if (demand === undefined) {
-    demand = { waitingByRank: tiers.map(() => 0), waitingByClass: new Map(), servedPerMs: 0 };
-    peers.pools.set(pool, demand);
+/** Replaces what a VM said of its demand. */
+export function recordPeerLoads(
+  peers: PeerDemand,
+  vmId: string,
+  loads: readonly ClassLoad[],
+): void {
+  peers.heard.add(vmId);
+  for (const load of loads) {
+    let vms = peers.pools.get(load.pool);
+    if (vms === undefined) {
+      vms = new Map();
+      peers.pools.set(load.pool, vms);
+    }
+    const offers = vms.get(vmId) ?? new Map<string, number>();
+    offers.set(load.classId, load.offeredTokensPerSecond / MS_PER_SECOND);
+    vms.set(vmId, offers);
   }
-  return demand;
 }
 
-/** Adds one peer's load to the sums. */
-export function addPeerLoad(
-  peers: PeerDemands,
-  load: ClassLoad,
-  classes: ReadonlyMap<string, Class>,
-): void {
-  const row = classes.get(load.classId);
-  if (row === undefined) return;
-  const demand = demandFor(peers, load.pool);
-  demand.waitingByRank[tierRank(row.tier)]! += load.waiting;
-  const before = demand.waitingByClass.get(load.classId) ?? 0;
-  demand.waitingByClass.set(load.classId, before + load.waitingTokens);
-  demand.servedPerMs += load.servedTokensPerSecond / MS_PER_SECOND;
+/** Forgets what was said, before it is read again. */
+export function clearPeerLoads(peers: PeerDemand): void {
+  peers.pools.clear();
+  peers.heard.clear();
+}
+
+/** Returns what a VM offers to a pool; null when it was not heard lately. */
+export function offersOf(peers: PeerDemand, pool: string, vmId: string): Offers | null {
+  if (!peers.heard.has(vmId)) return null;
+  return peers.pools.get(pool)?.get(vmId) ?? NOTHING;
 }
--- a/packages/core/src/admission/queries.ts
+++ b/packages/core/src/admission/queries.ts
@@ -40,9 +40,10 @@
       waiting: lane.size,
       waitingTokens: Math.round(lane.cost),
       servedTokensPerSecond: Math.round(readRate(lane.served, now) * MS_PER_SECOND),
+      offeredTokensPerSecond: Math.round(lane.announced * MS_PER_SECOND),
     })),
   );
-  return loads.filter((load) => load.waiting > 0 || load.servedTokensPerSecond > 0);
+  return loads.filter((load) => load.waiting > 0 || load.offeredTokensPerSecond > 0);
 }
 
 function rankOf(lane: Lane, classes: ReadonlyMap<string, Class>): number {
@@ -52,7 +53,8 @@
 /**
  * Returns the cost per millisecond that a class can count on in a pool that serves
  * `poolRate`: what higher tiers leave, less the lower classes' minimum shares under
- * demand, divided by weight within the tier; never below the class's own share.
+ * demand; within the tier all that others inside their shares leave while it is inside its
+ * own, else a part by weight; never below its own share.
  */
 export function classRate(
   queue: PoolQueue,
@@ -62,22 +64,23 @@
   classes: ReadonlyMap<string, Class>,
 ): number {
   const rank = tierRank(row.tier);
+  const isWithinShare = (queue.lanes.get(row.id)?.credit ?? 0) > 0;
   let left = poolRate;
   let weights = row.weight;
   for (const lane of queue.lanes.values()) {
-    if (lane.classId === row.id) continue;
     const other = classes.get(lane.classId);
-    if (other === undefined) continue;
+    if (lane.classId === row.id || other === undefined) continue;
     const otherRank = rankOf(lane, classes);
-    if (otherRank < rank) left -= readRate(lane.arrived, now);
-    if (otherRank > rank && lane.size > 0) left -= other.share * poolRate;
-    if (otherRank === rank && lane.size > 0) weights += other.weight;
+    const goesFirst = otherRank < rank || (otherRank === rank && lane.credit > 0);
+    if (goesFirst) left -= readRate(lane.arrived, now);
+    else if (otherRank > rank && lane.size > 0) left -= other.share * poolRate;
+    else if (otherRank === rank && lane.size > 0 && !isWithinShare) weights += other.weight;
   }
   return Math.max((left * row.weight) / weights, row.share * poolRate, 0);
 }
 
-/** Returns the arrivals of a tier per millisecond in a pool. */
-export function arrivalRate(
+/** Returns the cost per millisecond that callers ask of a pool in one tier, bursts at once. */
+export function offeredRate(
   queue: PoolQueue,
   rank: number,
   now: number,
@@ -85,7 +88,8 @@
 ): number {
   let rate = 0;
   for (const lane of queue.lanes.values()) {
-    if (rankOf(lane, classes) === rank) rate += readRate(lane.arrivals, now);
+    if (rankOf(lane, classes) !== rank) continue;
+    rate += Math.max(readRate(lane.arrived, now), readRate(lane.burst, now));
   }
   return rate;
 }
--- a/packages/core/src/admission/state.ts
+++ b/packages/core/src/admission/state.ts
@@ -2,6 +2,7 @@
 import type { PoolId, Request } from '../types/index.js';
 
 const RATE_TIME_CONSTANT_MS = 5000;
+const BURST_TIME_CONSTANT_MS = 1000;
 
 /** A request that waits, with its predicted cost in tokens. */
 export interface Waiting {
@@ -34,10 +35,17 @@
   virtualTime: number;
   /** Cost still owed to the class's guaranteed minimum share; at most 0 when it is met. */
   owed: number;
+  /**
+   * Cost that the class may still send within its share: it grows while the class is quiet, up
+   * to a short burst, and a class that has some goes before others of its tier.
+   */
+  credit: number;
   readonly arrived: Rate;
+  /** The same over a shorter time, to see a burst begin. */
+  readonly burst: Rate;
+  /** Cost per millisecond that arrives, as this VM and its peers divide the slots by it. */
+  announced: number;
   readonly served: Rate;
-  /** Requests that arrived, for the reserve of a critical class. */
-  readonly arrivals: Rate;
 }
 
 /** All lanes of one pool. */
@@ -49,31 +57,27 @@
   readonly served: Rate;
 }
 
-/** What the peers said of one pool. */
-export interface PeerDemand {
-  /** Requests waiting at peers, by tier rank. */
-  readonly waitingByRank: number[];
-  /** Predicted cost waiting at peers, by class. */
-  readonly waitingByClass: Map<string, number>;
-  /** Cost that the peers send to the pool per millisecond. */
-  servedPerMs: number;
-}
+/** Cost per millisecond that callers ask of one VM, by class. */
+export type Offers = ReadonlyMap<string, number>;
 
-/** What the peers said of all pools. */
-export interface PeerDemands {
+/** What the peers said of their demand, at most a moment ago. */
+export interface PeerDemand {
   refreshedAt: number;
-  readonly pools: Map<string, PeerDemand>;
+  /** By pool, then by VM: only VMs that were heard lately. */
+  readonly pools: Map<string, Map<string, Map<string, number>>>;
+  /** The VMs that were heard lately. */
+  readonly heard: Set<string>;
 }
 
 /** What waits on this VM, and what the peers say waits on theirs. */
 export interface AdmissionState {
   readonly pools: Map<PoolId, PoolQueue>;
-  readonly peers: PeerDemands;
+  readonly peers: PeerDemand;
 }
 
 /** Creates the state of a VM on which nothing waits. */
 export function createAdmissionState(): AdmissionState {
-  return { pools: new Map(), peers: { refreshedAt: 0, pools: new Map() } };
+  return { pools: new Map(), peers: { refreshedAt: 0, pools: new Map(), heard: new Set() } };
 }
 
 /** Creates the queue of a pool that nothing waits for. */
@@ -91,8 +95,10 @@
     cost: 0,
     virtualTime: 0,
     owed: 0,
+    credit: 0,
     arrived: createRate(RATE_TIME_CONSTANT_MS),
+    burst: createRate(BURST_TIME_CONSTANT_MS),
+    announced: 0,
     served: createRate(RATE_TIME_CONSTANT_MS),
-    arrivals: createRate(RATE_TIME_CONSTANT_MS),
   };
 }
--- a/packages/core/src/entry/core.ts
+++ b/packages/core/src/entry/core.ts
@@ -24,6 +24,8 @@
   /** The worst verdict over all attempts so far. */
   verdict: Verdict;
   firstTokenAt: number | null;
+  /** True while its attempt is being cancelled to run elsewhere. */
+  isMoving?: boolean;
 }
 
 /** An attempt in flight. */
--- a/packages/core/src/entry/counters.ts
+++ b/packages/core/src/entry/counters.ts
@@ -11,6 +11,8 @@
   'requests_abandoned',
   'attempts',
   'retries',
+  'moves',
+  'streams_cut',
   'resumes',
   'tokens_delivered',
   'tokens_wasted',
--- a/packages/core/src/entry/dispatchWaiting.ts
+++ b/packages/core/src/entry/dispatchWaiting.ts
@@ -6,6 +6,7 @@
   type Selection,
 } from '../admission/index.js';
 import {
+  addCritical,
   chooseEndpoint,
   expectPrefixes,
   firstTokenMs,
@@ -17,9 +18,9 @@
 import type { Action } from './action.js';
 import type { Core } from './core.js';
 import { expectRemaining, expectTokens } from './expectTokens.js';
-import { listCandidates } from './listCandidates.js';
+import { listCandidates, refreshParts } from './listCandidates.js';
 import { refreshPeerDemand, shareBoost } from './peerDemand.js';
-import { hasRoomFor, mayUse, measureRoom, overcommitOf, type PoolRoom } from './poolRoom.js';
+import { hasRoomFor, listOpen, measureRoom, type PoolRoom } from './poolRoom.js';
 import { shedOverflow, shedRequests } from './shedWaiting.js';
 import { startAttempt } from './startAttempt.js';
 
@@ -50,8 +51,8 @@
   return {
     classes: view.classes,
     now,
-    hasRoom: (rank) => hasRoomFor(core, room, rank),
-    shareBoost: (classId) => shareBoost(core, pool, classId, now),
+    hasRoom: (rank) => hasRoomFor(core, room, rank, now),
+    shareBoost: (classId) => shareBoost(core, pool, classId),
     isUrgent: (lane) => isUrgent(core, view, pool, lane, now),
   };
 }
@@ -83,10 +84,9 @@
     cost: expectTokens(core, request),
     zone,
     region,
-    overcommit: overcommitOf(rank),
     now,
   };
-  const usable = room.candidates.filter((c) => mayUse(core, c, rank));
+  const usable = listOpen(core, room, rank, now);
   const endpoint = chooseEndpoint(core.placement, usable, placing, core.random);
   if (endpoint === undefined) {
     requeueRequest(core.admission, request);
@@ -95,6 +95,9 @@
   noteSent(core.placement, endpoint.id, now);
   expectPrefixes(core.placement.caches, endpoint.id, request.prefixes);
   startAttempt(core, view, live, endpoint, now, actions);
+  if (rank === 0 && live.attemptId !== null) {
+    addCritical(core.placement, request.pool, live.attemptId);
+  }
   return true;
 }
 
@@ -103,7 +106,9 @@
   const { view } = core.table;
   if (view === null || !hasWaiting(core.admission, pool)) return;
   refreshPeerDemand(core, now);
-  const room = measureRoom(core, view, pool, listCandidates(core, view, pool), now);
+  const candidates = listCandidates(core, view, pool);
+  refreshParts(core, view, pool, candidates, now);
+  const room = measureRoom(core, view, pool, candidates, now);
   const selection = createSelection(core, view, pool, room, now);
   for (;;) {
     const request = takeNext(core.admission, pool, selection);
--- a/packages/core/src/entry/expectTokens.ts
+++ b/packages/core/src/entry/expectTokens.ts
@@ -1,5 +1,5 @@
 import { PROMPT_TOKEN_COST } from '../placement/index.js';
-import { predictMean, predictRemaining } from '../prediction/index.js';
+import { hasLearned, predictMean, predictRemaining } from '../prediction/index.js';
 import type { Request } from '../types/index.js';
 import type { Core } from './core.js';
 
@@ -22,9 +22,13 @@
   return costOf(request, output);
 }
 
-/** Returns the cost still to come of a request of which some tokens are there. */
+/**
+ * Returns the least cost still to come of a request of which some tokens are there: before
+ * anything was learnt it is held to be short, for else it could never be tried.
+ */
 export function expectRemaining(core: Core, request: Request, produced: number): number {
   const source = lengthSource(request);
+  if (!hasLearned(core.prediction, source)) return costOf(request, 1);
   const output = predictRemaining(
     core.prediction,
     source,
--- a/packages/core/src/entry/listCandidates.ts
+++ b/packages/core/src/entry/listCandidates.ts
@@ -1,10 +1,13 @@
 import { listUsable } from '../health/index.js';
-import { countVms, isEndpointLeaving } from '../membership/index.js';
+import { isEndpointLeaving } from '../membership/index.js';
 import { listPoolMembers } from '../orders/index.js';
-import { chooseSubset, openWindow } from '../placement/index.js';
+import { chooseSubset, setPart } from '../placement/index.js';
 import type { TableView } from '../table/index.js';
 import type { Endpoint, PoolId } from '../types/index.js';
 import type { Core } from './core.js';
+import { workOutPart } from './peerDemand.js';
+
+const REFRESH_MS = 200;
 
 /** Returns the endpoints of a pool that may get requests of this VM now. */
 export function listCandidates(core: Core, view: TableView, pool: PoolId): Endpoint[] {
@@ -16,11 +19,21 @@
   );
   const ids = live.map((endpoint) => endpoint.id);
   const usable = new Set(listUsable(core.health, ids));
-  const candidates = live.filter((endpoint) => usable.has(endpoint.id));
-  const sharing = Math.max(
-    1,
-    (countVms(core.membership) * subset.length) / Math.max(1, members.length),
-  );
-  candidates.forEach((endpoint) => openWindow(core.placement, endpoint, sharing));
-  return candidates;
+  return live.filter((endpoint) => usable.has(endpoint.id));
+}
+
+/** Divides the candidates' slots among the VMs anew, at most a few times a second. */
+export function refreshParts(
+  core: Core,
+  view: TableView,
+  pool: PoolId,
+  candidates: readonly Endpoint[],
+  now: number,
+): void {
+  const known = core.placement.parts.get(pool);
+  const isKnown = candidates.every(({ id }) => core.placement.loads.get(id)?.part != null);
+  if (known !== undefined && isKnown && now - known.refreshedAt < REFRESH_MS) return;
+  const part = workOutPart(core, view, pool, candidates);
+  core.placement.parts.set(pool, { ...part, refreshedAt: now });
+  candidates.forEach((endpoint) => setPart(core.placement, endpoint, part.from, part.to));
 }
--- /dev/null
+++ b/packages/core/src/entry/moveAttempts.ts
@@ -0,0 +1,63 @@
+import type { TableView } from '../table/index.js';
+import type { PoolId } from '../types/index.js';
+import type { Action } from './action.js';
+import type { Core, LiveAttempt } from './core.js';
+import { count } from './counters.js';
+import { listCandidates } from './listCandidates.js';
+import { hasFreeSlotElsewhere, measureRoom } from './poolRoom.js';
+
+/** Part of the first-token target after which an attempt without a token is moved. */
+const MOVE_AFTER_PART = 0.25;
+
+/** An idle endpoint may take so many times its usual time to the first token. */
+const IDLE_FACTOR = 4;
+
+/** A request is moved at most so often: each move may lose what the endpoint has read. */
+const MOST_MOVES = 2;
+
+function waitsTooLong(
+  core: Core,
+  view: TableView,
+  pool: PoolId,
+  { attempt, firstTokenAt }: LiveAttempt,
+  now: number,
+): boolean {
+  const live = core.requests.get(attempt.requestId);
+  if (live === undefined || firstTokenAt !== null || !live.request.repeatable) return false;
+  if (live.isMoving === true || live.delivered > 0 || live.attempts > MOST_MOVES) return false;
+  const target = view.classes.get(live.request.classId)?.target.firstTokenMs ?? Infinity;
+  const idleMs = core.placement.pools.get(pool)?.idleFirstTokenMs ?? 0;
+  return now - attempt.startedAt > Math.max(target * MOVE_AFTER_PART, idleMs * IDLE_FACTOR);
+}
+
+function movePool(
+  core: Core,
+  view: TableView,
+  pool: PoolId,
+  ids: Iterable<string>,
+  now: number,
+  actions: Action[],
+): void {
+  for (const id of ids) {
+    const waiting = core.attempts.get(id);
+    if (waiting === undefined || !waitsTooLong(core, view, pool, waiting, now)) continue;
+    const room = measureRoom(core, view, pool, listCandidates(core, view, pool), now);
+    const { endpointId, requestId } = waiting.attempt;
+    if (!hasFreeSlotElsewhere(core, room, endpointId, now)) continue;
+    core.requests.get(requestId)!.isMoving = true;
+    count(core, 'moves');
+    actions.push({ kind: 'cancel-attempt', attemptId: id });
+  }
+}
+
+/**
+ * Moves critical requests that wait in an endpoint's queue to an endpoint with a free slot: the
+ * attempt is cancelled, and its end puts the request back at the head of its queue.
+ */
+export function moveAttempts(core: Core, now: number, actions: Action[]): void {
+  const { view } = core.table;
+  if (view === null) return;
+  core.placement.critical.forEach((ids, pool) => {
+    if (pool.startsWith('model:')) movePool(core, view, pool as PoolId, ids, now, actions);
+  });
+}
--- a/packages/core/src/entry/observeAttempt.ts
+++ b/packages/core/src/entry/observeAttempt.ts
@@ -1,11 +1,13 @@
-import { correctCost, hasWaiting } from '../admission/index.js';
+import { correctCost, hasWaiting, requeueRequest } from '../admission/index.js';
 import { recordFailure, recordSuccess } from '../health/index.js';
 import {
   countInFlight,
   hasReportedRoom,
   observeFirstTokenAt,
+  noteAnswered,
   observePace,
   releaseSlot,
+  removeCritical,
   windowOf,
 } from '../placement/index.js';
 import { recordLength } from '../prediction/index.js';
@@ -34,6 +36,7 @@
 /** Learns from the first token of an attempt. */
 export function observeFirstToken(core: Core, ended: LiveAttempt, now: number): void {
   ended.firstTokenAt = now;
+  noteAnswered(core.placement, ended.attempt.endpointId);
   const { view } = core.table;
   const { endpointId, requestId, startedAt } = ended.attempt;
   const endpoint = view?.endpoints.get(endpointId);
@@ -46,6 +49,7 @@
     mostWaitMs: mostWaitMs(core, pool, view.classes),
     isLimited: isLimited(core, endpoint, pool),
     hasRoom: hasReportedRoom(core.placement, endpoint, now),
+    followsDemand: core.placement.parts.get(pool)?.followsDemand ?? false,
   };
   observeFirstTokenAt(core.placement, seen, now);
 }
@@ -75,6 +79,11 @@
   correctCost(core.admission, request.pool, row, difference);
 }
 
+function putBack(core: Core, live: LiveRequest, end: AttemptEnd): void {
+  live.isMoving = false;
+  if (end.kind === 'cancelled') requeueRequest(core.admission, live.request);
+}
+
 /** Learns from the end of an attempt, and frees its slot. */
 export function observeEnd(
   core: Core,
@@ -85,6 +94,8 @@
 ): void {
   const { endpointId, requestId } = ended.attempt;
   releaseSlot(core.placement, endpointId, ended.expectedTokens, now);
+  removeCritical(core.placement, ended.attempt.id);
+  if (ended.firstTokenAt === null) noteAnswered(core.placement, endpointId);
   const live = core.requests.get(requestId);
   const tokens = end.kind === 'complete' ? end.outputTokens : ended.produced;
   if (live !== undefined) settleCost(core, ended, live, tokens);
@@ -92,6 +103,7 @@
     recordSuccess(core.health, endpointId);
     if (live !== undefined) observeComplete(core, ended, live, end.outputTokens, now);
   }
+  if (live?.isMoving === true) putBack(core, live, end);
   if (end.kind !== 'failed' || end.cause === 'invalid') return;
   if (!recordFailure(core.health, endpointId, now)) return;
   count(core, 'ejections');
--- a/packages/core/src/entry/onTick.ts
+++ b/packages/core/src/entry/onTick.ts
@@ -3,12 +3,14 @@
 import type { Core } from './core.js';
 import { dispatchWaiting, shedPool } from './dispatchWaiting.js';
 import { giveOrders } from './giveOrders.js';
+import { moveAttempts } from './moveAttempts.js';
 import { shedHopeless } from './shedWaiting.js';
 import { watchHealth } from './watchHealth.js';
 
 /** Watches the endpoints, sheds what can no longer be in time and tries the queues again. */
 export function onTick(core: Core, now: number, actions: Action[]): void {
   watchHealth(core, now, actions);
+  moveAttempts(core, now, actions);
   for (const pool of listWaitingPools(core.admission)) {
     shedHopeless(core, pool, now, actions);
     dispatchWaiting(core, pool, now, actions);
--- a/packages/core/src/entry/peerDemand.ts
+++ b/packages/core/src/entry/peerDemand.ts
@@ -1,46 +1,96 @@
-import { addPeerLoad, type PeerDemand } from '../admission/index.js';
-import { countVms } from '../membership/index.js';
-import { readRate } from '../shared/index.js';
-import type { PoolId } from '../types/index.js';
+import {
+  announceOffers,
+  clearPeerLoads,
+  divideSlots,
+  offersOf,
+  recordPeerLoads,
+  type Division,
+  type VmDemand,
+} from '../admission/index.js';
+import { msPerToken, type PoolPart } from '../placement/index.js';
+import type { TableView } from '../table/index.js';
+import type { Endpoint, PoolId } from '../types/index.js';
 import type { Core } from './core.js';
 
 /** Peers' loads heard longer ago than this say nothing about now. */
-const OLDEST_LOAD_MS = 4000;
+const OLDEST_LOAD_MS = 5000;
 
 const REFRESH_MS = 200;
 
-/** Sums up what the peers said of their queues, at most a few times a second. */
+/** With fewer of the peers heard their demand is not known well enough to divide by it. */
+const LEAST_HEARD_PART = 0.5;
+
+/** Takes in what the peers said of their queues, at most a few times a second. */
 export function refreshPeerDemand(core: Core, now: number): void {
   const { peers } = core.admission;
   if (now - peers.refreshedAt < REFRESH_MS) return;
   peers.refreshedAt = now;
-  peers.pools.clear();
-  const classes = core.table.view?.classes;
-  if (classes === undefined) return;
+  announceOffers(core.admission, now);
+  clearPeerLoads(peers);
   for (const member of core.membership.members.values()) {
     if (member.heartbeat === null || now - member.heardAt > OLDEST_LOAD_MS) continue;
-    member.heartbeat.loads.forEach((load) => addPeerLoad(peers, load, classes));
+    recordPeerLoads(peers, member.id, member.heartbeat.loads);
   }
 }
 
-/** Returns what the peers said of a pool. */
-export function peerDemandOf(core: Core, pool: PoolId): PeerDemand | undefined {
-  return core.admission.peers.pools.get(pool);
+function ownOffers(core: Core, pool: PoolId): Map<string, number> {
+  const lanes = core.admission.pools.get(pool)?.lanes.values() ?? [];
+  return new Map([...lanes].map((lane) => [lane.classId, lane.announced]));
+}
+
+/** Lists the demand of all live VMs, in the order of their ids. */
+export function listDemands(core: Core, pool: PoolId): VmDemand[] {
+  const { self, list } = core.membership;
+  const ids = (list?.vms ?? []).filter((vm) => vm.state === 'live').map((vm) => vm.id);
+  if (!ids.includes(self.id)) ids.push(self.id);
+  return ids.sort().map((vmId) => {
+    const offers =
+      vmId === self.id ? ownOffers(core, pool) : offersOf(core.admission.peers, pool, vmId);
+    return { vmId, offers };
+  });
+}
+
+type Part = Omit<PoolPart, 'refreshedAt'>;
+
+function partOf(division: Division, at: number): Part {
+  const before = division.byVm.slice(0, at).reduce((sum, slots) => sum + slots, 0);
+  const from = before / division.slots;
+  return { from, to: from + division.byVm[at]! / division.slots, followsDemand: true };
+}
+
+/** Works out this VM's part of a pool. */
+export function workOutPart(
+  core: Core,
+  view: TableView,
+  pool: PoolId,
+  endpoints: readonly Endpoint[],
+): Part {
+  const demands = listDemands(core, pool);
+  const at = demands.findIndex(({ vmId }) => vmId === core.membership.self.id);
+  const heard = demands.filter(({ offers }) => offers !== null).length;
+  if (heard < Math.max(2, demands.length * LEAST_HEARD_PART)) {
+    const { length } = demands;
+    return { from: at / length, to: (at + 1) / length, followsDemand: length === 1 };
+  }
+  const slots = endpoints.reduce((sum, endpoint) => sum + endpoint.slots, 0);
+  return partOf(divideSlots(slots, demands, view.classes, msPerToken(core.placement, pool)), at);
 }
 
 /**
  * Returns by how much a class's share is scaled on this VM: its minimum holds for the whole
- * fleet, so a VM that has most of the class's demand owes it most of the fleet's share.
+ * fleet, so a VM with most of the class's demand owes it most of the fleet's share.
  */
-export function shareBoost(core: Core, pool: PoolId, classId: string, now: number): number {
-  const queue = core.admission.pools.get(pool);
-  const demand = peerDemandOf(core, pool);
-  const lane = queue?.lanes.get(classId);
-  if (queue === undefined || lane === undefined || demand === undefined) return 1;
-  const own = readRate(queue.served, now);
-  if (own === 0) return 1;
-  const peersWait = demand.waitingByClass.get(classId) ?? 0;
-  const part = lane.cost + peersWait === 0 ? 1 : lane.cost / (lane.cost + peersWait);
-  const boost = (part * (own + demand.servedPerMs)) / own;
-  return Math.min(boost, countVms(core.membership));
+export function shareBoost(core: Core, pool: PoolId, classId: string): number {
+  const part = core.placement.parts.get(pool);
+  if (part === undefined || !part.followsDemand || part.to <= part.from) return 1;
+  const { self } = core.membership;
+  let own = 0;
+  let all = 0;
+  for (const { vmId, offers } of listDemands(core, pool)) {
+    const offer = offers?.get(classId) ?? 0;
+    all += offer;
+    if (vmId === self.id) own = offer;
+  }
+  if (all === 0) return 1;
+  return own / all / (part.to - part.from);
 }
--- a/packages/core/src/entry/shedWaiting.ts
+++ b/packages/core/src/entry/shedWaiting.ts
@@ -1,5 +1,6 @@
 import { classRate, takeHopeless, takeOverflow, type PoolQueue } from '../admission/index.js';
 import { firstTokenMs, msPerToken } from '../placement/index.js';
+import { hasLearned } from '../prediction/index.js';
 import { readRate } from '../shared/index.js';
 import type { TableView } from '../table/index.js';
 import type { Class, PoolId, RefusalCode, Request } from '../types/index.js';
@@ -54,7 +55,8 @@
 
 /** Returns the longest wait with which a class's requests can still meet their target. */
 function longestWait(core: Core, pool: PoolId, row: Class, meanCost: number): number {
-  const serviceMs = meanCost * msPerToken(core.placement, pool);
+  const isKnown = hasLearned(core.prediction, `${row.id}|${pool}`);
+  const serviceMs = isKnown ? meanCost * msPerToken(core.placement, pool) : 0;
   const { firstTokenMs: target, wholeMs } = row.target;
   const forFirst = target - firstTokenMs(core.placement, pool);
   return Math.max(0, Math.min(forFirst, wholeMs - serviceMs) * WAIT_PART);
--- a/packages/core/src/entry/watchHealth.ts
+++ b/packages/core/src/entry/watchHealth.ts
@@ -9,6 +9,7 @@
 } from '../health/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
+import { cutLate } from './cutLate.js';
 import { count } from './counters.js';
 import type { MessageOf } from './message.js';
 
@@ -29,10 +30,11 @@
   actions.push({ kind: 'state-changed', level: isEjected ? 'warn' : 'info', code, fields });
 }
 
-/** Compares the endpoints of each pool and probes those whose ejection is over. */
+/** Cuts late streams, compares the endpoints of each pool and probes those whose ejection is over. */
 export function watchHealth(core: Core, now: number, actions: Action[]): void {
   const { view } = core.table;
   if (view === null || !isScanDue(core.health, now)) return;
+  cutLate(core, now, actions);
   scanProgress(core.health, listStreams(core), now);
   for (const pool of core.admission.pools.keys()) {
     const ids = (view.pools.get(pool) ?? []).map((endpoint) => endpoint.id);
--- a/packages/core/src/placement/chooseEndpoint.ts
+++ b/packages/core/src/placement/chooseEndpoint.ts
@@ -1,7 +1,7 @@
 import { nextInteger, type Random } from '../shared/index.js';
 import type { Endpoint, Request } from '../types/index.js';
 import { countCached } from './prefixCache.js';
-import { countInFlight, estimateLoad, msPerToken, windowOf } from './queries.js';
+import { countInFlight, estimateLoad, hasReportedRoom, msPerToken, windowOf } from './queries.js';
 import type { PlacementState } from './state.js';
 
 const OTHER_ZONE_MS = 2;
@@ -10,6 +10,9 @@
 /** Cost of a prompt token in output tokens: prompts are read many tokens a step. */
 export const PROMPT_TOKEN_COST = 1 / 16;
 
+/** With a larger part of the window unanswered, requests wait at the endpoint. */
+const LARGEST_UNANSWERED_PART = 1 / 8;
+
 /** Endpoints within so much of the best are near-equals. */
 const NEAR_MS = 10;
 const NEAR_PART = 0.15;
@@ -21,8 +24,6 @@
   readonly cost: number;
   readonly zone: string;
   readonly region: string;
-  /** Attempts beyond its window that this request may use at one endpoint. */
-  readonly overcommit: number;
   readonly now: number;
 }
 
@@ -36,20 +37,41 @@
   const { request, cost, now } = placing;
   const load = state.loads.get(endpoint.id);
   const pace = load?.pace.msPerToken ?? msPerToken(state, request.pool);
-  const ahead = Math.max(0, estimateLoad(load, now) + 1 - endpoint.slots);
-  const queueMs = (ahead * cost * pace) / endpoint.slots;
+  const reported = estimateLoad(load, now) + 1 - endpoint.slots;
+  // An attempt without a token waits there whatever the report says.
+  const ahead = Math.max(0, reported, load?.unanswered ?? 0);
+  // A slot comes free each time one of the attempts in the batch ends.
+  const attemptMs = state.pools.get(request.pool)?.attemptMs ?? cost * pace;
+  const queueMs = (ahead * attemptMs) / endpoint.slots;
   const cachedPart = countCached(state.caches, endpoint.id, request.prefixes);
   const savedMs = cachedPart * request.promptTokens * PROMPT_TOKEN_COST * pace;
   return queueMs + cost * pace - savedMs + distanceMs(endpoint, placing);
 }
 
-function fill(state: PlacementState, endpoint: Endpoint, now: number): number {
-  return estimateLoad(state.loads.get(endpoint.id), now) / endpoint.slots;
+/** Returns the slots of this VM's window that are free, less what waits there unanswered. */
+function countFree(state: PlacementState, endpoint: Endpoint): number {
+  const unanswered = state.loads.get(endpoint.id)?.unanswered ?? 0;
+  return windowOf(state, endpoint) - countInFlight(state, endpoint.id) - unanswered;
+}
+
+/** Says whether an endpoint has room for one more attempt within this VM's window. */
+export function hasWindow(state: PlacementState, endpoint: Endpoint): boolean {
+  return countInFlight(state, endpoint.id) < windowOf(state, endpoint);
+}
+
+/** Says whether attempts of this VM seem to wait at an endpoint: too many have had no token. */
+export function isBackedUp(state: PlacementState, endpoint: Endpoint): boolean {
+  const unanswered = state.loads.get(endpoint.id)?.unanswered ?? 0;
+  return unanswered > windowOf(state, endpoint) * LARGEST_UNANSWERED_PART;
 }
 
-/** Says whether an endpoint has room for one more attempt of this VM. */
-export function hasWindow(state: PlacementState, endpoint: Endpoint, overcommit: number): boolean {
-  return countInFlight(state, endpoint.id) < Math.ceil(windowOf(state, endpoint)) + overcommit;
+/**
+ * Says whether an endpoint seems to have a slot free that other VMs leave unused: its report
+ * shows one, and nothing of this VM waits there.
+ */
+export function hasSpareSlot(state: PlacementState, endpoint: Endpoint, now: number): boolean {
+  const unanswered = state.loads.get(endpoint.id)?.unanswered ?? 0;
+  return unanswered === 0 && hasReportedRoom(state, endpoint, now);
 }
 
 /** Chooses the endpoint for a request: of two near-equals at random, the emptier. */
@@ -59,12 +81,13 @@
   placing: Placing,
   random: Random,
 ): Endpoint | undefined {
-  const free = candidates.filter((c) => hasWindow(state, c, placing.overcommit));
-  if (free.length < 2) return free[0];
-  const scores = free.map((c) => scoreEndpoint(state, c, placing));
+  if (candidates.length < 2) return candidates[0];
+  const scores = candidates.map((c) => scoreEndpoint(state, c, placing));
   const best = Math.min(...scores);
-  const near = free.filter((_, at) => scores[at]! <= best + NEAR_MS + Math.abs(best) * NEAR_PART);
+  const near = candidates.filter(
+    (_, at) => scores[at]! <= best + NEAR_MS + Math.abs(best) * NEAR_PART,
+  );
   const first = near[nextInteger(random, near.length)]!;
   const second = near[nextInteger(random, near.length)]!;
-  return fill(state, first, placing.now) <= fill(state, second, placing.now) ? first : second;
+  return countFree(state, first) >= countFree(state, second) ? first : second;
 }
--- a/packages/core/src/placement/commands.ts
+++ b/packages/core/src/placement/commands.ts
@@ -1,3 +1,4 @@
+import { hashText } from '../shared/index.js';
 import type { Endpoint, LoadReport } from '../types/index.js';
 import { createPace, observeDuration, observeFirst, type Pace } from './pace.js';
 import { createEndpointLoad, type EndpointLoad, type PlacementState } from './state.js';
@@ -5,16 +6,21 @@
 /** Reports later than this describe another time; what was sent then no longer matters. */
 const LONGEST_REPORT_LAG_MS = 5000;
 
-const LEAST_WINDOW = 0.5;
-const DECREASE = 0.85;
-const SLOW_INCREASE = 0.15;
-const FAST_INCREASE = 0.6;
+const LEAST_FACTOR = 0.3;
+const DECREASE = 0.9;
+const SLOW_INCREASE = 0.01;
+const FAST_INCREASE = 0.05;
+
+/** A part that follows the VMs' demand is exceeded by at most this factor. */
+const LARGEST_KNOWN_FACTOR = 1;
+
+/** An equal part, where the VMs' demand is not known, is exceeded by at most this factor. */
+const LARGEST_BLIND_FACTOR = 8;
 
 /** A window shrinks at most once in so long: the streams in flight need time to end. */
 const DECREASE_INTERVAL_MS = 300;
 
-/** A window may exceed the endpoint's slots by this part, to cover the way there and back. */
-const LARGEST_WINDOW_PART = 1.25;
+const HASH_RANGE = 2 ** 32;
 
 /** A first token this much later than at an idle endpoint tells that it waited there. */
 const IDLE_FACTOR = 2;
@@ -42,16 +48,22 @@
   instants.splice(0, kept < 0 ? instants.length : kept);
 }
 
-/** Opens the window of an endpoint that is used for the first time. */
-export function openWindow(state: PlacementState, endpoint: Endpoint, vms: number): void {
-  const load = loadOf(state, endpoint.id);
-  load.window ??= Math.max(LEAST_WINDOW, endpoint.slots / vms);
+/**
+ * Sets this VM's part of an endpoint's slots, `from` and `to` being 0 to 1: the parts of all
+ * VMs meet without gap or overlap, and each endpoint rounds elsewhere.
+ */
+export function setPart(state: PlacementState, endpoint: Endpoint, from: number, to: number): void {
+  const offset = hashText(endpoint.id) / HASH_RANGE;
+  const begin = Math.round(endpoint.slots * from + offset);
+  const end = Math.round(endpoint.slots * to + offset);
+  loadOf(state, endpoint.id).part = end - begin;
 }
 
 /** Takes a slot at an endpoint for an attempt of so many expected tokens. */
 export function reserveSlot(state: PlacementState, endpointId: string, tokens: number): void {
   const load = loadOf(state, endpointId);
   load.inFlight += 1;
+  load.unanswered += 1;
   load.expectedTokens += tokens;
 }
 
@@ -62,6 +74,12 @@
   load.sentAt.push(now);
 }
 
+/** Notes that an attempt has had its first token. */
+export function noteAnswered(state: PlacementState, endpointId: string): void {
+  const load = loadOf(state, endpointId);
+  load.unanswered = Math.max(0, load.unanswered - 1);
+}
+
 /** Gives a slot back. */
 export function releaseSlot(
   state: PlacementState,
@@ -96,29 +114,27 @@
   readonly isLimited: boolean;
   /** Says whether the endpoint's report shows free slots. */
   readonly hasRoom: boolean;
+  /** Says whether the part follows the VMs' demand. */
+  readonly followsDemand: boolean;
 }
 
 /** Adapts the window: smaller when requests waited at the endpoint, larger when it is idle. */
 export function observeFirstTokenAt(state: PlacementState, seen: FirstToken, now: number): void {
   const load = loadOf(state, seen.endpoint.id);
-  const { window } = load;
   observeFirst(load.pace, seen.elapsedMs);
   observeFirst(paceOf(state, seen.pool), seen.elapsedMs);
-  if (window === null) return;
   const idleMs = paceOf(state, seen.pool).idleFirstTokenMs ?? seen.elapsedMs;
   const waitedMs = seen.elapsedMs - IDLE_FACTOR * idleMs;
   if (waitedMs > seen.mostWaitMs) {
     if (now - load.decreasedAt < DECREASE_INTERVAL_MS) return;
-    load.window = Math.max(LEAST_WINDOW, window * DECREASE);
+    load.factor = Math.max(LEAST_FACTOR, load.factor * DECREASE);
     load.decreasedAt = now;
     return;
   }
   if (!seen.isLimited) return;
+  const most = seen.followsDemand ? LARGEST_KNOWN_FACTOR : LARGEST_BLIND_FACTOR;
   const step = seen.hasRoom ? FAST_INCREASE : SLOW_INCREASE;
-  load.window = Math.min(
-    seen.endpoint.slots * LARGEST_WINDOW_PART,
-    window + step / Math.max(1, window),
-  );
+  load.factor = Math.min(Math.max(most, load.factor), load.factor + step);
 }
 
 /** Learns how long an attempt took for its tokens of cost. */
@@ -132,3 +148,15 @@
   observeDuration(loadOf(state, endpointId).pace, durationMs, cost);
   observeDuration(paceOf(state, pool), durationMs, cost);
 }
+
+/** Notes a critical attempt of a pool as in flight. */
+export function addCritical(state: PlacementState, pool: string, attemptId: string): void {
+  const attempts = state.critical.get(pool) ?? new Set();
+  attempts.add(attemptId);
+  state.critical.set(pool, attempts);
+}
+
+/** Notes that an attempt is no longer in flight, critical or not. */
+export function removeCritical(state: PlacementState, attemptId: string): void {
+  state.critical.forEach((attempts) => attempts.delete(attemptId));
+}
--- a/packages/core/src/placement/queries.ts
+++ b/packages/core/src/placement/queries.ts
@@ -4,6 +4,12 @@
 /** A report older than this says nothing any more. */
 const OLDEST_REPORT_MS = 6000;
 
+/** A window may exceed the endpoint's slots by this part, to cover the way there and back. */
+const LARGEST_WINDOW_PART = 1.25;
+
+/** A report no older than this is taken to describe the present. */
+const FRESH_REPORT_MS = 800;
+
 /** An endpoint that got nothing for so long is no longer in use. */
 const RECENT_MS = 5000;
 
@@ -15,9 +21,16 @@
   return state.loads.get(endpointId)?.inFlight ?? 0;
 }
 
+/** Returns how many critical attempts of this VM are in flight in a pool. */
+export function countCritical(state: PlacementState, pool: string): number {
+  return state.critical.get(pool)?.size ?? 0;
+}
+
 /** Returns how many attempts this VM may have in flight at an endpoint. */
 export function windowOf(state: PlacementState, endpoint: Endpoint): number {
-  return state.loads.get(endpoint.id)?.window ?? endpoint.slots;
+  const load = state.loads.get(endpoint.id);
+  if (load === undefined || load.part === null) return endpoint.slots;
+  return Math.min(endpoint.slots * LARGEST_WINDOW_PART, Math.round(load.part * load.factor));
 }
 
 /** Returns the slot time of one token of cost in a pool, in milliseconds. */
@@ -59,6 +72,13 @@
   return estimateLoad(load, now) < endpoint.slots;
 }
 
+/** Says whether a fresh report shows no free slot; one that is late proves nothing. */
+export function isReportedFull(state: PlacementState, endpoint: Endpoint, now: number): boolean {
+  const load = state.loads.get(endpoint.id);
+  if (load?.report == null || now - load.report.measuredAt > FRESH_REPORT_MS) return false;
+  return estimateLoad(load, now) >= endpoint.slots;
+}
+
 /** Lists the endpoints that this VM uses now or used lately. */
 export function listActiveEndpoints(state: PlacementState, now: number): string[] {
   return [...state.loads]
--- a/packages/core/src/placement/state.ts
+++ b/packages/core/src/placement/state.ts
@@ -11,10 +11,14 @@
   /** Instants of the attempts sent lately, oldest first, to correct a late report. */
   readonly sentAt: number[];
   readonly endedAt: number[];
-  /** Attempts that this VM may have in flight there; null before the first use. */
-  window: number | null;
-  /** Instant of the last decrease of the window. */
+  /** This VM's part of the endpoint's slots; null before the first use. */
+  part: number | null;
+  /** Scales the part by what first tokens tell: below 1 where requests wait there. */
+  factor: number;
+  /** Instant of the last decrease of the factor. */
   decreasedAt: number;
+  /** Attempts in flight that have had no token yet. */
+  unanswered: number;
   readonly pace: Pace;
 }
 
@@ -24,17 +28,36 @@
   readonly chosen: readonly Endpoint[];
 }
 
+/** This VM's part of every endpoint of a pool, 0 to 1. */
+export interface PoolPart {
+  readonly from: number;
+  readonly to: number;
+  /** True when the parts follow the VMs' demand, false when all have the same. */
+  readonly followsDemand: boolean;
+  readonly refreshedAt: number;
+}
+
 /** Loads of the endpoints and paces of the pools, by id. */
 export interface PlacementState {
   readonly loads: Map<string, EndpointLoad>;
   readonly pools: Map<string, Pace>;
+  readonly parts: Map<PoolId, PoolPart>;
+  /** Critical attempts in flight, by pool. */
+  readonly critical: Map<string, Set<string>>;
   readonly subsets: Map<PoolId, Subset>;
   readonly caches: CacheState;
 }
 
 /** Creates the state in which nothing is in flight. */
 export function createPlacementState(): PlacementState {
-  return { loads: new Map(), pools: new Map(), subsets: new Map(), caches: createCacheState() };
+  return {
+    loads: new Map(),
+    pools: new Map(),
+    parts: new Map(),
+    critical: new Map(),
+    subsets: new Map(),
+    caches: createCacheState(),
+  };
 }
 
 /** Creates the load of an endpoint that was not used yet. */
@@ -45,8 +68,10 @@
     report: null,
     sentAt: [],
     endedAt: [],
-    window: null,
+    part: null,
+    factor: 1,
     decreasedAt: 0,
+    unanswered: 0,
     pace: createPace(),
   };
 }
--- a/packages/core/src/prediction/queries.ts
+++ b/packages/core/src/prediction/queries.ts
@@ -7,6 +7,11 @@
 /** Assumed length of an answer while nothing is known, in tokens. */
 const UNKNOWN_LENGTH = 128;
 
+/** Says whether enough answers of a kind were seen to predict the next. */
+export function hasLearned(state: PredictionState, source: string): boolean {
+  return (state.histograms.get(source)?.total ?? 0) >= FEWEST_ANSWERS;
+}
+
 /**
  * Predicts how many tokens are still to come, at a quantile of the answers that were
  * at least as long as what is already there.
@@ -46,3 +51,23 @@
   });
   return Math.min(most, Math.max(1, sum / histogram.total));
 }
+
+/** Returns the chance that an answer of at least `produced` tokens has at most `more` still to come. */
+export function chanceWithin(
+  state: PredictionState,
+  source: string,
+  produced: number,
+  more: number,
+): number {
+  const histogram = state.histograms.get(source);
+  if (histogram === undefined || histogram.total < FEWEST_ANSWERS) return 1;
+  const first = bucketOf(produced);
+  const last = bucketOf(produced + more);
+  let within = 0;
+  let longer = 0;
+  for (let bucket = first; bucket < BUCKET_COUNT; bucket += 1) {
+    longer += histogram.counts[bucket]!;
+    if (bucket <= last) within += histogram.counts[bucket]!;
+  }
+  return longer === 0 ? 1 : within / longer;
+}
--- a/packages/core/src/types/heartbeat.ts
+++ b/packages/core/src/types/heartbeat.ts
@@ -7,6 +7,8 @@
   readonly waiting: number;
   readonly waitingTokens: number;
   readonly servedTokensPerSecond: number;
+  /** What callers asked for, shed or not. */
+  readonly offeredTokensPerSecond: number;
 }
 
 /** What one VM tells another about itself; a hint, never authority. */
--- a/packages/router/src/peers/peerProtocol.ts
+++ b/packages/router/src/peers/peerProtocol.ts
@@ -32,6 +32,7 @@
       waiting: z.number(),
       waitingTokens: z.number(),
       servedTokensPerSecond: z.number(),
+      offeredTokensPerSecond: z.number().default(0),
     }),
   ),
   suspects: z.array(z.strictObject({ fingerprint: id, since: z.number() })),
