--- a/packages/core/src/entry/onTick.ts
+++ b/packages/core/src/entry/onTick.ts
@@ -4,6 +4,7 @@
 import { dispatchWaiting, shedPool } from './dispatchWaiting.js';
 import { giveOrders } from './giveOrders.js';
 import { onFleetTick } from './onFleetTick.js';
+import { moveAttempts } from './moveAttempts.js';
 import { shedHopeless } from './shedWaiting.js';
 import { watchHealth } from './watchHealth.js';
 
@@ -12,6 +13,7 @@
   onFleetTick(core, now, actions);
   giveOrders(core, now, actions);
   watchHealth(core, now, actions);
+  moveAttempts(core, now, actions);
   for (const pool of listWaitingPools(core.admission)) {
     shedHopeless(core, pool, now, actions);
     dispatchWaiting(core, pool, now, actions);
