Isolate requests that endpoints crash under, and refuse them after the third crash

Cause: a request that crashes its endpoint took one engine after another with it, with every retry and every time its caller sent it again. Change: each crash with a request in flight is evidence by fingerprint, told to eight peers at once and to the rest by heartbeats; two crashes make it run alone on an endpoint kept free of all else, preferably one it has not crashed; a crash alone, or on three endpoints, refuses it for ten minutes. An answer clears it. Ruled out: counting distinct endpoints only.

--- a/packages/core/src/entry/buildHeartbeat.ts
+++ b/packages/core/src/entry/buildHeartbeat.ts
@@ -1,5 +1,6 @@
 import { listClassLoads } from '../admission/index.js';
 import { listNews, ownPeerUrl, ownState } from '../membership/index.js';
+import { listCrashes } from '../suspects/index.js';
 import { tableDigest, tableRevision } from '../table/index.js';
 import type { ClassLoad, Heartbeat } from '../types/index.js';
 import type { Core } from './core.js';
@@ -32,7 +33,7 @@
     manifestDigest: tableDigest(table),
     positions: [],
     loads: listDemand(core, now),
-    suspects: [],
+    suspects: listCrashes(core.suspects, now),
     members: listNews(membership, now),
   };
 }
--- a/packages/core/src/entry/core.ts
+++ b/packages/core/src/entry/core.ts
@@ -6,6 +6,7 @@
 import { createPlacementState, type PlacementState } from '../placement/index.js';
 import { createPredictionState, type PredictionState } from '../prediction/index.js';
 import type { Random } from '../shared/index.js';
+import { createSuspectState, type SuspectState } from '../suspects/index.js';
 import { createTableState, type TableState } from '../table/index.js';
 import type { Attempt, Request, Verdict, Vm } from '../types/index.js';
 import type { CounterName } from './counters.js';
@@ -53,6 +54,7 @@
   readonly limits: LimitState;
   readonly membership: MembershipState;
   readonly orders: OrdersState;
+  readonly suspects: SuspectState;
   readonly requests: Map<string, LiveRequest>;
   readonly attempts: Map<string, LiveAttempt>;
   readonly counters: Map<CounterName, number>;
@@ -72,6 +74,7 @@
     limits: createLimitState(),
     membership: createMembershipState(self, now),
     orders: createOrdersState(options.weightsBytesPerSecond ?? DEFAULT_WEIGHTS_RATE),
+    suspects: createSuspectState(),
     requests: new Map(),
     attempts: new Map(),
     counters: new Map(),
--- a/packages/core/src/entry/counters.ts
+++ b/packages/core/src/entry/counters.ts
@@ -21,6 +21,7 @@
   'tables_refused',
   'lists_accepted',
   'orders',
+  'suspicions',
   'orders_failed',
   'table_conflicts',
   'sheets_missing',
--- a/packages/core/src/entry/dispatchWaiting.ts
+++ b/packages/core/src/entry/dispatchWaiting.ts
@@ -14,6 +14,7 @@
   msPerToken,
   noteSent,
 } from '../placement/index.js';
+import { isKeptFree } from '../suspects/index.js';
 import type { TableView } from '../table/index.js';
 import { tierRank, type PoolId, type Request } from '../types/index.js';
 import type { Action } from './action.js';
@@ -108,7 +109,9 @@
   if (view === null || isStale(core.membership)) return;
   if (!hasWaiting(core.admission, pool)) return;
   refreshPeerDemand(core, now);
-  const candidates = listCandidates(core, view, pool);
+  const candidates = listCandidates(core, view, pool).filter(
+    ({ id }) => !isKeptFree(core.suspects, pool, id),
+  );
   refreshParts(core, view, pool, candidates, now);
   const room = measureRoom(core, view, pool, candidates, now);
   const selection = createSelection(core, view, pool, room, now);
--- a/packages/core/src/entry/onAttempt.ts
+++ b/packages/core/src/entry/onAttempt.ts
@@ -1,4 +1,5 @@
 import { requeueRequest } from '../admission/index.js';
+import { clearSuspect } from '../suspects/index.js';
 import { worstVerdict, type AttemptEnd } from '../types/index.js';
 import type { Action } from './action.js';
 import type { Core, LiveRequest } from './core.js';
@@ -7,6 +8,7 @@
 import { endRequest, refuseRequest } from './finishRequest.js';
 import type { MessageOf } from './message.js';
 import { observeAnswer, observeEnd, observeFirstToken } from './observeAttempt.js';
+import { holdSuspect, observeCrash } from './watchSuspects.js';
 
 const MOST_ATTEMPTS = 3;
 
@@ -43,7 +45,7 @@
 ): void {
   if (mayRetry(live, failure, now)) {
     count(core, 'retries');
-    requeueRequest(core.admission, live.request);
+    if (!holdSuspect(core, live, now, actions)) requeueRequest(core.admission, live.request);
     return;
   }
   const retryable = live.request.repeatable || live.verdict === 'not-run';
@@ -65,6 +67,7 @@
   actions: Action[],
 ): void {
   observeAnswer(core, live, outputTokens);
+  clearSuspect(core.suspects, live.request.fingerprint);
   count(core, 'tokens_delivered', outputTokens);
   endRequest(core, live, now <= live.request.deadline ? 'complete' : 'late', actions);
 }
@@ -84,6 +87,7 @@
   if (live === undefined || end.kind !== 'complete') count(core, 'tokens_wasted', ended.produced);
   if (live === undefined) return;
   live.attemptId = null;
+  observeCrash(core, ended, live, end, now, actions);
   live.verdict = worstVerdict(live.verdict, end.kind === 'complete' ? 'ran' : end.verdict);
   if (end.kind === 'complete') onComplete(core, live, end.outputTokens, now, actions);
   if (end.kind === 'failed') onFailed(core, live, end, now, actions);
--- a/packages/core/src/entry/onHeartbeat.ts
+++ b/packages/core/src/entry/onHeartbeat.ts
@@ -8,6 +8,7 @@
   recordHeartbeat,
   recordSilence,
 } from '../membership/index.js';
+import { learnCrashes } from '../suspects/index.js';
 import { isWorthFetching, noteConflict } from '../table/index.js';
 import type { Heartbeat, Vm } from '../types/index.js';
 import type { Action } from './action.js';
@@ -58,6 +59,7 @@
 
 function learnHeartbeat(core: Core, heartbeat: Heartbeat, now: number, actions: Action[]): void {
   if (!recordHeartbeat(core.membership, heartbeat, now)) return;
+  learnCrashes(core.suspects, heartbeat.suspects, now);
   recordAllNews(core.membership, heartbeat.members, now);
   learnRevisions(core, heartbeat, now, actions);
 }
--- a/packages/core/src/entry/onRequest.ts
+++ b/packages/core/src/entry/onRequest.ts
@@ -2,6 +2,7 @@
 import { listLimits, takeTokens } from '../limits/index.js';
 import { countVms } from '../membership/index.js';
 import { listPoolMembers } from '../orders/index.js';
+import { releaseSuspect } from '../suspects/index.js';
 import type { TableView } from '../table/index.js';
 import type { Refusal, RefusalCode, Request } from '../types/index.js';
 import type { Action } from './action.js';
@@ -11,6 +12,7 @@
 import { expectTokens } from './expectTokens.js';
 import { endRequest, refuseRequest } from './finishRequest.js';
 import type { MessageOf } from './message.js';
+import { holdSuspect } from './watchSuspects.js';
 
 const DEFAULT_RETRY_MS = 1000;
 
@@ -23,7 +25,13 @@
   return view.managed.length > 0 && view.models.has(request.pool.replace(/^model:/, ''));
 }
 
-function findRefusal(core: Core, request: Request, now: number): Refusal | null {
+function findRefusal(
+  core: Core,
+  live: LiveRequest,
+  now: number,
+  actions: Action[],
+): Refusal | null {
+  const { request } = live;
   const { view } = core.table;
   const row = view?.classes.get(request.classId);
   if (core.membership.leaving) return notRun('leaving', 'This VM is leaving; send it again.');
@@ -35,6 +43,7 @@
   const vms = countVms(core.membership);
   const waitMs = takeTokens(core.limits, limits, vms, request.promptTokens, now);
   if (waitMs > 0) return notRun('limit_reached', 'A limit of the table is used up.', waitMs);
+  if (holdSuspect(core, live, now, actions)) return null;
   const weight = view.accounts.get(request.accountId)?.weight ?? 1;
   enqueueRequest(core.admission, request, row, expectTokens(core, request), weight, now);
   return null;
@@ -57,7 +66,7 @@
   };
   core.requests.set(request.id, live);
   count(core, 'requests');
-  const refusal = findRefusal(core, request, now);
+  const refusal = findRefusal(core, live, now, actions);
   if (refusal !== null) {
     refuseRequest(core, live, refusal, 'refused', actions);
     return;
@@ -74,6 +83,7 @@
 ): void {
   const live = core.requests.get(requestId);
   if (live === undefined) return;
+  releaseSuspect(core.suspects, live.request.pool, requestId);
   if (live.attemptId === null) removeRequest(core.admission, live.request);
   else actions.push({ kind: 'cancel-attempt', attemptId: live.attemptId });
   endRequest(core, live, 'abandoned', actions);
--- a/packages/core/src/entry/onTick.ts
+++ b/packages/core/src/entry/onTick.ts
@@ -7,6 +7,7 @@
 import { moveAttempts } from './moveAttempts.js';
 import { shedHopeless } from './shedWaiting.js';
 import { watchHealth } from './watchHealth.js';
+import { runSuspects } from './watchSuspects.js';
 
 /** Watches the endpoints, sheds what can no longer be in time and tries the queues again. */
 export function onTick(core: Core, now: number, actions: Action[]): void {
@@ -14,6 +15,7 @@
   giveOrders(core, now, actions);
   watchHealth(core, now, actions);
   moveAttempts(core, now, actions);
+  runSuspects(core, now, actions);
   for (const pool of listWaitingPools(core.admission)) {
     shedHopeless(core, pool, now, actions);
     dispatchWaiting(core, pool, now, actions);
--- /dev/null
+++ b/packages/core/src/entry/watchSuspects.ts
@@ -0,0 +1,138 @@
+import { listPeers } from '../membership/index.js';
+import { countInFlight } from '../placement/index.js';
+import { rankMembers } from '../shared/index.js';
+import {
+  fadeEvidence,
+  hasCrashed,
+  isolateRequest,
+  judgeRequest,
+  recordCrash,
+  releaseSuspect,
+  type Isolation,
+} from '../suspects/index.js';
+import type { TableView } from '../table/index.js';
+import type { AttemptEnd, FailureCause, PoolId, Refusal } from '../types/index.js';
+import type { Action } from './action.js';
+import { buildHeartbeat } from './buildHeartbeat.js';
+import { nextId, type Core, type LiveAttempt, type LiveRequest } from './core.js';
+import { count } from './counters.js';
+import { refuseRequest } from './finishRequest.js';
+import { listCandidates } from './listCandidates.js';
+import { startAttempt } from './startAttempt.js';
+
+/** Peers that hear of a crash at once; the rest hear by heartbeats. */
+const PEERS_TOLD_AT_ONCE = 8;
+
+/** How an attempt ends when its endpoint dies under it. */
+const crashCauses: readonly FailureCause[] = ['reset', 'truncated'];
+
+/** Tells peers of a crash at once: a caller may send the request to them next. */
+function tellPeers(core: Core, fingerprint: string, now: number, actions: Action[]): void {
+  const told = rankMembers(fingerprint, listPeers(core.membership)).slice(0, PEERS_TOLD_AT_ONCE);
+  for (const peer of told) {
+    const heartbeat = buildHeartbeat(core, peer.id, now);
+    const call = { method: 'heartbeat', heartbeat } as const;
+    actions.push({ kind: 'call-peer', callId: nextId(core, 'c'), peer, call });
+  }
+}
+
+/** Notes what an attempt's end says of its request: a crash is evidence against it. */
+export function observeCrash(
+  core: Core,
+  { attempt }: LiveAttempt,
+  live: LiveRequest,
+  end: AttemptEnd,
+  now: number,
+  actions: Action[],
+): void {
+  const { pool, id, fingerprint } = live.request;
+  const isAlone = core.suspects.isolations.get(pool)?.runningId === id;
+  releaseSuspect(core.suspects, pool, id);
+  if (end.kind !== 'failed' || !crashCauses.includes(end.cause)) return;
+  const crash = { fingerprint, endpointId: attempt.endpointId, at: now, isAlone };
+  if (!recordCrash(core.suspects, crash)) return;
+  tellPeers(core, fingerprint, now, actions);
+  const verdict = judgeRequest(core.suspects, fingerprint, now);
+  if (verdict === 'innocent') return;
+  count(core, 'suspicions');
+  const fields = { fingerprint, verdict, endpoint: attempt.endpointId };
+  actions.push({ kind: 'state-changed', level: 'warn', code: 'request_suspected', fields });
+}
+
+function refusalOf(live: LiveRequest): Refusal {
+  return {
+    code: 'suspect_request',
+    message: 'Endpoints crashed each time that this request ran; it is not run again for now.',
+    verdict: live.verdict,
+    retryable: false,
+    retryAfterMs: null,
+  };
+}
+
+/** Refuses or isolates a request that crashed endpoints; false when it may run with others. */
+export function holdSuspect(
+  core: Core,
+  live: LiveRequest,
+  now: number,
+  actions: Action[],
+): boolean {
+  const verdict = judgeRequest(core.suspects, live.request.fingerprint, now);
+  if (verdict === 'innocent') return false;
+  if (verdict === 'suspect') isolateRequest(core.suspects, live.request.pool, live.request.id);
+  else refuseRequest(core, live, refusalOf(live), 'refused', actions);
+  return true;
+}
+
+function refuseLate(core: Core, isolation: Isolation, now: number, actions: Action[]): void {
+  for (const requestId of [...isolation.waiting]) {
+    const live = core.requests.get(requestId);
+    if (live !== undefined && live.request.deadline > now) continue;
+    if (live === undefined) {
+      isolation.waiting.splice(isolation.waiting.indexOf(requestId), 1);
+      continue;
+    }
+    releaseSuspect(core.suspects, live.request.pool, requestId);
+    const refusal = { ...refusalOf(live), code: 'deadline_unreachable' } as const;
+    refuseRequest(core, live, refusal, 'shed', actions);
+  }
+}
+
+function runNext(
+  core: Core,
+  view: TableView,
+  pool: PoolId,
+  isolation: Isolation,
+  now: number,
+  actions: Action[],
+): void {
+  const live = core.requests.get(isolation.waiting[0] ?? '');
+  if (live === undefined || isolation.runningId !== null) return;
+  const { fingerprint } = live.request;
+  const all = listCandidates(core, view, pool);
+  const untried = all.filter(({ id }) => !hasCrashed(core.suspects, fingerprint, id));
+  const candidates = untried.length > 0 ? untried : all;
+  const load = (id: string) => countInFlight(core.placement, id);
+  const kept = candidates.find(({ id }) => id === isolation.endpointId);
+  const endpoint = kept ?? [...candidates].sort((a, b) => load(a.id) - load(b.id))[0];
+  isolation.endpointId = endpoint?.id ?? null;
+  if (endpoint === undefined || load(endpoint.id) > 0) return;
+  if (judgeRequest(core.suspects, fingerprint, now) === 'refused') {
+    releaseSuspect(core.suspects, pool, live.request.id);
+    refuseRequest(core, live, refusalOf(live), 'refused', actions);
+    return;
+  }
+  isolation.waiting.shift();
+  isolation.runningId = live.request.id;
+  startAttempt(core, view, live, endpoint, now, actions);
+}
+
+/** Runs suspects, one at a time, each on an endpoint that has nothing else of this VM. */
+export function runSuspects(core: Core, now: number, actions: Action[]): void {
+  const { view } = core.table;
+  if (view === null) return;
+  if (core.suspects.evidence.size > 0) fadeEvidence(core.suspects, now);
+  for (const [pool, isolation] of [...core.suspects.isolations]) {
+    refuseLate(core, isolation, now, actions);
+    runNext(core, view, pool, isolation, now, actions);
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,5 +7,6 @@
 export * from './placement/index.js';
 export * from './prediction/index.js';
 export * from './shared/index.js';
+export * from './suspects/index.js';
 export * from './table/index.js';
 export * from './types/index.js';
--- /dev/null
+++ b/packages/core/src/suspects/index.ts
@@ -0,0 +1,23 @@
+export {
+  clearSuspect,
+  fadeEvidence,
+  isolateRequest,
+  learnCrashes,
+  recordCrash,
+  releaseSuspect,
+} from './commands.js';
+export {
+  FADE_MS,
+  hasCrashed,
+  isKeptFree,
+  judgeRequest,
+  listCrashes,
+  type CrashNews,
+} from './queries.js';
+export {
+  createSuspectState,
+  type Crash,
+  type Evidence,
+  type Isolation,
+  type SuspectState,
+} from './state.js';
--- a/packages/core/src/types/heartbeat.ts
+++ b/packages/core/src/types/heartbeat.ts
@@ -37,8 +37,13 @@
   readonly manifestDigest: string;
   readonly positions: readonly SheetPosition[];
   readonly loads: readonly ClassLoad[];
-  /** Fingerprints suspected of crashing endpoints, with the instant suspicion began. */
-  readonly suspects: readonly { readonly fingerprint: string; readonly since: number }[];
+  /** Crashes of endpoints with a request in flight, the latest first. */
+  readonly suspects: readonly {
+    readonly fingerprint: string;
+    readonly endpointId: string;
+    readonly at: number;
+    readonly isAlone: boolean;
+  }[];
   /** What it heard of others lately. */
   readonly members: readonly MemberNews[];
 }
--- a/packages/router/src/peers/peerProtocol.ts
+++ b/packages/router/src/peers/peerProtocol.ts
@@ -36,7 +36,9 @@
       offeredTokensPerSecond: z.number().default(0),
     }),
   ),
-  suspects: z.array(z.strictObject({ fingerprint: id, since: z.number() })),
+  suspects: z.array(
+    z.strictObject({ fingerprint: id, endpointId: id, at: z.number(), isAlone: z.boolean() }),
+  ),
   members: z.array(
     z.strictObject({
       id,
