--- /dev/null
+++ b/packages/bench/__tests__/endlessReport.spec.ts
@@ -0,0 +1,56 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+import { describe, it } from '@filbertlatch/core/testing';
+import { request } from 'undici';
+
+import { createTestRouter, waitUntil } from './createTestRouter.js';
+import { createTestTable, KEY } from './createTestTable.js';
+
+const PART = 'x'.repeat(65_536);
+
+// What a report may have, and what the kernel's buffers hold.
+const MOST_TAKEN_BYTES = 16 * 1024 * 1024;
+
+describe('an engine whose load report has no end', () => {
+  it('is not read on and on', async (t) => {
+    let taken = 0;
+    let cutOff = false;
+    const server = createServer((incoming, response) => {
+      incoming.resume();
+      if (incoming.url !== '/load') {
+        response.writeHead(503).end();
+        return;
+      }
+      const send = () => {
+        response.write(PART, (error) => {
+          if (error) return;
+          taken += PART.length;
+          send();
+        });
+      };
+      response.on('close', () => {
+        cutOff = true;
+      });
+      send();
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    t.teardown(() => {
+      server.closeAllConnections();
+      server.close();
+    });
+    const { port } = server.address() as AddressInfo;
+    const table = createTestTable({ engine: `http://127.0.0.1:${port}` });
+    const router = await createTestRouter(t, table);
+    const { body } = await request(`${router.callerUrl}/v1/chat/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${KEY}` },
+      body: JSON.stringify({ model: 'desk', messages: [{ role: 'user', content: 'x' }] }),
+    });
+    await body.dump();
+    await waitUntil(() => cutOff);
+    t.true(taken < MOST_TAKEN_BYTES, `${taken} bytes were taken`);
+  });
+});
--- a/packages/core/src/entry/counters.ts
+++ b/packages/core/src/entry/counters.ts
@@ -22,6 +22,11 @@
   'lists_accepted',
   'orders',
   'orders_failed',
+  'table_conflicts',
+  'sheets_missing',
+  'heartbeats',
+  'peers_lost',
+  'pauses',
 ] as const;
 
 /** Name of a counter. */
--- a/packages/core/src/entry/dispatchWaiting.ts
+++ b/packages/core/src/entry/dispatchWaiting.ts
@@ -5,6 +5,7 @@
   type Lane,
   type Selection,
 } from '../admission/index.js';
+import { isStale } from '../membership/index.js';
 import {
   addCritical,
   chooseEndpoint,
@@ -104,7 +105,8 @@
 /** Sends waiting requests of a pool to endpoints while there is room for their tier. */
 export function dispatchWaiting(core: Core, pool: PoolId, now: number, actions: Action[]): void {
   const { view } = core.table;
-  if (view === null || !hasWaiting(core.admission, pool)) return;
+  if (view === null || isStale(core.membership)) return;
+  if (!hasWaiting(core.admission, pool)) return;
   refreshPeerDemand(core, now);
   const candidates = listCandidates(core, view, pool);
   refreshParts(core, view, pool, candidates, now);
--- a/packages/core/src/entry/onTick.ts
+++ b/packages/core/src/entry/onTick.ts
@@ -4,11 +4,14 @@
 import { dispatchWaiting, shedPool } from './dispatchWaiting.js';
 import { giveOrders } from './giveOrders.js';
 import { moveAttempts } from './moveAttempts.js';
+import { onFleetTick } from './onFleetTick.js';
 import { shedHopeless } from './shedWaiting.js';
 import { watchHealth } from './watchHealth.js';
 
 /** Watches the endpoints, sheds what can no longer be in time and tries the queues again. */
 export function onTick(core: Core, now: number, actions: Action[]): void {
+  onFleetTick(core, now, actions);
+  giveOrders(core, now, actions);
   watchHealth(core, now, actions);
   moveAttempts(core, now, actions);
   for (const pool of listWaitingPools(core.admission)) {
@@ -16,5 +19,4 @@
     dispatchWaiting(core, pool, now, actions);
     shedPool(core, pool, now, actions);
   }
-  giveOrders(core, now, actions);
 }
--- a/packages/core/src/health/queries.ts
+++ b/packages/core/src/health/queries.ts
@@ -20,3 +20,8 @@
   const kept = new Set(ejected.sort((a, b) => until(b) - until(a)).slice(0, most));
   return endpointIds.filter((id) => !kept.has(id));
 }
+
+/** Lists the endpoints that are ejected now. */
+export function listEjected(state: HealthState): string[] {
+  return [...state.endpoints].filter(([, h]) => h.phase === 'ejected').map(([id]) => id);
+}
--- a/packages/router/src/platform/platformClient.ts
+++ b/packages/router/src/platform/platformClient.ts
@@ -11,7 +11,9 @@
 import type { z } from 'zod';
 
 import { PlatformError } from '../errors/index.js';
+import type { ControlTraffic } from '../metrics/index.js';
 import type { Settings } from '../settings/index.js';
+import { CallBudget } from './callBudget.js';
 
 const MS_PER_SECOND = 1000;
 const SPARE_MS = 5000;
@@ -32,10 +34,16 @@
 export class PlatformClient {
   readonly #settings: Settings['platform'];
 
+  readonly #traffic: ControlTraffic;
+
   readonly #agent: Agent;
 
-  constructor(settings: Settings['platform']) {
+  readonly #budget: CallBudget;
+
+  constructor(settings: Settings['platform'], traffic: ControlTraffic, countVms: () => number) {
+    this.#budget = new CallBudget(settings.callsPerSecond, countVms);
     this.#settings = settings;
+    this.#traffic = traffic;
     const patienceMs = settings.watchSeconds * MS_PER_SECOND + SPARE_MS;
     this.#agent = new Agent({ headersTimeout: patienceMs, bodyTimeout: patienceMs });
   }
@@ -51,6 +59,17 @@
     return this.#watch(`${this.#settings.listUrl}/vms`, after, vmListSchema, signal);
   }
 
+  /** Reads the manifest as it is now; null when none was published. */
+  async readManifest(signal: AbortSignal): Promise<Manifest | null> {
+    const base = this.#settings.configurationUrl;
+    return this.#watch(`${base}/table/manifest`, -1, manifestSchema, signal, 0);
+  }
+
+  /** Reads the list of VMs as it is now; null when none was published. */
+  async readList(signal: AbortSignal): Promise<VmList | null> {
+    return this.#watch(`${this.#settings.listUrl}/vms`, -1, vmListSchema, signal, 0);
+  }
+
   /** Reads one sheet. Throws PlatformError. */
   async readSheet(name: string): Promise<SheetText> {
     const text = await this.#get(`${this.#settings.configurationUrl}/table/sheets/${name}`);
@@ -68,8 +87,8 @@
     after: number,
     schema: S,
     signal: AbortSignal,
+    waitMs = Math.round(this.#settings.watchSeconds * MS_PER_SECOND),
   ): Promise<z.infer<S> | null> {
-    const waitMs = Math.round(this.#settings.watchSeconds * MS_PER_SECOND);
     const text = await this.#get(`${url}?after=${after}&wait=${waitMs}`, signal);
     if (text === null) return null;
     let value: unknown;
@@ -86,8 +105,10 @@
 
   async #get(url: string, signal?: AbortSignal): Promise<string | null> {
     try {
+      await this.#budget.take(signal);
       const response = await request(url, { dispatcher: this.#agent, signal });
       const text = await response.body.text();
+      this.#traffic.add('platform', 'received', Buffer.byteLength(text));
       if (response.statusCode === NOT_MODIFIED) return null;
       if (response.statusCode !== 200) throw new PlatformError(`status ${response.statusCode}`);
       return text;
--- a/packages/router/src/platform/platformTask.ts
+++ b/packages/router/src/platform/platformTask.ts
@@ -1,10 +1,13 @@
-import type { ActionOf } from '@filbertlatch/core';
+import { countVms, highestSeen, type ActionOf, type Message } from '@filbertlatch/core';
 
 import type { Decider } from '../decider/index.js';
+import type { ControlTraffic } from '../metrics/index.js';
 import type { Settings } from '../settings/index.js';
 import { PlatformClient } from './platformClient.js';
 import { Watcher } from './watcher.js';
 
+type Part = 'configuration' | 'list';
+
 /** The task that watches the configuration service and the list of VMs. */
 export class PlatformTask {
   readonly #decider: Decider;
@@ -13,23 +16,21 @@
 
   readonly #watchers: readonly Watcher[];
 
-  #manifestRevision = -1;
-
-  #listRevision = -1;
+  readonly #stop = new AbortController();
 
-  constructor(settings: Settings['platform'], decider: Decider) {
+  constructor(settings: Settings['platform'], decider: Decider, traffic: ControlTraffic) {
     this.#decider = decider;
-    this.#client = new PlatformClient(settings);
+    this.#client = new PlatformClient(settings, traffic, () => countVms(decider.core.membership));
     const { random } = decider.core;
     this.#watchers = [
       new Watcher(
-        (signal) => this.#pollManifest(signal),
-        () => decider.post({ kind: 'platform-failed', part: 'configuration' }),
+        (signal) => this.#watchManifest(signal),
+        () => this.#fail('configuration'),
         random,
       ),
       new Watcher(
-        (signal) => this.#pollList(signal),
-        () => decider.post({ kind: 'platform-failed', part: 'list' }),
+        (signal) => this.#watchList(signal),
+        () => this.#fail('list'),
         random,
       ),
     ];
@@ -52,23 +53,62 @@
     }
   }
 
+  /** Reads the manifest now, whatever was read before, and posts it. */
+  async fetchManifest(): Promise<void> {
+    try {
+      const manifest = await this.#client.readManifest(this.#stop.signal);
+      if (manifest === null) this.#fail('configuration');
+      else this.#decider.post({ kind: 'manifest-offered', source: 'service', manifest });
+    } catch {
+      this.#fail('configuration');
+    }
+  }
+
+  /** Reads the list now, whatever was read before, and posts it. */
+  async fetchList(): Promise<void> {
+    try {
+      const list = await this.#client.readList(this.#stop.signal);
+      if (list === null) this.#fail('list');
+      else this.#decider.post({ kind: 'list-offered', source: 'service', list });
+    } catch {
+      this.#fail('list');
+    }
+  }
+
+  /** Starts the watches again: their connections may not have lived through a pause. */
+  restart(): void {
+    this.#watchers.forEach((watcher) => watcher.restart());
+  }
+
   /** Stops watching and closes the connections. */
   async stop(): Promise<void> {
+    this.#stop.abort();
     this.#watchers.forEach((watcher) => watcher.stop());
     await this.#client.close();
   }
 
-  async #pollManifest(signal: AbortSignal): Promise<void> {
-    const manifest = await this.#client.watchManifest(this.#manifestRevision, signal);
-    if (manifest === null) return;
-    this.#manifestRevision = manifest.revision;
-    this.#decider.post({ kind: 'manifest-offered', source: 'service', manifest });
+  #fail(part: Part): void {
+    this.#post({ kind: 'platform-failed', part });
+  }
+
+  #post(message: Message): void {
+    if (!this.#stop.signal.aborted) this.#decider.post(message);
+  }
+
+  /** Resolves with true when the answer was newer than what is known. */
+  async #watchManifest(signal: AbortSignal): Promise<boolean> {
+    const after = highestSeen(this.#decider.core.table);
+    const manifest = await this.#client.watchManifest(after, signal);
+    if (manifest === null) this.#post({ kind: 'platform-unchanged', part: 'configuration' });
+    else this.#post({ kind: 'manifest-offered', source: 'service', manifest });
+    return manifest !== null && manifest.revision > after;
   }
 
-  async #pollList(signal: AbortSignal): Promise<void> {
-    const list = await this.#client.watchList(this.#listRevision, signal);
-    if (list === null) return;
-    this.#listRevision = list.revision;
-    this.#decider.post({ kind: 'list-offered', list });
+  async #watchList(signal: AbortSignal): Promise<boolean> {
+    const after = this.#decider.core.membership.list?.revision ?? -1;
+    const list = await this.#client.watchList(after, signal);
+    if (list === null) this.#post({ kind: 'platform-unchanged', part: 'list' });
+    else this.#post({ kind: 'list-offered', source: 'service', list });
+    return list !== null && list.revision > after;
   }
 }
