Keep what a class is owed while its lane is empty for a moment, with a margin

Change: what is owed is dropped only after a second without demand and grows with a margin of 1.6; others within their shares count with at most their shares.

--- a/packages/core/src/admission/commands.ts
+++ b/packages/core/src/admission/commands.ts
@@ -15,6 +15,12 @@
 /** A share that cannot be served now is remembered for at most so many requests. */
 const MOST_OWED_REQUESTS = 8;
 
+/** A class whose last request came so long ago has no demand any more. */
+const DEMAND_GAP_MS = 1000;
+
+/** Minimum shares are kept with this margin: true costs swing about the predicted ones. */
+const SHARE_MARGIN = 1.6;
+
 /** A class may send its share of so much time at once and still go before others of its tier. */
 const CREDIT_MS = 2000;
 
@@ -60,10 +66,7 @@
   account.cost -= taken.cost;
   lane.cost -= taken.cost;
   lane.size -= 1;
-  if (lane.size === 0) {
-    lane.cost = 0;
-    lane.owed = Math.min(lane.owed, 0);
-  }
+  if (lane.size === 0) lane.cost = 0;
   return taken;
 }
 
@@ -85,11 +88,14 @@
   if (lane.size === 0) {
     const clock = queueFor(state, request.pool).clocks[tierRank(row.tier)] ?? 0;
     lane.virtualTime = Math.max(lane.virtualTime, clock);
+    // What was owed to a class that then asked for nothing is not made good later.
+    if (now - lane.arrivedAt > DEMAND_GAP_MS) lane.owed = Math.min(lane.owed, 0);
   }
   const account = accountFor(lane, request.accountId, weight);
   const waiting = { request, cost };
   account.waiting.push(waiting);
   addCost(lane, account, waiting);
+  lane.arrivedAt = now;
   addToRate(lane.arrived, cost, now);
   addToRate(lane.burst, cost, now);
 }
@@ -133,7 +139,7 @@
   const burst = readRate(queue.served, now) * CREDIT_MS;
   for (const other of queue.lanes.values()) {
     const share = (classes.get(other.classId)?.share ?? 0) * shareBoost(other.classId);
-    earn(other, share * cost, share * burst);
+    earn(other, share * cost * SHARE_MARGIN, share * burst);
   }
   // Service beyond the share is not held against the class: at most one request's worth is.
   lane.owed = Math.max(lane.owed - cost, -cost);
@@ -186,7 +192,7 @@
   if (lane === undefined) return;
   lane.virtualTime += difference / row.weight;
   lane.credit -= difference;
-  if (lane.size > 0) lane.owed -= difference;
+  lane.owed -= difference;
 }
 
 /**
--- a/packages/core/src/admission/queries.ts
+++ b/packages/core/src/admission/queries.ts
@@ -71,8 +71,10 @@
     const other = classes.get(lane.classId);
     if (lane.classId === row.id || other === undefined) continue;
     const otherRank = rankOf(lane, classes);
-    const goesFirst = otherRank < rank || (otherRank === rank && lane.credit > 0);
-    if (goesFirst) left -= readRate(lane.arrived, now);
+    const arrived = readRate(lane.arrived, now);
+    if (otherRank < rank) left -= arrived;
+    else if (otherRank === rank && lane.credit > 0)
+      left -= Math.min(arrived, other.share * poolRate);
     else if (otherRank > rank && lane.size > 0) left -= other.share * poolRate;
     else if (otherRank === rank && lane.size > 0 && !isWithinShare) weights += other.weight;
   }
--- a/packages/core/src/admission/state.ts
+++ b/packages/core/src/admission/state.ts
@@ -35,6 +35,8 @@
   virtualTime: number;
   /** Cost still owed to the class's guaranteed minimum share; at most 0 when it is met. */
   owed: number;
+  /** Instant of the last arrival. */
+  arrivedAt: number;
   /**
    * Cost that the class may still send within its share: it grows while the class is quiet, up
    * to a short burst, and a class that has some goes before others of its tier.
@@ -95,6 +97,7 @@
     cost: 0,
     virtualTime: 0,
     owed: 0,
+    arrivedAt: 0,
     credit: 0,
     arrived: createRate(RATE_TIME_CONSTANT_MS),
     burst: createRate(BURST_TIME_CONSTANT_MS),
