--- a/packages/bench/src/forwarding/forwardingExperiment.ts
+++ b/packages/bench/src/forwarding/forwardingExperiment.ts
@@ -13,7 +13,7 @@
 const ENGINE_PROCESSES = 4;
 const LOAD_PROCESSES = 4;
 const ENGINES_EACH = 16;
-const SLOTS = 24;
+const SLOTS = 64;
 const STEP_MS = 33;
 const MEAN_TOKENS = 300;
 const MS_PER_SECOND = 1000;
