Post tokens to the core in eights, the first at once

Cause: the message to the core, with its observers, was some 10% of the processor time of a token event in a profile. Change: TokenCount gathers later tokens of an attempt and posts what is left before its end.

--- a/packages/router/src/endpoints/endpointTask.ts
+++ b/packages/router/src/endpoints/endpointTask.ts
@@ -9,6 +9,7 @@
 import { PRIORITY_HEADER, REQUEST_ID_HEADER, TIMEOUT_HEADER } from './engineProtocol.js';
 import { checkStatus, readServiceAnswer } from './readAnswer.js';
 import { StreamReader, type Progress } from './streamReader.js';
+import { TokenCount } from './tokenCount.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
 const SPARE_CONNECTIONS = 8;
@@ -56,24 +57,23 @@
     const running: Running = { stop: new AbortController(), cancelled: false };
     const { id: attemptId } = action.attempt;
     this.#running.set(attemptId, running);
-    let delivered = 0;
-    const onTokens = (count: number) => {
-      delivered += count;
+    const tokens = new TokenCount((count) => {
       this.#decider.post({ kind: 'tokens-arrived', attemptId, count });
-    };
+    });
     let end: AttemptEnd;
     try {
       if (exchange === undefined) throw new AttemptError('reset', 'not-run', 'the caller left');
       end = {
         kind: 'complete',
-        outputTokens: await this.#call(action, exchange, running, onTokens),
+        outputTokens: await this.#call(action, exchange, running, tokens),
       };
     } catch (error) {
-      end = describeEnd(error, running, delivered);
+      end = describeEnd(error, running, tokens.total);
     } finally {
       this.#running.delete(attemptId);
     }
     if (end.kind === 'complete') this.#exchanges.take(action.request.id)?.finish();
+    tokens.flush();
     this.#decider.post({ kind: 'attempt-ended', attemptId, end });
   }
 
@@ -94,7 +94,7 @@
     action: ActionOf<'dispatch'>,
     exchange: Exchange,
     running: Running,
-    onTokens: (count: number) => void,
+    tokens: TokenCount,
   ): Promise<number> {
     let isPaused = false;
     const silence = setTimeout(() => {
@@ -107,7 +107,7 @@
         silence.refresh();
         this.#decider.post({ kind: 'attempt-accepted', attemptId: action.attempt.id });
       },
-      onTokens,
+      onTokens: (count) => tokens.add(count),
       onBytes: () => {
         isPaused = false;
         silence.refresh();
