--- a/packages/core/src/entry/buildHeartbeat.ts
+++ b/packages/core/src/entry/buildHeartbeat.ts
@@ -1,5 +1,6 @@
 import { listClassLoads } from '../admission/index.js';
 import { listNews, ownPeerUrl, ownState } from '../membership/index.js';
+import { listCrashes } from '../suspects/index.js';
 import { tableDigest, tableRevision } from '../table/index.js';
 import type { ClassLoad, Heartbeat } from '../types/index.js';
 import type { Core } from './core.js';
@@ -12,13 +13,18 @@
     .slice(0, MOST_LOADS);
 }
 
+/** A peer that has a list finds our address there. */
+function knowsList({ membership }: Core, peerId: string): boolean {
+  return (membership.members.get(peerId)?.heartbeat?.listRevision ?? -1) >= 0;
+}
+
 /** Builds what this VM tells a peer: bounded in size, whatever the size of the fleet. */
-export function buildHeartbeat(core: Core, now: number): Heartbeat {
+export function buildHeartbeat(core: Core, peerId: string, now: number): Heartbeat {
   const { membership, table } = core;
   membership.sequence += 1;
   return {
     from: membership.self.id,
-    peerUrl: ownPeerUrl(membership),
+    ...(knowsList(core, peerId) ? {} : { peerUrl: ownPeerUrl(membership) }),
     incarnation: membership.incarnation,
     sequence: membership.sequence,
     state: ownState(membership),
@@ -27,7 +33,7 @@
     manifestDigest: tableDigest(table),
     positions: [],
     loads: listDemand(core, now),
-    suspects: [],
+    suspects: listCrashes(core.suspects, now),
     members: listNews(membership, now),
   };
 }
--- a/packages/router/src/peers/peerProtocol.ts
+++ b/packages/router/src/peers/peerProtocol.ts
@@ -33,9 +33,12 @@
       waiting: z.number(),
       waitingTokens: z.number(),
       servedTokensPerSecond: z.number(),
+      offeredTokensPerSecond: z.number().default(0),
     }),
   ),
-  suspects: z.array(z.strictObject({ fingerprint: id, since: z.number() })),
+  suspects: z.array(
+    z.strictObject({ fingerprint: id, endpointId: id, at: z.number(), isAlone: z.boolean() }),
+  ),
   members: z.array(
     z.strictObject({
       id,
--- a/packages/router/src/reports/reportTask.ts
+++ b/packages/router/src/reports/reportTask.ts
@@ -1,5 +1,4 @@
-import type { Endpoint } from '@filbertlatch/core';
-import { listActiveEndpoints } from '@filbertlatch/core';
+import { listActiveEndpoints, type Endpoint } from '@filbertlatch/core';
 
 import { now } from '../clock.js';
 import type { Decider } from '../decider/index.js';
@@ -8,10 +7,11 @@
 /** Time between two readings; it bounds what reports cost, whatever the fleet's size. */
 const READ_INTERVAL_MS = 100;
 
-/** Shortest time between two readings of one engine. */
-const ENDPOINT_INTERVAL_MS = 500;
+/** Shortest time between two readings of an engine in use. */
+const USED_INTERVAL_MS = 500;
 
-type Engine = Extract<Endpoint, { kind: 'engine' }>;
+/** Shortest time between two readings of an engine whose models may change. */
+const MANAGED_INTERVAL_MS = 2000;
 
 interface Reading {
   readAt: number;
@@ -54,29 +54,24 @@
     await this.#client.close();
   }
 
-  /** Takes turns: engines in use stay fresh however many engines the fleet manages. */
-  #chooseNext(): Engine | undefined {
-    const { core } = this.#decider;
-    const managed = core.table.view?.managed ?? [];
-    this.#turn += 1;
-    if (managed.length === 0 || this.#turn % 2 === 0) {
-      return this.#chooseOldest(listActiveEndpoints(core.placement, now()));
-    }
-    return this.#chooseOldest(managed.map((engine) => engine.id));
-  }
-
-  #chooseOldest(ids: Iterable<string>): Engine | undefined {
-    const { core } = this.#decider;
-    const latest = now() - ENDPOINT_INTERVAL_MS;
-    let chosen: Engine | undefined;
-    let oldest = latest;
-    for (const id of ids) {
-      const endpoint = core.table.view?.endpoints.get(id);
-      const readAt = this.#readings.get(id)?.readAt ?? 0;
-      if (endpoint?.kind !== 'engine' || readAt > oldest) continue;
+  #chooseNext(): Endpoint | undefined {
+    const { placement, table } = this.#decider.core;
+    if (table.view === null) return undefined;
+    const instant = now();
+    let chosen: Endpoint | undefined;
+    let mostOverdue = 0;
+    const consider = (endpoint: Endpoint | undefined, intervalMs: number) => {
+      if (endpoint?.kind !== 'engine') return;
+      const readAt = this.#readings.get(endpoint.id)?.readAt ?? 0;
+      const overdue = instant - readAt - intervalMs;
+      if (overdue <= mostOverdue) return;
       chosen = endpoint;
-      oldest = readAt;
+      mostOverdue = overdue;
+    };
+    for (const id of listActiveEndpoints(placement, instant)) {
+      consider(table.view.endpoints.get(id), USED_INTERVAL_MS);
     }
+    table.view.managed.forEach((engine) => consider(engine, MANAGED_INTERVAL_MS));
     return chosen;
   }
 
