--- a/packages/core/src/health/index.ts
+++ b/packages/core/src/health/index.ts
@@ -6,7 +6,7 @@
   restoreEndpoint,
   takeProbes,
 } from './commands.js';
-export { listUsable, phaseOf } from './queries.js';
+export { listEjected, listUsable, phaseOf } from './queries.js';
 export {
   compareMembers,
   isScanDue,
--- a/packages/router/src/platform/platformTask.ts
+++ b/packages/router/src/platform/platformTask.ts
@@ -2,6 +2,7 @@
 
 import { now } from '../clock.js';
 import type { Decider } from '../decider/index.js';
+import type { ControlTraffic } from '../metrics/index.js';
 import type { Settings } from '../settings/index.js';
 import { PlatformClient } from './platformClient.js';
 import { Watcher } from './watcher.js';
@@ -18,9 +19,9 @@
 
   readonly #stop = new AbortController();
 
-  constructor(settings: Settings['platform'], decider: Decider) {
+  constructor(settings: Settings['platform'], decider: Decider, traffic: ControlTraffic) {
     this.#decider = decider;
-    this.#client = new PlatformClient(settings, () => countVms(decider.core.membership));
+    this.#client = new PlatformClient(settings, traffic, () => countVms(decider.core.membership));
     const { random, membership } = decider.core;
     const { readersPerZone } = settings;
     const isActive = () =>
--- a/packages/router/src/reports/reportClient.ts
+++ b/packages/router/src/reports/reportClient.ts
@@ -8,6 +8,9 @@
 const PROBE_TIMEOUT_MS = 1000;
 const NOT_FOUND = 404;
 
+/** A larger report is not read: an engine must not fill this VM's memory. */
+const MOST_REPORT_BYTES = 1_048_576;
+
 /** Reads what engines publish about themselves; what cannot be read is left out. */
 export class ReportClient {
   readonly #agent = new Agent({
@@ -15,6 +18,7 @@
     connect: { timeout: READ_TIMEOUT_MS },
     headersTimeout: READ_TIMEOUT_MS,
     bodyTimeout: READ_TIMEOUT_MS,
+    maxResponseSize: MOST_REPORT_BYTES,
   });
 
   /** Engines that publish no cache events, by address. */
@@ -44,6 +48,7 @@
       connect: { timeout: PROBE_TIMEOUT_MS },
       headersTimeout: PROBE_TIMEOUT_MS,
       bodyTimeout: PROBE_TIMEOUT_MS,
+      maxResponseSize: MOST_REPORT_BYTES,
     });
     const call = {
       method: kind === 'engine' ? 'GET' : 'HEAD',
