--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -36,12 +36,12 @@
   readonly peerUrl: string;
   /** Dumps the state; carries no prompt, key or token. */
   state(): ReturnType<typeof dumpState>;
-  /** Reads keys, tokens and certificates again from their files. */
-  reloadCredentials(): Promise<void>;
   /** Returns the revisions of table and list in force; -1 before the first. */
   revisions(): { readonly table: number; readonly list: number };
   /** Says whether it takes work. */
   isReady(): boolean;
+  /** Reads keys, tokens and certificates again from their files. */
+  reloadCredentials(): Promise<void>;
   /** Takes no new work, finishes what runs, then stops; resolves when stopped. */
   drain(): Promise<void>;
   /** Stops at once and cuts what runs. */
@@ -191,13 +191,13 @@
     callerUrl: listeners.callers.url,
     adminUrl: listeners.admin.url,
     peerUrl: listeners.peers.url,
-    state: () => dumpState(decider.core, tasks.observers.attainment, now()),
-    reloadCredentials: () => tasks.credentials.reload(),
     revisions: () => ({
       table: tableRevision(decider.core.table),
       list: decider.core.membership.list?.revision ?? -1,
     }),
     isReady: () => isReady(decider.core.membership),
+    state: () => dumpState(decider.core, tasks.observers.attainment, now()),
+    reloadCredentials: () => tasks.credentials.reload(),
     drain,
     stop,
   };
