Give operators a command line that checks, compares, explains and drains

Cause: the command line had serve and demo only; an edit of the table could not be read in words before it was published, nor made in a spreadsheet.

--- a/packages/bench/src/scenario.ts
+++ b/packages/bench/src/scenario.ts
@@ -18,6 +18,7 @@
 export const loadSchema = z.strictObject({
   class: z.string(),
   account: z.string(),
+  key: z.string().optional().describe('API key of the account; absent: the one of the bench.'),
   target: z.string().describe('A model, or `service:NAME /path`.'),
   method: z.string().default('POST'),
   ratePerSecond: z.number().positive(),
--- a/packages/bench/src/sendRequest.ts
+++ b/packages/bench/src/sendRequest.ts
@@ -39,7 +39,7 @@
 
 function buildCall(load: Load, draw: Draw) {
   const headers = {
-    authorization: `Bearer ${keyOf(load.account)}`,
+    authorization: `Bearer ${load.key ?? keyOf(load.account)}`,
     'filbertlatch-class': load.class,
     'content-type': 'application/json',
     ...(load.keyed ? { 'idempotency-key': createKey() } : {}),
--- /dev/null
+++ b/packages/cli/src/load/index.ts
@@ -0,0 +1,1 @@
+export { formatLoad, summarizeLoad, type LoadFigures } from './summarizeLoad.js';
--- /dev/null
+++ b/packages/cli/src/report/index.ts
@@ -0,0 +1,2 @@
+export { formatReport } from './formatReport.js';
+export { readResults, type Result } from './readResults.js';
--- /dev/null
+++ b/packages/cli/src/sheets/index.ts
@@ -0,0 +1,2 @@
+export { readSheets } from './readSheets.js';
+export { writeSheets } from './writeSheets.js';
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -15,6 +15,12 @@
 export { now } from './clock.js';
 export { listen, type Listener } from './listen.js';
 export { createLog } from './log/index.js';
+export {
+  createHistogram,
+  readPercentiles,
+  recordMs,
+  type Percentiles,
+} from './observation/index.js';
 export { digestSheet } from './platform/index.js';
 export {
   PeerError,
