--- a/packages/bench/src/scenario.ts
+++ b/packages/bench/src/scenario.ts
@@ -6,6 +6,7 @@
   median: z.number().positive(),
   /** Standard deviation of the logarithm. */
   spread: z.number().nonnegative().default(0.6),
+  most: z.number().positive().default(100_000),
 });
 
 const phaseSchema = z.strictObject({
@@ -23,8 +24,8 @@
   method: z.string().default('POST'),
   ratePerSecond: z.number().positive(),
   phases: z.array(phaseSchema).default([]),
-  promptTokens: lengthSchema.default({ median: 100, spread: 0.5 }),
-  outputTokens: lengthSchema.default({ median: 40, spread: 0.6 }),
+  promptTokens: lengthSchema.prefault({ median: 100, spread: 0.5 }),
+  outputTokens: lengthSchema.prefault({ median: 40, spread: 0.6 }),
   streamed: z.boolean().default(true),
   keyed: z.boolean().default(false).describe('Sends an Idempotency-Key with each request.'),
 });
@@ -54,6 +55,8 @@
   phases: z.record(z.string(), z.array(phaseSchema)).default({}),
   entryWeights: z.array(z.number().nonnegative()).optional(),
   faults: z.array(faultSchema).default([]),
+  /** Whether the engines of the scenario are managed; absent: as their group says. */
+  managed: z.boolean().optional(),
 });
 
 /** Shape of a scenario file. */
@@ -73,8 +76,15 @@
       slots: z.number().int().positive(),
       stepMs: z.number().positive(),
       prefillTokensPerSecond: z.number().positive(),
+      managed: z.boolean().default(false).describe('The routers order what it loads.'),
     }),
   ),
+  weights: z
+    .strictObject({
+      bytesPerModel: z.number().nonnegative(),
+      bytesPerSecond: z.number().positive(),
+    })
+    .prefault({ bytesPerModel: 0, bytesPerSecond: 1e9 }),
   services: z
     .array(
       z.strictObject({
@@ -113,6 +123,10 @@
     ...scenario,
     entryWeights: variant.entryWeights ?? scenario.entryWeights,
     faults: [...scenario.faults, ...variant.faults],
+    engines: scenario.engines.map((group) => ({
+      ...group,
+      managed: variant.managed ?? group.managed,
+    })),
     loads: scenario.loads.map((load) => ({
       ...load,
       ratePerSecond: load.ratePerSecond * variant.loadFactor,
--- a/packages/router/src/callers/wholeExchange.ts
+++ b/packages/router/src/callers/wholeExchange.ts
@@ -3,7 +3,7 @@
 import type { Refusal, Request } from '@filbertlatch/core';
 
 import { AttemptError } from '../endpoints/attemptError.js';
-import type { Chunk } from '../endpoints/engineProtocol.js';
+import type { StreamEvent } from '../endpoints/streamEvent.js';
 import { AnswerAssembler } from './assembleAnswer.js';
 import type { Exchange, Payload, ServiceAnswer } from './exchange.js';
 import { refusalBody, refusalHeaders, refusalStatus } from './refusalResponse.js';
@@ -34,8 +34,8 @@
     this.#maxAnswerBytes = maxAnswerBytes;
   }
 
-  writeChunk(chunk: Chunk): void {
-    this.#assembler.add(chunk);
+  writeEvents(events: readonly StreamEvent[]): void {
+    for (const { chunk } of events) this.#assembler.add(chunk);
     if (this.#assembler.size <= this.#maxAnswerBytes) return;
     throw new AttemptError('invalid', 'ran', `the answer is over ${this.#maxAnswerBytes} bytes`);
   }
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -92,8 +92,9 @@
     void (action.peer === null ? platform.fetchManifest() : peers.fetch(action));
   });
   decider.on('fetch-list', (action) => {
-    void (action.peer === null ? platform.fetchList() : peers.fetch(action));
+    void ((action.peer ?? null) === null ? platform.fetchList() : peers.fetch(action));
   });
+  decider.on('restart-watches', () => platform.restart());
   decider.on('call-peer', (action) => {
     void peers.call(action);
   });
--- a/packages/router/src/platform/platformClient.ts
+++ b/packages/router/src/platform/platformClient.ts
@@ -13,6 +13,7 @@
 import { PlatformError } from '../errors/index.js';
 import type { ControlTraffic } from '../metrics/index.js';
 import type { Settings } from '../settings/index.js';
+import { CallBudget } from './callBudget.js';
 
 const MS_PER_SECOND = 1000;
 const SPARE_MS = 5000;
@@ -37,7 +38,10 @@
 
   readonly #agent: Agent;
 
-  constructor(settings: Settings['platform'], traffic: ControlTraffic) {
+  readonly #budget: CallBudget;
+
+  constructor(settings: Settings['platform'], traffic: ControlTraffic, countVms: () => number) {
+    this.#budget = new CallBudget(settings.callsPerSecond, countVms);
     this.#settings = settings;
     this.#traffic = traffic;
     const patienceMs = settings.watchSeconds * MS_PER_SECOND + SPARE_MS;
@@ -101,6 +105,7 @@
 
   async #get(url: string, signal?: AbortSignal): Promise<string | null> {
     try {
+      await this.#budget.take(signal);
       const response = await request(url, { dispatcher: this.#agent, signal });
       const text = await response.body.text();
       this.#traffic.add('platform', 'received', Buffer.byteLength(text));
