--- a/packages/router/src/endpoints/streamReader.ts
+++ b/packages/router/src/endpoints/streamReader.ts
@@ -13,7 +13,6 @@
 const LONGEST_ERROR_TEXT = 2000;
 const MOST_EVENT_CHARACTERS = 1_048_576;
 const END_TIMEOUT_MS = 1000;
-const MOST_EVENT_CHARACTERS = 1_048_576;
 const FIRST_ERROR_STATUS = 400;
 
 /** What reading a stream tells while it goes on. */
