Serve the table as a grid with what each class gets, live

Change: the admin API serves one page of plain HTML. It holds no figures; it asks for them with the token that the operator types, which stays in one variable. Its policy allows its own script and style by digest and nothing else. The members' list tells of the VM itself too.

--- a/packages/bench/__tests__/adminApi.spec.ts
+++ b/packages/bench/__tests__/adminApi.spec.ts
@@ -1,3 +1,5 @@
+import { createHash } from 'node:crypto';
+
 import { describe, it } from '@filbertlatch/core/testing';
 import {
   accountsSchema,
@@ -136,4 +138,19 @@
     t.regex(second, /filbertlatch_requests_total 1/);
     t.notRegex(second, /station-/);
   });
+
+  it('serves a page whose policy allows its own script and style only', async (t) => {
+    const fleet = await createSmallFleet(t);
+    const { headers, body } = await request(`${fleet.routers[0]!.adminUrl}/`);
+    const policy = String(headers['content-security-policy']);
+    const text = await body.text();
+    t.regex(policy, /default-src 'none'/);
+    for (const element of ['script', 'style']) {
+      const content = text.match(new RegExp(`<${element}>(.*)</${element}>`, 's'))![1]!;
+      const digest = createHash('sha256').update(content).digest('base64');
+      t.true(policy.includes(`${element}-src 'sha256-${digest}'`), element);
+    }
+    const [first] = fleet.table.classes;
+    t.false(text.includes(first!.id), 'no figures without a token');
+  });
 });
--- a/packages/router/src/admin/adminApi.ts
+++ b/packages/router/src/admin/adminApi.ts
@@ -3,6 +3,7 @@
 import { addCommands } from './commands.js';
 import type { AdminContext } from './context.js';
 import { createOpenApi } from './openApi.js';
+import { addPage } from './page/index.js';
 import { addQueries } from './queries.js';
 import { requireRole } from './roles.js';
 
@@ -10,6 +11,7 @@
 export function createAdminApi(context: AdminContext): Hono {
   const api = new Hono();
   const openApi = createOpenApi();
+  addPage(api);
   api.get('/openapi.json', (c) => c.json(openApi));
   api.use(requireRole('reader', context.tokens));
   addQueries(api, context);
--- /dev/null
+++ b/packages/router/src/admin/page/addPage.ts
@@ -0,0 +1,59 @@
+import { createHash } from 'node:crypto';
+
+import type { Hono } from 'hono';
+import { html, raw } from 'hono/html';
+
+import { pageScript } from './pageScript.js';
+import { pageStyle } from './pageStyle.js';
+
+function sourceOf(text: string): string {
+  return `'sha256-${createHash('sha256').update(text).digest('base64')}'`;
+}
+
+const POLICY = [
+  "default-src 'none'",
+  "connect-src 'self'",
+  `script-src ${sourceOf(pageScript)}`,
+  `style-src ${sourceOf(pageStyle)}`,
+  "base-uri 'none'",
+  "form-action 'none'",
+  "frame-ancestors 'none'",
+].join('; ');
+
+// Whole elements: their text must be the one that the policy's digests are of.
+const style = raw(`<style>${pageStyle}</style>`);
+const script = raw(`<script>${pageScript}</script>`);
+
+const page = html`<!doctype html>
+  <html lang="en">
+    <head>
+      <meta charset="utf-8" />
+      <title>filbertlatch</title>
+      ${style}
+    </head>
+    <body>
+      <h1 id="title">filbertlatch</h1>
+      <form id="form">
+        <input id="token" type="password" autocomplete="off" placeholder="token" required />
+        <button>Show</button>
+      </form>
+      <div id="notice" role="status"></div>
+      <table id="classes"></table>
+      <table id="members"></table>
+      <p class="quiet">
+        Figures of this VM over the last minute; targets are first token, between tokens and whole.
+      </p>
+      ${script}
+    </body>
+  </html>`;
+
+/** Adds the operators' page; it holds no figures itself and asks for them with the token typed. */
+export function addPage(api: Hono): void {
+  api.get('/', (c) => {
+    c.header('content-security-policy', POLICY);
+    c.header('cache-control', 'no-store');
+    c.header('x-content-type-options', 'nosniff');
+    c.header('referrer-policy', 'no-referrer');
+    return c.html(page);
+  });
+}
--- /dev/null
+++ b/packages/router/src/admin/page/index.ts
@@ -0,0 +1,1 @@
+export { addPage } from './addPage.js';
--- a/packages/router/src/admin/queries.ts
+++ b/packages/router/src/admin/queries.ts
@@ -1,6 +1,7 @@
 import {
   countInFlight,
   listEjected,
+  ownState,
   poolsOf,
   tableRevision,
   type Core,
@@ -95,25 +96,44 @@
   };
 }
 
-function dumpMembers({ membership }: Core): z.infer<typeof membersSchema> {
-  const instant = now();
+type MemberReport = z.infer<typeof membersSchema>['members'][number];
+
+function tellOwn({
+  membership,
+  table,
+}: Core): Omit<MemberReport, 'id' | 'zone' | 'region' | 'state'> {
   return {
-    vm: membership.self.id,
+    told: ownState(membership),
+    heardAgoMs: 0,
     listRevision: membership.list?.revision ?? -1,
-    members: (membership.list?.vms ?? []).map(({ id, zone, region, state }) => {
-      const member = membership.members.get(id);
-      const heartbeat = member?.heartbeat ?? null;
-      return {
-        id,
-        zone,
-        region,
-        state,
-        told: heartbeat?.state ?? null,
-        heardAgoMs: member === undefined ? null : instant - member.heardAt,
-        listRevision: heartbeat?.listRevision ?? null,
-        tableRevision: heartbeat?.tableRevision ?? null,
-      };
-    }),
+    tableRevision: tableRevision(table),
+  };
+}
+
+function tellPeer({ membership }: Core, id: string, instant: number) {
+  const member = membership.members.get(id);
+  const heartbeat = member?.heartbeat ?? null;
+  return {
+    told: heartbeat?.state ?? null,
+    heardAgoMs: member === undefined ? null : instant - member.heardAt,
+    listRevision: heartbeat?.listRevision ?? null,
+    tableRevision: heartbeat?.tableRevision ?? null,
+  };
+}
+
+function dumpMembers(core: Core): z.infer<typeof membersSchema> {
+  const { self, list } = core.membership;
+  const instant = now();
+  return {
+    vm: self.id,
+    listRevision: list?.revision ?? -1,
+    members: (list?.vms ?? []).map(({ id, zone, region, state }) => ({
+      id,
+      zone,
+      region,
+      state,
+      ...(id === self.id ? tellOwn(core) : tellPeer(core, id, instant)),
+    })),
   };
 }
 
