--- a/packages/core/src/entry/shedWaiting.ts
+++ b/packages/core/src/entry/shedWaiting.ts
@@ -1,5 +1,6 @@
 import { classRate, takeHopeless, takeOverflow, type PoolQueue } from '../admission/index.js';
 import { firstTokenMs, msPerToken } from '../placement/index.js';
+import { hasLearned } from '../prediction/index.js';
 import { readRate } from '../shared/index.js';
 import type { TableView } from '../table/index.js';
 import type { Class, PoolId, RefusalCode, Request } from '../types/index.js';
@@ -54,7 +55,8 @@
 
 /** Returns the longest wait with which a class's requests can still meet their target. */
 function longestWait(core: Core, pool: PoolId, row: Class, meanCost: number): number {
-  const serviceMs = meanCost * msPerToken(core.placement, pool);
+  const isKnown = hasLearned(core.prediction, `${row.id}|${pool}`);
+  const serviceMs = isKnown ? meanCost * msPerToken(core.placement, pool) : 0;
   const { firstTokenMs: target, wholeMs } = row.target;
   const forFirst = target - firstTokenMs(core.placement, pool);
   return Math.max(0, Math.min(forFirst, wholeMs - serviceMs) * WAIT_PART);
@@ -76,7 +78,9 @@
   const rate = classRate(queue, row, poolRate(core, room, pool), now, view.classes);
   const waitMs = longestWait(core, pool, row, lane.cost / lane.size);
   const retryMs = retryAfter(queue, row, rate, now);
-  const late = takeOverflow(core.admission, pool, row.id, Infinity, rate * waitMs);
+  // Without an endpoint there is no rate: requests wait within their windows for one to come.
+  const mostCost = room.candidates.length === 0 ? Infinity : rate * waitMs;
+  const late = takeOverflow(core.admission, pool, row.id, Infinity, mostCost);
   shedRequests(core, late, 'overloaded', retryMs, actions);
   const excess = takeOverflow(core.admission, pool, row.id, row.maxQueue, Infinity);
   shedRequests(core, excess, 'queue_full', retryMs, actions);
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -1,6 +1,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { createCore, createRandom, type ActionOf, type Vm } from '@filbertlatch/core';
+import {
+  createCore,
+  createRandom,
+  isReady,
+  tableRevision,
+  type ActionOf,
+  type Vm,
+} from '@filbertlatch/core';
 import type { Logger } from 'winston';
 
 import { createAdminApi, dumpState } from './admin/index.js';
@@ -31,6 +38,10 @@
   state(): ReturnType<typeof dumpState>;
   /** Reads keys, tokens and certificates again from their files. */
   reloadCredentials(): Promise<void>;
+  /** Returns the revisions of table and list in force; -1 before the first. */
+  revisions(): { readonly table: number; readonly list: number };
+  /** Says whether it takes work. */
+  isReady(): boolean;
   /** Takes no new work, finishes what runs, then stops; resolves when stopped. */
   drain(): Promise<void>;
   /** Stops at once and cuts what runs. */
@@ -182,6 +193,11 @@
     peerUrl: listeners.peers.url,
     state: () => dumpState(decider.core, tasks.observers.attainment, now()),
     reloadCredentials: () => tasks.credentials.reload(),
+    revisions: () => ({
+      table: tableRevision(decider.core.table),
+      list: decider.core.membership.list?.revision ?? -1,
+    }),
+    isReady: () => isReady(decider.core.membership),
     drain,
     stop,
   };
--- a/packages/router/src/settings/settings.ts
+++ b/packages/router/src/settings/settings.ts
@@ -142,6 +142,12 @@
       .positive()
       .default(1000)
       .describe('Calls a second to the platform that the whole fleet may make.'),
+    readersPerZone: z
+      .number()
+      .int()
+      .positive()
+      .optional()
+      .describe('VMs a zone that watch the platform; absent: all.'),
     watchSeconds: z
       .number()
       .positive()
