--- a/packages/core/src/entry/watchSuspects.ts
+++ b/packages/core/src/entry/watchSuspects.ts
@@ -49,7 +49,8 @@
   const isAlone = core.suspects.isolations.get(pool)?.runningId === id;
   releaseSuspect(core.suspects, pool, id);
   if (end.kind !== 'failed' || !crashCauses.includes(end.cause)) return;
-  const crash = { fingerprint, endpointId: attempt.endpointId, at: now, isAlone };
+  const { endpointId, startedAt } = attempt;
+  const crash = { fingerprint, endpointId, at: now, startedAt, isAlone };
   if (!recordCrash(core.suspects, crash)) return;
   tellPeers(core, fingerprint, now, actions);
   const verdict = judgeRequest(core.suspects, fingerprint, now);
--- a/packages/core/src/suspects/commands.ts
+++ b/packages/core/src/suspects/commands.ts
@@ -8,20 +8,21 @@
 /** A peer's clock may be ahead by this; what lies further ahead is not believed. */
 const CLOCK_SKEW_MS = 5000;
 
-/** Two VMs see one crash at slightly different instants. */
-const SAME_CRASH_MS = 1000;
-
 /** Adds a crash to what is known of an endpoint; false when it was known already. */
-function addCrash(known: Evidence, { endpointId, at, isAlone }: CrashNews): boolean {
+function addCrash(known: Evidence, { endpointId, at, startedAt, isAlone }: CrashNews): boolean {
   const before = known.crashes.get(endpointId);
   if (before === undefined) {
-    known.crashes.set(endpointId, { at, times: 1, isAlone });
+    known.crashes.set(endpointId, { at, startedAt, times: 1, isAlone });
     return true;
   }
-  const isLater = at > before.at + SAME_CRASH_MS;
+  // One crash ends many attempts, on many VMs; one sent after it met another.
+  const isLater = startedAt > before.at;
   const isNews = isLater || (isAlone && !before.isAlone);
   before.times += isLater ? 1 : 0;
-  before.at = Math.max(before.at, at);
+  if (at > before.at) {
+    before.at = at;
+    before.startedAt = startedAt;
+  }
   before.isAlone ||= isAlone;
   return isNews;
 }
--- a/packages/core/src/suspects/queries.ts
+++ b/packages/core/src/suspects/queries.ts
@@ -19,6 +19,8 @@
   readonly endpointId: string;
   /** Epoch milliseconds. */
   readonly at: number;
+  /** Instant at which the request had been sent there; epoch milliseconds. */
+  readonly startedAt: number;
   /** True when it ran there alone. */
   readonly isAlone: boolean;
 }
@@ -51,8 +53,8 @@
 export function listCrashes(state: SuspectState, now: number): CrashNews[] {
   const news: CrashNews[] = [];
   for (const [fingerprint, { crashes }] of [...state.evidence].reverse()) {
-    for (const [endpointId, { at, isAlone }] of crashes) {
-      if (at >= now - FADE_MS) news.push({ fingerprint, endpointId, at, isAlone });
+    for (const [endpointId, { at, startedAt, isAlone }] of crashes) {
+      if (at >= now - FADE_MS) news.push({ fingerprint, endpointId, at, startedAt, isAlone });
       if (news.length === MOST_NEWS) return news;
     }
   }
--- a/packages/core/src/suspects/state.ts
+++ b/packages/core/src/suspects/state.ts
@@ -4,6 +4,8 @@
 export interface Crash {
   /** Instant of the last one; epoch milliseconds. */
   at: number;
+  /** Instant at which the request had been sent there. */
+  startedAt: number;
   times: number;
   /** True when the request was alone there in one of them. */
   isAlone: boolean;
--- a/packages/core/src/types/heartbeat.ts
+++ b/packages/core/src/types/heartbeat.ts
@@ -42,6 +42,7 @@
     readonly fingerprint: string;
     readonly endpointId: string;
     readonly at: number;
+    readonly startedAt: number;
     readonly isAlone: boolean;
   }[];
   /** What it heard of others lately. */
--- a/packages/router/src/peers/peerProtocol.ts
+++ b/packages/router/src/peers/peerProtocol.ts
@@ -37,7 +37,13 @@
     }),
   ),
   suspects: z.array(
-    z.strictObject({ fingerprint: id, endpointId: id, at: z.number(), isAlone: z.boolean() }),
+    z.strictObject({
+      fingerprint: id,
+      endpointId: id,
+      at: z.number(),
+      startedAt: z.number(),
+      isAlone: z.boolean(),
+    }),
   ),
   members: z.array(
     z.strictObject({
