--- /dev/null
+++ b/packages/bench/bin/checkClaims.js
@@ -0,0 +1,3 @@
+import { main } from '../dist/src/checkClaims/main.js';
+
+main(import.meta);
--- a/packages/core/src/entry/onPeerCall.ts
+++ b/packages/core/src/entry/onPeerCall.ts
@@ -18,6 +18,7 @@
     .with({ method: 'sheet' }, ignore)
     .with({ method: 'claim' }, ignore)
     .with({ method: 'release' }, ignore)
+    .with({ method: 'lists' }, ignore)
     .with({ method: 'lease' }, ignore)
     .exhaustive();
 }
@@ -34,6 +35,7 @@
     .with({ method: 'sheet' }, ignore)
     .with({ method: 'claim' }, ignore)
     .with({ method: 'release' }, ignore)
+    .with({ method: 'lists' }, ignore)
     .with({ method: 'lease' }, ignore)
     .exhaustive();
 }
@@ -50,6 +52,7 @@
     .with({ method: 'sheet' }, ignore)
     .with({ method: 'claim' }, ignore)
     .with({ method: 'release' }, ignore)
+    .with({ method: 'lists' }, ignore)
     .with({ method: 'lease' }, ignore)
     .exhaustive();
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from './admission/index.js';
+export * from './claims/index.js';
 export * from './entry/index.js';
 export * from './health/index.js';
 export * from './limits/index.js';
--- a/packages/core/src/types/peerCall.ts
+++ b/packages/core/src/types/peerCall.ts
@@ -13,27 +13,32 @@
   readonly streamId: string;
   /** When the caller issued the key; null when the key does not say. */
   readonly issuedAt: number | null;
+  /** Home region of the key's account, whose zones give the witnesses. */
+  readonly region: string;
   readonly listRevision: number;
-  /** Unsettled earlier lists, oldest first. */
-  readonly chain: readonly VmList[];
 }
 
+/** The attempt that holds a key. */
+export interface Holder {
+  readonly attemptId: string;
+  readonly claimant: string;
+  readonly endpointId: string;
+  readonly streamId: string;
+  readonly fingerprint: string;
+}
+
+/** Why a witness neither grants a key nor names its holder. */
+export type Abstention = 'started-later' | 'starting' | 'leaving' | 'key-expired' | 'newer-list';
+
 /** A witness's answer to a claim. */
 export type ClaimReply =
-  | { readonly kind: 'granted'; readonly incarnation: number; readonly list: VmList | null }
-  | {
-      readonly kind: 'held';
-      readonly attemptId: string;
-      readonly claimant: string;
-      readonly endpointId: string;
-      readonly streamId: string;
-      readonly fingerprint: string;
-    }
+  | { readonly kind: 'granted' }
+  | { readonly kind: 'held'; readonly holder: Holder }
   | {
       readonly kind: 'abstained';
-      readonly reason: 'started-later' | 'leaving' | 'list-differs' | 'not-a-witness';
-      readonly list: VmList | null;
-      readonly chain: readonly VmList[];
+      readonly reason: Abstention;
+      /** The witness's lists, oldest first, when the last is newer; otherwise empty. */
+      readonly lists: readonly VmList[];
     };
 
 /** Gives back a grant that was never dispatched. */
@@ -43,6 +48,24 @@
   readonly attemptId: string;
 }
 
+/** Tells a peer which lists the caller knows, and asks for those that it lacks. */
+export interface ListsCall {
+  readonly method: 'lists';
+  readonly from: string;
+  /** Revisions that the caller knows, oldest first. */
+  readonly revisions: readonly number[];
+}
+
+/** The lists that a peer knows. */
+export interface ListsReply {
+  /** False: the peer has just started and may lack lists itself. */
+  readonly hasJoined: boolean;
+  /** Revision of the peer's own list; -1: it has none. */
+  readonly revision: number;
+  /** Lists that the caller lacked, oldest first. */
+  readonly lists: readonly VmList[];
+}
+
 /** Asks for a sheet's content, or for the manifest when `sheet` is `manifest`. */
 export interface SheetCall {
   readonly method: 'sheet';
@@ -83,12 +106,13 @@
 }
 
 /** A call between VMs. */
-export type PeerCall = ClaimCall | ReleaseCall | SheetCall | LeaseCall | HeartbeatCall;
+export type PeerCall = ClaimCall | ReleaseCall | ListsCall | SheetCall | LeaseCall | HeartbeatCall;
 
 /** The reply to each call, by method. */
 export interface PeerReplies {
   readonly claim: ClaimReply;
   readonly release: { readonly released: boolean };
+  readonly lists: ListsReply;
   readonly sheet: SheetReply;
   readonly lease: LeaseReply;
   readonly heartbeat: HeartbeatReply;
--- a/packages/router/src/peers/peerProtocol.ts
+++ b/packages/router/src/peers/peerProtocol.ts
@@ -1,4 +1,3 @@
-import { vmListSchema } from '@filbertlatch/core';
 import { z } from 'zod';
 
 const id = z.string().min(1).max(256);
@@ -13,7 +12,7 @@
   streamId: id,
   issuedAt: z.number().nullable(),
   listRevision: z.number().int(),
-  chain: z.array(vmListSchema).max(64),
+  region: id,
 });
 
 const heartbeatSchema = z.strictObject({
@@ -49,6 +48,11 @@
 export const peerCallSchema = z.discriminatedUnion('method', [
   claimSchema,
   z.strictObject({ method: z.literal('release'), key: id, attemptId: id }),
+  z.strictObject({
+    method: z.literal('lists'),
+    from: id,
+    revisions: z.array(z.number().int()).max(1024),
+  }),
   z.strictObject({ method: z.literal('sheet'), sheet: id, digest: z.string().nullable() }),
   z.strictObject({
     method: z.literal('lease'),
@@ -61,4 +65,4 @@
 ]);
 
 /** Names of the methods between VMs. */
-export const peerMethods = ['claim', 'release', 'sheet', 'lease', 'heartbeat'] as const;
+export const peerMethods = ['claim', 'release', 'lists', 'sheet', 'lease', 'heartbeat'] as const;
