--- a/packages/bench/src/createFleet.ts
+++ b/packages/bench/src/createFleet.ts
@@ -7,11 +7,15 @@
   createEngine,
   createPlatform,
   createService,
+  createWeightStore,
   type StandInEngine,
   type StandInPlatform,
   type StandInService,
+  type StandInWeightStore,
 } from '@filbertlatch/standins';
+import { request } from 'undici';
 
+import { createBaseline, type BaselineName } from './baseline/index.js';
 import type { Scenario } from './scenario.js';
 
 const READY_POLL_MS = 20;
@@ -22,13 +26,29 @@
 
 const SHARED_KEY = 'shared-key-of-the-bench-fleet';
 
+/** Which router stands before the endpoints. */
+export type Policy = 'filbertlatch' | BaselineName;
+
+/** One address that callers are sent to. */
+export interface Entry {
+  readonly id: string;
+  readonly url: string;
+  /** False once it was stopped. */
+  isUp(): boolean;
+  stop(): Promise<void>;
+}
+
 /** Routers and stand-ins of one scenario, all in this process. */
 export interface Fleet {
   readonly platform: StandInPlatform;
   readonly engines: readonly StandInEngine[];
   readonly services: readonly StandInService[];
+  /** Routers of this project; none under a baseline. */
   readonly routers: readonly Router[];
+  readonly entries: readonly Entry[];
   readonly table: Table;
+  /** Publishes the list of VMs without those named. */
+  publishListWithout(vms: readonly string[]): void;
   stop(): Promise<void>;
 }
 
@@ -41,11 +61,22 @@
   return scenario.zones[index % scenario.zones.length]!;
 }
 
-async function createEngines(scenario: Scenario, seed: number): Promise<StandInEngine[]> {
+async function loadWeights(store: StandInWeightStore, bytes: number, name: string): Promise<void> {
+  const { body } = await request(`${store.url}/weights/${name}?bytes=${bytes}`);
+  await body.dump();
+}
+
+async function createEngines(
+  scenario: Scenario,
+  seed: number,
+  store: StandInWeightStore,
+): Promise<StandInEngine[]> {
+  const load = (name: string) => loadWeights(store, scenario.weights.bytesPerModel, name);
   const wanted = scenario.engines.flatMap((group) =>
     Array.from({ length: group.count }, (_, index) => ({
       id: `${group.model}-${index}`,
-      models: [group.model],
+      models: [group.managed ? `${group.model}@1` : group.model],
+      load,
       slots: group.slots,
       stepMs: group.stepMs,
       prefillTokensPerSecond: group.prefillTokensPerSecond,
@@ -55,8 +86,13 @@
 }
 
 async function createServices(scenario: Scenario): Promise<StandInService[]> {
-  const wanted = scenario.services.flatMap(({ name, count, answerMs }) =>
-    Array.from({ length: count }, (_, index) => ({ id: `${name}-${index}`, name, answerMs })),
+  const wanted = scenario.services.flatMap(({ name, count, answerMs, slots }) =>
+    Array.from({ length: count }, (_, index) => ({
+      id: `${name}-${index}`,
+      name,
+      answerMs,
+      slots,
+    })),
   );
   return Promise.all(wanted.map((options) => createService(options)));
 }
@@ -73,6 +109,7 @@
       slots: group.slots,
       models: [group.model],
       fencing: 'checked',
+      managed: group.managed,
     };
   });
 }
@@ -104,7 +141,10 @@
       homeRegion: scenario.region,
       defaultClass: classIds[0],
     })),
-    models: scenario.engines.map((group) => ({ id: group.model })),
+    models: scenario.engines.map((group) => ({
+      id: group.model,
+      weightBytes: scenario.weights.bytesPerModel,
+    })),
     endpoints: [...engineRows(scenario, engines), ...serviceRows(scenario, services)],
     limits: scenario.limits,
   });
@@ -119,7 +159,11 @@
       callers: { port: 0 },
       admin: { port: 0, operatorToken: OPERATOR_TOKEN },
       peers: { port: 0, sharedKey: SHARED_KEY },
-      platform: { configurationUrl: platform.url, listUrl: platform.url },
+      platform: {
+        configurationUrl: platform.url,
+        listUrl: platform.url,
+        weightsBytesPerSecond: scenario.weights.bytesPerSecond,
+      },
       logLevel: 'error',
       seed: index + 1,
     }),
@@ -134,24 +178,64 @@
   }
 }
 
+function createEntry(id: string, part: { callerUrl: string; stop(): Promise<void> }): Entry {
+  let stopping: Promise<void> | null = null;
+  return {
+    id,
+    url: part.callerUrl,
+    isUp: () => stopping === null,
+    stop: () => {
+      stopping ??= part.stop();
+      return stopping;
+    },
+  };
+}
+
+function createListPublisher(
+  scenario: Scenario,
+  platform: StandInPlatform,
+  routers: readonly Router[],
+): Fleet['publishListWithout'] {
+  let revision = 0;
+  return (left) => {
+    revision += 1;
+    const vms = routers.map((router, index) => ({
+      id: `vm-${index}`,
+      peerUrl: router.peerUrl,
+      zone: zoneAt(scenario, index),
+      region: scenario.region,
+      state: 'live' as const,
+    }));
+    platform.publishList({
+      revision,
+      vms: vms.filter((vm) => !left.includes(vm.id)),
+      leavingEndpoints: [],
+    });
+  };
+}
+
 /** Starts the fleet of a scenario on loopback and waits until each router has the table. */
-export async function createFleet(scenario: Scenario, seed: number): Promise<Fleet> {
+export async function createFleet(
+  scenario: Scenario,
+  seed: number,
+  policy: Policy = 'filbertlatch',
+): Promise<Fleet> {
   const platform = await createPlatform();
-  const engines = await createEngines(scenario, seed);
+  const weights = await createWeightStore(scenario.weights.bytesPerSecond);
+  const engines = await createEngines(scenario, seed, weights);
   const services = await createServices(scenario);
   const table = buildTable(scenario, engines, services);
   const indexes = Array.from({ length: scenario.routers }, (_, index) => index);
-  const routers = await Promise.all(
-    indexes.map((index) => createRouterAt(scenario, platform, index)),
-  );
-  const vms = routers.map((router, index) => ({
-    id: `vm-${index}`,
-    peerUrl: router.peerUrl,
-    zone: zoneAt(scenario, index),
-    region: scenario.region,
-    state: 'live' as const,
-  }));
-  platform.publishList({ revision: 1, vms, leavingEndpoints: [] });
+  const isOurs = policy === 'filbertlatch';
+  const routers = isOurs
+    ? await Promise.all(indexes.map((index) => createRouterAt(scenario, platform, index)))
+    : [];
+  const parts = isOurs
+    ? routers
+    : await Promise.all(indexes.map(() => createBaseline(policy, table)));
+  const entries = parts.map((part, index) => createEntry(`vm-${index}`, part));
+  const publishListWithout = createListPublisher(scenario, platform, routers);
+  publishListWithout([]);
   platform.publishTable(table);
   await waitUntilReady(routers, table.revision);
   return {
@@ -159,10 +243,12 @@
     engines,
     services,
     routers,
+    entries,
     table,
+    publishListWithout,
     stop: async () => {
-      await Promise.all(routers.map((router) => router.stop()));
-      await Promise.all([...engines, ...services, platform].map((part) => part.stop()));
+      await Promise.all(entries.map((entry) => entry.stop()));
+      await Promise.all([...engines, ...services, platform, weights].map((part) => part.stop()));
     },
   };
 }
--- a/packages/core/src/admission/index.ts
+++ b/packages/core/src/admission/index.ts
@@ -1,9 +1,32 @@
+export { clearPeerLoads, offersOf, recordPeerLoads } from './peerLoads.js';
+export { divideSlots, type Division, type VmDemand } from './divideSlots.js';
+export type { Selection } from './chooseLane.js';
 export {
+  announceOffers,
+  correctCost,
   enqueueRequest,
   removeRequest,
   requeueRequest,
-  takeExpired,
+  takeHopeless,
   takeNext,
+  takeOverflow,
 } from './commands.js';
-export { hasWaiting, listClassLoads, listLanes, type LaneLength } from './queries.js';
-export { createAdmissionState, type AdmissionState, type Lane } from './state.js';
+export {
+  classRate,
+  hasWaiting,
+  listClassLoads,
+  listLanes,
+  listWaitingPools,
+  offeredRate,
+  type LaneLength,
+} from './queries.js';
+export {
+  createAdmissionState,
+  type AccountLane,
+  type AdmissionState,
+  type Lane,
+  type Offers,
+  type PeerDemand,
+  type PoolQueue,
+  type Waiting,
+} from './state.js';
--- a/packages/core/src/entry/counters.ts
+++ b/packages/core/src/entry/counters.ts
@@ -11,6 +11,8 @@
   'requests_abandoned',
   'attempts',
   'retries',
+  'moves',
+  'streams_cut',
   'resumes',
   'tokens_delivered',
   'tokens_wasted',
@@ -18,6 +20,14 @@
   'tables_accepted',
   'tables_refused',
   'lists_accepted',
+  'orders',
+  'suspicions',
+  'orders_failed',
+  'table_conflicts',
+  'sheets_missing',
+  'heartbeats',
+  'peers_lost',
+  'pauses',
 ] as const;
 
 /** Name of a counter. */
--- a/packages/core/src/entry/onRequest.ts
+++ b/packages/core/src/entry/onRequest.ts
@@ -1,13 +1,18 @@
 import { enqueueRequest, removeRequest } from '../admission/index.js';
 import { listLimits, takeTokens } from '../limits/index.js';
 import { countVms } from '../membership/index.js';
+import { listPoolMembers } from '../orders/index.js';
+import { releaseSuspect } from '../suspects/index.js';
+import type { TableView } from '../table/index.js';
 import type { Refusal, RefusalCode, Request } from '../types/index.js';
 import type { Action } from './action.js';
 import type { Core, LiveRequest } from './core.js';
 import { count } from './counters.js';
-import { dispatchWaiting } from './dispatchWaiting.js';
+import { dispatchWaiting, shedPool } from './dispatchWaiting.js';
+import { expectTokens } from './expectTokens.js';
 import { endRequest, refuseRequest } from './finishRequest.js';
 import type { MessageOf } from './message.js';
+import { holdSuspect } from './watchSuspects.js';
 
 const DEFAULT_RETRY_MS = 1000;
 
@@ -15,21 +20,32 @@
   return { code, message, verdict: 'not-run', retryable: true, retryAfterMs };
 }
 
-function findRefusal(core: Core, request: Request, now: number): Refusal | null {
+/** A model without an engine may get one: its requests wait for it. */
+function isLoadable(view: TableView, request: Request): boolean {
+  return view.managed.length > 0 && view.models.has(request.pool.replace(/^model:/, ''));
+}
+
+function findRefusal(
+  core: Core,
+  live: LiveRequest,
+  now: number,
+  actions: Action[],
+): Refusal | null {
+  const { request } = live;
   const { view } = core.table;
   const row = view?.classes.get(request.classId);
   if (core.membership.leaving) return notRun('leaving', 'This VM is leaving; send it again.');
   if (view === null || row === undefined) return notRun('not_ready', 'No table is in force yet.');
-  if ((view.pools.get(request.pool) ?? []).length === 0) {
+  if (listPoolMembers(core.orders, view, request.pool).length === 0 && !isLoadable(view, request)) {
     return notRun('no_endpoint', `No endpoint serves ${request.pool}.`);
   }
   const limits = listLimits(view, request.accountId, request.classId);
   const vms = countVms(core.membership);
   const waitMs = takeTokens(core.limits, limits, vms, request.promptTokens, now);
   if (waitMs > 0) return notRun('limit_reached', 'A limit of the table is used up.', waitMs);
-  if (!enqueueRequest(core.admission, request, row.maxQueue)) {
-    return notRun('queue_full', `Too many requests of class ${row.id} wait.`);
-  }
+  if (holdSuspect(core, live, now, actions)) return null;
+  const weight = view.accounts.get(request.accountId)?.weight ?? 1;
+  enqueueRequest(core.admission, request, row, expectTokens(core, request), weight, now);
   return null;
 }
 
@@ -50,12 +66,13 @@
   };
   core.requests.set(request.id, live);
   count(core, 'requests');
-  const refusal = findRefusal(core, request, now);
+  const refusal = findRefusal(core, live, now, actions);
   if (refusal !== null) {
     refuseRequest(core, live, refusal, 'refused', actions);
     return;
   }
   dispatchWaiting(core, request.pool, now, actions);
+  shedPool(core, request.pool, now, actions);
 }
 
 /** Stops the work for a caller that has gone. */
@@ -66,6 +83,7 @@
 ): void {
   const live = core.requests.get(requestId);
   if (live === undefined) return;
+  releaseSuspect(core.suspects, live.request.pool, requestId);
   if (live.attemptId === null) removeRequest(core.admission, live.request);
   else actions.push({ kind: 'cancel-attempt', attemptId: live.attemptId });
   endRequest(core, live, 'abandoned', actions);
--- /dev/null
+++ b/packages/core/src/entry/poolRoom.ts
@@ -0,0 +1,130 @@
+import { offeredRate } from '../admission/index.js';
+import { phaseOf } from '../health/index.js';
+import {
+  countCritical,
+  countInFlight,
+  estimateLoad,
+  hasSpareSlot,
+  hasWindow,
+  isBackedUp,
+  isReportedFull,
+  msPerToken,
+  windowOf,
+} from '../placement/index.js';
+import type { TableView } from '../table/index.js';
+import { type Endpoint, type PoolId } from '../types/index.js';
+import type { Core } from './core.js';
+
+const CRITICAL_RANK = 0;
+
+/** A critical request may go beyond the windows by this part, to slots that others leave. */
+const OVERCOMMIT_PART = 0.25;
+
+/** Largest part of a VM's windows that is kept free for critical arrivals. */
+const LARGEST_RESERVE_PART = 0.3;
+
+/** A critical load below this many slots is not worth a reserve. */
+const LEAST_CRITICAL_LOAD = 0.02;
+
+/** Standard deviations of the critical load that the reserve covers. */
+const RESERVE_DEVIATIONS = 1;
+
+/** What this VM may use of a pool now. */
+export interface PoolRoom {
+  readonly candidates: readonly Endpoint[];
+  /** Sum of the windows. */
+  readonly capacity: number;
+  /** Slots kept for critical arrivals. */
+  readonly reserve: number;
+}
+
+/** Returns the slots that critical requests of this VM keep busy on average. */
+function criticalLoad(core: Core, view: TableView, pool: PoolId, now: number): number {
+  const queue = core.admission.pools.get(pool);
+  if (queue === undefined) return 0;
+  return offeredRate(queue, CRITICAL_RANK, now, view.classes) * msPerToken(core.placement, pool);
+}
+
+/**
+ * Works out the slots to keep free for critical arrivals: what their load and its swings take,
+ * less what they have in flight already. A pool full of long streams would hold them up.
+ */
+function workOutReserve(
+  core: Core,
+  view: TableView,
+  pool: PoolId,
+  capacity: number,
+  now: number,
+): number {
+  const load = criticalLoad(core, view, pool, now);
+  if (load < LEAST_CRITICAL_LOAD) return 0;
+  const wanted = load + RESERVE_DEVIATIONS * Math.sqrt(load);
+  const missing = Math.ceil(wanted - countCritical(core.placement, pool));
+  return Math.max(0, Math.min(missing, Math.floor(capacity * LARGEST_RESERVE_PART)));
+}
+
+/** Measures what this VM may use of a pool now. */
+export function measureRoom(
+  core: Core,
+  view: TableView,
+  pool: PoolId,
+  candidates: readonly Endpoint[],
+  now: number,
+): PoolRoom {
+  const capacity = candidates.reduce((sum, c) => sum + windowOf(core.placement, c), 0);
+  return {
+    candidates,
+    capacity,
+    reserve: workOutReserve(core, view, pool, capacity, now),
+  };
+}
+
+function isOpen(core: Core, endpoint: Endpoint, rank: number, now: number): boolean {
+  // One request at a time, and none that matters most, until the endpoint has kept up.
+  if (phaseOf(core.health, endpoint.id) === 'probation') {
+    return rank > CRITICAL_RANK && countInFlight(core.placement, endpoint.id) === 0;
+  }
+  if (!hasWindow(core.placement, endpoint)) return false;
+  if (rank > CRITICAL_RANK && isReportedFull(core.placement, endpoint, now)) return false;
+  return endpoint.kind === 'service' || !isBackedUp(core.placement, endpoint);
+}
+
+/**
+ * Lists the endpoints that may get one more request of a tier: those with room in this VM's
+ * window; without any, for a critical request, those with a slot that other VMs leave unused.
+ */
+export function listOpen(core: Core, room: PoolRoom, rank: number, now: number): Endpoint[] {
+  const open = room.candidates.filter((c) => isOpen(core, c, rank, now));
+  if (open.length > 0 || rank !== CRITICAL_RANK) return open;
+  return room.candidates.filter(
+    (c) => phaseOf(core.health, c.id) === 'healthy' && hasSpareSlot(core.placement, c, now),
+  );
+}
+
+/** Says whether an endpoint other than one has a slot that a critical request gets at once. */
+export function hasFreeSlotElsewhere(
+  core: Core,
+  room: PoolRoom,
+  endpointId: string,
+  now: number,
+): boolean {
+  return listOpen(core, room, CRITICAL_RANK, now).some(
+    ({ id, slots }) => id !== endpointId && estimateLoad(core.placement.loads.get(id), now) < slots,
+  );
+}
+
+/** Says whether the pool has room for one more request of a tier. */
+export function hasRoomFor(core: Core, room: PoolRoom, rank: number, now: number): boolean {
+  const inFlight = room.candidates.reduce((sum, c) => sum + countInFlight(core.placement, c.id), 0);
+  const most =
+    rank === CRITICAL_RANK
+      ? Math.ceil(room.capacity * (1 + OVERCOMMIT_PART))
+      : Math.max(1, Math.floor(room.capacity)) - room.reserve;
+  if (inFlight >= Math.max(1, most)) return false;
+  return listOpen(core, room, rank, now).length > 0;
+}
+
+/** Returns the cost per millisecond that this VM can have served by a pool. */
+export function poolRate(core: Core, room: PoolRoom, pool: PoolId): number {
+  return room.capacity / msPerToken(core.placement, pool);
+}
--- a/packages/core/src/types/peerCall.ts
+++ b/packages/core/src/types/peerCall.ts
@@ -66,7 +66,7 @@
   readonly lists: readonly VmList[];
 }
 
-/** Asks for a sheet's content, or for the manifest when `sheet` is `manifest`. */
+/** Asks for a sheet's content, or for the manifest or list when `sheet` is `manifest` or `list`. */
 export interface SheetCall {
   readonly method: 'sheet';
   readonly sheet: string;
@@ -76,6 +76,7 @@
 /** A sheet's text and position. */
 export interface SheetReply {
   readonly manifest: Manifest | null;
+  readonly list?: VmList | null;
   readonly text: string | null;
 }
 
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -1,17 +1,29 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { createCore, createRandom, type ActionOf, type Vm } from '@filbertlatch/core';
+import {
+  createCore,
+  createRandom,
+  isReady,
+  tableRevision,
+  type ActionOf,
+  type Vm,
+} from '@filbertlatch/core';
 import type { Logger } from 'winston';
 
 import { createAdminApi, dumpState } from './admin/index.js';
 import { createCallerApi, Exchanges } from './callers/index.js';
 import { now } from './clock.js';
+import { createObservers, type Observers } from './createObservers.js';
 import { Decider } from './decider/index.js';
 import { EndpointTasks } from './endpoints/index.js';
 import { listen, type Listener } from './listen.js';
 import { createLog } from './log/index.js';
+import { ControlTraffic } from './metrics/index.js';
+import { OrderTask } from './orders/index.js';
 import { PeerTask } from './peers/index.js';
 import { PlatformTask } from './platform/index.js';
+import { ReportTask } from './reports/index.js';
+import { CredentialTask } from './security/index.js';
 import type { Settings } from './settings/index.js';
 
 const DRAIN_POLL_MS = 50;
@@ -24,6 +36,12 @@
   readonly peerUrl: string;
   /** Dumps the state; carries no prompt, key or token. */
   state(): ReturnType<typeof dumpState>;
+  /** Reads keys, tokens and certificates again from their files. */
+  reloadCredentials(): Promise<void>;
+  /** Returns the revisions of table and list in force; -1 before the first. */
+  revisions(): { readonly table: number; readonly list: number };
+  /** Says whether it takes work. */
+  isReady(): boolean;
   /** Takes no new work, finishes what runs, then stops; resolves when stopped. */
   drain(): Promise<void>;
   /** Stops at once and cuts what runs. */
@@ -37,21 +55,34 @@
   readonly endpoints: EndpointTasks;
   readonly platform: PlatformTask;
   readonly peers: PeerTask;
+  readonly orders: OrderTask;
+  readonly reports: ReportTask;
+  readonly credentials: CredentialTask;
   readonly log: Logger;
+  readonly observers: Observers;
 }
 
-function createTasks(settings: Settings, self: Vm): Tasks {
+async function createTasks(settings: Settings, self: Vm): Promise<Tasks> {
+  const log = createLog(settings.vm.id, settings.logLevel);
+  const credentials = await CredentialTask.create(settings, log);
   const started = now();
+  const { weightsBytesPerSecond } = settings.platform;
   const random = createRandom(settings.seed ?? Math.floor(started));
-  const decider = new Decider(createCore(self, random, started));
+  const decider = new Decider(createCore(self, random, started, { weightsBytesPerSecond }));
   const exchanges = new Exchanges();
+  const traffic = new ControlTraffic();
+  const { keptDecisions } = settings.admin;
   return {
     decider,
     exchanges,
-    endpoints: new EndpointTasks(decider, exchanges),
-    platform: new PlatformTask(settings.platform, decider),
-    peers: new PeerTask(settings.peers.sharedKey, decider),
-    log: createLog(settings.vm.id, settings.logLevel),
+    orders: new OrderTask(decider),
+    reports: new ReportTask(decider),
+    observers: createObservers(decider, traffic, keptDecisions, () => exchanges.size),
+    endpoints: new EndpointTasks(decider, exchanges, settings.callers.maxAnswerBytes),
+    platform: new PlatformTask(settings.platform, decider, traffic),
+    peers: new PeerTask(() => credentials.current, decider, traffic),
+    credentials,
+    log,
   };
 }
 
@@ -60,17 +91,31 @@
 }
 
 /** Names the task that carries out each kind of action. */
-function connectTasks({ decider, exchanges, endpoints, platform, peers, log }: Tasks): void {
+function connectTasks(tasks: Tasks): void {
+  const { decider, exchanges, endpoints, platform, peers, orders, reports, log } = tasks;
   decider.on('dispatch', (action) => endpoints.dispatch(action));
   decider.on('cancel-attempt', ({ attemptId }) => endpoints.cancel(attemptId));
   decider.on('refuse', ({ requestId, refusal }) => exchanges.take(requestId)?.refuse(refusal));
   decider.on('fetch-sheet', (action) => {
-    void platform.fetchSheet(action);
+    void (action.peer === null ? platform.fetchSheet(action) : peers.fetch(action));
   });
+  decider.on('fetch-manifest', (action) => {
+    void (action.peer === null ? platform.fetchManifest() : peers.fetch(action));
+  });
+  decider.on('fetch-list', (action) => {
+    void ((action.peer ?? null) === null ? platform.fetchList() : peers.fetch(action));
+  });
+  decider.on('restart-watches', () => platform.restart());
   decider.on('call-peer', (action) => {
     void peers.call(action);
   });
+  decider.on('order', (action) => {
+    void orders.give(action);
+  });
   decider.on('reply-peer', (action) => peers.reply(action));
+  decider.on('probe', ({ endpoint }) => {
+    void reports.probe(endpoint);
+  });
   decider.on('state-changed', (action) => logChange(log, action));
 }
 
@@ -79,35 +124,53 @@
   tasks: Tasks,
   beginDrain: () => void,
 ): Promise<{ callers: Listener; admin: Listener; peers: Listener }> {
-  const { decider, exchanges } = tasks;
+  const { decider, exchanges, observers, credentials } = tasks;
+  const tokens = {
+    operator: () => credentials.current.operatorTokens,
+    reader: () => credentials.current.readerTokens,
+  };
+  const { callerTls, adminTls, peerTls } = credentials.current;
   const callerApi = createCallerApi({ decider, exchanges, settings });
-  const adminApi = createAdminApi({ decider, settings: settings.admin, beginDrain });
+  const adminApi = createAdminApi({ decider, ...observers, tokens, beginDrain });
+  const callerOptions = { tls: callerTls, limits: settings.callers };
+  const peerOptions = { tls: peerTls, isMutual: true };
   const [callers, admin, peers] = await Promise.all([
-    listen(callerApi, settings.callers.host, settings.callers.port),
-    listen(adminApi, settings.admin.host, settings.admin.port),
-    listen(tasks.peers.api, settings.peers.host, settings.peers.port),
+    listen(callerApi, settings.callers.host, settings.callers.port, callerOptions),
+    listen(adminApi, settings.admin.host, settings.admin.port, { tls: adminTls }),
+    listen(tasks.peers.api, settings.peers.host, settings.peers.port, peerOptions),
   ]);
+  credentials.onChange((changed) => {
+    if (changed.callerTls !== null) callers.setTls(changed.callerTls);
+    if (changed.adminTls !== null) admin.setTls(changed.adminTls);
+    if (changed.peerTls !== null) peers.setTls(changed.peerTls);
+    tasks.peers.renewCredentials();
+  });
+  credentials.start();
   return { callers, admin, peers };
 }
 
 /** Starts a router; resolves when it listens. */
 export async function createRouter(settings: Settings): Promise<Router> {
   const { host, port } = settings.peers;
-  const self: Vm = { ...settings.vm, peerUrl: `http://${host}:${port}`, state: 'live' };
-  const tasks = createTasks(settings, self);
-  const { decider, exchanges, endpoints, platform, peers } = tasks;
+  const scheme = settings.peers.tls === undefined ? 'http' : 'https';
+  const self: Vm = { ...settings.vm, peerUrl: `${scheme}://${host}:${port}`, state: 'live' };
+  const tasks = await createTasks(settings, self);
+  const { decider, exchanges, endpoints, platform, peers, orders, reports } = tasks;
   connectTasks(tasks);
   let draining: Promise<void> | null = null;
 
   const stop = async () => {
     decider.stop();
-    await Promise.all([platform.stop(), peers.close(), endpoints.close()]);
+    await Promise.all([platform.stop(), reports.stop()]);
+    await Promise.all([peers.close(), endpoints.close(), orders.close()]);
+    tasks.credentials.stop();
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- stopped after it opened
     await Promise.all(Object.values(listeners).map((listener) => listener.close()));
   };
   const finishAndStop = async () => {
     const latest = now() + settings.drainSeconds * MS_PER_SECOND;
     while (exchanges.size > 0 && now() < latest) await sleep(DRAIN_POLL_MS);
+    decider.post({ kind: 'drain-timed-out' });
     await stop();
   };
   const drain = () => {
@@ -123,11 +186,18 @@
   });
   decider.start();
   platform.start();
+  reports.start();
   return {
     callerUrl: listeners.callers.url,
     adminUrl: listeners.admin.url,
     peerUrl: listeners.peers.url,
-    state: () => dumpState(decider.core, now()),
+    state: () => dumpState(decider.core, tasks.observers.attainment, now()),
+    reloadCredentials: () => tasks.credentials.reload(),
+    revisions: () => ({
+      table: tableRevision(decider.core.table),
+      list: decider.core.membership.list?.revision ?? -1,
+    }),
+    isReady: () => isReady(decider.core.membership),
     drain,
     stop,
   };
--- a/packages/router/src/peers/peerProtocol.ts
+++ b/packages/router/src/peers/peerProtocol.ts
@@ -17,6 +17,7 @@
 
 const heartbeatSchema = z.strictObject({
   from: id,
+  peerUrl: z.url({ protocol: /^https?$/ }).optional(),
   incarnation: z.number(),
   sequence: z.number().int(),
   state: z.enum(['starting', 'live', 'leaving']),
@@ -31,9 +32,12 @@
       waiting: z.number(),
       waitingTokens: z.number(),
       servedTokensPerSecond: z.number(),
+      offeredTokensPerSecond: z.number().default(0),
     }),
   ),
-  suspects: z.array(z.strictObject({ fingerprint: id, since: z.number() })),
+  suspects: z.array(
+    z.strictObject({ fingerprint: id, endpointId: id, at: z.number(), isAlone: z.boolean() }),
+  ),
   members: z.array(
     z.strictObject({
       id,
--- a/packages/router/src/peers/peerTask.ts
+++ b/packages/router/src/peers/peerTask.ts
@@ -3,7 +3,10 @@
 
 import type { Decider } from '../decider/index.js';
 import { PeerError } from '../errors/index.js';
+import type { ControlTraffic } from '../metrics/index.js';
+import type { Credentials } from '../security/index.js';
 import { createPeerApi } from './peerApi.js';
+import { fetchFromPeer } from './fetchFromPeer.js';
 import { PeerClient } from './peerClient.js';
 
 const REPLY_TIMEOUT_MS = 1000;
@@ -23,10 +26,14 @@
 
   readonly #open = new Map<string, Open>();
 
-  constructor(sharedKey: string, decider: Decider) {
+  constructor(readCredentials: () => Credentials, decider: Decider, traffic: ControlTraffic) {
     this.#decider = decider;
-    this.#client = new PeerClient(sharedKey);
-    this.api = createPeerApi(sharedKey, (call) => this.#receive(call));
+    this.#client = new PeerClient(readCredentials, traffic);
+    this.api = createPeerApi(
+      () => readCredentials().peerKeys,
+      traffic,
+      (call) => this.#receive(call),
+    );
   }
 
   /** Calls a peer and posts what came of it. */
@@ -40,6 +47,18 @@
     }
   }
 
+  /** Asks a peer for a sheet, the manifest or the list, and posts what it gave. */
+  async fetch(action: ActionOf<'fetch-sheet' | 'fetch-manifest' | 'fetch-list'>): Promise<void> {
+    const source = { peer: action.peer!.id };
+    try {
+      const message = await fetchFromPeer(this.#client, action);
+      if (message !== null) this.#decider.post(message);
+    } catch {
+      if (action.kind !== 'fetch-sheet') return;
+      this.#decider.post({ kind: 'sheet-missing', source, sheet: action.sheet });
+    }
+  }
+
   /** Sends the core's reply to a peer that called. */
   reply({ callId, reply }: ActionOf<'reply-peer'>): void {
     const open = this.#open.get(callId);
@@ -49,6 +68,11 @@
     open.resolve(reply);
   }
 
+  /** Uses the credentials in force for new connections. */
+  renewCredentials(): void {
+    this.#client.renew();
+  }
+
   /** Closes the connections. */
   async close(): Promise<void> {
     this.#open.forEach(({ timer }) => clearTimeout(timer));
