--- a/packages/core/src/entry/onPeerCall.ts
+++ b/packages/core/src/entry/onPeerCall.ts
@@ -23,6 +23,7 @@
     .with({ method: 'sheet' }, (sheetCall) => onSheetCalled(core, callId, sheetCall, actions))
     .with({ method: 'claim' }, ignore)
     .with({ method: 'release' }, ignore)
+    .with({ method: 'lists' }, ignore)
     .with({ method: 'lease' }, ignore)
     .exhaustive();
 }
@@ -42,6 +43,7 @@
     .with({ method: 'sheet' }, ignore)
     .with({ method: 'claim' }, ignore)
     .with({ method: 'release' }, ignore)
+    .with({ method: 'lists' }, ignore)
     .with({ method: 'lease' }, ignore)
     .exhaustive();
 }
@@ -58,6 +60,7 @@
     .with({ method: 'sheet' }, ignore)
     .with({ method: 'claim' }, ignore)
     .with({ method: 'release' }, ignore)
+    .with({ method: 'lists' }, ignore)
     .with({ method: 'lease' }, ignore)
     .exhaustive();
 }
