--- a/packages/core/src/orders/commands.ts
+++ b/packages/core/src/orders/commands.ts
@@ -15,6 +15,7 @@
 ): void {
   const engine = ordersOf(state, engineId);
   if (measuredAt < engine.loadedAt) return;
+  if (engine.loaded?.join() !== models.join()) state.members.clear();
   engine.loaded = models;
   engine.loadedAt = measuredAt;
   const { ordered } = engine;
@@ -23,6 +24,7 @@
   if (!isRead) return;
   engine.ordered = null;
   engine.failures = 0;
+  state.members.clear();
 }
 
 /** Notes that an order was given. */
@@ -33,6 +35,7 @@
   now: number,
 ): void {
   const engine = ordersOf(state, engineId);
+  state.members.clear();
   engine.ordered = models;
   engine.orderedAt = now;
   engine.changedAt = now;
@@ -44,12 +47,14 @@
   const engine = ordersOf(state, engineId);
   if (end === 'applied') return;
   engine.failures += 1;
+  state.members.clear();
   // Unknown: the order may be under way, so it stands until a report or the retry time.
   if (end !== 'unknown') engine.ordered = null;
 }
 
 /** Forgets orders under way: after a pause all of them may be another owner's business. */
 export function forgetOrders(state: OrdersState): void {
+  state.members.clear();
   for (const engine of state.engines.values()) {
     engine.ordered = null;
     engine.confirmingSince = null;
--- a/packages/core/src/orders/queries.ts
+++ b/packages/core/src/orders/queries.ts
@@ -3,6 +3,8 @@
 import type { Endpoint, Engine, PoolId, Vm, VmList } from '../types/index.js';
 import type { OrdersState } from './state.js';
 
+const NO_ENDPOINTS: readonly Endpoint[] = [];
+
 /** Returns the id of a model named with its version, as `id@version`. */
 export function stripVersion(name: string): string {
   return name.replace(/@[^@]*$/, '');
@@ -27,13 +29,7 @@
   return (ordered ?? null) !== null && !ordered!.map(stripVersion).includes(model);
 }
 
-/** Lists the endpoints that serve a pool now. */
-export function listPoolMembers(
-  state: OrdersState,
-  view: TableView,
-  pool: PoolId,
-): readonly Endpoint[] {
-  if (view.managed.length === 0 || !pool.startsWith('model:')) return view.pools.get(pool) ?? [];
+function findMembers(state: OrdersState, view: TableView, pool: PoolId): readonly Endpoint[] {
   const model = pool.slice('model:'.length);
   const fixed = (view.pools.get(pool) ?? []).filter((e) => e.kind === 'service' || !e.managed);
   const managed = view.managed.filter(
@@ -42,3 +38,22 @@
   );
   return [...fixed, ...managed];
 }
+
+/**
+ * Lists the endpoints that serve a pool now. The same list is returned until the table or an
+ * engine's models change, so that what is derived from it can be kept as long.
+ */
+export function listPoolMembers(
+  state: OrdersState,
+  view: TableView,
+  pool: PoolId,
+): readonly Endpoint[] {
+  if (view.managed.length === 0 || !pool.startsWith('model:')) {
+    return view.pools.get(pool) ?? NO_ENDPOINTS;
+  }
+  const known = state.members.get(pool);
+  if (known?.view === view) return known.endpoints;
+  const endpoints = findMembers(state, view, pool);
+  state.members.set(pool, { view, endpoints });
+  return endpoints;
+}
--- a/packages/core/src/orders/state.ts
+++ b/packages/core/src/orders/state.ts
@@ -1,3 +1,12 @@
+import type { TableView } from '../table/index.js';
+import type { Endpoint, PoolId } from '../types/index.js';
+
+/** Endpoints that serve a pool, as they were found under one table. */
+export interface PoolMembers {
+  readonly view: TableView;
+  readonly endpoints: readonly Endpoint[];
+}
+
 /** What is wanted of one engine, and what it was last seen to have. */
 export interface EngineOrders {
   /** Models it was seen to have loaded; null before the first report. */
@@ -29,6 +38,8 @@
   readonly weightsBytesPerSecond: number;
   /** Bytes that this VM may still load from the weight store now; may be negative. */
   loadBudget: number;
+  /** Members of the pools, kept until an engine's models change. */
+  readonly members: Map<PoolId, PoolMembers>;
   budgetAt: number;
   counter: number;
   plannedAt: number;
@@ -40,6 +51,7 @@
     weightsBytesPerSecond,
     engines: new Map(),
     models: new Map(),
+    members: new Map(),
     loadBudget: 0,
     budgetAt: 0,
     counter: 0,
