Claim the key of a request before it runs, and join those that send it again

A request that must not be repeated and carries an Idempotency-Key is dispatched only under grants from a majority of its witnesses. A resend waits for the attempt that holds the key, on the same VM or through it, and gets the kept answer; the same key with another body is refused (422). An attempt whose caller has gone runs on.

Now all but one give way, and that one asks again. Before a key is claimed nothing says not-run of it, for it may have run when it was sent before; the key makes a resend safe all the same.

--- a/packages/bench/src/checkClaims/moves.ts
+++ b/packages/bench/src/checkClaims/moves.ts
@@ -160,7 +160,7 @@
         const copy = copyState(state);
         const revisions = listLists(state).map((list) => list.revision);
         const call = { method: 'lists', from: id, revisions } as const;
-        takeLists(copy, peerId, answerLists(world.vms.get(peerId)!, call), world.now);
+        takeLists(copy, peerId, answerLists(world.vms.get(peerId)!, call, world.now), world.now);
         return withVm(world, id, copy);
       },
     }));
--- a/packages/bench/src/checkClaims/world.ts
+++ b/packages/bench/src/checkClaims/world.ts
@@ -114,12 +114,13 @@
 /** Copies the state of one VM, so that a move may change the copy. */
 export function copyState(state: ClaimState): ClaimState {
   const claims = [...state.claims].map(([id, claim]) => {
-    const { asked, granted, missing } = claim;
+    const { asked, granted, missing, holders } = claim;
     const copy = {
       ...claim,
       asked: new Set(asked),
       granted: new Set(granted),
       missing: new Set(missing),
+      holders: [...holders],
     };
     return [id, copy] as const;
   });
@@ -128,6 +129,7 @@
     earlier: state.earlier.map((earlier) => ({ ...earlier, leftBy: new Map(earlier.leftBy) })),
     grants: new Map(state.grants),
     claims: new Map(claims),
+    won: new Map(),
   };
 }
 
@@ -145,7 +147,7 @@
       [...claim.asked].sort(),
       [...claim.granted].sort().join(),
       [...claim.missing].sort(),
-      claim.holder?.attemptId,
+      claim.holders.map((holder) => holder.attemptId).sort(),
     ].join(';'),
   );
   const head = [state.startedAt, state.hasJoined, state.list?.revision];
--- a/packages/bench/src/createFleet.ts
+++ b/packages/bench/src/createFleet.ts
@@ -164,6 +164,8 @@
         listUrl: platform.url,
         weightsBytesPerSecond: scenario.weights.bytesPerSecond,
       },
+      // The whole fleet is new, and all run by one clock.
+      claims: { startWaitSeconds: 0, skewSeconds: 0 },
       logLevel: 'error',
       seed: index + 1,
     }),
--- a/packages/core/src/claims/claimant.ts
+++ b/packages/core/src/claims/claimant.ts
@@ -7,6 +7,7 @@
   listLists,
   listsToSettle,
   longestClaimMs,
+  quorumOf,
   witnessesOf,
 } from './queries.js';
 import type { Claim, ClaimState } from './state.js';
@@ -17,8 +18,14 @@
 export type ClaimStep =
   | { readonly kind: 'wait' }
   | { readonly kind: 'ask'; readonly vms: readonly Vm[] }
-  | { readonly kind: 'won' }
-  | { readonly kind: 'held'; readonly holder: Holder; readonly release: readonly Vm[] }
+  | { readonly kind: 'won'; readonly witnesses: readonly Vm[] }
+  | {
+      readonly kind: 'held';
+      readonly holder: Holder;
+      /** True when so many witnesses name it that it must have won. */
+      readonly hasWon: boolean;
+      readonly release: readonly Vm[];
+    }
   | {
       readonly kind: 'lost';
       readonly verdict: Verdict;
@@ -42,8 +49,11 @@
 function lose(state: ClaimState, claim: Claim, verdict: Verdict): ClaimStep {
   state.claims.delete(claim.attemptId);
   const release = listAsked(state, claim);
-  const { holder } = claim;
-  return holder === null ? { kind: 'lost', verdict, release } : { kind: 'held', holder, release };
+  const [holder] = claim.holders;
+  if (holder === undefined) return { kind: 'lost', verdict, release };
+  const named = claim.holders.filter(({ attemptId }) => attemptId === holder.attemptId).length;
+  const hasWon = named >= quorumOf(state, claim.asked.size);
+  return { kind: 'held', holder, hasWon, release };
 }
 
 function ask(claim: Claim, vms: readonly Vm[]): ClaimStep {
@@ -57,7 +67,7 @@
   claim.granted.clear();
   claim.missing.clear();
   claim.asked.clear();
-  claim.holder = null;
+  claim.holders.length = 0;
   const vms = witnessesOf(state, claim, state.list);
   return vms.length === 0 ? lose(state, claim, 'may-have-run') : ask(claim, vms);
 }
@@ -82,7 +92,8 @@
   if (uncertain.length === 0) {
     if (isTooOld(state, claim, now)) return lose(state, claim, verdictOf(state, claim));
     state.claims.delete(claim.attemptId);
-    return { kind: 'won' };
+    state.won.set(claim.attemptId, now);
+    return { kind: 'won', witnesses: listAsked(state, claim) };
   }
   if (state.list !== null && isHopeless(state, claim, state.list)) {
     return lose(state, claim, verdictOf(state, claim));
@@ -107,7 +118,7 @@
     asked: new Set(),
     granted: new Set(),
     missing: new Set(),
-    holder: null,
+    holders: [],
   };
   state.claims.set(claim.attemptId, claim);
   if (!hasJoined(state, now)) return lose(state, claim, 'may-have-run');
@@ -156,7 +167,7 @@
   if (isTooOld(state, claim, now)) return lose(state, claim, verdictOf(state, claim));
   if (reply.kind === 'granted') claim.granted.add(witnessId);
   else if (reply.kind === 'held') {
-    claim.holder = reply.holder;
+    claim.holders.push(reply.holder);
     claim.missing.add(witnessId);
   } else if (reply.reason === 'newer-list') return takeNewerList(state, claim, reply, now);
   else claim.missing.add(witnessId);
@@ -175,3 +186,21 @@
   if (!claim.granted.has(witnessId)) claim.missing.add(witnessId);
   return settle(state, claim, now);
 }
+
+/** Says whether a grant came for an attempt that gave up, so that it must go back. */
+export function isLateGrant(
+  state: ClaimState,
+  { attemptId }: ClaimCall,
+  reply: ClaimReply,
+): boolean {
+  if (reply.kind !== 'granted') return false;
+  return !state.claims.has(attemptId) && !state.won.has(attemptId);
+}
+
+/** Gives up a claim; returns the witnesses to which a release goes. */
+export function dropClaim(state: ClaimState, attemptId: string): readonly Vm[] {
+  const claim = state.claims.get(attemptId);
+  if (claim === undefined) return [];
+  state.claims.delete(attemptId);
+  return listAsked(state, claim);
+}
--- a/packages/core/src/claims/lists.ts
+++ b/packages/core/src/claims/lists.ts
@@ -1,5 +1,5 @@
 import type { ListsCall, ListsReply, VmList } from '../types/index.js';
-import { holdMs, listLists, listWitnesses, quorumOf } from './queries.js';
+import { hasJoined, holdMs, listLists, listWitnesses, quorumOf } from './queries.js';
 import type { ClaimState, EarlierList } from './state.js';
 
 function addEarlier(state: ClaimState, list: VmList, now: number): boolean {
@@ -26,10 +26,10 @@
 }
 
 /** Answers a peer that tells which lists it knows. */
-export function answerLists(state: ClaimState, { revisions }: ListsCall): ListsReply {
+export function answerLists(state: ClaimState, { revisions }: ListsCall, now: number): ListsReply {
   const known = new Set(revisions);
   return {
-    hasJoined: state.hasJoined,
+    hasJoined: hasJoined(state, now),
     revision: state.list?.revision ?? -1,
     lists: listLists(state).filter((list) => !known.has(list.revision)),
   };
--- a/packages/core/src/claims/state.ts
+++ b/packages/core/src/claims/state.ts
@@ -30,8 +30,8 @@
   readonly granted: Set<string>;
   /** Witnesses that failed, abstained or hold the key for another. */
   readonly missing: Set<string>;
-  /** Another attempt that holds the key at a witness. */
-  holder: Holder | null;
+  /** Attempts that hold the key, one for each witness that named one. */
+  readonly holders: Holder[];
 }
 
 /** Claims as one VM sees them: as a witness and as a claimant. */
@@ -50,6 +50,8 @@
   settledRevision: number;
   readonly grants: Map<string, Grant>;
   readonly claims: Map<string, Claim>;
+  /** When each attempt that has won its claim did so, oldest first. */
+  readonly won: Map<string, number>;
 }
 
 /** Creates the state of a VM that has just started: it remembers no grant. */
@@ -71,5 +73,6 @@
     settledRevision: -1,
     grants: new Map(),
     claims: new Map(),
+    won: new Map(),
   };
 }
--- a/packages/core/src/claims/witness.ts
+++ b/packages/core/src/claims/witness.ts
@@ -18,9 +18,10 @@
   if (!hasJoined(state, now)) return 'starting';
   const before = issuedAfter(state, call.issuedAt, now);
   if (has('started-later') && state.startedAt >= before) return 'started-later';
-  // Later than this a grant for the key may have been forgotten.
-  const isOld = call.issuedAt !== null && now > call.issuedAt + windowMs - skewMs;
-  return isOld && has('key-age') ? 'key-expired' : null;
+  if (call.issuedAt === null || !has('key-age')) return null;
+  // Outside these bounds a grant for the key may have been forgotten.
+  const isOld = now > call.issuedAt + windowMs - skewMs;
+  return isOld || call.issuedAt > now + skewMs ? 'key-expired' : null;
 }
 
 function holderOf(source: Holder): Holder {
@@ -50,11 +51,21 @@
   return state.grants.delete(key);
 }
 
-/** Forgets the grants whose window is over. */
-export function forgetGrants(state: ClaimState, now: number): void {
-  for (const [key, { grantedAt }] of state.grants) {
-    // Grants stand in the order they were given.
-    if (now - grantedAt < holdMs(state)) return;
-    state.grants.delete(key);
+function forgetOld<T>(
+  entries: Map<string, T>,
+  instantOf: (entry: T) => number,
+  before: number,
+): void {
+  for (const [key, entry] of entries) {
+    // Entries stand in the order of their instants.
+    if (instantOf(entry) > before) return;
+    entries.delete(key);
   }
 }
+
+/** Forgets the grants and claims whose window is over. */
+export function forgetClaims(state: ClaimState, now: number): void {
+  const before = now - holdMs(state);
+  forgetOld(state.grants, ({ grantedAt }) => grantedAt, before);
+  forgetOld(state.won, (at) => at, before);
+}
--- a/packages/core/src/entry/action.ts
+++ b/packages/core/src/entry/action.ts
@@ -1,6 +1,7 @@
 import type {
   Attempt,
   Endpoint,
+  Holder,
   Order,
   Outcome,
   PeerCall,
@@ -23,8 +24,14 @@
   | { readonly kind: 'cancel-attempt'; readonly attemptId: string }
   | { readonly kind: 'refuse'; readonly requestId: string; readonly refusal: Refusal }
   | { readonly kind: 'request-ended'; readonly requestId: string; readonly outcome: Outcome }
-  /** The caller waits for, or is given, the answer of another request with the same key. */
-  | { readonly kind: 'join'; readonly requestId: string; readonly joined: string }
+  /** The caller is given the answer of the attempt that holds the same key, from its VM. */
+  | {
+      readonly kind: 'join';
+      readonly request: Request;
+      readonly holder: Holder;
+      /** The holder's VM; null when it is no longer listed. */
+      readonly peer: Vm | null;
+    }
   | { readonly kind: 'probe'; readonly endpoint: Endpoint }
   /** Connections that wait on the platform may not have lived through a pause. */
   | { readonly kind: 'restart-watches' }
--- /dev/null
+++ b/packages/core/src/entry/claimAttempt.ts
@@ -0,0 +1,211 @@
+import { requeueRequest } from '../admission/index.js';
+import {
+  answerClaim,
+  beginClaim,
+  buildClaimCall,
+  dropClaim,
+  longestClaimMs,
+  takeClaimReply,
+  type ClaimStep,
+} from '../claims/index.js';
+import { findVm } from '../membership/index.js';
+import { releaseSlot, removeCritical } from '../placement/index.js';
+import type { ClaimCall, Holder, Refusal, Vm } from '../types/index.js';
+import { worstVerdict } from '../types/index.js';
+import type { Action } from './action.js';
+import { nextId, type Core, type LiveAttempt, type LiveRequest } from './core.js';
+import { count } from './counters.js';
+import { dispatchAttempt } from './dispatchAttempt.js';
+import { endRequest, refuseRequest } from './finishRequest.js';
+import { releaseWitnesses } from './releaseWitnesses.js';
+
+const RETRY_AFTER_MS = 1000;
+const MOST_DIVISIONS = 5;
+
+/** Says whether a request may be dispatched only under a claim that it does not have. */
+export function needsClaim(core: Core, { request, claim }: LiveRequest, now: number): boolean {
+  if (request.repeatable || request.key === null) return false;
+  return claim === undefined || now - claim.at > longestClaimMs(core.claims.settings);
+}
+
+// The attempt was never dispatched: its slot is free again and nothing is learnt from it.
+function forgetAttempt(core: Core, { attempt, expectedTokens }: LiveAttempt, now: number): void {
+  core.attempts.delete(attempt.id);
+  releaseSlot(core.placement, attempt.endpointId, expectedTokens, now);
+  const live = core.requests.get(attempt.requestId);
+  if (live === undefined) return;
+  live.attemptId = null;
+  removeCritical(core.placement, attempt.id);
+}
+
+function onWon(
+  core: Core,
+  attemptId: string,
+  witnesses: readonly Vm[],
+  now: number,
+  actions: Action[],
+): void {
+  count(core, 'claims_won');
+  const running = core.attempts.get(attemptId);
+  const live = running === undefined ? undefined : core.requests.get(running.attempt.requestId);
+  if (running === undefined || live === undefined) return;
+  live.claim = { attemptId, at: now, witnesses };
+  if (dispatchAttempt(core, live, running.attempt, actions)) return;
+  forgetAttempt(core, running, now);
+  const refusal = {
+    code: 'no_endpoint',
+    message: 'The endpoint left before the request was sent.',
+    verdict: live.verdict,
+    retryable: true,
+    retryAfterMs: RETRY_AFTER_MS,
+  } as const;
+  refuseRequest(core, live, refusal, 'refused', actions);
+}
+
+function onLost(
+  core: Core,
+  live: LiveRequest,
+  verdict: Refusal['verdict'],
+  actions: Action[],
+): void {
+  count(core, 'claims_lost');
+  live.isFirst = verdict === 'not-run';
+  const refusal: Refusal = {
+    code: 'claim_unavailable',
+    message: 'Too few VMs could vouch that this key has not run; send it again with the same key.',
+    verdict: worstVerdict(live.verdict, verdict),
+    // The key keeps a resend from running twice.
+    retryable: true,
+    retryAfterMs: RETRY_AFTER_MS,
+  };
+  refuseRequest(core, live, refusal, 'refused', actions);
+}
+
+function onHeld(core: Core, live: LiveRequest, holder: Holder, actions: Action[]): void {
+  count(core, 'claims_held');
+  const { request } = live;
+  if (holder.fingerprint !== request.fingerprint) {
+    const refusal = {
+      code: 'key_reused',
+      message: 'The key was used for another request.',
+      verdict: 'not-run',
+      retryable: false,
+      retryAfterMs: null,
+    } as const;
+    live.isFirst = true;
+    refuseRequest(core, live, refusal, 'refused', actions);
+    return;
+  }
+  const peer = findVm(core.membership, holder.claimant) ?? null;
+  actions.push({ kind: 'join', request, holder, peer });
+  endRequest(core, live, 'joined', actions);
+}
+
+// Of attempts among which the witnesses are divided all give way but one VM's, which asks again.
+function claimsAgain(
+  core: Core,
+  live: LiveRequest,
+  { holder, hasWon }: Extract<ClaimStep, { kind: 'held' }>,
+): boolean {
+  if (hasWon || core.membership.self.id >= holder.claimant) return false;
+  live.divisions = (live.divisions ?? 0) + 1;
+  if (live.divisions > MOST_DIVISIONS) return false;
+  live.attempts -= 1;
+  requeueRequest(core.admission, live.request);
+  return true;
+}
+
+function onEnded(
+  core: Core,
+  attemptId: string,
+  step: Extract<ClaimStep, { kind: 'held' | 'lost' }>,
+  key: string,
+  now: number,
+  actions: Action[],
+): void {
+  releaseWitnesses(core, key, attemptId, step.release, actions);
+  const running = core.attempts.get(attemptId);
+  if (running === undefined) return;
+  const live = core.requests.get(running.attempt.requestId);
+  forgetAttempt(core, running, now);
+  if (live === undefined) return;
+  if (step.kind === 'lost') onLost(core, live, step.verdict, actions);
+  else if (!claimsAgain(core, live, step)) onHeld(core, live, step.holder, actions);
+}
+
+function ask(
+  core: Core,
+  attemptId: string,
+  vms: readonly Vm[],
+  now: number,
+  actions: Action[],
+): void {
+  const claim = core.claims.claims.get(attemptId);
+  if (claim === undefined) return;
+  const call = buildClaimCall(claim);
+  const { id: selfId } = core.membership.self;
+  for (const peer of vms) {
+    if (peer.id === selfId) continue;
+    actions.push({ kind: 'call-peer', callId: nextId(core, 'c'), peer, call });
+  }
+  if (!vms.some((vm) => vm.id === selfId)) return;
+  const reply = answerClaim(core.claims, call, now);
+  const step = takeClaimReply(core.claims, call, selfId, reply, now);
+  // eslint-disable-next-line @typescript-eslint/no-use-before-define -- they call each other
+  followClaim(core, call, step, now, actions);
+}
+
+/** Carries out what a claim's next step asks for. */
+export function followClaim(
+  core: Core,
+  { attemptId, key }: Pick<ClaimCall, 'attemptId' | 'key'>,
+  step: ClaimStep,
+  now: number,
+  actions: Action[],
+): void {
+  if (step.kind === 'wait') return;
+  if (step.kind === 'ask') ask(core, attemptId, step.vms, now, actions);
+  else if (step.kind === 'won') onWon(core, attemptId, step.witnesses, now, actions);
+  else onEnded(core, attemptId, step, key, now, actions);
+}
+
+/** Begins to claim the key of a request for an attempt; its dispatch waits for the grants. */
+export function claimAttempt(
+  core: Core,
+  live: LiveRequest,
+  { attempt }: LiveAttempt,
+  now: number,
+  actions: Action[],
+): void {
+  const { request } = live;
+  const { homeRegion } = core.table.view?.accounts.get(request.accountId) ?? {};
+  const { self } = core.membership;
+  count(core, 'claims');
+  const claimed = {
+    key: request.key!,
+    region: homeRegion ?? self.region,
+    issuedAt: request.keyIssuedAt ?? null,
+    attemptId: attempt.id,
+    claimant: self.id,
+    endpointId: attempt.endpointId,
+    streamId: attempt.id,
+    fingerprint: request.fingerprint,
+  };
+  followClaim(core, claimed, beginClaim(core.claims, claimed, now), now, actions);
+}
+
+/** Gives up an attempt whose key is still being claimed; false when it is under way. */
+export function abandonClaim(
+  core: Core,
+  live: LiveRequest,
+  now: number,
+  actions: Action[],
+): boolean {
+  const running = core.attempts.get(live.attemptId ?? '');
+  if (running === undefined || live.claim !== undefined || live.request.key === null) return false;
+  if (!core.claims.claims.has(running.attempt.id)) return false;
+  const witnesses = dropClaim(core.claims, running.attempt.id);
+  releaseWitnesses(core, live.request.key, running.attempt.id, witnesses, actions);
+  forgetAttempt(core, running, now);
+  return true;
+}
--- a/packages/core/src/entry/core.ts
+++ b/packages/core/src/entry/core.ts
@@ -1,4 +1,10 @@
 import { createAdmissionState, type AdmissionState } from '../admission/index.js';
+import {
+  createClaimState,
+  defaultClaimSettings,
+  type ClaimSettings,
+  type ClaimState,
+} from '../claims/index.js';
 import { createHealthState, type HealthState } from '../health/index.js';
 import { createLimitState, type LimitState } from '../limits/index.js';
 import { createMembershipState, type MembershipState } from '../membership/index.js';
@@ -25,6 +31,12 @@
   /** The worst verdict over all attempts so far. */
   verdict: Verdict;
   firstTokenAt: number | null;
+  /** The claim under which it may be dispatched. */
+  claim?: { readonly attemptId: string; readonly at: number; readonly witnesses: readonly Vm[] };
+  /** Times that it gave its key back because the witnesses were divided. */
+  divisions?: number;
+  /** True when witnesses have shown that no attempt with its key ran before. */
+  isFirst?: boolean;
   /** True while its attempt is being cancelled to run elsewhere. */
   isMoving?: boolean;
 }
@@ -41,6 +53,7 @@
 export interface CoreOptions {
   /** Rate of the weight store, which all VMs share. */
   readonly weightsBytesPerSecond?: number;
+  readonly claims?: ClaimSettings;
 }
 
 /** The whole state of one VM's decisions. */
@@ -55,6 +68,9 @@
   readonly membership: MembershipState;
   readonly orders: OrdersState;
   readonly suspects: SuspectState;
+  readonly claims: ClaimState;
+  /** Earliest instant of the next exchange of lists with peers. */
+  nextListsAt: number;
   readonly requests: Map<string, LiveRequest>;
   readonly attempts: Map<string, LiveAttempt>;
   readonly counters: Map<CounterName, number>;
@@ -75,6 +91,8 @@
     membership: createMembershipState(self, now),
     orders: createOrdersState(options.weightsBytesPerSecond ?? DEFAULT_WEIGHTS_RATE),
     suspects: createSuspectState(),
+    claims: createClaimState(self.id, options.claims ?? defaultClaimSettings, now),
+    nextListsAt: 0,
     requests: new Map(),
     attempts: new Map(),
     counters: new Map(),
--- a/packages/core/src/entry/decide.ts
+++ b/packages/core/src/entry/decide.ts
@@ -38,7 +38,7 @@
   const actions: Action[] = [];
   match(message)
     .with({ kind: 'request-arrived' }, (m) => onRequestArrived(core, m, now, actions))
-    .with({ kind: 'caller-left' }, (m) => onCallerLeft(core, m, actions))
+    .with({ kind: 'caller-left' }, (m) => onCallerLeft(core, m, now, actions))
     .with({ kind: 'attempt-accepted' }, ignore)
     .with({ kind: 'attempt-ended' }, (m) => onAttemptEnded(core, m, now, actions))
     .with({ kind: 'load-reported' }, (m) => onLoadReported(core, m, now, actions))
@@ -55,7 +55,7 @@
     .with({ kind: 'peer-failed' }, (m) => onPeerFailed(core, m, now, actions))
     .with({ kind: 'order-ended' }, (m) => onOrderEnded(core, m, actions))
     .with({ kind: 'drain-began' }, () => onDrainBegan(core, now, actions))
-    .with({ kind: 'drain-timed-out' }, () => onDrainTimedOut(core, actions))
+    .with({ kind: 'drain-timed-out' }, () => onDrainTimedOut(core, now, actions))
     .with({ kind: 'woke' }, (m) => onWoke(core, m, now, actions))
     .with({ kind: 'tick' }, () => onTick(core, now, actions))
     .exhaustive();
--- a/packages/core/src/entry/finishRequest.ts
+++ b/packages/core/src/entry/finishRequest.ts
@@ -2,6 +2,7 @@
 import type { Action } from './action.js';
 import type { Core, LiveRequest } from './core.js';
 import { count } from './counters.js';
+import { releaseWitnesses } from './releaseWitnesses.js';
 
 /** Ends a request for good: forgets it, counts it and tells the tasks. */
 export function endRequest(
@@ -15,6 +16,14 @@
   actions.push({ kind: 'request-ended', requestId: live.request.id, outcome });
 }
 
+// Before its key is claimed nobody knows whether the request ran when it was sent before; but
+// the key makes it safe to send it again.
+function tellTruth({ request, claim, isFirst }: LiveRequest, refusal: Refusal): Refusal {
+  if (request.repeatable || request.key === null || refusal.verdict !== 'not-run') return refusal;
+  if (claim !== undefined || isFirst === true) return refusal;
+  return { ...refusal, verdict: 'may-have-run' };
+}
+
 /** Ends a request with an error to its caller. */
 export function refuseRequest(
   core: Core,
@@ -23,6 +32,10 @@
   outcome: 'shed' | 'refused' | 'failed',
   actions: Action[],
 ): void {
-  actions.push({ kind: 'refuse', requestId: live.request.id, refusal });
+  const { claim, request } = live;
+  if (claim !== undefined && refusal.verdict === 'not-run') {
+    releaseWitnesses(core, request.key ?? '', claim.attemptId, claim.witnesses, actions);
+  }
+  actions.push({ kind: 'refuse', requestId: request.id, refusal: tellTruth(live, refusal) });
   endRequest(core, live, outcome, actions);
 }
--- /dev/null
+++ b/packages/core/src/entry/onClaimCall.ts
@@ -0,0 +1,113 @@
+import {
+  answerClaim,
+  answerLists,
+  forgetClaims,
+  isLateGrant,
+  releaseGrant,
+  settleLists,
+  takeClaimFailure,
+  takeClaimReply,
+  takeLists,
+} from '../claims/index.js';
+import { findVm, listPeers } from '../membership/index.js';
+import type { ClaimCall, ClaimReply, ListsCall, ListsReply, ReleaseCall } from '../types/index.js';
+import type { Action } from './action.js';
+import { followClaim } from './claimAttempt.js';
+import { nextId, type Core } from './core.js';
+import { onListOffered } from './onPlatform.js';
+import { releaseWitnesses } from './releaseWitnesses.js';
+
+const LISTS_EVERY_MS = 500;
+const PEERS_ASKED = 4;
+
+/** Answers a claim as a witness. */
+export function onClaimCalled(
+  core: Core,
+  callId: string,
+  call: ClaimCall,
+  now: number,
+  actions: Action[],
+): void {
+  core.claims.isLeaving = core.membership.leaving;
+  actions.push({ kind: 'reply-peer', callId, reply: answerClaim(core.claims, call, now) });
+}
+
+/** Takes back a grant. */
+export function onReleaseCalled(
+  core: Core,
+  callId: string,
+  call: ReleaseCall,
+  actions: Action[],
+): void {
+  const reply = { released: releaseGrant(core.claims, call) };
+  actions.push({ kind: 'reply-peer', callId, reply });
+}
+
+/** Hands lists over to a peer. */
+export function onListsCalled(
+  core: Core,
+  callId: string,
+  call: ListsCall,
+  now: number,
+  actions: Action[],
+): void {
+  actions.push({ kind: 'reply-peer', callId, reply: answerLists(core.claims, call, now) });
+}
+
+/** Takes a witness's answer. */
+export function onClaimReplied(
+  core: Core,
+  call: ClaimCall,
+  peerId: string,
+  reply: ClaimReply,
+  now: number,
+  actions: Action[],
+): void {
+  if (isLateGrant(core.claims, call, reply)) {
+    const peer = findVm(core.membership, peerId);
+    if (peer !== undefined) releaseWitnesses(core, call.key, call.attemptId, [peer], actions);
+    return;
+  }
+  followClaim(core, call, takeClaimReply(core.claims, call, peerId, reply, now), now, actions);
+}
+
+/** Takes in that a witness did not answer. */
+export function onClaimFailed(
+  core: Core,
+  call: ClaimCall,
+  peerId: string,
+  now: number,
+  actions: Action[],
+): void {
+  followClaim(core, call, takeClaimFailure(core.claims, call, peerId, now), now, actions);
+}
+
+/** Takes in a peer's lists. */
+export function onListsReplied(
+  core: Core,
+  peerId: string,
+  reply: ListsReply,
+  now: number,
+  actions: Action[],
+): void {
+  if (!takeLists(core.claims, peerId, reply, now) || core.claims.list === null) return;
+  const source = { peer: peerId };
+  onListOffered(core, { kind: 'list-offered', list: core.claims.list, source }, now, actions);
+}
+
+/** Forgets what is over, and asks peers for their lists while this VM has just started or an earlier list is unsettled. */
+export function exchangeLists(core: Core, now: number, actions: Action[]): void {
+  const { claims, membership } = core;
+  if (now < core.nextListsAt || claims.list === null) return;
+  core.nextListsAt = now + LISTS_EVERY_MS;
+  forgetClaims(claims, now);
+  settleLists(claims, now);
+  const newest = claims.earlier.at(-1);
+  if (claims.hasJoined && newest === undefined) return;
+  const revisions = [...claims.earlier.map(({ list }) => list.revision), claims.list.revision];
+  const call: ListsCall = { method: 'lists', from: membership.self.id, revisions };
+  const unheard = listPeers(membership).filter((vm) => newest?.leftBy.has(vm.id) !== true);
+  for (const peer of unheard.slice(0, PEERS_ASKED)) {
+    actions.push({ kind: 'call-peer', callId: nextId(core, 'c'), peer, call });
+  }
+}
--- a/packages/core/src/entry/onDrain.ts
+++ b/packages/core/src/entry/onDrain.ts
@@ -2,6 +2,7 @@
 import { beginLeaving } from '../membership/index.js';
 import { worstVerdict } from '../types/index.js';
 import type { Action } from './action.js';
+import { abandonClaim } from './claimAttempt.js';
 import type { Core, LiveRequest } from './core.js';
 import { refuseRequest } from './finishRequest.js';
 import { sendHeartbeat } from './onHeartbeat.js';
@@ -20,10 +21,11 @@
   actions.push({ kind: 'state-changed', level: 'info', code: 'leaving', fields });
 }
 
-function giveUp(core: Core, live: LiveRequest, actions: Action[]): void {
+function giveUp(core: Core, live: LiveRequest, now: number, actions: Action[]): void {
   const { request, attemptId } = live;
-  const verdict = attemptId === null ? live.verdict : worstVerdict(live.verdict, 'may-have-run');
-  if (attemptId === null) removeRequest(core.admission, request);
+  const isUnsent = attemptId === null || abandonClaim(core, live, now, actions);
+  const verdict = isUnsent ? live.verdict : worstVerdict(live.verdict, 'may-have-run');
+  if (isUnsent) removeRequest(core.admission, request);
   // A keyed request runs on at its endpoint: a resend resumes its stream on another VM.
   else if (request.key === null) actions.push({ kind: 'cancel-attempt', attemptId });
   const refusal = {
@@ -37,6 +39,6 @@
 }
 
 /** Tells the callers of all that still runs the truth, when the time for leaving is over. */
-export function onDrainTimedOut(core: Core, actions: Action[]): void {
-  [...core.requests.values()].forEach((live) => giveUp(core, live, actions));
+export function onDrainTimedOut(core: Core, now: number, actions: Action[]): void {
+  [...core.requests.values()].forEach((live) => giveUp(core, live, now, actions));
 }
--- a/packages/core/src/entry/onPeerCall.ts
+++ b/packages/core/src/entry/onPeerCall.ts
@@ -1,9 +1,17 @@
 import { match } from 'ts-pattern';
 
-import type { HeartbeatReply } from '../types/index.js';
+import type { ClaimReply, HeartbeatReply, ListsReply } from '../types/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
 import type { MessageOf } from './message.js';
+import {
+  onClaimCalled,
+  onClaimFailed,
+  onClaimReplied,
+  onListsCalled,
+  onListsReplied,
+  onReleaseCalled,
+} from './onClaimCall.js';
 import { onHeartbeatCalled, onHeartbeatFailed, onHeartbeatReplied } from './onHeartbeat.js';
 import { onSheetCalled } from './onSheetCall.js';
 
@@ -21,9 +29,11 @@
       onHeartbeatCalled(core, callId, heartbeat, now, actions);
     })
     .with({ method: 'sheet' }, (sheetCall) => onSheetCalled(core, callId, sheetCall, actions))
-    .with({ method: 'claim' }, ignore)
-    .with({ method: 'release' }, ignore)
-    .with({ method: 'lists' }, ignore)
+    .with({ method: 'claim' }, (claim) => onClaimCalled(core, callId, claim, now, actions))
+    .with({ method: 'release' }, (release) => onReleaseCalled(core, callId, release, actions))
+    .with({ method: 'lists' }, (lists) => onListsCalled(core, callId, lists, now, actions))
+    // The task that keeps the answers takes these.
+    .with({ method: 'answer' }, ignore)
     .with({ method: 'lease' }, ignore)
     .exhaustive();
 }
@@ -41,9 +51,15 @@
       onHeartbeatReplied(core, peerId, heartbeat, now, actions);
     })
     .with({ method: 'sheet' }, ignore)
-    .with({ method: 'claim' }, ignore)
+    .with({ method: 'claim' }, (claim) => {
+      onClaimReplied(core, claim, peerId, reply as ClaimReply, now, actions);
+    })
     .with({ method: 'release' }, ignore)
-    .with({ method: 'lists' }, ignore)
+    .with({ method: 'lists' }, () => {
+      onListsReplied(core, peerId, reply as ListsReply, now, actions);
+    })
+    // The task that keeps the answers takes these.
+    .with({ method: 'answer' }, ignore)
     .with({ method: 'lease' }, ignore)
     .exhaustive();
 }
@@ -58,9 +74,11 @@
   match(call)
     .with({ method: 'heartbeat' }, () => onHeartbeatFailed(core, peerId, now, actions))
     .with({ method: 'sheet' }, ignore)
-    .with({ method: 'claim' }, ignore)
+    .with({ method: 'claim' }, (claim) => onClaimFailed(core, claim, peerId, now, actions))
     .with({ method: 'release' }, ignore)
     .with({ method: 'lists' }, ignore)
+    // The task that keeps the answers takes these.
+    .with({ method: 'answer' }, ignore)
     .with({ method: 'lease' }, ignore)
     .exhaustive();
 }
--- a/packages/core/src/entry/onPlatform.ts
+++ b/packages/core/src/entry/onPlatform.ts
@@ -1,5 +1,6 @@
 import { match } from 'ts-pattern';
 
+import { adoptList } from '../claims/index.js';
 import { noteRecheck, offerList } from '../membership/index.js';
 import {
   offerManifest,
@@ -112,6 +113,7 @@
 ): void {
   const { membership } = core;
   const heardAt = membership.listHeardAt;
+  adoptList(core.claims, list, now);
   const isNewer = offerList(membership, list, now);
   if (source === 'service') noteRecheck(membership, 'list');
   // A peer's copy says nothing of the platform: its age stays.
--- a/packages/core/src/entry/onRequest.ts
+++ b/packages/core/src/entry/onRequest.ts
@@ -6,6 +6,7 @@
 import type { TableView } from '../table/index.js';
 import type { Refusal, RefusalCode, Request } from '../types/index.js';
 import type { Action } from './action.js';
+import { abandonClaim } from './claimAttempt.js';
 import type { Core, LiveRequest } from './core.js';
 import { count } from './counters.js';
 import { dispatchWaiting, shedPool } from './dispatchWaiting.js';
@@ -79,12 +80,16 @@
 export function onCallerLeft(
   core: Core,
   { requestId }: MessageOf<'caller-left'>,
+  now: number,
   actions: Action[],
 ): void {
   const live = core.requests.get(requestId);
   if (live === undefined) return;
   releaseSuspect(core.suspects, live.request.pool, requestId);
-  if (live.attemptId === null) removeRequest(core.admission, live.request);
-  else actions.push({ kind: 'cancel-attempt', attemptId: live.attemptId });
+  // The answer of a claimed request is kept for a resend.
+  if (live.attemptId !== null && live.claim !== undefined) return;
+  if (live.attemptId === null || abandonClaim(core, live, now, actions)) {
+    removeRequest(core.admission, live.request);
+  } else actions.push({ kind: 'cancel-attempt', attemptId: live.attemptId });
   endRequest(core, live, 'abandoned', actions);
 }
--- /dev/null
+++ b/packages/core/src/entry/releaseWitnesses.ts
@@ -0,0 +1,19 @@
+import { releaseGrant } from '../claims/index.js';
+import type { ReleaseCall, Vm } from '../types/index.js';
+import type { Action } from './action.js';
+import { nextId, type Core } from './core.js';
+
+/** Gives a key back to its witnesses: the attempt that claimed it ran nothing. */
+export function releaseWitnesses(
+  core: Core,
+  key: string,
+  attemptId: string,
+  witnesses: readonly Vm[],
+  actions: Action[],
+): void {
+  const call: ReleaseCall = { method: 'release', key, attemptId };
+  for (const peer of witnesses) {
+    if (peer.id === core.membership.self.id) releaseGrant(core.claims, call);
+    else actions.push({ kind: 'call-peer', callId: nextId(core, 'c'), peer, call });
+  }
+}
--- a/packages/core/src/entry/startAttempt.ts
+++ b/packages/core/src/entry/startAttempt.ts
@@ -3,12 +3,10 @@
 import type { Attempt, Endpoint } from '../types/index.js';
 import type { Action } from './action.js';
 import { nextId, type Core, type LiveRequest } from './core.js';
-import { count } from './counters.js';
+import { claimAttempt, needsClaim } from './claimAttempt.js';
+import { dispatchAttempt } from './dispatchAttempt.js';
 import { expectTokens } from './expectTokens.js';
 
-const LEAST_SILENCE_MS = 2000;
-const SILENCE_GAPS = 40;
-
 /** Starts an attempt of a request at an endpoint that has room. */
 export function startAttempt(
   core: Core,
@@ -29,11 +27,10 @@
   };
   const expectedTokens = expectTokens(core, request);
   reserveSlot(core.placement, endpoint.id, expectedTokens);
-  core.attempts.set(attempt.id, { attempt, expectedTokens, produced: 0, firstTokenAt: null });
+  const running = { attempt, expectedTokens, produced: 0, firstTokenAt: null };
+  core.attempts.set(attempt.id, running);
   live.attemptId = attempt.id;
   live.attempts += 1;
-  count(core, 'attempts');
-  const gap = view.classes.get(request.classId)?.target.betweenTokensMs ?? 0;
-  const silenceMs = Math.max(LEAST_SILENCE_MS, gap * SILENCE_GAPS);
-  actions.push({ kind: 'dispatch', attempt, request, endpoint, silenceMs });
+  if (needsClaim(core, live, now)) claimAttempt(core, live, running, now, actions);
+  else dispatchAttempt(core, live, attempt, actions);
 }
--- a/packages/core/src/types/attempt.ts
+++ b/packages/core/src/types/attempt.ts
@@ -41,4 +41,4 @@
     };
 
 /** How a request ended for its caller. */
-export type Outcome = 'complete' | 'late' | 'shed' | 'refused' | 'failed' | 'abandoned';
+export type Outcome = 'complete' | 'late' | 'shed' | 'refused' | 'failed' | 'abandoned' | 'joined';
--- a/packages/core/src/types/peerCall.ts
+++ b/packages/core/src/types/peerCall.ts
@@ -48,6 +48,31 @@
   readonly attemptId: string;
 }
 
+/** Asks the VM of a key's holder for the holder's answer. */
+export interface AnswerCall {
+  readonly method: 'answer';
+  readonly key: string;
+  readonly fingerprint: string;
+}
+
+/** The answer of a key's holder, as far as its VM has it. */
+export type AnswerReply =
+  | { readonly kind: 'running' }
+  | { readonly kind: 'unknown' }
+  | {
+      readonly kind: 'events';
+      /** Id under which the events came from the endpoint. */
+      readonly streamId: string;
+      readonly events: readonly string[];
+    }
+  | {
+      readonly kind: 'service';
+      readonly status: number;
+      readonly headers: Readonly<Record<string, string>>;
+      /** In base64. */
+      readonly body: string;
+    };
+
 /** Tells a peer which lists the caller knows, and asks for those that it lacks. */
 export interface ListsCall {
   readonly method: 'lists';
@@ -107,13 +132,15 @@
 }
 
 /** A call between VMs. */
-export type PeerCall = ClaimCall | ReleaseCall | ListsCall | SheetCall | LeaseCall | HeartbeatCall;
+export type PeerCall =
+  ClaimCall | ReleaseCall | ListsCall | AnswerCall | SheetCall | LeaseCall | HeartbeatCall;
 
 /** The reply to each call, by method. */
 export interface PeerReplies {
   readonly claim: ClaimReply;
   readonly release: { readonly released: boolean };
   readonly lists: ListsReply;
+  readonly answer: AnswerReply;
   readonly sheet: SheetReply;
   readonly lease: LeaseReply;
   readonly heartbeat: HeartbeatReply;
--- a/packages/core/src/types/request.ts
+++ b/packages/core/src/types/request.ts
@@ -18,6 +18,8 @@
   readonly repeatable: boolean;
   /** The caller's Idempotency-Key, scoped by account; null when it sent none. */
   readonly key: string | null;
+  /** When the caller issued the key; null or absent when the key does not say. */
+  readonly keyIssuedAt?: number | null;
   /** Digest of what the request asks for; the same key must carry the same one. */
   readonly fingerprint: string;
 }
--- a/packages/router/src/callers/callerApi.ts
+++ b/packages/router/src/callers/callerApi.ts
@@ -11,6 +11,8 @@
 import type { Exchanges } from './exchanges.js';
 import { chatSchema, completionSchema, type GenerateBody } from './generateRequest.js';
 import { CLASS_HEADER, identifyCaller, type Caller } from './identifyCaller.js';
+import type { KeyedAnswers } from './keyedAnswers.js';
+import { keyIssueTime } from './keyIssueTime.js';
 import { digestPrompt } from './promptDigest.js';
 import { limitBody } from './limitBody.js';
 import { refusalBody, refusalHeaders, refusalStatus } from './refusalResponse.js';
@@ -34,6 +36,7 @@
 export interface CallerContext {
   readonly decider: Decider;
   readonly exchanges: Exchanges;
+  readonly keyed: KeyedAnswers;
   readonly settings: Settings;
 }
 
@@ -86,11 +89,29 @@
     deadline: arrivedAt + readTimeout(c, caller),
     repeatable: repeatable && caller.row.repeatable,
     key: key === undefined ? null : `${caller.account.id}/${key}`,
+    keyIssuedAt: key === undefined ? null : keyIssueTime(key),
   };
 }
 
+// The answer of a request that runs at most once is kept for a resend, even when its caller
+// has gone.
+function openKeyed(context: CallerContext, c: Context<Env>, caller: Exchange): Response {
+  const { id } = caller.request;
+  const opened = context.keyed.open(caller);
+  c.env.outgoing.once('close', () => {
+    context.keyed.leave(caller);
+    if (opened?.isAlone !== true || context.exchanges.find(id) === undefined) return;
+    context.decider.post({ kind: 'caller-left', requestId: id });
+  });
+  if (opened === null) return RESPONSE_ALREADY_SENT;
+  context.exchanges.add(opened);
+  context.decider.post({ kind: 'request-arrived', request: caller.request });
+  return RESPONSE_ALREADY_SENT;
+}
+
 function openExchange(context: CallerContext, c: Context<Env>, exchange: Exchange): Response {
-  const { id } = exchange.request;
+  const { id, key, repeatable } = exchange.request;
+  if (key !== null && !repeatable) return openKeyed(context, c, exchange);
   context.exchanges.add(exchange);
   c.env.outgoing.once('close', () => {
     if (context.exchanges.take(id) === undefined) return;
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -6,12 +6,14 @@
   isReady,
   tableRevision,
   type ActionOf,
+  type AnswerCall,
+  type ClaimSettings,
   type Vm,
 } from '@filbertlatch/core';
 import type { Logger } from 'winston';
 
 import { createAdminApi, dumpState } from './admin/index.js';
-import { createCallerApi, Exchanges } from './callers/index.js';
+import { createCallerApi, Exchanges, JoinTask, KeyedAnswers } from './callers/index.js';
 import { now } from './clock.js';
 import { createObservers, type Observers } from './createObservers.js';
 import { Decider } from './decider/index.js';
@@ -55,6 +57,8 @@
   readonly endpoints: EndpointTasks;
   readonly platform: PlatformTask;
   readonly peers: PeerTask;
+  readonly keyed: KeyedAnswers;
+  readonly joins: JoinTask;
   readonly orders: OrderTask;
   readonly reports: ReportTask;
   readonly credentials: CredentialTask;
@@ -62,16 +66,48 @@
   readonly observers: Observers;
 }
 
+function readClaimSettings({ claims }: Settings): ClaimSettings {
+  return {
+    witnesses: claims.witnesses,
+    windowMs: claims.windowSeconds * MS_PER_SECOND,
+    skewMs: claims.skewSeconds * MS_PER_SECOND,
+    startWaitMs: claims.startWaitSeconds * MS_PER_SECOND,
+  };
+}
+
+// A keyed request that was dropped before it ran: its caller has gone.
+function dropAbandoned(
+  exchanges: Exchanges,
+  { requestId, outcome }: ActionOf<'request-ended'>,
+): void {
+  if (outcome !== 'abandoned') return;
+  exchanges.take(requestId)?.refuse({
+    code: 'internal',
+    message: 'The caller left.',
+    verdict: 'not-run',
+    retryable: true,
+    retryAfterMs: null,
+  });
+}
+
 async function createTasks(settings: Settings, self: Vm): Promise<Tasks> {
   const log = createLog(settings.vm.id, settings.logLevel);
   const credentials = await CredentialTask.create(settings, log);
   const started = now();
   const { weightsBytesPerSecond } = settings.platform;
+  const claims = readClaimSettings(settings);
   const random = createRandom(settings.seed ?? Math.floor(started));
-  const decider = new Decider(createCore(self, random, started, { weightsBytesPerSecond }));
+  const decider = new Decider(createCore(self, random, started, { weightsBytesPerSecond, claims }));
   const exchanges = new Exchanges();
   const traffic = new ControlTraffic();
   const { keptDecisions } = settings.admin;
+  const keyed = new KeyedAnswers({
+    maxBytes: settings.claims.keptAnswerBytes,
+    maxAnswerBytes: Math.min(settings.callers.maxAnswerBytes, settings.claims.keptAnswerBytes),
+    keepMs: claims.windowMs,
+  });
+  const findAnswer = (call: AnswerCall) => keyed.find(call);
+  const peers = new PeerTask(() => credentials.current, decider, traffic, findAnswer);
   return {
     decider,
     exchanges,
@@ -80,7 +116,9 @@
     observers: createObservers(decider, traffic, keptDecisions, () => exchanges.size),
     endpoints: new EndpointTasks(decider, exchanges, settings.callers.maxAnswerBytes),
     platform: new PlatformTask(settings.platform, decider, traffic),
-    peers: new PeerTask(() => credentials.current, decider, traffic),
+    peers,
+    keyed,
+    joins: new JoinTask(exchanges, peers),
     credentials,
     log,
   };
@@ -96,6 +134,10 @@
   decider.on('dispatch', (action) => endpoints.dispatch(action));
   decider.on('cancel-attempt', ({ attemptId }) => endpoints.cancel(attemptId));
   decider.on('refuse', ({ requestId, refusal }) => exchanges.take(requestId)?.refuse(refusal));
+  decider.on('join', (action) => {
+    void tasks.joins.join(action);
+  });
+  decider.on('request-ended', (action) => dropAbandoned(exchanges, action));
   decider.on('fetch-sheet', (action) => {
     void (action.peer === null ? platform.fetchSheet(action) : peers.fetch(action));
   });
@@ -130,7 +172,7 @@
     reader: () => credentials.current.readerTokens,
   };
   const { callerTls, adminTls, peerTls } = credentials.current;
-  const callerApi = createCallerApi({ decider, exchanges, settings });
+  const callerApi = createCallerApi({ decider, exchanges, keyed: tasks.keyed, settings });
   const adminApi = createAdminApi({ decider, ...observers, tokens, beginDrain });
   const callerOptions = { tls: callerTls, limits: settings.callers };
   const peerOptions = { tls: peerTls, isMutual: true };
@@ -161,6 +203,7 @@
 
   const stop = async () => {
     decider.stop();
+    tasks.joins.stop();
     await Promise.all([platform.stop(), reports.stop()]);
     await Promise.all([peers.close(), endpoints.close(), orders.close()]);
     tasks.credentials.stop();
--- a/packages/router/src/observation/decisionLog.ts
+++ b/packages/router/src/observation/decisionLog.ts
@@ -73,8 +73,8 @@
   #watchAction(action: Action, now: number): void {
     if (action.kind === 'dispatch') this.#noteDispatch(action, now);
     if (action.kind === 'join') {
-      const step = { kind: 'joined', at: now, joined: action.joined } as const;
-      this.#add(this.#records.peek(action.requestId), step);
+      const step = { kind: 'joined', at: now, joined: action.holder.attemptId } as const;
+      this.#add(this.#records.peek(action.request.id), step);
     }
     if (action.kind === 'refuse') {
       const { code, message, verdict, retryAfterMs } = action.refusal;
--- a/packages/router/src/peers/peerProtocol.ts
+++ b/packages/router/src/peers/peerProtocol.ts
@@ -1,10 +1,11 @@
 import { z } from 'zod';
 
 const id = z.string().min(1).max(256);
+const longId = z.string().min(1).max(512);
 
 const claimSchema = z.strictObject({
   method: z.literal('claim'),
-  key: id,
+  key: longId,
   fingerprint: id,
   attemptId: id,
   claimant: id,
@@ -51,7 +52,8 @@
 /** Shape of every call between VMs, by its method. */
 export const peerCallSchema = z.discriminatedUnion('method', [
   claimSchema,
-  z.strictObject({ method: z.literal('release'), key: id, attemptId: id }),
+  z.strictObject({ method: z.literal('release'), key: longId, attemptId: id }),
+  z.strictObject({ method: z.literal('answer'), key: longId, fingerprint: id }),
   z.strictObject({
     method: z.literal('lists'),
     from: id,
@@ -69,4 +71,12 @@
 ]);
 
 /** Names of the methods between VMs. */
-export const peerMethods = ['claim', 'release', 'lists', 'sheet', 'lease', 'heartbeat'] as const;
+export const peerMethods = [
+  'claim',
+  'release',
+  'lists',
+  'answer',
+  'sheet',
+  'lease',
+  'heartbeat',
+] as const;
--- a/packages/router/src/peers/peerTask.ts
+++ b/packages/router/src/peers/peerTask.ts
@@ -1,4 +1,12 @@
-import { nextId, type ActionOf, type PeerCall, type PeerReply } from '@filbertlatch/core';
+import {
+  nextId,
+  type ActionOf,
+  type AnswerCall,
+  type AnswerReply,
+  type PeerCall,
+  type PeerReply,
+  type Vm,
+} from '@filbertlatch/core';
 import type { Hono } from 'hono';
 
 import type { Decider } from '../decider/index.js';
@@ -26,8 +34,16 @@
 
   readonly #open = new Map<string, Open>();
 
-  constructor(readCredentials: () => Credentials, decider: Decider, traffic: ControlTraffic) {
+  readonly #findAnswer: (call: AnswerCall) => AnswerReply;
+
+  constructor(
+    readCredentials: () => Credentials,
+    decider: Decider,
+    traffic: ControlTraffic,
+    findAnswer: (call: AnswerCall) => AnswerReply,
+  ) {
     this.#decider = decider;
+    this.#findAnswer = findAnswer;
     this.#client = new PeerClient(readCredentials, traffic);
     this.api = createPeerApi(
       () => readCredentials().peerKeys,
@@ -59,6 +75,11 @@
     }
   }
 
+  /** Asks a peer for the answer of a key's holder. Throws PeerError. */
+  async askAnswer(peer: Vm, call: AnswerCall): Promise<AnswerReply> {
+    return (await this.#client.call(peer, call)) as AnswerReply;
+  }
+
   /** Sends the core's reply to a peer that called. */
   reply({ callId, reply }: ActionOf<'reply-peer'>): void {
     const open = this.#open.get(callId);
@@ -80,6 +101,7 @@
   }
 
   #receive(call: PeerCall): Promise<PeerReply> {
+    if (call.method === 'answer') return Promise.resolve(this.#findAnswer(call));
     const callId = nextId(this.#decider.core, 'c');
     return new Promise((resolve, reject) => {
       const timer = setTimeout(() => {
--- a/packages/router/src/settings/settings.ts
+++ b/packages/router/src/settings/settings.ts
@@ -157,6 +157,39 @@
   })
   .describe('What the platform publishes; it is only read.');
 
+const claimsSchema = z
+  .strictObject({
+    witnesses: z
+      .number()
+      .int()
+      .min(1)
+      .max(9)
+      .default(3)
+      .describe('VMs that vouch for a key; most of them must answer.'),
+    windowSeconds: z
+      .number()
+      .positive()
+      .default(300)
+      .describe('How long a key may be sent again, and its answer is kept.'),
+    skewSeconds: z
+      .number()
+      .nonnegative()
+      .default(2)
+      .describe('Largest difference between two clocks, those of callers included.'),
+    startWaitSeconds: z
+      .number()
+      .nonnegative()
+      .default(5)
+      .describe('Longest wait of a new VM for the lists of an older one.'),
+    keptAnswerBytes: z
+      .number()
+      .int()
+      .positive()
+      .default(16_777_216)
+      .describe('Most memory for answers that are kept for a resend.'),
+  })
+  .describe('Keys of requests that run at most once; the same on all VMs.');
+
 /** Shape of the settings of one daemon. */
 export const settingsSchema = z
   .strictObject({
@@ -165,6 +198,7 @@
     admin: adminSchema,
     peers: peersSchema,
     platform: platformSchema,
+    claims: claimsSchema.prefault({}),
     drainSeconds: z.number().positive().default(600).describe('Longest wait for streams to end.'),
     logLevel: z.enum(['error', 'warn', 'info']).default('info').describe('Least level of lines.'),
     seed: z.number().int().optional().describe('Seed of the random source; absent: the clock.'),
