Run a broken answer again without a doubled or lost token, within a budget of retries

A repeatable answer that breaks is run again: a whole one from its beginning, a stream by passing over what its caller has, and only if it is the same text. A plain service's status below 500 is its answer and goes to the caller; from 500 on it may have run, a 503 included, for only engines promise that a refused request did not run. Codes such as EHOSTUNREACH prove that nothing was sent only where connecting failed.

--- a/packages/core/src/entry/core.ts
+++ b/packages/core/src/entry/core.ts
@@ -73,6 +73,8 @@
   nextListsAt: number;
   readonly requests: Map<string, LiveRequest>;
   readonly attempts: Map<string, LiveAttempt>;
+  /** Retries saved, by class. */
+  readonly retryBudgets: Map<string, number>;
   readonly counters: Map<CounterName, number>;
   /** Numbers attempts and calls of this incarnation. */
   sequence: number;
@@ -95,6 +97,7 @@
     nextListsAt: 0,
     requests: new Map(),
     attempts: new Map(),
+    retryBudgets: new Map(),
     counters: new Map(),
     sequence: 0,
   };
--- a/packages/core/src/entry/onAttempt.ts
+++ b/packages/core/src/entry/onAttempt.ts
@@ -8,6 +8,7 @@
 import { endRequest, refuseRequest } from './finishRequest.js';
 import type { MessageOf } from './message.js';
 import { observeAnswer, observeEnd, observeFirstToken } from './observeAttempt.js';
+import { takeRetry } from './retryBudget.js';
 import { holdSuspect, observeCrash } from './watchSuspects.js';
 
 const MOST_ATTEMPTS = 3;
@@ -30,10 +31,11 @@
   request.delivered = live.attempt.resumeFrom + live.produced;
 }
 
-function mayRetry(live: LiveRequest, failure: Failure, now: number): boolean {
-  if (failure.cause === 'invalid' || live.delivered > 0) return false;
+function mayRetry(core: Core, live: LiveRequest, failure: Failure, now: number): boolean {
+  if (failure.cause === 'invalid') return false;
   if (live.attempts >= MOST_ATTEMPTS || live.request.deadline <= now) return false;
-  return live.request.repeatable || live.verdict === 'not-run';
+  if (!live.request.repeatable && live.verdict !== 'not-run') return false;
+  return takeRetry(core, live.request.classId);
 }
 
 function onFailed(
@@ -43,8 +45,10 @@
   now: number,
   actions: Action[],
 ): void {
-  if (mayRetry(live, failure, now)) {
+  if (mayRetry(core, live, failure, now)) {
     count(core, 'retries');
+    // The new attempt gives the answer from its beginning; the caller gets what it lacks.
+    live.delivered = 0;
     if (!holdSuspect(core, live, now, actions)) requeueRequest(core.admission, live.request);
     return;
   }
--- a/packages/core/src/entry/onRequest.ts
+++ b/packages/core/src/entry/onRequest.ts
@@ -13,6 +13,7 @@
 import { expectTokens } from './expectTokens.js';
 import { endRequest, refuseRequest } from './finishRequest.js';
 import type { MessageOf } from './message.js';
+import { earnRetry } from './retryBudget.js';
 import { holdSuspect } from './watchSuspects.js';
 
 const DEFAULT_RETRY_MS = 1000;
@@ -67,6 +68,7 @@
   };
   core.requests.set(request.id, live);
   count(core, 'requests');
+  earnRetry(core, request.classId);
   const refusal = findRefusal(core, live, now, actions);
   if (refusal !== null) {
     refuseRequest(core, live, refusal, 'refused', actions);
--- a/packages/router/src/callers/exchange.ts
+++ b/packages/router/src/callers/exchange.ts
@@ -31,6 +31,8 @@
 export interface Exchange {
   readonly request: Request;
   readonly payload: Payload;
+  /** Begins again: the events that come now are those of a new attempt from its first. */
+  restart(): void;
   /** Takes events of the answer in order; resolves when the caller can take more. */
   writeEvents(events: readonly StreamEvent[]): void | Promise<void>;
   /** Takes the whole answer of a plain service. */
--- a/packages/router/src/callers/keyedExchange.ts
+++ b/packages/router/src/callers/keyedExchange.ts
@@ -72,6 +72,12 @@
     if (at >= 0) this.#joined.splice(at, 1);
   }
 
+  restart(): void {
+    this.#events.length = 0;
+    this.#bytes = 0;
+    this.#caller?.restart();
+  }
+
   writeEvents(events: readonly StreamEvent[]): void | Promise<void> {
     for (const event of events) this.#keep(event);
     return this.#caller?.writeEvents(events);
--- a/packages/router/src/callers/streamedExchange.ts
+++ b/packages/router/src/callers/streamedExchange.ts
@@ -5,6 +5,7 @@
 
 import { DONE } from '../endpoints/engineProtocol.js';
 import { renameEvent, type StreamEvent } from '../endpoints/streamEvent.js';
+import { ContinuedText } from './continuedText.js';
 import type { Exchange, Payload, ServiceAnswer } from './exchange.js';
 import { refusalBody, refusalHeaders, refusalStatus } from './refusalResponse.js';
 
@@ -18,6 +19,8 @@
 
   readonly #stallMs: number;
 
+  readonly #continued = new ContinuedText();
+
   /** A caller that reads nothing for `stallMs` while its answer waits is cut off. */
   constructor(request: Request, payload: Payload, response: ServerResponse, stallMs: number) {
     this.request = request;
@@ -26,7 +29,13 @@
     this.#stallMs = stallMs;
   }
 
-  writeEvents(events: readonly StreamEvent[]): void | Promise<void> {
+  restart(): void {
+    this.#continued.restart();
+  }
+
+  writeEvents(arrived: readonly StreamEvent[]): void | Promise<void> {
+    const events = this.#continued.takeNew(arrived);
+    if (events.length === 0) return undefined;
     this.#begin();
     let text = '';
     for (const event of events) text += `data: ${renameEvent(event, this.request.id)}\n\n`;
--- a/packages/router/src/callers/wholeExchange.ts
+++ b/packages/router/src/callers/wholeExchange.ts
@@ -18,7 +18,7 @@
 
   readonly #maxAnswerBytes: number;
 
-  readonly #assembler = new AnswerAssembler();
+  #assembler = new AnswerAssembler();
 
   #answer: ServiceAnswer | null = null;
 
@@ -34,6 +34,10 @@
     this.#maxAnswerBytes = maxAnswerBytes;
   }
 
+  restart(): void {
+    this.#assembler = new AnswerAssembler();
+  }
+
   writeEvents(events: readonly StreamEvent[]): void {
     for (const { chunk } of events) this.#assembler.add(chunk);
     if (this.#assembler.size <= this.#maxAnswerBytes) return;
--- a/packages/router/src/endpoints/attemptError.ts
+++ b/packages/router/src/endpoints/attemptError.ts
@@ -25,20 +25,19 @@
   }
 }
 
-const UNSENT_CODES = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'ENOTFOUND',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
+const UNSENT_CODES = new Set(['ECONNREFUSED', 'ENOTFOUND', 'UND_ERR_CONNECT_TIMEOUT']);
 
 /** Turns any error of a call into an AttemptError; what is not known may have run. */
 export function toAttemptError(error: unknown): AttemptError {
   if (error instanceof AttemptError) return error;
-  const { code, message } = error as { code?: string; message?: string };
+  const { code, message, syscall } = error as {
+    code?: string;
+    message?: string;
+    syscall?: string;
+  };
   const text = message ?? String(error);
-  if (code !== undefined && UNSENT_CODES.has(code)) {
+  // An open connection may break with the codes of a failed connect too.
+  if (syscall === 'connect' || UNSENT_CODES.has(code ?? '')) {
     return new AttemptError('connect', 'not-run', text, { cause: error });
   }
   if (code === 'UND_ERR_RES_EXCEEDED_MAX_SIZE') {
--- a/packages/router/src/endpoints/endpointTask.ts
+++ b/packages/router/src/endpoints/endpointTask.ts
@@ -22,7 +22,9 @@
 function describeEnd(error: unknown, running: Running, delivered: number): AttemptEnd {
   if (running.cancelled) return { kind: 'cancelled', verdict: 'may-have-run' };
   const { failure, verdict, status, retryAfterMs } = toAttemptError(error);
-  return { kind: 'failed', cause: failure, verdict, delivered, status, retryAfterMs };
+  // Tokens have come: an endpoint began to compute it.
+  const told = delivered > 0 ? 'ran' : verdict;
+  return { kind: 'failed', cause: failure, verdict: told, delivered, status, retryAfterMs };
 }
 
 /** The task that owns the connections to one endpoint and the attempts on them. */
@@ -63,6 +65,7 @@
     let end: AttemptEnd;
     try {
       if (exchange === undefined) throw new AttemptError('reset', 'not-run', 'the caller left');
+      exchange.restart();
       end = {
         kind: 'complete',
         outputTokens: await this.#call(action, exchange, running, tokens),
--- a/packages/router/src/endpoints/readAnswer.ts
+++ b/packages/router/src/endpoints/readAnswer.ts
@@ -6,13 +6,18 @@
 import { REQUEST_ID_HEADER } from './engineProtocol.js';
 import { errorOfStatus } from './errorOfStatus.js';
 
-const FIRST_ERROR_STATUS = 400;
+const FIRST_SERVER_ERROR = 500;
 
-/** Throws when the endpoint's status says that there is no answer. */
+/**
+ * Throws when a plain service's status says that it failed. Below 500 the status is part of its
+ * answer; from there on nothing promises that it did not run, as an engine's 503 does.
+ */
 export async function checkStatus(response: Dispatcher.ResponseData): Promise<void> {
   const { statusCode: status, headers } = response;
-  if (status < FIRST_ERROR_STATUS) return;
-  throw errorOfStatus(status, headers, await response.body.text());
+  if (status < FIRST_SERVER_ERROR) return;
+  const { message, retryAfterMs } = errorOfStatus(status, headers, await response.body.text());
+  const details = { status, retryAfterMs };
+  throw new AttemptError('server-error', 'may-have-run', message, details);
 }
 
 const DROPPED_HEADERS = new Set([
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -21,3 +21,9 @@
 export { EngineQueue, type Stream } from './engineQueue.js';
 export { LoadReports, type MeasuredLoad } from './loadReports.js';
 export { StepClock } from './stepClock.js';
+export {
+  createBrokenEngine,
+  engineFaults,
+  type BrokenEngine,
+  type EngineFault,
+} from './createBrokenEngine.js';
