Limit the whole fleet by floors and leased parts

Cause: each VM had a fixed part of a limit and counted prompts only: with uneven entry most of a limit could not be used, and output tokens were free. Change: a floor divided among the listed VMs, the rest leased for 2 s by the VM that rendezvous hashing names; a new coordinator waits one lease; a VM ends its lease first, by its own clock; requests are charged prompt and predicted answer and settled when they end.

--- a/packages/core/src/entry/core.ts
+++ b/packages/core/src/entry/core.ts
@@ -24,6 +24,8 @@
   /** The worst verdict over all attempts so far. */
   verdict: Verdict;
   firstTokenAt: number | null;
+  /** Tokens taken from the limits for it. */
+  charged?: number;
   /** True while its attempt is being cancelled to run elsewhere. */
   isMoving?: boolean;
 }
--- a/packages/core/src/entry/expectTokens.ts
+++ b/packages/core/src/entry/expectTokens.ts
@@ -16,10 +16,14 @@
   return request.promptTokens * PROMPT_TOKEN_COST + outputTokens;
 }
 
+/** Returns the length that the answer to a request is expected to have, in tokens. */
+export function expectOutput(core: Core, request: Request): number {
+  return predictMean(core.prediction, lengthSource(request), request.maxOutputTokens);
+}
+
 /** Returns the cost a request is expected to have, in output tokens. */
 export function expectTokens(core: Core, request: Request): number {
-  const output = predictMean(core.prediction, lengthSource(request), request.maxOutputTokens);
-  return costOf(request, output);
+  return costOf(request, expectOutput(core, request));
 }
 
 /**
--- a/packages/core/src/entry/finishRequest.ts
+++ b/packages/core/src/entry/finishRequest.ts
@@ -2,6 +2,7 @@
 import type { Action } from './action.js';
 import type { Core, LiveRequest } from './core.js';
 import { count } from './counters.js';
+import { settleLimits } from './settleLimits.js';
 
 /** Ends a request for good: forgets it, counts it and tells the tasks. */
 export function endRequest(
@@ -11,6 +12,7 @@
   actions: Action[],
 ): void {
   core.requests.delete(live.request.id);
+  settleLimits(core, live);
   count(core, `requests_${outcome}`);
   actions.push({ kind: 'request-ended', requestId: live.request.id, outcome });
 }
--- /dev/null
+++ b/packages/core/src/entry/onLease.ts
@@ -0,0 +1,99 @@
+import {
+  adoptList,
+  grantLease,
+  holdGrants,
+  LEASE_MS,
+  recordLease,
+  takeWishes,
+  type Wish,
+} from '../limits/index.js';
+import { countVms } from '../membership/index.js';
+import { firstMember } from '../shared/index.js';
+import type { LeaseCall, LeaseReply, Vm } from '../types/index.js';
+import type { Action } from './action.js';
+import { nextId, type Core } from './core.js';
+
+const TICK_INTERVAL_MS = 100;
+
+/** What a peer says of its list counts this long. */
+const HEARD_MS = 4000;
+
+/** Names the VM that grants leases of a limit: the same one on all VMs that know the list. */
+export function findCoordinator(core: Core, limitId: string): Vm | undefined {
+  const live = (core.membership.list?.vms ?? []).filter((vm) => vm.state === 'live');
+  return firstMember(`limits/${limitId}`, live);
+}
+
+function isCoordinator(core: Core, limitId: string): boolean {
+  return findCoordinator(core, limitId)?.id === core.membership.self.id;
+}
+
+function hearsOtherLists(core: Core, now: number): boolean {
+  const revision = core.membership.list?.revision;
+  for (const { heartbeat, heardAt } of core.membership.members.values()) {
+    if (heartbeat === null || now - heardAt > HEARD_MS) continue;
+    if (heartbeat.listRevision !== revision) return true;
+  }
+  return false;
+}
+
+function grant(core: Core, limitId: string, wish: number, vmId: string, now: number): number {
+  const limit = core.table.view?.limits.get(limitId);
+  if (limit === undefined || !isCoordinator(core, limitId)) return 0;
+  return grantLease(core.limits.coordination, limit, vmId, wish, now);
+}
+
+/** Answers a call for a lease; a VM that knows another list gets nothing. */
+export function onLeaseCalled(
+  core: Core,
+  callId: string,
+  call: LeaseCall,
+  now: number,
+  actions: Action[],
+): void {
+  const isSameList = call.listRevision === core.membership.list?.revision;
+  const tokensPerSecond = isSameList
+    ? grant(core, call.limitId, call.tokensPerSecond, call.from, now)
+    : 0;
+  actions.push({ kind: 'reply-peer', callId, reply: { tokensPerSecond, durationMs: LEASE_MS } });
+}
+
+/** Takes in a lease. It ends a lease's length after it was asked for: earlier than there. */
+export function onLeaseReplied(core: Core, call: LeaseCall, reply: LeaseReply): void {
+  const until = call.askedAt + Math.min(reply.durationMs, LEASE_MS);
+  recordLease(core.limits, call.limitId, reply.tokensPerSecond, until);
+}
+
+function ask(core: Core, { limit, tokensPerSecond }: Wish, now: number, actions: Action[]): void {
+  const peer = findCoordinator(core, limit.id);
+  if (peer === undefined) return;
+  const from = core.membership.self.id;
+  if (peer.id === from) {
+    const granted = grant(core, limit.id, tokensPerSecond, from, now);
+    recordLease(core.limits, limit.id, granted, now + LEASE_MS);
+    return;
+  }
+  const call = {
+    method: 'lease',
+    limitId: limit.id,
+    tokensPerSecond,
+    from,
+    listRevision: core.membership.list?.revision ?? -1,
+    askedAt: now,
+  } as const;
+  actions.push({ kind: 'call-peer', callId: nextId(core, 'l'), peer, call });
+}
+
+/** Asks for the leases that are due, and holds grants while the VMs know different lists. */
+export function renewLeases(core: Core, now: number, actions: Action[]): void {
+  const { limits, membership, table } = core;
+  if (table.view === null || membership.list === null) return;
+  if (now - limits.renewedAt < TICK_INTERVAL_MS) return;
+  limits.renewedAt = now;
+  const { coordination } = limits;
+  adoptList(coordination, membership.list.revision, (id) => isCoordinator(core, id), now);
+  if (limits.buckets.size === 0 && coordination.limits.size === 0) return;
+  if (hearsOtherLists(core, now)) holdGrants(coordination, now);
+  const wishes = takeWishes(limits, table.view.limits, countVms(membership), now);
+  wishes.forEach((wish) => ask(core, wish, now, actions));
+}
--- a/packages/core/src/entry/onPeerCall.ts
+++ b/packages/core/src/entry/onPeerCall.ts
@@ -1,10 +1,11 @@
 import { match } from 'ts-pattern';
 
-import type { HeartbeatReply } from '../types/index.js';
+import type { HeartbeatReply, LeaseReply } from '../types/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
 import type { MessageOf } from './message.js';
 import { onHeartbeatCalled, onHeartbeatFailed, onHeartbeatReplied } from './onHeartbeat.js';
+import { onLeaseCalled, onLeaseReplied } from './onLease.js';
 import { onSheetCalled } from './onSheetCall.js';
 
 function ignore(): void {}
@@ -23,7 +24,7 @@
     .with({ method: 'sheet' }, (sheetCall) => onSheetCalled(core, callId, sheetCall, actions))
     .with({ method: 'claim' }, ignore)
     .with({ method: 'release' }, ignore)
-    .with({ method: 'lease' }, ignore)
+    .with({ method: 'lease' }, (leaseCall) => onLeaseCalled(core, callId, leaseCall, now, actions))
     .exhaustive();
 }
 
@@ -42,7 +43,9 @@
     .with({ method: 'sheet' }, ignore)
     .with({ method: 'claim' }, ignore)
     .with({ method: 'release' }, ignore)
-    .with({ method: 'lease' }, ignore)
+    .with({ method: 'lease' }, (leaseCall) => {
+      onLeaseReplied(core, leaseCall, reply as LeaseReply);
+    })
     .exhaustive();
 }
 
--- a/packages/core/src/entry/onRequest.ts
+++ b/packages/core/src/entry/onRequest.ts
@@ -8,7 +8,7 @@
 import type { Core, LiveRequest } from './core.js';
 import { count } from './counters.js';
 import { dispatchWaiting, shedPool } from './dispatchWaiting.js';
-import { expectTokens } from './expectTokens.js';
+import { expectOutput, expectTokens } from './expectTokens.js';
 import { endRequest, refuseRequest } from './finishRequest.js';
 import type { MessageOf } from './message.js';
 
@@ -23,7 +23,8 @@
   return view.managed.length > 0 && view.models.has(request.pool.replace(/^model:/, ''));
 }
 
-function findRefusal(core: Core, request: Request, now: number): Refusal | null {
+function findRefusal(core: Core, live: LiveRequest, now: number): Refusal | null {
+  const { request } = live;
   const { view } = core.table;
   const row = view?.classes.get(request.classId);
   if (core.membership.leaving) return notRun('leaving', 'This VM is leaving; send it again.');
@@ -33,8 +34,10 @@
   }
   const limits = listLimits(view, request.accountId, request.classId);
   const vms = countVms(core.membership);
-  const waitMs = takeTokens(core.limits, limits, vms, request.promptTokens, now);
+  const tokens = request.promptTokens + expectOutput(core, request);
+  const waitMs = takeTokens(core.limits, limits, vms, tokens, now);
   if (waitMs > 0) return notRun('limit_reached', 'A limit of the table is used up.', waitMs);
+  live.charged = tokens;
   const weight = view.accounts.get(request.accountId)?.weight ?? 1;
   enqueueRequest(core.admission, request, row, expectTokens(core, request), weight, now);
   return null;
@@ -57,7 +60,7 @@
   };
   core.requests.set(request.id, live);
   count(core, 'requests');
-  const refusal = findRefusal(core, request, now);
+  const refusal = findRefusal(core, live, now);
   if (refusal !== null) {
     refuseRequest(core, live, refusal, 'refused', actions);
     return;
--- a/packages/core/src/entry/onTick.ts
+++ b/packages/core/src/entry/onTick.ts
@@ -5,6 +5,7 @@
 import { giveOrders } from './giveOrders.js';
 import { moveAttempts } from './moveAttempts.js';
 import { onFleetTick } from './onFleetTick.js';
+import { renewLeases } from './onLease.js';
 import { shedHopeless } from './shedWaiting.js';
 import { watchHealth } from './watchHealth.js';
 
@@ -12,6 +13,7 @@
 export function onTick(core: Core, now: number, actions: Action[]): void {
   onFleetTick(core, now, actions);
   giveOrders(core, now, actions);
+  renewLeases(core, now, actions);
   watchHealth(core, now, actions);
   moveAttempts(core, now, actions);
   for (const pool of listWaitingPools(core.admission)) {
--- a/packages/core/src/limits/index.ts
+++ b/packages/core/src/limits/index.ts
@@ -1,3 +1,12 @@
-export { takeTokens } from './commands.js';
-export { listLimits } from './queries.js';
-export { createLimitState, type Bucket, type LimitState } from './state.js';
+export { recordLease, settleTokens, takeTokens, takeWishes, type Wish } from './commands.js';
+export { adoptList, grantLease, holdGrants, LEASE_MS } from './grantLease.js';
+export { listLimits, passRate } from './queries.js';
+export {
+  createLimitState,
+  type Asker,
+  type Bucket,
+  type Coordinated,
+  type Coordination,
+  type Grant,
+  type LimitState,
+} from './state.js';
--- a/packages/core/src/types/peerCall.ts
+++ b/packages/core/src/types/peerCall.ts
@@ -64,6 +64,8 @@
   readonly tokensPerSecond: number;
   readonly from: string;
   readonly listRevision: number;
+  /** By the caller's clock, which alone reads it again: the lease runs from here. */
+  readonly askedAt: number;
 }
 
 /** The part that was leased; zero when the coordinator has none to give yet. */
--- a/packages/router/src/peers/peerProtocol.ts
+++ b/packages/router/src/peers/peerProtocol.ts
@@ -58,6 +58,7 @@
     tokensPerSecond: z.number().nonnegative(),
     from: id,
     listRevision: z.number().int(),
+    askedAt: z.number(),
   }),
   z.strictObject({ method: z.literal('heartbeat'), heartbeat: heartbeatSchema }),
 ]);
