--- /dev/null
+++ b/packages/core/__tests__/limits.spec.ts
@@ -0,0 +1,174 @@
+import { describe, it } from '@filbertlatch/core/testing';
+import fc from 'fast-check';
+
+import {
+  adoptList,
+  createLimitState,
+  grantLease,
+  holdGrants,
+  LEASE_MS,
+  limitSchema,
+  passRate,
+  recordLease,
+  settleTokens,
+  takeTokens,
+  takeWishes,
+} from '../src/index.js';
+
+const SEED = 20_261_203;
+const START = 1_000_000;
+const VMS = ['vm-0', 'vm-1', 'vm-2', 'vm-3'];
+const limit = limitSchema.parse({ id: 'l', class: 'bulletin', tokensPerSecond: 1000, floor: 0.2 });
+const leasable = 800;
+
+/** One VM's side of the protocol. */
+class Holder {
+  readonly state = createLimitState();
+
+  constructor(now: number) {
+    takeTokens(this.state, [limit], VMS.length, 1, now);
+  }
+
+  rate(now: number): number {
+    return passRate(this.state.buckets.get(limit.id), limit, VMS.length, now);
+  }
+}
+
+type Step =
+  | { readonly kind: 'ask'; readonly vm: number; readonly wanted: number; readonly lost: boolean }
+  | { readonly kind: 'wait'; readonly ms: number }
+  | { readonly kind: 'replace' }
+  | { readonly kind: 'hold' };
+
+const step: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant('ask' as const),
+      vm: fc.nat(VMS.length - 1),
+      wanted: fc.integer({ min: 1, max: 2000 }),
+      lost: fc.boolean(),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant('wait' as const),
+      ms: fc.integer({ min: 1, max: 1500 }),
+    }),
+  },
+  { weight: 1, arbitrary: fc.constant({ kind: 'replace' as const }) },
+  { weight: 1, arbitrary: fc.constant({ kind: 'hold' as const }) },
+);
+
+describe('leases of a limit', () => {
+  describe('in any order of asking, losses, waits and replaced coordinators', () => {
+    it('never let the VMs pass more than the limit together', (t) => {
+      fc.assert(
+        fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+          let now = START;
+          let revision = 1;
+          let { coordination } = createLimitState();
+          adoptList(coordination, revision, () => true, now - LEASE_MS);
+          const holders = VMS.map(() => new Holder(now));
+          for (const action of steps) {
+            if (action.kind === 'wait') now += action.ms;
+            if (action.kind === 'hold') holdGrants(coordination, now);
+            if (action.kind === 'replace') {
+              revision += 1;
+              coordination = createLimitState().coordination;
+              adoptList(coordination, revision, () => true, now);
+            }
+            if (action.kind === 'ask') {
+              const askedAt = now;
+              const granted = grantLease(coordination, limit, VMS[action.vm]!, action.wanted, now);
+              const { state } = holders[action.vm]!;
+              if (!action.lost) recordLease(state, limit.id, granted, askedAt + LEASE_MS);
+            }
+            const sum = holders.reduce((all, holder) => all + holder.rate(now), 0);
+            if (sum > limit.tokensPerSecond + 1e-6) return false;
+          }
+          return true;
+        }),
+        { seed: SEED, numRuns: 2000 },
+      );
+      t.pass();
+    });
+  });
+
+  describe('with uneven demand', () => {
+    it('go to the VMs in proportion, within a few renewals', (t) => {
+      const { coordination } = createLimitState();
+      adoptList(coordination, 1, () => true, START - LEASE_MS);
+      const wanted = [2500, 500, 500, 500];
+      let now = START;
+      let granted: number[] = [];
+      for (let round = 0; round < 8; round += 1) {
+        granted = VMS.map((vm, at) => grantLease(coordination, limit, vm, wanted[at]!, now));
+        now += 700;
+      }
+      const sum = granted.reduce((all, part) => all + part, 0);
+      t.true(sum >= 0.95 * leasable, `only ${sum} of ${leasable}`);
+      t.true(granted[0]! > 3 * granted[1]!);
+    });
+  });
+
+  describe('with a new coordinator', () => {
+    it('wait one lease', (t) => {
+      const { coordination } = createLimitState();
+      adoptList(coordination, 2, () => true, START);
+      t.is(grantLease(coordination, limit, 'vm-0', 100, START + LEASE_MS - 1), 0);
+      t.is(grantLease(coordination, limit, 'vm-0', 100, START + LEASE_MS), 100);
+    });
+
+    it('go on under a list that names the same one', (t) => {
+      const { coordination } = createLimitState();
+      adoptList(coordination, 1, () => true, START - LEASE_MS);
+      grantLease(coordination, limit, 'vm-0', 100, START);
+      adoptList(coordination, 2, () => true, START + 100);
+      t.is(grantLease(coordination, limit, 'vm-0', 100, START + 200), 100);
+    });
+  });
+
+  describe('without a coordinator in reach', () => {
+    it('end by the clock of the VM that holds them; its floor stays', (t) => {
+      const holder = new Holder(START);
+      recordLease(holder.state, limit.id, 300, START + LEASE_MS);
+      t.is(holder.rate(START + LEASE_MS - 1), 350);
+      t.is(holder.rate(START + LEASE_MS), 50);
+    });
+  });
+});
+
+describe('takeTokens', () => {
+  it('lets no more pass than rate and burst, and says when to come back', (t) => {
+    const state = createLimitState();
+    let passed = 0;
+    for (let now = START; now < START + 10_000; now += 10) {
+      if (takeTokens(state, [limit], 1, 20, now) === 0) passed += 20;
+    }
+    // The floor of the one VM is 200 a second, with a burst of one second.
+    t.true(passed <= 200 * 10 + 200 + 20, `${passed}`);
+    t.true(passed >= 200 * 10, `${passed}`);
+    const waitMs = takeTokens(state, [limit], 1, 20, START + 10_000);
+    t.true(waitMs > 0 && waitMs <= 200);
+  });
+
+  it('charges what an answer took beyond the guess', (t) => {
+    const state = createLimitState();
+    takeTokens(state, [limit], 1, 100, START);
+    settleTokens(state, [limit], 400);
+    t.true(takeTokens(state, [limit], 1, 20, START) > 0);
+    settleTokens(state, [limit], -400);
+    t.is(takeTokens(state, [limit], 1, 20, START), 0);
+  });
+
+  it('costs nothing for limits that nobody uses', (t) => {
+    const state = createLimitState();
+    const limits = new Map([[limit.id, limit]]);
+    takeTokens(state, [limit], VMS.length, 500, START);
+    t.is(takeWishes(state, limits, VMS.length, START + 1000).length, 1);
+    t.is(takeWishes(state, limits, VMS.length, START + 60_000).length, 0);
+    t.is(state.buckets.size, 0);
+  });
+});
--- a/packages/core/src/entry/observeAttempt.ts
+++ b/packages/core/src/entry/observeAttempt.ts
@@ -36,7 +36,7 @@
 /** Learns from the first token of an attempt. */
 export function observeFirstToken(core: Core, ended: LiveAttempt, now: number): void {
   ended.firstTokenAt = now;
-  noteAnswered(core.placement, ended.attempt.endpointId);
+  noteAnswered(core.placement, ended.attempt.endpointId, ended.attempt.startedAt);
   const { view } = core.table;
   const { endpointId, requestId, startedAt } = ended.attempt;
   const endpoint = view?.endpoints.get(endpointId);
@@ -95,7 +95,8 @@
   const { endpointId, requestId } = ended.attempt;
   releaseSlot(core.placement, endpointId, ended.expectedTokens, now);
   removeCritical(core.placement, ended.attempt.id);
-  if (ended.firstTokenAt === null) noteAnswered(core.placement, endpointId);
+  if (ended.firstTokenAt === null)
+    noteAnswered(core.placement, endpointId, ended.attempt.startedAt);
   const live = core.requests.get(requestId);
   const tokens = end.kind === 'complete' ? end.outputTokens : ended.produced;
   if (live !== undefined) settleCost(core, ended, live, tokens);
--- a/packages/core/src/entry/poolRoom.ts
+++ b/packages/core/src/entry/poolRoom.ts
@@ -12,7 +12,7 @@
   windowOf,
 } from '../placement/index.js';
 import type { TableView } from '../table/index.js';
-import type { Endpoint, PoolId } from '../types/index.js';
+import { tierRank, type Endpoint, type PoolId } from '../types/index.js';
 import type { Core } from './core.js';
 
 const CRITICAL_RANK = 0;
@@ -31,6 +31,7 @@
 
 /** What this VM may use of a pool now. */
 export interface PoolRoom {
+  readonly pool: PoolId;
   readonly candidates: readonly Endpoint[];
   /** Sum of the windows. */
   readonly capacity: number;
@@ -45,6 +46,17 @@
   return offeredRate(queue, CRITICAL_RANK, now, view.classes) * msPerToken(core.placement, pool);
 }
 
+/** Sums up the minimum shares of the classes below critical that wait. */
+function waitingShares(core: Core, view: TableView, pool: PoolId): number {
+  let shares = 0;
+  for (const lane of core.admission.pools.get(pool)?.lanes.values() ?? []) {
+    const row = view.classes.get(lane.classId);
+    if (row === undefined || lane.size === 0) continue;
+    if (tierRank(row.tier) > CRITICAL_RANK) shares += row.share;
+  }
+  return shares;
+}
+
 /**
  * Works out the slots to keep free for critical arrivals: what their load and its swings take,
  * less what they have in flight already. A pool full of long streams would hold them up.
@@ -58,7 +70,10 @@
 ): number {
   const load = criticalLoad(core, view, pool, now);
   if (load < LEAST_CRITICAL_LOAD) return 0;
-  const wanted = load + RESERVE_DEVIATIONS * Math.sqrt(load);
+  // A critical load beyond what the lower classes' minimum shares leave is not kept room for.
+  const guaranteed = waitingShares(core, view, pool);
+  const most = Math.floor(capacity * Math.max(0, 1 - guaranteed));
+  const wanted = Math.min(most, load + RESERVE_DEVIATIONS * Math.sqrt(load));
   const missing = Math.ceil(wanted - countCritical(core.placement, pool));
   return Math.max(0, Math.min(missing, Math.floor(capacity * LARGEST_RESERVE_PART)));
 }
@@ -73,20 +88,21 @@
 ): PoolRoom {
   const capacity = candidates.reduce((sum, c) => sum + windowOf(core.placement, c), 0);
   return {
+    pool,
     candidates,
     capacity,
     reserve: workOutReserve(core, view, pool, capacity, now),
   };
 }
 
-function isOpen(core: Core, endpoint: Endpoint, rank: number, now: number): boolean {
+function isOpen(core: Core, pool: PoolId, endpoint: Endpoint, rank: number, now: number): boolean {
   // One request at a time, and none that matters most, until the endpoint has kept up.
   if (phaseOf(core.health, endpoint.id) === 'probation') {
     return rank > CRITICAL_RANK && countInFlight(core.placement, endpoint.id) === 0;
   }
   if (!hasWindow(core.placement, endpoint)) return false;
   if (rank > CRITICAL_RANK && isReportedFull(core.placement, endpoint, now)) return false;
-  return endpoint.kind === 'service' || !isBackedUp(core.placement, endpoint);
+  return endpoint.kind === 'service' || !isBackedUp(core.placement, endpoint, pool, now);
 }
 
 /**
@@ -94,7 +110,7 @@
  * window; without any, for a critical request, those with a slot that other VMs leave unused.
  */
 export function listOpen(core: Core, room: PoolRoom, rank: number, now: number): Endpoint[] {
-  const open = room.candidates.filter((c) => isOpen(core, c, rank, now));
+  const open = room.candidates.filter((c) => isOpen(core, room.pool, c, rank, now));
   if (open.length > 0 || rank !== CRITICAL_RANK) return open;
   return room.candidates.filter(
     (c) => phaseOf(core.health, c.id) === 'healthy' && hasSpareSlot(core.placement, c, now),
--- a/packages/core/src/placement/chooseEndpoint.ts
+++ b/packages/core/src/placement/chooseEndpoint.ts
@@ -10,8 +10,8 @@
 /** Cost of a prompt token in output tokens: prompts are read many tokens a step. */
 export const PROMPT_TOKEN_COST = 1 / 16;
 
-/** With a larger part of the window unanswered, requests wait at the endpoint. */
-const LARGEST_UNANSWERED_PART = 1 / 8;
+/** An attempt without a token for so many times the usual time waits at the endpoint. */
+const BACKED_UP_FACTOR = 1.5;
 
 /** Endpoints within so much of the best are near-equals. */
 const NEAR_MS = 10;
@@ -59,10 +59,17 @@
   return countInFlight(state, endpoint.id) < windowOf(state, endpoint);
 }
 
-/** Says whether attempts of this VM seem to wait at an endpoint: too many have had no token. */
-export function isBackedUp(state: PlacementState, endpoint: Endpoint): boolean {
-  const unanswered = state.loads.get(endpoint.id)?.unanswered ?? 0;
-  return unanswered > windowOf(state, endpoint) * LARGEST_UNANSWERED_PART;
+/** Says whether attempts of this VM seem to wait at an endpoint: one has long had no token. */
+export function isBackedUp(
+  state: PlacementState,
+  endpoint: Endpoint,
+  pool: string,
+  now: number,
+): boolean {
+  const oldest = state.loads.get(endpoint.id)?.unansweredSince[0];
+  const usualMs = state.pools.get(pool)?.firstTokenMs;
+  if (oldest === undefined || usualMs === undefined || usualMs === null) return false;
+  return now - oldest > usualMs * BACKED_UP_FACTOR;
 }
 
 /**
--- a/packages/core/src/placement/commands.ts
+++ b/packages/core/src/placement/commands.ts
@@ -72,12 +72,17 @@
   const load = loadOf(state, endpointId);
   dropBefore(load.sentAt, now - LONGEST_REPORT_LAG_MS);
   load.sentAt.push(now);
+  load.unansweredSince.push(now);
 }
 
-/** Notes that an attempt has had its first token. */
-export function noteAnswered(state: PlacementState, endpointId: string): void {
+/** Notes that an attempt has had its first token, or has ended without one. */
+export function noteAnswered(state: PlacementState, endpointId: string, startedAt: number): void {
   const load = loadOf(state, endpointId);
   load.unanswered = Math.max(0, load.unanswered - 1);
+  const index = load.unansweredSince.indexOf(startedAt);
+  // An attempt that waited for a claim started later than it was noted: the oldest stands for it.
+  load.unansweredSince.splice(Math.max(0, index), 1);
+  if (load.unanswered === 0) load.unansweredSince.length = 0;
 }
 
 /** Gives a slot back. */
--- a/packages/core/src/placement/state.ts
+++ b/packages/core/src/placement/state.ts
@@ -19,6 +19,8 @@
   decreasedAt: number;
   /** Attempts in flight that have had no token yet. */
   unanswered: number;
+  /** Instants at which those were sent, oldest first. */
+  readonly unansweredSince: number[];
   readonly pace: Pace;
 }
 
@@ -72,6 +74,7 @@
     factor: 1,
     decreasedAt: 0,
     unanswered: 0,
+    unansweredSince: [],
     pace: createPace(),
   };
 }
