--- a/packages/core/__tests__/admissionOrder.spec.ts
+++ b/packages/core/__tests__/admissionOrder.spec.ts
@@ -58,6 +58,11 @@
   readonly classId: string;
 }
 
+function describeSent({ attempt, request }: Extract<Action, { kind: 'dispatch' }>): Sent {
+  const { id: attemptId, endpointId } = attempt;
+  return { attemptId, endpointId, classId: request.classId };
+}
+
 /** Drives one core with a fake pool: each message may end attempts in any order. */
 class World {
   readonly core = createWorld();
@@ -115,11 +120,6 @@
   }
 }
 
-function describeSent({ attempt, request }: Extract<Action, { kind: 'dispatch' }>): Sent {
-  const { id: attemptId, endpointId } = attempt;
-  return { attemptId, endpointId, classId: request.classId };
-}
-
 function rankOf(classId: string): number {
   return tierRank(classes.find((row) => row.id === classId)!.tier);
 }
--- a/packages/core/__tests__/limits.spec.ts
+++ b/packages/core/__tests__/limits.spec.ts
@@ -13,6 +13,7 @@
   settleTokens,
   takeTokens,
   takeWishes,
+  type Coordination,
 } from '../src/index.js';
 
 const SEED = 20_261_203;
@@ -34,6 +35,16 @@
   }
 }
 
+const ROUNDING = 1e-6;
+
+function sumRates(holders: readonly Holder[], now: number): number {
+  return holders.reduce((all, holder) => all + holder.rate(now), 0);
+}
+
+function askAll(coordination: Coordination, wanted: readonly number[], now: number): number[] {
+  return VMS.map((vm, at) => grantLease(coordination, limit, vm, wanted[at]!, now));
+}
+
 type Step =
   | { readonly kind: 'ask'; readonly vm: number; readonly wanted: number; readonly lost: boolean }
   | { readonly kind: 'wait'; readonly ms: number }
@@ -85,8 +96,7 @@
               const { state } = holders[action.vm]!;
               if (!action.lost) recordLease(state, limit.id, granted, askedAt + LEASE_MS);
             }
-            const sum = holders.reduce((all, holder) => all + holder.rate(now), 0);
-            if (sum > limit.tokensPerSecond + 1e-6) return false;
+            if (sumRates(holders, now) > limit.tokensPerSecond + ROUNDING) return false;
           }
           return true;
         }),
@@ -104,7 +114,7 @@
       let now = START;
       let granted: number[] = [];
       for (let round = 0; round < 8; round += 1) {
-        granted = VMS.map((vm, at) => grantLease(coordination, limit, vm, wanted[at]!, now));
+        granted = askAll(coordination, wanted, now);
         now += 700;
       }
       const sum = granted.reduce((all, part) => all + part, 0);
--- a/packages/core/src/entry/observeAttempt.ts
+++ b/packages/core/src/entry/observeAttempt.ts
@@ -95,8 +95,9 @@
   const { endpointId, requestId } = ended.attempt;
   releaseSlot(core.placement, endpointId, ended.expectedTokens, now);
   removeCritical(core.placement, ended.attempt.id);
-  if (ended.firstTokenAt === null)
+  if (ended.firstTokenAt === null) {
     noteAnswered(core.placement, endpointId, ended.attempt.startedAt);
+  }
   const live = core.requests.get(requestId);
   const tokens = end.kind === 'complete' ? end.outputTokens : ended.produced;
   if (live !== undefined) settleCost(core, ended, live, tokens);
