--- a/packages/core/src/entry/onPeerCall.ts
+++ b/packages/core/src/entry/onPeerCall.ts
@@ -1,6 +1,6 @@
 import { match } from 'ts-pattern';
 
-import type { ClaimReply, HeartbeatReply, ListsReply } from '../types/index.js';
+import type { ClaimReply, HeartbeatReply, LeaseReply, ListsReply } from '../types/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
 import type { MessageOf } from './message.js';
@@ -13,6 +13,7 @@
   onReleaseCalled,
 } from './onClaimCall.js';
 import { onHeartbeatCalled, onHeartbeatFailed, onHeartbeatReplied } from './onHeartbeat.js';
+import { onLeaseCalled, onLeaseReplied } from './onLease.js';
 import { onSheetCalled } from './onSheetCall.js';
 
 function ignore(): void {}
@@ -34,7 +35,7 @@
     .with({ method: 'lists' }, (lists) => onListsCalled(core, callId, lists, now, actions))
     // The task that keeps the answers takes these.
     .with({ method: 'answer' }, ignore)
-    .with({ method: 'lease' }, ignore)
+    .with({ method: 'lease' }, (leaseCall) => onLeaseCalled(core, callId, leaseCall, now, actions))
     .exhaustive();
 }
 
@@ -60,7 +61,9 @@
     })
     // The task that keeps the answers takes these.
     .with({ method: 'answer' }, ignore)
-    .with({ method: 'lease' }, ignore)
+    .with({ method: 'lease' }, (leaseCall) => {
+      onLeaseReplied(core, leaseCall, reply as LeaseReply);
+    })
     .exhaustive();
 }
 
--- a/packages/core/src/entry/onRequest.ts
+++ b/packages/core/src/entry/onRequest.ts
@@ -10,7 +10,7 @@
 import type { Core, LiveRequest } from './core.js';
 import { count } from './counters.js';
 import { dispatchWaiting, shedPool } from './dispatchWaiting.js';
-import { expectTokens } from './expectTokens.js';
+import { expectOutput, expectTokens } from './expectTokens.js';
 import { endRequest, refuseRequest } from './finishRequest.js';
 import type { MessageOf } from './message.js';
 import { earnRetry } from './retryBudget.js';
@@ -43,8 +43,10 @@
   }
   const limits = listLimits(view, request.accountId, request.classId);
   const vms = countVms(core.membership);
-  const waitMs = takeTokens(core.limits, limits, vms, request.promptTokens, now);
+  const tokens = request.promptTokens + expectOutput(core, request);
+  const waitMs = takeTokens(core.limits, limits, vms, tokens, now);
   if (waitMs > 0) return notRun('limit_reached', 'A limit of the table is used up.', waitMs);
+  live.charged = tokens;
   if (holdSuspect(core, live, now, actions)) return null;
   const weight = view.accounts.get(request.accountId)?.weight ?? 1;
   enqueueRequest(core.admission, request, row, expectTokens(core, request), weight, now);
