Tell how long the router had no core in the forwarding experiment

Cause: the machine is shared, and a router that waits for a core looks slow. Change: the scheduler's own count, read where the system gives it, beside processor time.

--- a/packages/bench/src/forwarding/forwardingExperiment.ts
+++ b/packages/bench/src/forwarding/forwardingExperiment.ts
@@ -50,6 +50,8 @@
   /** Cores that the router's process used; 0 without it. */
   readonly cores: number;
   readonly rssMb: number;
+  /** Part of the time in which the router was ready to run and had no core, 0 to 1. */
+  readonly waited: number;
 }
 
 function createTable(urls: readonly string[]): Table {
@@ -171,6 +173,7 @@
       p99Ms: latencies.getValueAtPercentile(99) / US_PER_MS,
       cores: (after.cpuMs - before.cpuMs) / (after.atMs - before.atMs),
       rssMb: after.rssBytes / 1_048_576,
+      waited: (after.waitedMs - before.waitedMs) / (after.atMs - before.atMs),
     };
   }
 
@@ -184,7 +187,16 @@
 }
 
 function formatStretches(stretches: Readonly<Record<string, Stretch>>): string {
-  const head = ['stretch', 'events/s', 'failures', 'p50 ms', 'p99 ms', 'router cores', 'rss MB'];
+  const head = [
+    'stretch',
+    'events/s',
+    'failures',
+    'p50 ms',
+    'p99 ms',
+    'router cores',
+    'no core',
+    'rss MB',
+  ];
   const table = new CliTable({ head, style: { head: [], border: [] } });
   for (const [name, s] of Object.entries(stretches)) {
     table.push([
@@ -194,6 +206,7 @@
       s.p50Ms.toFixed(2),
       s.p99Ms.toFixed(2),
       s.cores.toFixed(2),
+      `${(s.waited * 100).toFixed(1)}%`,
       Math.round(s.rssMb),
     ]);
   }
--- a/packages/bench/src/forwarding/protocol.ts
+++ b/packages/bench/src/forwarding/protocol.ts
@@ -48,6 +48,8 @@
       readonly kind: 'usage';
       readonly cpuMs: number;
       readonly rssBytes: number;
+      /** Time in which it was ready to run and had no core. */
+      readonly waitedMs: number;
       readonly atMs: number;
     }
   | { readonly kind: 'failed'; readonly message: string };
--- a/packages/bench/src/forwarding/worker.ts
+++ b/packages/bench/src/forwarding/worker.ts
@@ -2,15 +2,18 @@
 
 import { startEngines } from './engineGroup.js';
 import type { Answer, Ask } from './protocol.js';
+import { readCoreWait } from './readCoreWait.js';
 import { runStreams } from './runStreams.js';
 import { startRouter } from './startRouter.js';
 
 const US_PER_MS = 1000;
 
-function readUsage(): Answer {
+async function readUsage(): Promise<Answer> {
   const { user, system } = process.cpuUsage();
   const cpuMs = (user + system) / US_PER_MS;
-  return { kind: 'usage', cpuMs, rssBytes: process.memoryUsage.rss(), atMs: performance.now() };
+  const waitedMs = (await readCoreWait()) ?? 0;
+  const rssBytes = process.memoryUsage.rss();
+  return { kind: 'usage', cpuMs, rssBytes, waitedMs, atMs: performance.now() };
 }
 
 async function answer(ask: Ask): Promise<Answer> {
@@ -28,7 +31,7 @@
       kind: 'streams-ran',
       result: await runStreams(load),
     }))
-    .with({ kind: 'read-usage' }, async () => readUsage())
+    .with({ kind: 'read-usage' }, readUsage)
     .exhaustive();
 }
 
