--- a/packages/bench/src/baseline/createBaseline.ts
+++ b/packages/bench/src/baseline/createBaseline.ts
@@ -1,8 +1,9 @@
+import { randomUUID } from 'node:crypto';
 import type { ServerResponse } from 'node:http';
 import { pipeline } from 'node:stream/promises';
 
 import type { Endpoint, Table } from '@filbertlatch/core';
-import { listen } from '@filbertlatch/router';
+import { listen, REQUEST_ID_HEADER } from '@filbertlatch/router';
 import type { HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono, type Context } from 'hono';
@@ -83,7 +84,8 @@
         method,
         path,
         body,
-        headers: { 'content-type': 'application/json' },
+        // Endpoints tell requests apart by it.
+        headers: { 'content-type': 'application/json', [REQUEST_ID_HEADER]: randomUUID() },
         signal: stop.signal,
       });
       response.writeHead(answer.statusCode, {
--- /dev/null
+++ b/packages/standins/__tests__/engineModel.spec.ts
@@ -0,0 +1,58 @@
+import { describe, it } from '@filbertlatch/core/testing';
+
+import { LoadReports, StepClock } from '../src/index.js';
+import { Slots } from '../src/slots.js';
+
+describe('StepClock', () => {
+  it('gives the steps that a late timer owes, but not those of a long pause', (t) => {
+    const clock = new StepClock(10, 0);
+    t.is(clock.take(10, 1), 1);
+    t.is(clock.take(35, 1), 2);
+    t.is(clock.take(40, 1), 1);
+    t.is(clock.take(10_000, 1), 4);
+    t.true(clock.take(10_010, 1) <= 2);
+  });
+
+  it('takes ten times as long at a tenth of the speed', (t) => {
+    const clock = new StepClock(10, 0);
+    let steps = 0;
+    for (let now = 10; now <= 1000; now += 10) steps += clock.take(now, 0.1);
+    t.is(steps, 10);
+  });
+});
+
+describe('LoadReports', () => {
+  const measure = () => ({
+    measuredAt: performance.timeOrigin + performance.now(),
+    running: 1,
+    waiting: 0,
+    waitingTokens: 0,
+    tokensPerSecond: 40,
+    models: [],
+  });
+
+  it('describes the moment now, or the oldest known where none is old enough', (t) => {
+    const reports = new LoadReports(measure);
+    reports.record();
+    const first = reports.read(60_000);
+    t.is(reports.read(2000), first);
+    t.true(reports.read(0).measuredAt > first.measuredAt);
+  });
+});
+
+describe('Slots', () => {
+  it('lets the next one run when one is done, in the order they came', async (t) => {
+    const slots = new Slots(1);
+    const ran: number[] = [];
+    await slots.take();
+    const later = [1, 2].map(async (index) => {
+      await slots.take();
+      ran.push(index);
+      slots.release();
+    });
+    t.deepEqual(ran, []);
+    slots.release();
+    await Promise.all(later);
+    t.deepEqual(ran, [1, 2]);
+  });
+});
