--- a/packages/bench/__tests__/experiments.spec.ts
+++ b/packages/bench/__tests__/experiments.spec.ts
@@ -9,7 +9,7 @@
 import { collectFigures } from '../src/collectFigures.js';
 import { nearestName } from '../src/experiments/index.js';
 import { listScenarios, loadScenario } from '../src/loadScenario.js';
-import { plotRun } from '../src/plots/index.js';
+import { isSweep, plotRun, plotSweep } from '../src/plots/index.js';
 import { runScenario } from '../src/runScenario.js';
 import { scenarioSchema, type Scenario } from '../src/scenario.js';
 import { checkTargets, targetFigures, targetSchema } from '../src/targets.js';
@@ -120,4 +120,18 @@
     for (const row of run.classes) t.true(svg.includes(`>${row.id}</text>`));
     t.false(svg.includes('NaN'));
   });
+
+  it('show good answers over the load of a sweep', async (t) => {
+    const directory = await mkdtemp(join(tmpdir(), 'filbertlatch-'));
+    t.teardown(() => rm(directory, { recursive: true }));
+    const scenario = await loadScenario('overload-sweep');
+    t.true(isSweep(scenario));
+    t.false(isSweep(await loadScenario('straggler')));
+    const entries = scenario.variants.map((v) => [`${v.name}.goodPerSecond`, 30] as const);
+    const lines = [{ name: 'filbertlatch', prefix: '' }];
+    await plotSweep(scenario, Object.fromEntries(entries), lines, directory);
+    const svg = await readFile(join(directory, 'overload-sweep.svg'), 'utf8');
+    // The path of six points: a move and five lines.
+    t.is(svg.match(/ d="(M[^"]*)"/)?.[1]?.split('L').length, scenario.variants.length);
+  });
 });
--- a/packages/bench/src/experiments/scenarioExperiment.ts
+++ b/packages/bench/src/experiments/scenarioExperiment.ts
@@ -2,7 +2,7 @@
 import { collectFigures } from '../collectFigures.js';
 import type { Policy } from '../createFleet.js';
 import { formatRun, formatTargets } from '../formatSummary.js';
-import { plotRun } from '../plots/index.js';
+import { isSweep, plotRun, plotSweep } from '../plots/index.js';
 import { runScenario } from '../runScenario.js';
 import { applyVariant, type Scenario } from '../scenario.js';
 import { checkTargets, type Figures } from '../targets.js';
@@ -45,6 +45,10 @@
         Object.assign(figures, await this.#runOnce(policy, variant, options));
       }
     }
+    if (options.plotDirectory !== null && isSweep(this.#scenario)) {
+      const lines = options.policies.map((name) => ({ name, prefix: prefixOf(name, '') }));
+      await plotSweep(this.#scenario, figures, lines, options.plotDirectory);
+    }
     const targets = checkTargets(this.#scenario.targets, figures, baselineNames);
     if (targets.length > 0) options.write(formatTargets(targets));
     return { figures, targets };
