Owe a class no more of a pool than it asks for

Change: a window of 10 s counts where the class waited throughout and asked for at least its share of what the pool served; a call of a service is one token in and one out. Conclusion: the figure now says what the guarantee says.

--- a/packages/bench/__tests__/figures.spec.ts
+++ b/packages/bench/__tests__/figures.spec.ts
@@ -82,6 +82,15 @@
     t.true(shares.find((s) => s.class === 'bulletin')!.ofGuaranteed > 1);
   });
 
+  it('leaves out a class that asked for less than its share', (t) => {
+    const few = createCourse('bulletin', 10).map((sample) => ({ ...sample, askedTokens: 10 }));
+    const shares = findLeastShares([row, other], [...few, ...createCourse('summary', 30)], 12);
+    t.deepEqual(
+      shares.map((share) => share.class),
+      ['summary'],
+    );
+  });
+
   it('leaves out a class that did not wait throughout', (t) => {
     const samples = [...createCourse('bulletin', 30), createSample({ class: 'summary' })];
     const shares = findLeastShares([row, other], samples, 12);
--- a/packages/bench/src/sendRequest.ts
+++ b/packages/bench/src/sendRequest.ts
@@ -100,14 +100,15 @@
 ): Promise<Sample> {
   const startedAt = draw.arrivedAt ?? performance.now();
   const { path, ...call } = buildCall(load, draw);
-  const streamed = load.streamed && !load.target.startsWith('service:');
+  const isService = load.target.startsWith('service:');
+  const streamed = load.streamed && !isService;
   const common = {
     class: load.class,
     target: load.target,
     streamed,
     startedAt,
-    promptTokens: draw.promptTokens,
-    askedTokens: draw.outputTokens,
+    promptTokens: isService ? 1 : draw.promptTokens,
+    askedTokens: isService ? 1 : draw.outputTokens,
   };
   const signal = patienceMs === null ? null : AbortSignal.timeout(patienceMs);
   try {
