Write the configuration page from the schemas, and examples of both deployments

Change: npm run -s docs:configuration writes docs/CONFIGURATION.md; a test compares the page with the schemas and asks that each field say what it means. examples/newsroom and examples/dealer hold a table and settings that check accepts, also by a test.

--- /dev/null
+++ b/packages/cli/__tests__/documentation.spec.ts
@@ -0,0 +1,33 @@
+import { readFile } from 'node:fs/promises';
+import { fileURLToPath } from 'node:url';
+
+import { describe, it } from '@filbertlatch/core/testing';
+
+import { formatConfiguration } from '../src/documentation/index.js';
+import { runCli } from './runCli.js';
+
+const ROOT = new URL('../../../../', import.meta.url);
+
+describe('the documentation', () => {
+  it('has the configuration as the schemas are: npm run -s docs:configuration', async (t) => {
+    const page = await readFile(new URL('docs/CONFIGURATION.md', ROOT), 'utf8');
+    t.is(page, formatConfiguration());
+  });
+
+  it('says what each field of settings and table means', (t) => {
+    const rows = formatConfiguration().match(/^\| `.*$/gm) ?? [];
+    t.true(rows.length > 50);
+    rows.forEach((row) => t.notRegex(row, /\|\s*\|$/));
+  });
+
+  for (const name of ['newsroom', 'dealer']) {
+    for (const file of ['table', 'settings']) {
+      it(`has an example that check takes: ${name}/${file}.json`, async (t) => {
+        const path = fileURLToPath(new URL(`examples/${name}/${file}.json`, ROOT));
+        const { code, out, err } = await runCli('check', path);
+        t.is(code, 0, err);
+        t.regex(out, new RegExp(`good ${file}`));
+      });
+    }
+  }
+});
--- /dev/null
+++ b/packages/cli/src/documentation/index.ts
@@ -0,0 +1,1 @@
+export { formatConfiguration } from './formatConfiguration.js';
--- a/packages/core/src/types/class.ts
+++ b/packages/core/src/types/class.ts
@@ -14,9 +14,9 @@
 
 /** Shape of one row of the classes sheet. */
 export const classSchema = z.strictObject({
-  id: z.string().min(1).max(64),
+  id: z.string().min(1).max(64).describe('Name of the class; callers send it.'),
   tier: z.enum(tiers).describe('Priority tier; a higher tier is served first.'),
-  target: latencyTargetSchema,
+  target: latencyTargetSchema.describe('Latency target of the class.'),
   share: z.number().min(0).max(1).describe('Guaranteed minimum share of a pool under demand.'),
   weight: z.number().positive().default(1).describe('Weight among classes of the same tier.'),
   tokensPerSecond: z.number().positive().optional().describe('Limit of the class, fleet-wide.'),
--- a/packages/core/src/types/limit.ts
+++ b/packages/core/src/types/limit.ts
@@ -2,11 +2,16 @@
 
 /** Shape of one row of the limits sheet. */
 export const limitSchema = z.strictObject({
-  id: z.string().min(1).max(64),
-  class: z.string().min(1).optional(),
-  account: z.string().min(1).optional(),
+  id: z.string().min(1).max(64).describe('Name of the limit.'),
+  class: z.string().min(1).optional().describe('Class it is on; absent: all.'),
+  account: z.string().min(1).optional().describe('Account it is on; absent: all.'),
   tokensPerSecond: z.number().positive().describe('Fleet-wide rate of prompt and output tokens.'),
-  burstSeconds: z.number().positive().max(60).default(1),
+  burstSeconds: z
+    .number()
+    .positive()
+    .max(60)
+    .default(1)
+    .describe('Seconds of unused rate that may be saved up.'),
   floor: z.number().min(0).max(1).default(0.3).describe('Part divided among VMs without leases.'),
 });
 
