--- a/packages/core/src/entry/poolRoom.ts
+++ b/packages/core/src/entry/poolRoom.ts
@@ -12,7 +12,7 @@
   windowOf,
 } from '../placement/index.js';
 import type { TableView } from '../table/index.js';
-import { type Endpoint, type PoolId } from '../types/index.js';
+import type { Endpoint, PoolId } from '../types/index.js';
 import type { Core } from './core.js';
 
 const CRITICAL_RANK = 0;
