Log when the platform is lost and back, and when a drain begins and ends

Cause: a VM that served on an old table or list because the platform was away wrote no line about it, nor did a planned stop, nor one that cut off requests at its time limit.

Change: a task that watches messages writes one line a change of state. The word of a peer does not count as the platform's. Braces where the linter asked for them.

--- a/packages/core/src/admission/queries.ts
+++ b/packages/core/src/admission/queries.ts
@@ -73,9 +73,9 @@
     const otherRank = rankOf(lane, classes);
     const arrived = readRate(lane.arrived, now);
     if (otherRank < rank) left -= arrived;
-    else if (otherRank === rank && lane.credit > 0)
+    else if (otherRank === rank && lane.credit > 0) {
       left -= Math.min(arrived, other.share * poolRate);
-    else if (otherRank > rank && lane.size > 0) left -= other.share * poolRate;
+    } else if (otherRank > rank && lane.size > 0) left -= other.share * poolRate;
     else if (otherRank === rank && lane.size > 0 && !isWithinShare) weights += other.weight;
   }
   return Math.max((left * row.weight) / weights, row.share * poolRate, 0);
--- a/packages/router/src/createObservers.ts
+++ b/packages/router/src/createObservers.ts
@@ -1,4 +1,7 @@
+import type { Logger } from 'winston';
+
 import type { Decider } from './decider/index.js';
+import { ChangeLog } from './log/index.js';
 import { RouterMetrics, type ControlTraffic } from './metrics/index.js';
 import { Attainment, DecisionLog } from './observation/index.js';
 
@@ -15,11 +18,14 @@
   traffic: ControlTraffic,
   keptDecisions: number,
   countOpen: () => number,
+  log: Logger,
 ): Observers {
   const attainment = new Attainment(decider.core);
   const decisions = new DecisionLog(decider.core, keptDecisions);
   decider.watch((message, actions, now) => attainment.watch(message, actions, now));
   decider.watch((message, actions, now) => decisions.watch(message, actions, now));
+  const changes = new ChangeLog(decider.core, log);
+  decider.watch((message, actions) => changes.watch(message, actions));
   const metrics = new RouterMetrics({ decider, attainment, traffic, countOpen });
   return { attainment, decisions, metrics };
 }
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -77,7 +77,7 @@
     exchanges,
     orders: new OrderTask(decider),
     reports: new ReportTask(decider),
-    observers: createObservers(decider, traffic, keptDecisions, () => exchanges.size),
+    observers: createObservers(decider, traffic, keptDecisions, () => exchanges.size, log),
     endpoints: new EndpointTasks(decider, exchanges, settings.callers.maxAnswerBytes),
     platform: new PlatformTask(settings.platform, decider, traffic),
     peers: new PeerTask(() => credentials.current, decider, traffic),
--- a/packages/router/src/log/index.ts
+++ b/packages/router/src/log/index.ts
@@ -1,1 +1,2 @@
+export { ChangeLog } from './changeLog.js';
 export { createLog } from './createLog.js';
