--- a/packages/bench/__tests__/adminApi.spec.ts
+++ b/packages/bench/__tests__/adminApi.spec.ts
@@ -128,6 +128,18 @@
     t.is((await call(fleet, '/admin/table/check', 'POST', '{')).status, 400);
   });
 
+  it('counts refusals by code and verdict', async (t) => {
+    const fleet = await createSmallFleet(t);
+    const { adminUrl } = fleet.routers[0]!;
+    const headers = { authorization: `Bearer ${OPERATOR_TOKEN}` };
+    fleet.engines.forEach((engine) => {
+      engine.switches.refuses = true;
+    });
+    await ask(fleet);
+    const { body } = await request(`${adminUrl}/metrics`, { headers });
+    t.regex(await body.text(), /filbertlatch_refusals_total\{code="\w+",verdict="not-run"\} 1/);
+  });
+
   it('scrapes the same names again and again', async (t) => {
     const fleet = await createSmallFleet(t);
     await ask(fleet);
--- a/packages/cli/__tests__/documentation.spec.ts
+++ b/packages/cli/__tests__/documentation.spec.ts
@@ -1,6 +1,7 @@
 import { readFile } from 'node:fs/promises';
 import { fileURLToPath } from 'node:url';
 
+import { checkTable } from '@filbertlatch/core';
 import { describe, it } from '@filbertlatch/core/testing';
 
 import { formatConfiguration } from '../src/documentation/index.js';
@@ -20,6 +21,12 @@
     rows.forEach((row) => t.notRegex(row, /\|\s*\|$/));
   });
 
+  it('has a first table in README.md that check takes', async (t) => {
+    const page = await readFile(new URL('README.md', ROOT), 'utf8');
+    const block = page.match(/```json\n(.*?)```/s)![1]!;
+    t.true(checkTable(JSON.parse(block)).ok);
+  });
+
   for (const name of ['newsroom', 'dealer']) {
     for (const file of ['table', 'settings']) {
       it(`has an example that check takes: ${name}/${file}.json`, async (t) => {
--- a/packages/router/src/createObservers.ts
+++ b/packages/router/src/createObservers.ts
@@ -3,7 +3,7 @@
 import type { Decider } from './decider/index.js';
 import { ChangeLog } from './log/index.js';
 import { RouterMetrics, type ControlTraffic } from './metrics/index.js';
-import { Attainment, DecisionLog } from './observation/index.js';
+import { Attainment, DecisionLog, RefusalCounts } from './observation/index.js';
 
 /** The tasks that only watch. */
 export interface Observers {
@@ -24,8 +24,10 @@
   const decisions = new DecisionLog(decider.core, keptDecisions);
   decider.watch((message, actions, now) => attainment.watch(message, actions, now));
   decider.watch((message, actions, now) => decisions.watch(message, actions, now));
+  const refusals = new RefusalCounts();
+  decider.watch((_message, actions) => refusals.watch(actions));
   const changes = new ChangeLog(decider.core, log);
   decider.watch((message, actions) => changes.watch(message, actions));
-  const metrics = new RouterMetrics({ decider, attainment, traffic, countOpen });
+  const metrics = new RouterMetrics({ decider, attainment, refusals, traffic, countOpen });
   return { attainment, decisions, metrics };
 }
--- a/packages/router/src/metrics/routerMetrics.ts
+++ b/packages/router/src/metrics/routerMetrics.ts
@@ -10,7 +10,7 @@
 
 import { now } from '../clock.js';
 import type { Decider } from '../decider/index.js';
-import type { Attainment, ClassCounts, Percentiles } from '../observation/index.js';
+import type { Attainment, ClassCounts, Percentiles, RefusalCounts } from '../observation/index.js';
 import type { ControlTraffic } from './controlTraffic.js';
 
 const MS_PER_SECOND = 1000;
@@ -21,6 +21,7 @@
 export interface MetricsContext {
   readonly decider: Decider;
   readonly attainment: Attainment;
+  readonly refusals: RefusalCounts;
   readonly traffic: ControlTraffic;
   /** Number of requests that have no final answer yet. */
   readonly countOpen: () => number;
@@ -90,13 +91,17 @@
   }
 
   #addDecisions(): void {
-    const { decider, countOpen } = this.#context;
+    const { decider, refusals, countOpen } = this.#context;
     const { core } = decider;
     for (const name of counterNames) {
       this.#counter(`${name}_total`, `Number of ${name.replaceAll('_', ' ')}.`, [], (add) => {
         add({}, core.counters.get(name) ?? 0);
       });
     }
+    const refused = 'Requests refused, by code and whether they may have run.';
+    this.#counter('refusals_total', refused, ['code', 'verdict'], (add) => {
+      refusals.list().forEach(({ code, verdict, count }) => add({ code, verdict }, count));
+    });
     this.#gauge('open_requests', 'Requests without a final answer.', [], (set) => {
       set({}, countOpen());
     });
