--- a/packages/bench/__tests__/adminApi.spec.ts
+++ b/packages/bench/__tests__/adminApi.spec.ts
@@ -1,4 +1,5 @@
 import { createHash } from 'node:crypto';
+import { readFile } from 'node:fs/promises';
 
 import { describe, it } from '@filbertlatch/core/testing';
 import {
@@ -128,6 +129,16 @@
     t.is((await call(fleet, '/admin/table/check', 'POST', '{')).status, 400);
   });
 
+  it('has every metric that docs/OPERATIONS.md asks for', async (t) => {
+    const page = await readFile(new URL('../../../../docs/OPERATIONS.md', import.meta.url), 'utf8');
+    const fleet = await createSmallFleet(t);
+    const { text } = await call(fleet, '/metrics');
+    const known = new Set(text.match(/^# TYPE \w+/gm)!.map((line) => line.slice('# TYPE '.length)));
+    const asked = new Set(page.match(/\bfilbertlatch_\w+/g));
+    t.true(asked.size > 10);
+    asked.forEach((name) => t.true(known.has(name), name));
+  });
+
   it('counts refusals by code and verdict', async (t) => {
     const fleet = await createSmallFleet(t);
     const { adminUrl } = fleet.routers[0]!;
