--- a/packages/core/src/entry/onRequest.ts
+++ b/packages/core/src/entry/onRequest.ts
@@ -6,12 +6,14 @@
 import type { TableView } from '../table/index.js';
 import type { Refusal, RefusalCode, Request } from '../types/index.js';
 import type { Action } from './action.js';
+import { abandonClaim } from './claimAttempt.js';
 import type { Core, LiveRequest } from './core.js';
 import { count } from './counters.js';
 import { dispatchWaiting, shedPool } from './dispatchWaiting.js';
 import { expectTokens } from './expectTokens.js';
 import { endRequest, refuseRequest } from './finishRequest.js';
 import type { MessageOf } from './message.js';
+import { earnRetry } from './retryBudget.js';
 import { holdSuspect } from './watchSuspects.js';
 
 const DEFAULT_RETRY_MS = 1000;
@@ -66,6 +68,7 @@
   };
   core.requests.set(request.id, live);
   count(core, 'requests');
+  earnRetry(core, request.classId);
   const refusal = findRefusal(core, live, now, actions);
   if (refusal !== null) {
     refuseRequest(core, live, refusal, 'refused', actions);
@@ -79,12 +82,16 @@
 export function onCallerLeft(
   core: Core,
   { requestId }: MessageOf<'caller-left'>,
+  now: number,
   actions: Action[],
 ): void {
   const live = core.requests.get(requestId);
   if (live === undefined) return;
   releaseSuspect(core.suspects, live.request.pool, requestId);
-  if (live.attemptId === null) removeRequest(core.admission, live.request);
-  else actions.push({ kind: 'cancel-attempt', attemptId: live.attemptId });
+  // The answer of a claimed request is kept for a resend.
+  if (live.attemptId !== null && live.claim !== undefined) return;
+  if (live.attemptId === null || abandonClaim(core, live, now, actions)) {
+    removeRequest(core.admission, live.request);
+  } else actions.push({ kind: 'cancel-attempt', attemptId: live.attemptId });
   endRequest(core, live, 'abandoned', actions);
 }
