Let a request's fingerprint cover its account and model

Cause: the fingerprint covered the prompt and options only, so the same key for another model was taken for a resend, and one account's crashing prompt made another account's suspect. Test: the same key for another model gets 422.

--- a/packages/bench/__tests__/keyedRequests.spec.ts
+++ b/packages/bench/__tests__/keyedRequests.spec.ts
@@ -63,9 +63,9 @@
   return post(fleet, vm, '/services/stock/holds', key, JSON.stringify({ unit }), signal);
 }
 
-function headline(fleet: Fleet, vm: number, key: string) {
+function headline(fleet: Fleet, vm: number, key: string, model = 'desk') {
   const body = {
-    model: 'desk',
+    model,
     stream: true,
     messages: [{ role: 'user', content: 'A headline, please.' }],
     standin: { tokens: 12 },
@@ -120,6 +120,15 @@
       t.is(fleet.engines.flatMap((engine) => engine.runs).length, 1);
     }));
 
+  it('refuses the same key for another model', (t) =>
+    withFleet(t, async (fleet) => {
+      const key = createKey();
+      t.is((await headline(fleet, 0, key)).status, 200);
+      const reused = await headline(fleet, 0, key, 'drafting');
+      t.is(reused.status, 422);
+      t.is(reused.error?.code, 'key_reused');
+    }));
+
   it('refuses the same key with another body, on the same and on another VM', (t) =>
     withFleet(t, async (fleet) => {
       const key = createKey();
--- a/packages/router/src/callers/callerApi.ts
+++ b/packages/router/src/callers/callerApi.ts
@@ -129,9 +129,10 @@
   }
 }
 
-function draftGenerate(body: GenerateBody): Draft {
-  const { model, ...rest } = body;
-  const digest = digestPrompt(body.messages ?? body.prompt, rest);
+function draftGenerate(body: GenerateBody, accountId: string): Draft {
+  const { messages, prompt, ...options } = body;
+  const { model } = options;
+  const digest = digestPrompt(messages ?? prompt, { accountId, ...options });
   return {
     pool: `model:${model}`,
     promptTokens: digest.tokens,
@@ -164,7 +165,7 @@
     if (!core.table.view?.models.has(body.model)) {
       return refuse(c, 'model_not_found', `There is no model ${JSON.stringify(body.model)}.`);
     }
-    const request = buildRequest(c, context, caller, draftGenerate(body));
+    const request = buildRequest(c, context, caller, draftGenerate(body, caller.account.id));
     const payload: Payload = { kind: 'generate', path, body };
     const exchange =
       body.stream === true
@@ -192,7 +193,12 @@
     }
     const body = Buffer.from(await c.req.arrayBuffer());
     const { method } = c.req;
-    const digest = digestPrompt(body.toString('base64'), { method, path });
+    const digest = digestPrompt(body.toString('base64'), {
+      accountId: caller.account.id,
+      service: name,
+      method,
+      path,
+    });
     const request = buildRequest(c, context, caller, {
       pool,
       promptTokens: 1,
