--- /dev/null
+++ b/packages/bench/src/faults/index.ts
@@ -0,0 +1,1 @@
+export { faultExperiments } from './plans.js';
--- a/packages/core/src/entry/claimAttempt.ts
+++ b/packages/core/src/entry/claimAttempt.ts
@@ -9,7 +9,7 @@
   type ClaimStep,
 } from '../claims/index.js';
 import { findVm } from '../membership/index.js';
-import { releaseSlot, removeCritical } from '../placement/index.js';
+import { noteAnswered, releaseSlot, removeCritical } from '../placement/index.js';
 import type { ClaimCall, Holder, Refusal, Vm } from '../types/index.js';
 import { worstVerdict } from '../types/index.js';
 import type { Action } from './action.js';
@@ -22,15 +22,20 @@
 const RETRY_AFTER_MS = 1000;
 const MOST_DIVISIONS = 5;
 
-/** Says whether a request may be dispatched only under a claim that it does not have. */
-export function needsClaim(core: Core, { request, claim }: LiveRequest, now: number): boolean {
-  if (request.repeatable || request.key === null) return false;
+/** Says whether a request is to be dispatched under a claim that it does not have yet. */
+export function needsClaim(
+  core: Core,
+  { request, claim, isUnclaimed }: LiveRequest,
+  now: number,
+): boolean {
+  if (request.key === null || isUnclaimed === true) return false;
   return claim === undefined || now - claim.at > longestClaimMs(core.claims.settings);
 }
 
 // The attempt was never dispatched: its slot is free again and nothing is learnt from it.
 function forgetAttempt(core: Core, { attempt, expectedTokens }: LiveAttempt, now: number): void {
   core.attempts.delete(attempt.id);
+  noteAnswered(core.placement, attempt.endpointId);
   releaseSlot(core.placement, attempt.endpointId, expectedTokens, now);
   const live = core.requests.get(attempt.requestId);
   if (live === undefined) return;
@@ -127,6 +132,12 @@
   const running = core.attempts.get(attemptId);
   if (running === undefined) return;
   const live = core.requests.get(running.attempt.requestId);
+  if (live?.request.repeatable === true && step.kind === 'lost') {
+    // A repeatable request claims its key only to join an attempt under way.
+    live.isUnclaimed = true;
+    count(core, 'claims_lost');
+    if (dispatchAttempt(core, live, running.attempt, actions)) return;
+  }
   forgetAttempt(core, running, now);
   if (live === undefined) return;
   if (step.kind === 'lost') onLost(core, live, step.verdict, actions);
--- a/packages/core/src/entry/core.ts
+++ b/packages/core/src/entry/core.ts
@@ -33,6 +33,8 @@
   firstTokenAt: number | null;
   /** The claim under which it may be dispatched. */
   claim?: { readonly attemptId: string; readonly at: number; readonly witnesses: readonly Vm[] };
+  /** True when it is dispatched without a claim: it is repeatable and got none. */
+  isUnclaimed?: boolean;
   /** Times that it gave its key back because the witnesses were divided. */
   divisions?: number;
   /** True when witnesses have shown that no attempt with its key ran before. */
--- a/packages/core/src/entry/finishRequest.ts
+++ b/packages/core/src/entry/finishRequest.ts
@@ -19,7 +19,7 @@
 // Before its key is claimed nobody knows whether the request ran when it was sent before; but
 // the key makes it safe to send it again.
 function tellTruth({ request, claim, isFirst }: LiveRequest, refusal: Refusal): Refusal {
-  if (request.repeatable || request.key === null || refusal.verdict !== 'not-run') return refusal;
+  if (request.key === null || refusal.verdict !== 'not-run') return refusal;
   if (claim !== undefined || isFirst === true) return refusal;
   return { ...refusal, verdict: 'may-have-run' };
 }
@@ -33,7 +33,7 @@
   actions: Action[],
 ): void {
   const { claim, request } = live;
-  if (claim !== undefined && refusal.verdict === 'not-run') {
+  if (claim !== undefined && (request.repeatable || refusal.verdict === 'not-run')) {
     releaseWitnesses(core, request.key ?? '', claim.attemptId, claim.witnesses, actions);
   }
   actions.push({ kind: 'refuse', requestId: request.id, refusal: tellTruth(live, refusal) });
--- a/packages/core/src/entry/onRequest.ts
+++ b/packages/core/src/entry/onRequest.ts
@@ -13,6 +13,7 @@
 import { expectTokens } from './expectTokens.js';
 import { endRequest, refuseRequest } from './finishRequest.js';
 import type { MessageOf } from './message.js';
+import { releaseWitnesses } from './releaseWitnesses.js';
 import { earnRetry } from './retryBudget.js';
 import { holdSuspect } from './watchSuspects.js';
 
@@ -89,7 +90,11 @@
   if (live === undefined) return;
   releaseSuspect(core.suspects, live.request.pool, requestId);
   // The answer of a claimed request is kept for a resend.
-  if (live.attemptId !== null && live.claim !== undefined) return;
+  const { claim, request } = live;
+  if (live.attemptId !== null && claim !== undefined && !request.repeatable) return;
+  if (claim !== undefined) {
+    releaseWitnesses(core, request.key ?? '', claim.attemptId, claim.witnesses, actions);
+  }
   if (live.attemptId === null || abandonClaim(core, live, now, actions)) {
     removeRequest(core.admission, live.request);
   } else actions.push({ kind: 'cancel-attempt', attemptId: live.attemptId });
--- a/packages/router/src/callers/callerApi.ts
+++ b/packages/router/src/callers/callerApi.ts
@@ -93,7 +93,7 @@
   };
 }
 
-// The answer of a request that runs at most once is kept for a resend, even when its caller
+// The answer of a request with a key is kept for a resend, even when its caller
 // has gone.
 function openKeyed(context: CallerContext, c: Context<Env>, caller: Exchange): Response {
   const { id } = caller.request;
@@ -110,8 +110,8 @@
 }
 
 function openExchange(context: CallerContext, c: Context<Env>, exchange: Exchange): Response {
-  const { id, key, repeatable } = exchange.request;
-  if (key !== null && !repeatable) return openKeyed(context, c, exchange);
+  const { id, key } = exchange.request;
+  if (key !== null) return openKeyed(context, c, exchange);
   context.exchanges.add(exchange);
   c.env.outgoing.once('close', () => {
     if (context.exchanges.take(id) === undefined) return;
--- a/packages/router/src/callers/joinTask.ts
+++ b/packages/router/src/callers/joinTask.ts
@@ -3,6 +3,7 @@
 import type { ActionOf, AnswerReply, Refusal, RefusalCode } from '@filbertlatch/core';
 
 import { now } from '../clock.js';
+import type { Decider } from '../decider/index.js';
 import { readEvent } from '../endpoints/streamEvent.js';
 import type { PeerTask } from '../peers/index.js';
 import type { Exchanges } from './exchanges.js';
@@ -32,9 +33,12 @@
 
   readonly #peers: PeerTask;
 
+  readonly #decider: Decider;
+
   readonly #stop = new AbortController();
 
-  constructor(exchanges: Exchanges, peers: PeerTask) {
+  constructor(exchanges: Exchanges, peers: PeerTask, decider: Decider) {
+    this.#decider = decider;
     this.#exchanges = exchanges;
     this.#peers = peers;
   }
@@ -43,6 +47,10 @@
   async join(action: ActionOf<'join'>): Promise<void> {
     const { id } = action.request;
     const answer = await this.#fetch(action);
+    if (answer === null && action.request.repeatable && now() < action.request.deadline) {
+      this.#runAgain(action);
+      return;
+    }
     const exchange = this.#exchanges.take(id);
     if (exchange === undefined) return;
     if (answer !== null) {
@@ -61,6 +69,12 @@
     this.#stop.abort();
   }
 
+  // The holder's answer is lost: a repeatable request runs by itself.
+  #runAgain({ request }: ActionOf<'join'>): void {
+    if (this.#exchanges.find(request.id) === undefined) return;
+    this.#decider.post({ kind: 'request-arrived', request: { ...request, key: null } });
+  }
+
   async #fetch({ request, holder, peer }: ActionOf<'join'>): Promise<KeptAnswer | null> {
     const { fingerprint } = holder;
     const call = { method: 'answer', key: request.key ?? '', fingerprint } as const;
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -118,7 +118,7 @@
     platform: new PlatformTask(settings.platform, decider, traffic),
     peers,
     keyed,
-    joins: new JoinTask(exchanges, peers),
+    joins: new JoinTask(exchanges, peers, decider),
     credentials,
     log,
   };
--- a/packages/standins/src/createEngine.ts
+++ b/packages/standins/src/createEngine.ts
@@ -1,3 +1,5 @@
+import type { ServerResponse } from 'node:http';
+
 import { createRandom, type Random } from '@filbertlatch/core';
 import { listen, PRIORITY_HEADER, REQUEST_ID_HEADER } from '@filbertlatch/router';
 import type { HttpBindings } from '@hono/node-server';
@@ -42,6 +44,10 @@
   truncatesAfter: number | null;
   /** Age of the load report that it gives, in milliseconds. */
   reportLagMs: number;
+  /** Sends nothing more on streams that reach so many tokens now; null: none. */
+  silentAfter: number | null;
+  /** Breaks all its connections when it computes a prompt with this text; null: never. */
+  crashesOn: string | null;
   /** Answers 503 to readers of its load. */
   hidesLoad: boolean;
   /** Reports an idle engine whatever runs. */
@@ -50,6 +56,12 @@
   stampsEvents: boolean;
 }
 
+/** A stream that began to run; `at` is of the monotonic clock, in milliseconds. */
+export interface BegunStream {
+  readonly tag: string | null;
+  readonly at: number;
+}
+
 /** A stand-in engine that listens on loopback. */
 export interface StandInEngine {
   readonly id: string;
@@ -59,6 +71,10 @@
   readonly models: EngineModels;
   /** Ids of the streams that began to run, in order. */
   readonly runs: readonly string[];
+  /** The same streams with the tags of their callers, and when they began. */
+  readonly begun: readonly BegunStream[];
+  /** Times that it broke all its connections. */
+  readonly crashes: { readonly count: number };
   stop(): Promise<void>;
 }
 
@@ -102,11 +118,16 @@
     misechoes: false,
     truncatesAfter: null,
     reportLagMs: 0,
+    silentAfter: null,
+    crashesOn: null,
     hidesLoad: false,
     reportsIdle: false,
     stampsEvents: false,
   };
   const runs: string[] = [];
+  const begun: BegunStream[] = [];
+  const crashes = { count: 0 };
+  const open = new Set<ServerResponse>();
   const load = options.load ?? createTimedLoad(0);
   const models = new EngineModels(options.models, options.fencing !== 'ignored', load);
   const app = new Hono<Env>();
@@ -120,7 +141,16 @@
     const length = Math.min(most, body.standin?.tokens ?? drawLength(random));
     const priority = Number(c.req.header(PRIORITY_HEADER) ?? 0);
     const { outgoing } = c.env;
-    const onStart = () => runs.push(id);
+    const prompt = JSON.stringify(body.messages ?? body.prompt ?? '');
+    open.add(outgoing);
+    outgoing.once('close', () => open.delete(outgoing));
+    const onStart = () => {
+      runs.push(id);
+      begun.push({ tag: body.standin?.tag ?? null, at: performance.now() });
+      if (switches.crashesOn === null || !prompt.includes(switches.crashesOn)) return;
+      crashes.count += 1;
+      [...open].forEach((response) => response.destroy());
+    };
     queue.add(new EngineStream(id, priority, length, body, outgoing, switches, onStart));
     outgoing.once('close', () => queue.remove(id));
     return RESPONSE_ALREADY_SENT;
@@ -148,6 +178,8 @@
     queue,
     models,
     runs,
+    begun,
+    crashes,
     stop: async () => {
       clearInterval(timer);
       await listener.close();
--- a/packages/standins/src/createService.ts
+++ b/packages/standins/src/createService.ts
@@ -30,6 +30,8 @@
   readonly method: string;
   readonly path: string;
   readonly key: string | null;
+  /** When it began, of the monotonic clock, in milliseconds. */
+  readonly at: number;
 }
 
 /** A stand-in plain service that listens on loopback. */
@@ -57,7 +59,13 @@
       slots.release();
       return RESPONSE_ALREADY_SENT;
     }
-    runs.push({ id, method, path, key: c.req.header('idempotency-key') ?? null });
+    runs.push({
+      id,
+      method,
+      path,
+      key: c.req.header('idempotency-key') ?? null,
+      at: performance.now(),
+    });
     await sleep(options.answerMs);
     slots.release();
     if (switches.fails) return c.json({ error: 'failed' }, 500);
--- a/packages/standins/src/engineStream.ts
+++ b/packages/standins/src/engineStream.ts
@@ -16,7 +16,9 @@
   max_tokens: z.number().nullish(),
   max_completion_tokens: z.number().nullish(),
   stream: z.boolean().nullish(),
-  standin: z.looseObject({ tokens: z.number().int().positive().optional() }).optional(),
+  standin: z
+    .looseObject({ tokens: z.number().int().positive().optional(), tag: z.string().optional() })
+    .optional(),
 });
 
 /** A call for generated text. */
@@ -46,6 +48,8 @@
 
   produced = 0;
 
+  #isSilent = false;
+
   constructor(
     readonly id: string,
     readonly priority: number,
@@ -66,6 +70,9 @@
       this.response.destroy();
       return;
     }
+    const { silentAfter } = this.switches;
+    if (silentAfter !== null && index >= silentAfter) this.#isSilent = true;
+    if (this.#isSilent) return;
     if (this.body.stream !== true) {
       if (isLast) this.#sendWhole();
       return;
