--- a/packages/core/src/entry/core.ts
+++ b/packages/core/src/entry/core.ts
@@ -39,6 +39,8 @@
   divisions?: number;
   /** True when witnesses have shown that no attempt with its key ran before. */
   isFirst?: boolean;
+  /** Tokens taken from the limits for it. */
+  charged?: number;
   /** True while its attempt is being cancelled to run elsewhere. */
   isMoving?: boolean;
 }
--- a/packages/core/src/entry/onTick.ts
+++ b/packages/core/src/entry/onTick.ts
@@ -5,6 +5,7 @@
 import { giveOrders } from './giveOrders.js';
 import { moveAttempts } from './moveAttempts.js';
 import { onFleetTick } from './onFleetTick.js';
+import { renewLeases } from './onLease.js';
 import { shedHopeless } from './shedWaiting.js';
 import { watchHealth } from './watchHealth.js';
 import { runSuspects } from './watchSuspects.js';
@@ -13,6 +14,7 @@
 export function onTick(core: Core, now: number, actions: Action[]): void {
   onFleetTick(core, now, actions);
   giveOrders(core, now, actions);
+  renewLeases(core, now, actions);
   watchHealth(core, now, actions);
   moveAttempts(core, now, actions);
   runSuspects(core, now, actions);
