Replace VMs under load without losing an answer, and add the fleet's experiments to the tool

Change: drainGraceSeconds (0 to 3, 0 by default): not ready at once, still taking requests until the grace is over, never stopped within it. News of a member travels for 8 s. A first try did not hand the grace to the core; a router test now covers it.

--- /dev/null
+++ b/packages/bench/__tests__/leavingRouter.spec.ts
@@ -0,0 +1,34 @@
+import { describe, it } from '@filbertlatch/core/testing';
+
+import { createFleet, keyOf, loadScenario } from '../src/index.js';
+
+const GRACE_SECONDS = 3;
+
+describe('a router that leaves', () => {
+  describe('in its grace', () => {
+    it('is not ready at once, and still answers what arrives', async (t) => {
+      const scenario = { ...(await loadScenario('demo')), routers: 2 };
+      const fleet = await createFleet(scenario, 1, 'filbertlatch', GRACE_SECONDS);
+      t.teardown(() => fleet.stop());
+      const router = fleet.routers[0]!;
+      const drained = router.drain();
+      t.is((await fetch(`${router.callerUrl}/ready`)).status, 503);
+      const answer = await fetch(`${router.callerUrl}/v1/chat/completions`, {
+        method: 'POST',
+        headers: {
+          authorization: `Bearer ${keyOf('dealer-giza')}`,
+          'content-type': 'application/json',
+          'filbertlatch-class': 'summary',
+        },
+        body: JSON.stringify({
+          model: 'desk',
+          messages: [{ role: 'user', content: 'A line.' }],
+          standin: { tokens: 1 },
+        }),
+      });
+      t.is(answer.status, 200);
+      await answer.text();
+      await drained;
+    });
+  });
+});
--- a/packages/bench/src/createFleet.ts
+++ b/packages/bench/src/createFleet.ts
@@ -21,7 +21,8 @@
 /** Token that the fleet's operators use; the fleet listens on loopback only. */
 export const OPERATOR_TOKEN = 'operator-token-of-the-bench';
 
-const SHARED_KEY = 'shared-key-of-the-bench-fleet';
+/** Key that the fleet's VMs share. */
+export const SHARED_KEY = 'shared-key-of-the-bench-fleet';
 
 /** Which router stands before the endpoints. */
 export type Policy = 'filbertlatch' | BaselineName;
@@ -134,7 +135,12 @@
   throw new TypeError(checked.faults.map((f) => `${f.path}: ${f.expected}`).join('; '));
 }
 
-function createRouterAt(scenario: Scenario, platform: StandInPlatform, index: number) {
+function createRouterAt(
+  scenario: Scenario,
+  platform: StandInPlatform,
+  index: number,
+  drainGraceSeconds: number,
+) {
   return createRouter(
     parseSettings({
       vm: { id: `vm-${index}`, zone: zoneAt(scenario, index), region: scenario.region },
@@ -142,6 +148,7 @@
       admin: { port: 0, operatorToken: OPERATOR_TOKEN },
       peers: { port: 0, sharedKey: SHARED_KEY },
       platform: { configurationUrl: platform.url, listUrl: platform.url },
+      drainGraceSeconds,
       logLevel: 'error',
       seed: index + 1,
     }),
@@ -197,6 +204,7 @@
   scenario: Scenario,
   seed: number,
   policy: Policy = 'filbertlatch',
+  drainGraceSeconds = 0,
 ): Promise<Fleet> {
   const platform = await createPlatform();
   const engines = await createEngines(scenario, seed);
@@ -205,7 +213,9 @@
   const indexes = Array.from({ length: scenario.routers }, (_, index) => index);
   const isOurs = policy === 'filbertlatch';
   const routers = isOurs
-    ? await Promise.all(indexes.map((index) => createRouterAt(scenario, platform, index)))
+    ? await Promise.all(
+        indexes.map((index) => createRouterAt(scenario, platform, index, drainGraceSeconds)),
+      )
     : [];
   const parts = isOurs
     ? routers
--- a/packages/bench/src/experiments/registry.ts
+++ b/packages/bench/src/experiments/registry.ts
@@ -1,12 +1,24 @@
 import { distance } from 'fastest-levenshtein';
 
+import {
+  fleetSlopesExperiment,
+  rollingReplaceExperiment,
+  tableEditExperiment,
+  tableFleetExperiment,
+} from '../fleet/index.js';
 import { forwardingExperiment } from '../forwarding/index.js';
 import { listScenarios, loadScenario } from '../loadScenario.js';
 import type { Experiment } from './experiment.js';
 import { ScenarioExperiment } from './scenarioExperiment.js';
 
 /** Experiments that are more than a scenario under load. */
-const codedExperiments: readonly Experiment[] = [forwardingExperiment];
+const codedExperiments: readonly Experiment[] = [
+  fleetSlopesExperiment,
+  forwardingExperiment,
+  rollingReplaceExperiment,
+  tableEditExperiment,
+  tableFleetExperiment,
+];
 
 /** Lists every experiment, by name. */
 export async function listExperiments(): Promise<Experiment[]> {
--- a/packages/core/__tests__/leaving.spec.ts
+++ b/packages/core/__tests__/leaving.spec.ts
@@ -79,6 +79,18 @@
     t.is(kindsSent(fleet, 'dispatch').length, 0);
   });
 
+  it('still takes what arrives in its grace, though it says at once that it leaves', (t) => {
+    const fleet = startFleet();
+    fleet.post('vm-0', { kind: 'drain-began', graceMs: 2000 });
+    t.false(isReady(fleet.node('vm-0').core.membership));
+    fleet.run(1500);
+    send(fleet, 'in-grace');
+    t.is(kindsSent(fleet, 'dispatch').length, 1);
+    fleet.run(500);
+    send(fleet, 'late');
+    t.like(kindsSent(fleet, 'refuse')[0], { requestId: 'late' });
+  });
+
   it('finishes what runs, and at its time limit tells the truth of what does not end', (t) => {
     const fleet = startFleet();
     send(fleet, 'running');
--- a/packages/core/src/entry/decide.ts
+++ b/packages/core/src/entry/decide.ts
@@ -54,7 +54,7 @@
     .with({ kind: 'peer-replied' }, (m) => onPeerReplied(core, m, now, actions))
     .with({ kind: 'peer-failed' }, (m) => onPeerFailed(core, m, now, actions))
     .with({ kind: 'order-ended' }, (m) => onOrderEnded(core, m, actions))
-    .with({ kind: 'drain-began' }, () => onDrainBegan(core, now, actions))
+    .with({ kind: 'drain-began' }, (m) => onDrainBegan(core, m, now, actions))
     .with({ kind: 'drain-timed-out' }, () => onDrainTimedOut(core, actions))
     .with({ kind: 'woke' }, (m) => onWoke(core, m, now, actions))
     .with({ kind: 'tick' }, () => onTick(core, now, actions))
--- a/packages/core/src/entry/message.ts
+++ b/packages/core/src/entry/message.ts
@@ -53,7 +53,8 @@
       readonly call: PeerCall;
     }
   | { readonly kind: 'order-ended'; readonly endpointId: string; readonly end: OrderEnd }
-  | { readonly kind: 'drain-began' }
+  /** For `graceMs` what still arrives is taken, until the balancer has noticed; 0 if absent. */
+  | { readonly kind: 'drain-began'; readonly graceMs?: number }
   /** The time that settings give for leaving is over: what still runs is given up. */
   | { readonly kind: 'drain-timed-out' }
   | { readonly kind: 'woke'; readonly pausedMs: number }
--- a/packages/core/src/entry/onDrain.ts
+++ b/packages/core/src/entry/onDrain.ts
@@ -4,6 +4,7 @@
 import type { Action } from './action.js';
 import type { Core, LiveRequest } from './core.js';
 import { refuseRequest } from './finishRequest.js';
+import type { MessageOf } from './message.js';
 import { sendHeartbeat } from './onHeartbeat.js';
 
 /** Peers that are told at once that this VM leaves. */
@@ -12,9 +13,14 @@
 const RETRY_AFTER_MS = 1000;
 
 /** Takes no new work from here on, and says so to peers at once. */
-export function onDrainBegan(core: Core, now: number, actions: Action[]): void {
+export function onDrainBegan(
+  core: Core,
+  { graceMs = 0 }: MessageOf<'drain-began'>,
+  now: number,
+  actions: Action[],
+): void {
   if (core.membership.leaving) return;
-  beginLeaving(core.membership);
+  beginLeaving(core.membership, now + graceMs);
   for (let told = 0; told < TOLD_AT_ONCE; told += 1) sendHeartbeat(core, now, actions);
   const fields = { openRequests: core.requests.size };
   actions.push({ kind: 'state-changed', level: 'info', code: 'leaving', fields });
--- a/packages/core/src/entry/onRequest.ts
+++ b/packages/core/src/entry/onRequest.ts
@@ -1,6 +1,6 @@
 import { enqueueRequest, removeRequest } from '../admission/index.js';
 import { listLimits, takeTokens } from '../limits/index.js';
-import { countVms } from '../membership/index.js';
+import { countVms, isClosed } from '../membership/index.js';
 import { listPoolMembers } from '../orders/index.js';
 import type { TableView } from '../table/index.js';
 import type { Refusal, RefusalCode, Request } from '../types/index.js';
@@ -26,7 +26,9 @@
 function findRefusal(core: Core, request: Request, now: number): Refusal | null {
   const { view } = core.table;
   const row = view?.classes.get(request.classId);
-  if (core.membership.leaving) return notRun('leaving', 'This VM is leaving; send it again.');
+  if (isClosed(core.membership, now)) {
+    return notRun('leaving', 'This VM is leaving; send it again.');
+  }
   if (view === null || row === undefined) return notRun('not_ready', 'No table is in force yet.');
   if (listPoolMembers(core.orders, view, request.pool).length === 0 && !isLoadable(view, request)) {
     return notRun('no_endpoint', `No endpoint serves ${request.pool}.`);
--- a/packages/core/src/membership/commands.ts
+++ b/packages/core/src/membership/commands.ts
@@ -10,9 +10,10 @@
   return true;
 }
 
-/** Marks this VM as leaving: it takes no new work from here on. */
-export function beginLeaving(state: MembershipState): void {
+/** Marks this VM as leaving: it says so at once, and takes no new work from an instant on. */
+export function beginLeaving(state: MembershipState, closesAt: number): void {
   state.leaving = true;
+  state.closesAt = closesAt;
 }
 
 /** Marks everything believed as possibly out of date, after a long pause. */
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -13,6 +13,7 @@
   distanceTo,
   findVm,
   hasFailed,
+  isClosed,
   isEndpointLeaving,
   isReady,
   isStale,
--- a/packages/core/src/membership/queries.ts
+++ b/packages/core/src/membership/queries.ts
@@ -8,7 +8,7 @@
 const SILENCE_MS = 4000;
 
 /** Time over which a change of a member is told to others. */
-const NEWS_MS = 20_000;
+const NEWS_MS = 8000;
 
 const MOST_NEWS = 3;
 
@@ -73,6 +73,11 @@
   return state.ready ? 'live' : 'starting';
 }
 
+/** Says whether this VM leaves and takes nothing new any more. */
+export function isClosed(state: MembershipState, now: number): boolean {
+  return state.leaving && now >= state.closesAt;
+}
+
 /** Says whether this VM takes work: all was read once, it does not leave and was not paused. */
 export function isReady(state: MembershipState): boolean {
   return state.ready && !state.leaving && state.recheck === null;
--- a/packages/core/src/membership/state.ts
+++ b/packages/core/src/membership/state.ts
@@ -37,6 +37,8 @@
   /** Peers heard of, by id; listed or lately heard, nothing else. */
   readonly members: Map<string, Member>;
   leaving: boolean;
+  /** While leaving, the instant from which nothing new is taken. */
+  closesAt: number;
   /** Number of the last heartbeat built. */
   sequence: number;
   nextHeartbeatAt: number;
@@ -81,6 +83,7 @@
     listHeardAt: 0,
     members: new Map(),
     leaving: false,
+    closesAt: 0,
     sequence: 0,
     nextHeartbeatAt: 0,
     nextListFetchAt: 0,
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -167,15 +167,18 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- stopped after it opened
     await Promise.all(Object.values(listeners).map((listener) => listener.close()));
   };
+  const graceMs = settings.drainGraceSeconds * MS_PER_SECOND;
   const finishAndStop = async () => {
-    const latest = now() + settings.drainSeconds * MS_PER_SECOND;
-    while (exchanges.size > 0 && now() < latest) await sleep(DRAIN_POLL_MS);
+    const begun = now();
+    const latest = begun + settings.drainSeconds * MS_PER_SECOND;
+    const isDone = () => exchanges.size === 0 && now() >= begun + graceMs;
+    while (!isDone() && now() < latest) await sleep(DRAIN_POLL_MS);
     decider.post({ kind: 'drain-timed-out' });
     await stop();
   };
   const drain = () => {
     if (draining === null) {
-      decider.post({ kind: 'drain-began' });
+      decider.post({ kind: 'drain-began', graceMs });
       draining = finishAndStop();
     }
     return draining;
--- a/packages/router/src/settings/settings.ts
+++ b/packages/router/src/settings/settings.ts
@@ -165,6 +165,12 @@
     admin: adminSchema,
     peers: peersSchema,
     platform: platformSchema,
+    drainGraceSeconds: z
+      .number()
+      .min(0)
+      .max(3)
+      .default(0)
+      .describe('Time in which a leaving VM still takes requests, until the balancer notices.'),
     drainSeconds: z.number().positive().default(600).describe('Longest wait for streams to end.'),
     logLevel: z.enum(['error', 'warn', 'info']).default('info').describe('Least level of lines.'),
     seed: z.number().int().optional().describe('Seed of the random source; absent: the clock.'),
