--- a/packages/core/src/entry/onRequest.ts
+++ b/packages/core/src/entry/onRequest.ts
@@ -1,6 +1,6 @@
 import { enqueueRequest, removeRequest } from '../admission/index.js';
 import { listLimits, takeTokens } from '../limits/index.js';
-import { countVms } from '../membership/index.js';
+import { countVms, isClosed } from '../membership/index.js';
 import { listPoolMembers } from '../orders/index.js';
 import { releaseSuspect } from '../suspects/index.js';
 import type { TableView } from '../table/index.js';
@@ -37,7 +37,9 @@
   const { request } = live;
   const { view } = core.table;
   const row = view?.classes.get(request.classId);
-  if (core.membership.leaving) return notRun('leaving', 'This VM is leaving; send it again.');
+  if (isClosed(core.membership, now)) {
+    return notRun('leaving', 'This VM is leaving; send it again.');
+  }
   if (view === null || row === undefined) return notRun('not_ready', 'No table is in force yet.');
   if (listPoolMembers(core.orders, view, request.pool).length === 0 && !isLoadable(view, request)) {
     return notRun('no_endpoint', `No endpoint serves ${request.pool}.`);
