--- a/packages/cli/src/commands/demo.ts
+++ b/packages/cli/src/commands/demo.ts
@@ -31,6 +31,7 @@
     ...routers,
     'Try one:',
     `  curl -N ${router.callerUrl}/v1/chat/completions -H 'authorization: Bearer ${keyOf('station-port-louis')}' -H 'content-type: application/json' -d '${body}'`,
+    `  the page at ${router.adminUrl}/ with the token ${OPERATOR_TOKEN}`,
     `  curl ${router.adminUrl}/admin/state -H 'authorization: Bearer ${OPERATOR_TOKEN}'`,
   ].join('\n');
 }
