--- a/packages/core/__tests__/limits.spec.ts
+++ b/packages/core/__tests__/limits.spec.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 
 import {
-  adoptList,
+  followList,
   createLimitState,
   grantLease,
   holdGrants,
@@ -80,7 +80,7 @@
           let now = START;
           let revision = 1;
           let { coordination } = createLimitState();
-          adoptList(coordination, revision, () => true, now - LEASE_MS);
+          followList(coordination, revision, () => true, now - LEASE_MS);
           const holders = VMS.map(() => new Holder(now));
           for (const action of steps) {
             if (action.kind === 'wait') now += action.ms;
@@ -88,7 +88,7 @@
             if (action.kind === 'replace') {
               revision += 1;
               coordination = createLimitState().coordination;
-              adoptList(coordination, revision, () => true, now);
+              followList(coordination, revision, () => true, now);
             }
             if (action.kind === 'ask') {
               const askedAt = now;
@@ -109,7 +109,7 @@
   describe('with uneven demand', () => {
     it('go to the VMs in proportion, within a few renewals', (t) => {
       const { coordination } = createLimitState();
-      adoptList(coordination, 1, () => true, START - LEASE_MS);
+      followList(coordination, 1, () => true, START - LEASE_MS);
       const wanted = [2500, 500, 500, 500];
       let now = START;
       let granted: number[] = [];
@@ -126,16 +126,16 @@
   describe('with a new coordinator', () => {
     it('wait one lease', (t) => {
       const { coordination } = createLimitState();
-      adoptList(coordination, 2, () => true, START);
+      followList(coordination, 2, () => true, START);
       t.is(grantLease(coordination, limit, 'vm-0', 100, START + LEASE_MS - 1), 0);
       t.is(grantLease(coordination, limit, 'vm-0', 100, START + LEASE_MS), 100);
     });
 
     it('go on under a list that names the same one', (t) => {
       const { coordination } = createLimitState();
-      adoptList(coordination, 1, () => true, START - LEASE_MS);
+      followList(coordination, 1, () => true, START - LEASE_MS);
       grantLease(coordination, limit, 'vm-0', 100, START);
-      adoptList(coordination, 2, () => true, START + 100);
+      followList(coordination, 2, () => true, START + 100);
       t.is(grantLease(coordination, limit, 'vm-0', 100, START + 200), 100);
     });
   });
--- a/packages/core/src/entry/onHeartbeat.ts
+++ b/packages/core/src/entry/onHeartbeat.ts
@@ -8,6 +8,7 @@
   recordHeartbeat,
   recordSilence,
 } from '../membership/index.js';
+import { learnCrashes } from '../suspects/index.js';
 import { isWorthFetching, noteConflict } from '../table/index.js';
 import type { Heartbeat, Vm } from '../types/index.js';
 import type { Action } from './action.js';
@@ -16,7 +17,7 @@
 import { count } from './counters.js';
 
 /** Mean time between two heartbeats of this VM, whatever the size of the fleet. */
-const HEARTBEAT_MS = 333;
+const HEARTBEAT_MS = 400;
 
 /** Part of the mean by which a wait is drawn at random around it. */
 const JITTER = 0.25;
@@ -58,6 +59,7 @@
 
 function learnHeartbeat(core: Core, heartbeat: Heartbeat, now: number, actions: Action[]): void {
   if (!recordHeartbeat(core.membership, heartbeat, now)) return;
+  learnCrashes(core.suspects, heartbeat.suspects, now);
   recordAllNews(core.membership, heartbeat.members, now);
   learnRevisions(core, heartbeat, now, actions);
 }
@@ -71,7 +73,7 @@
   actions: Action[],
 ): void {
   learnHeartbeat(core, heartbeat, now, actions);
-  const reply = { heartbeat: buildHeartbeat(core, now) };
+  const reply = { heartbeat: buildHeartbeat(core, heartbeat.from, now) };
   actions.push({ kind: 'reply-peer', callId, reply });
 }
 
@@ -107,7 +109,7 @@
   const peer = choosePeer(core.membership, core.random);
   if (peer === undefined) return;
   count(core, 'heartbeats');
-  const call = { method: 'heartbeat', heartbeat: buildHeartbeat(core, now) } as const;
+  const call = { method: 'heartbeat', heartbeat: buildHeartbeat(core, peer.id, now) } as const;
   actions.push({ kind: 'call-peer', callId: nextId(core, 'h'), peer, call });
 }
 
--- a/packages/core/src/entry/onPeerCall.ts
+++ b/packages/core/src/entry/onPeerCall.ts
@@ -24,6 +24,7 @@
     .with({ method: 'sheet' }, (sheetCall) => onSheetCalled(core, callId, sheetCall, actions))
     .with({ method: 'claim' }, ignore)
     .with({ method: 'release' }, ignore)
+    .with({ method: 'lists' }, ignore)
     .with({ method: 'lease' }, (leaseCall) => onLeaseCalled(core, callId, leaseCall, now, actions))
     .exhaustive();
 }
@@ -43,6 +44,7 @@
     .with({ method: 'sheet' }, ignore)
     .with({ method: 'claim' }, ignore)
     .with({ method: 'release' }, ignore)
+    .with({ method: 'lists' }, ignore)
     .with({ method: 'lease' }, (leaseCall) => {
       onLeaseReplied(core, leaseCall, reply as LeaseReply);
     })
@@ -61,6 +63,7 @@
     .with({ method: 'sheet' }, ignore)
     .with({ method: 'claim' }, ignore)
     .with({ method: 'release' }, ignore)
+    .with({ method: 'lists' }, ignore)
     .with({ method: 'lease' }, ignore)
     .exhaustive();
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from './admission/index.js';
+export * from './claims/index.js';
 export * from './entry/index.js';
 export * from './health/index.js';
 export * from './limits/index.js';
@@ -7,5 +8,6 @@
 export * from './placement/index.js';
 export * from './prediction/index.js';
 export * from './shared/index.js';
+export * from './suspects/index.js';
 export * from './table/index.js';
 export * from './types/index.js';
--- a/packages/core/src/limits/grantLease.ts
+++ b/packages/core/src/limits/grantLease.ts
@@ -11,7 +11,7 @@
  * Takes over a list. Of the limits that this VM still coordinates it knows all grants; for
  * all others leases of another coordinator, or of this VM before it started, may be in use.
  */
-export function adoptList(
+export function followList(
   state: Coordination,
   listRevision: number,
   isCoordinator: (limitId: string) => boolean,
--- a/packages/core/src/limits/index.ts
+++ b/packages/core/src/limits/index.ts
@@ -1,5 +1,5 @@
 export { recordLease, settleTokens, takeTokens, takeWishes, type Wish } from './commands.js';
-export { adoptList, grantLease, holdGrants, LEASE_MS } from './grantLease.js';
+export { followList, grantLease, holdGrants, LEASE_MS } from './grantLease.js';
 export { listLimits, passRate } from './queries.js';
 export {
   createLimitState,
@@ -7,6 +7,6 @@
   type Bucket,
   type Coordinated,
   type Coordination,
-  type Grant,
+  type LeaseGrant,
   type LimitState,
 } from './state.js';
--- a/packages/core/src/limits/state.ts
+++ b/packages/core/src/limits/state.ts
@@ -17,7 +17,7 @@
 }
 
 /** A part of a limit that was granted to a VM, until an instant. */
-export interface Grant {
+export interface LeaseGrant {
   readonly tokensPerSecond: number;
   readonly until: number;
 }
@@ -26,7 +26,7 @@
 export interface Asker {
   wanted: number;
   /** Grants that may still be in use, oldest first: a reply may have been lost. */
-  grants: Grant[];
+  grants: LeaseGrant[];
 }
 
 /** One limit that this VM coordinates. */
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -1,6 +1,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { createCore, createRandom, type ActionOf, type Vm } from '@filbertlatch/core';
+import {
+  createCore,
+  createRandom,
+  isReady,
+  tableRevision,
+  type ActionOf,
+  type Vm,
+} from '@filbertlatch/core';
 import type { Logger } from 'winston';
 
 import { createAdminApi, dumpState } from './admin/index.js';
@@ -29,6 +36,10 @@
   readonly peerUrl: string;
   /** Dumps the state; carries no prompt, key or token. */
   state(): ReturnType<typeof dumpState>;
+  /** Returns the revisions of table and list in force; -1 before the first. */
+  revisions(): { readonly table: number; readonly list: number };
+  /** Says whether it takes work. */
+  isReady(): boolean;
   /** Reads keys, tokens and certificates again from their files. */
   reloadCredentials(): Promise<void>;
   /** Takes no new work, finishes what runs, then stops; resolves when stopped. */
@@ -180,6 +191,11 @@
     callerUrl: listeners.callers.url,
     adminUrl: listeners.admin.url,
     peerUrl: listeners.peers.url,
+    revisions: () => ({
+      table: tableRevision(decider.core.table),
+      list: decider.core.membership.list?.revision ?? -1,
+    }),
+    isReady: () => isReady(decider.core.membership),
     state: () => dumpState(decider.core, tasks.observers.attainment, now()),
     reloadCredentials: () => tasks.credentials.reload(),
     drain,
--- a/packages/router/src/decider/decider.ts
+++ b/packages/router/src/decider/decider.ts
@@ -4,6 +4,9 @@
 
 const TICK_MS = 20;
 
+/** Time between ticks while no request is open: each tick wakes the process. */
+const IDLE_TICK_MS = 100;
+
 /** A gap between ticks that only a paused process can have. */
 const PAUSE_MS = 2000;
 
@@ -29,6 +32,8 @@
 
   #tickedAt = 0;
 
+  #isIdle = true;
+
   constructor(core: Core) {
     this.core = core;
   }
@@ -58,6 +63,7 @@
     try {
       this.#handle(message);
       while (this.#waiting.length > 0) this.#handle(this.#waiting.shift()!);
+      this.#hasten();
     } finally {
       this.#busy = false;
     }
@@ -66,18 +72,31 @@
   /** Starts the ticks. */
   start(): void {
     this.#tickedAt = now();
-    this.#timer = setInterval(() => this.#tick(), TICK_MS);
+    this.#arm();
   }
 
   /** Stops the ticks. */
   stop(): void {
-    if (this.#timer !== null) clearInterval(this.#timer);
+    if (this.#timer !== null) clearTimeout(this.#timer);
     this.#timer = null;
   }
 
   #tick(): void {
     this.post({ kind: 'tick' });
     this.#tickedAt = now();
+    if (this.#timer !== null) this.#arm();
+  }
+
+  #arm(): void {
+    this.#isIdle = this.core.requests.size === 0;
+    this.#timer = setTimeout(() => this.#tick(), this.#isIdle ? IDLE_TICK_MS : TICK_MS);
+  }
+
+  // The first request of an idle VM must not wait out an idle tick.
+  #hasten(): void {
+    if (!this.#isIdle || this.#timer === null || this.core.requests.size === 0) return;
+    clearTimeout(this.#timer);
+    this.#arm();
   }
 
   // After a pause a socket may speak before the timer does: the core learns of the pause first.
--- a/packages/router/src/peers/peerProtocol.ts
+++ b/packages/router/src/peers/peerProtocol.ts
@@ -1,4 +1,3 @@
-import { vmListSchema } from '@filbertlatch/core';
 import { z } from 'zod';
 
 const id = z.string().min(1).max(256);
@@ -13,7 +12,7 @@
   streamId: id,
   issuedAt: z.number().nullable(),
   listRevision: z.number().int(),
-  chain: z.array(vmListSchema).max(64),
+  region: id,
 });
 
 const heartbeatSchema = z.strictObject({
@@ -36,7 +35,15 @@
       offeredTokensPerSecond: z.number().default(0),
     }),
   ),
-  suspects: z.array(z.strictObject({ fingerprint: id, since: z.number() })),
+  suspects: z.array(
+    z.strictObject({
+      fingerprint: id,
+      endpointId: id,
+      at: z.number(),
+      startedAt: z.number(),
+      isAlone: z.boolean(),
+    }),
+  ),
   members: z.array(
     z.strictObject({
       id,
@@ -51,6 +58,11 @@
 export const peerCallSchema = z.discriminatedUnion('method', [
   claimSchema,
   z.strictObject({ method: z.literal('release'), key: id, attemptId: id }),
+  z.strictObject({
+    method: z.literal('lists'),
+    from: id,
+    revisions: z.array(z.number().int()).max(1024),
+  }),
   z.strictObject({ method: z.literal('sheet'), sheet: id, digest: z.string().nullable() }),
   z.strictObject({
     method: z.literal('lease'),
@@ -64,4 +76,4 @@
 ]);
 
 /** Names of the methods between VMs. */
-export const peerMethods = ['claim', 'release', 'sheet', 'lease', 'heartbeat'] as const;
+export const peerMethods = ['claim', 'release', 'lists', 'sheet', 'lease', 'heartbeat'] as const;
