--- a/packages/router/src/callers/promptDigest.ts
+++ b/packages/router/src/callers/promptDigest.ts
@@ -12,6 +12,19 @@
   readonly fingerprint: string;
 }
 
+/** Fields of a message that say what it is; they are no text of the prompt. */
+const LABELS = new Set(['role', 'type']);
+
+/** Counts the characters of a prompt's texts, without field names and labels. */
+function countCharacters(value: unknown): number {
+  if (typeof value === 'string') return value.length;
+  if (Array.isArray(value)) return value.reduce<number>((sum, v) => sum + countCharacters(v), 0);
+  if (typeof value !== 'object' || value === null) return 0;
+  return Object.entries(value)
+    .filter(([name]) => !LABELS.has(name))
+    .reduce<number>((sum, [, field]) => sum + countCharacters(field), 0);
+}
+
 /** Digests a prompt: its length in tokens (an estimate), its prefixes and its whole. */
 export function digestPrompt(prompt: unknown, rest: unknown): PromptDigest {
   const text = JSON.stringify(prompt);
@@ -26,7 +39,7 @@
     .update(text)
     .update(JSON.stringify(rest) ?? '');
   return {
-    tokens: Math.max(1, Math.ceil(text.length / CHARACTERS_PER_TOKEN)),
+    tokens: Math.max(1, Math.ceil(countCharacters(prompt) / CHARACTERS_PER_TOKEN)),
     prefixes,
     fingerprint: whole.digest('base64url'),
   };
