--- a/packages/core/src/entry/onLease.ts
+++ b/packages/core/src/entry/onLease.ts
@@ -1,5 +1,5 @@
 import {
-  followList,
+  adoptRevision,
   grantLease,
   holdGrants,
   LEASE_MS,
@@ -91,7 +91,7 @@
   if (now - limits.renewedAt < TICK_INTERVAL_MS) return;
   limits.renewedAt = now;
   const { coordination } = limits;
-  followList(coordination, membership.list.revision, (id) => isCoordinator(core, id), now);
+  adoptRevision(coordination, membership.list.revision, (id) => isCoordinator(core, id), now);
   if (limits.buckets.size === 0 && coordination.limits.size === 0) return;
   if (hearsOtherLists(core, now)) holdGrants(coordination, now);
   const wishes = takeWishes(limits, table.view.limits, countVms(membership), now);
--- a/packages/core/src/limits/state.ts
+++ b/packages/core/src/limits/state.ts
@@ -17,7 +17,7 @@
 }
 
 /** A part of a limit that was granted to a VM, until an instant. */
-export interface LeaseGrant {
+export interface LeasedPart {
   readonly tokensPerSecond: number;
   readonly until: number;
 }
@@ -26,7 +26,7 @@
 export interface Asker {
   wanted: number;
   /** Grants that may still be in use, oldest first: a reply may have been lost. */
-  grants: LeaseGrant[];
+  grants: LeasedPart[];
 }
 
 /** One limit that this VM coordinates. */
