--- a/packages/core/src/entry/claimAttempt.ts
+++ b/packages/core/src/entry/claimAttempt.ts
@@ -35,7 +35,7 @@
 // The attempt was never dispatched: its slot is free again and nothing is learnt from it.
 function forgetAttempt(core: Core, { attempt, expectedTokens }: LiveAttempt, now: number): void {
   core.attempts.delete(attempt.id);
-  noteAnswered(core.placement, attempt.endpointId, now);
+  noteAnswered(core.placement, attempt.endpointId, attempt.startedAt);
   releaseSlot(core.placement, attempt.endpointId, expectedTokens, now);
   const live = core.requests.get(attempt.requestId);
   if (live === undefined) return;
