--- a/packages/bench/__tests__/adminApi.spec.ts
+++ b/packages/bench/__tests__/adminApi.spec.ts
@@ -1,3 +1,6 @@
+import { createHash } from 'node:crypto';
+import { readFile } from 'node:fs/promises';
+
 import { describe, it } from '@filbertlatch/core/testing';
 import {
   accountsSchema,
@@ -126,6 +129,28 @@
     t.is((await call(fleet, '/admin/table/check', 'POST', '{')).status, 400);
   });
 
+  it('has every metric that docs/OPERATIONS.md asks for', async (t) => {
+    const page = await readFile(new URL('../../../../docs/OPERATIONS.md', import.meta.url), 'utf8');
+    const fleet = await createSmallFleet(t);
+    const { text } = await call(fleet, '/metrics');
+    const known = new Set(text.match(/^# TYPE \w+/gm)!.map((line) => line.slice('# TYPE '.length)));
+    const asked = new Set(page.match(/\bfilbertlatch_\w+/g));
+    t.true(asked.size > 10);
+    asked.forEach((name) => t.true(known.has(name), name));
+  });
+
+  it('counts refusals by code and verdict', async (t) => {
+    const fleet = await createSmallFleet(t);
+    const { adminUrl } = fleet.routers[0]!;
+    const headers = { authorization: `Bearer ${OPERATOR_TOKEN}` };
+    fleet.engines.forEach((engine) => {
+      engine.switches.refuses = true;
+    });
+    await ask(fleet);
+    const { body } = await request(`${adminUrl}/metrics`, { headers });
+    t.regex(await body.text(), /filbertlatch_refusals_total\{code="\w+",verdict="not-run"\} 1/);
+  });
+
   it('scrapes the same names again and again', async (t) => {
     const fleet = await createSmallFleet(t);
     await ask(fleet);
@@ -136,4 +161,19 @@
     t.regex(second, /filbertlatch_requests_total 1/);
     t.notRegex(second, /station-/);
   });
+
+  it('serves a page whose policy allows its own script and style only', async (t) => {
+    const fleet = await createSmallFleet(t);
+    const { headers, body } = await request(`${fleet.routers[0]!.adminUrl}/`);
+    const policy = String(headers['content-security-policy']);
+    const text = await body.text();
+    t.regex(policy, /default-src 'none'/);
+    for (const element of ['script', 'style']) {
+      const content = text.match(new RegExp(`<${element}>(.*)</${element}>`, 's'))![1]!;
+      const digest = createHash('sha256').update(content).digest('base64');
+      t.true(policy.includes(`${element}-src 'sha256-${digest}'`), element);
+    }
+    const [first] = fleet.table.classes;
+    t.false(text.includes(first!.id), 'no figures without a token');
+  });
 });
--- a/packages/core/src/entry/expectTokens.ts
+++ b/packages/core/src/entry/expectTokens.ts
@@ -1,5 +1,5 @@
 import { PROMPT_TOKEN_COST } from '../placement/index.js';
-import { predictMean, predictRemaining } from '../prediction/index.js';
+import { hasLearned, predictMean, predictRemaining } from '../prediction/index.js';
 import type { Request } from '../types/index.js';
 import type { Core } from './core.js';
 
@@ -16,15 +16,23 @@
   return request.promptTokens * PROMPT_TOKEN_COST + outputTokens;
 }
 
+/** Returns the length that the answer to a request is expected to have, in tokens. */
+export function expectOutput(core: Core, request: Request): number {
+  return predictMean(core.prediction, lengthSource(request), request.maxOutputTokens);
+}
+
 /** Returns the cost a request is expected to have, in output tokens. */
 export function expectTokens(core: Core, request: Request): number {
-  const output = predictMean(core.prediction, lengthSource(request), request.maxOutputTokens);
-  return costOf(request, output);
+  return costOf(request, expectOutput(core, request));
 }
 
-/** Returns the cost still to come of a request of which some tokens are there. */
+/**
+ * Returns the least cost still to come of a request of which some tokens are there: before
+ * anything was learnt it is held to be short, for else it could never be tried.
+ */
 export function expectRemaining(core: Core, request: Request, produced: number): number {
   const source = lengthSource(request);
+  if (!hasLearned(core.prediction, source)) return costOf(request, 1);
   const output = predictRemaining(
     core.prediction,
     source,
--- a/packages/core/src/entry/onAttempt.ts
+++ b/packages/core/src/entry/onAttempt.ts
@@ -1,4 +1,5 @@
 import { requeueRequest } from '../admission/index.js';
+import { clearSuspect } from '../suspects/index.js';
 import { worstVerdict, type AttemptEnd } from '../types/index.js';
 import type { Action } from './action.js';
 import type { Core, LiveRequest } from './core.js';
@@ -7,6 +8,8 @@
 import { endRequest, refuseRequest } from './finishRequest.js';
 import type { MessageOf } from './message.js';
 import { observeAnswer, observeEnd, observeFirstToken } from './observeAttempt.js';
+import { takeRetry } from './retryBudget.js';
+import { holdSuspect, observeCrash } from './watchSuspects.js';
 
 const MOST_ATTEMPTS = 3;
 
@@ -28,10 +31,11 @@
   request.delivered = live.attempt.resumeFrom + live.produced;
 }
 
-function mayRetry(live: LiveRequest, failure: Failure, now: number): boolean {
-  if (failure.cause === 'invalid' || live.delivered > 0) return false;
+function mayRetry(core: Core, live: LiveRequest, failure: Failure, now: number): boolean {
+  if (failure.cause === 'invalid') return false;
   if (live.attempts >= MOST_ATTEMPTS || live.request.deadline <= now) return false;
-  return live.request.repeatable || live.verdict === 'not-run';
+  if (!live.request.repeatable && live.verdict !== 'not-run') return false;
+  return takeRetry(core, live.request.classId);
 }
 
 function onFailed(
@@ -41,9 +45,11 @@
   now: number,
   actions: Action[],
 ): void {
-  if (mayRetry(live, failure, now)) {
+  if (mayRetry(core, live, failure, now)) {
     count(core, 'retries');
-    requeueRequest(core.admission, live.request);
+    // The new attempt gives the answer from its beginning; the caller gets what it lacks.
+    live.delivered = 0;
+    if (!holdSuspect(core, live, now, actions)) requeueRequest(core.admission, live.request);
     return;
   }
   const retryable = live.request.repeatable || live.verdict === 'not-run';
@@ -65,6 +71,7 @@
   actions: Action[],
 ): void {
   observeAnswer(core, live, outputTokens);
+  clearSuspect(core.suspects, live.request.fingerprint);
   count(core, 'tokens_delivered', outputTokens);
   endRequest(core, live, now <= live.request.deadline ? 'complete' : 'late', actions);
 }
@@ -84,6 +91,7 @@
   if (live === undefined || end.kind !== 'complete') count(core, 'tokens_wasted', ended.produced);
   if (live === undefined) return;
   live.attemptId = null;
+  observeCrash(core, ended, live, end, now, actions);
   live.verdict = worstVerdict(live.verdict, end.kind === 'complete' ? 'ran' : end.verdict);
   if (end.kind === 'complete') onComplete(core, live, end.outputTokens, now, actions);
   if (end.kind === 'failed') onFailed(core, live, end, now, actions);
--- a/packages/core/src/entry/onPeerCall.ts
+++ b/packages/core/src/entry/onPeerCall.ts
@@ -1,10 +1,19 @@
 import { match } from 'ts-pattern';
 
-import type { HeartbeatReply } from '../types/index.js';
+import type { ClaimReply, HeartbeatReply, LeaseReply, ListsReply } from '../types/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
 import type { MessageOf } from './message.js';
+import {
+  onClaimCalled,
+  onClaimFailed,
+  onClaimReplied,
+  onListsCalled,
+  onListsReplied,
+  onReleaseCalled,
+} from './onClaimCall.js';
 import { onHeartbeatCalled, onHeartbeatFailed, onHeartbeatReplied } from './onHeartbeat.js';
+import { onLeaseCalled, onLeaseReplied } from './onLease.js';
 import { onSheetCalled } from './onSheetCall.js';
 
 function ignore(): void {}
@@ -21,9 +30,12 @@
       onHeartbeatCalled(core, callId, heartbeat, now, actions);
     })
     .with({ method: 'sheet' }, (sheetCall) => onSheetCalled(core, callId, sheetCall, actions))
-    .with({ method: 'claim' }, ignore)
-    .with({ method: 'release' }, ignore)
-    .with({ method: 'lease' }, ignore)
+    .with({ method: 'claim' }, (claim) => onClaimCalled(core, callId, claim, now, actions))
+    .with({ method: 'release' }, (release) => onReleaseCalled(core, callId, release, actions))
+    .with({ method: 'lists' }, (lists) => onListsCalled(core, callId, lists, now, actions))
+    // The task that keeps the answers takes these.
+    .with({ method: 'answer' }, ignore)
+    .with({ method: 'lease' }, (leaseCall) => onLeaseCalled(core, callId, leaseCall, now, actions))
     .exhaustive();
 }
 
@@ -40,9 +52,18 @@
       onHeartbeatReplied(core, peerId, heartbeat, now, actions);
     })
     .with({ method: 'sheet' }, ignore)
-    .with({ method: 'claim' }, ignore)
+    .with({ method: 'claim' }, (claim) => {
+      onClaimReplied(core, claim, peerId, reply as ClaimReply, now, actions);
+    })
     .with({ method: 'release' }, ignore)
-    .with({ method: 'lease' }, ignore)
+    .with({ method: 'lists' }, () => {
+      onListsReplied(core, peerId, reply as ListsReply, now, actions);
+    })
+    // The task that keeps the answers takes these.
+    .with({ method: 'answer' }, ignore)
+    .with({ method: 'lease' }, (leaseCall) => {
+      onLeaseReplied(core, leaseCall, reply as LeaseReply);
+    })
     .exhaustive();
 }
 
@@ -56,8 +77,11 @@
   match(call)
     .with({ method: 'heartbeat' }, () => onHeartbeatFailed(core, peerId, now, actions))
     .with({ method: 'sheet' }, ignore)
-    .with({ method: 'claim' }, ignore)
+    .with({ method: 'claim' }, (claim) => onClaimFailed(core, claim, peerId, now, actions))
     .with({ method: 'release' }, ignore)
+    .with({ method: 'lists' }, ignore)
+    // The task that keeps the answers takes these.
+    .with({ method: 'answer' }, ignore)
     .with({ method: 'lease' }, ignore)
     .exhaustive();
 }
--- a/packages/core/src/entry/onRequest.ts
+++ b/packages/core/src/entry/onRequest.ts
@@ -2,15 +2,19 @@
 import { listLimits, takeTokens } from '../limits/index.js';
 import { countVms, isClosed } from '../membership/index.js';
 import { listPoolMembers } from '../orders/index.js';
+import { releaseSuspect } from '../suspects/index.js';
 import type { TableView } from '../table/index.js';
 import type { Refusal, RefusalCode, Request } from '../types/index.js';
 import type { Action } from './action.js';
+import { abandonClaim } from './claimAttempt.js';
 import type { Core, LiveRequest } from './core.js';
 import { count } from './counters.js';
 import { dispatchWaiting, shedPool } from './dispatchWaiting.js';
-import { expectTokens } from './expectTokens.js';
+import { expectOutput, expectTokens } from './expectTokens.js';
 import { endRequest, refuseRequest } from './finishRequest.js';
 import type { MessageOf } from './message.js';
+import { earnRetry } from './retryBudget.js';
+import { holdSuspect } from './watchSuspects.js';
 
 const DEFAULT_RETRY_MS = 1000;
 
@@ -23,7 +27,13 @@
   return view.managed.length > 0 && view.models.has(request.pool.replace(/^model:/, ''));
 }
 
-function findRefusal(core: Core, request: Request, now: number): Refusal | null {
+function findRefusal(
+  core: Core,
+  live: LiveRequest,
+  now: number,
+  actions: Action[],
+): Refusal | null {
+  const { request } = live;
   const { view } = core.table;
   const row = view?.classes.get(request.classId);
   if (isClosed(core.membership, now)) {
@@ -35,8 +45,11 @@
   }
   const limits = listLimits(view, request.accountId, request.classId);
   const vms = countVms(core.membership);
-  const waitMs = takeTokens(core.limits, limits, vms, request.promptTokens, now);
+  const tokens = request.promptTokens + expectOutput(core, request);
+  const waitMs = takeTokens(core.limits, limits, vms, tokens, now);
   if (waitMs > 0) return notRun('limit_reached', 'A limit of the table is used up.', waitMs);
+  live.charged = tokens;
+  if (holdSuspect(core, live, now, actions)) return null;
   const weight = view.accounts.get(request.accountId)?.weight ?? 1;
   enqueueRequest(core.admission, request, row, expectTokens(core, request), weight, now);
   return null;
@@ -59,7 +72,8 @@
   };
   core.requests.set(request.id, live);
   count(core, 'requests');
-  const refusal = findRefusal(core, request, now);
+  earnRetry(core, request.classId);
+  const refusal = findRefusal(core, live, now, actions);
   if (refusal !== null) {
     refuseRequest(core, live, refusal, 'refused', actions);
     return;
@@ -72,11 +86,16 @@
 export function onCallerLeft(
   core: Core,
   { requestId }: MessageOf<'caller-left'>,
+  now: number,
   actions: Action[],
 ): void {
   const live = core.requests.get(requestId);
   if (live === undefined) return;
-  if (live.attemptId === null) removeRequest(core.admission, live.request);
-  else actions.push({ kind: 'cancel-attempt', attemptId: live.attemptId });
+  releaseSuspect(core.suspects, live.request.pool, requestId);
+  // The answer of a claimed request is kept for a resend.
+  if (live.attemptId !== null && live.claim !== undefined) return;
+  if (live.attemptId === null || abandonClaim(core, live, now, actions)) {
+    removeRequest(core.admission, live.request);
+  } else actions.push({ kind: 'cancel-attempt', attemptId: live.attemptId });
   endRequest(core, live, 'abandoned', actions);
 }
--- a/packages/core/src/types/heartbeat.ts
+++ b/packages/core/src/types/heartbeat.ts
@@ -7,6 +7,8 @@
   readonly waiting: number;
   readonly waitingTokens: number;
   readonly servedTokensPerSecond: number;
+  /** What callers asked for, shed or not. */
+  readonly offeredTokensPerSecond: number;
 }
 
 /** What a VM says of itself. */
@@ -35,8 +37,14 @@
   readonly manifestDigest: string;
   readonly positions: readonly SheetPosition[];
   readonly loads: readonly ClassLoad[];
-  /** Fingerprints suspected of crashing endpoints, with the instant suspicion began. */
-  readonly suspects: readonly { readonly fingerprint: string; readonly since: number }[];
+  /** Crashes of endpoints with a request in flight, the latest first. */
+  readonly suspects: readonly {
+    readonly fingerprint: string;
+    readonly endpointId: string;
+    readonly at: number;
+    readonly startedAt: number;
+    readonly isAlone: boolean;
+  }[];
   /** What it heard of others lately. */
   readonly members: readonly MemberNews[];
 }
--- a/packages/router/src/peers/peerProtocol.ts
+++ b/packages/router/src/peers/peerProtocol.ts
@@ -1,11 +1,11 @@
-import { vmListSchema } from '@filbertlatch/core';
 import { z } from 'zod';
 
 const id = z.string().min(1).max(256);
+const longId = z.string().min(1).max(512);
 
 const claimSchema = z.strictObject({
   method: z.literal('claim'),
-  key: id,
+  key: longId,
   fingerprint: id,
   attemptId: id,
   claimant: id,
@@ -13,7 +13,7 @@
   streamId: id,
   issuedAt: z.number().nullable(),
   listRevision: z.number().int(),
-  chain: z.array(vmListSchema).max(64),
+  region: id,
 });
 
 const heartbeatSchema = z.strictObject({
@@ -33,9 +33,18 @@
       waiting: z.number(),
       waitingTokens: z.number(),
       servedTokensPerSecond: z.number(),
+      offeredTokensPerSecond: z.number().default(0),
+    }),
+  ),
+  suspects: z.array(
+    z.strictObject({
+      fingerprint: id,
+      endpointId: id,
+      at: z.number(),
+      startedAt: z.number(),
+      isAlone: z.boolean(),
     }),
   ),
-  suspects: z.array(z.strictObject({ fingerprint: id, since: z.number() })),
   members: z.array(
     z.strictObject({
       id,
@@ -49,7 +58,13 @@
 /** Shape of every call between VMs, by its method. */
 export const peerCallSchema = z.discriminatedUnion('method', [
   claimSchema,
-  z.strictObject({ method: z.literal('release'), key: id, attemptId: id }),
+  z.strictObject({ method: z.literal('release'), key: longId, attemptId: id }),
+  z.strictObject({ method: z.literal('answer'), key: longId, fingerprint: id }),
+  z.strictObject({
+    method: z.literal('lists'),
+    from: id,
+    revisions: z.array(z.number().int()).max(1024),
+  }),
   z.strictObject({ method: z.literal('sheet'), sheet: id, digest: z.string().nullable() }),
   z.strictObject({
     method: z.literal('lease'),
@@ -57,9 +72,18 @@
     tokensPerSecond: z.number().nonnegative(),
     from: id,
     listRevision: z.number().int(),
+    askedAt: z.number(),
   }),
   z.strictObject({ method: z.literal('heartbeat'), heartbeat: heartbeatSchema }),
 ]);
 
 /** Names of the methods between VMs. */
-export const peerMethods = ['claim', 'release', 'sheet', 'lease', 'heartbeat'] as const;
+export const peerMethods = [
+  'claim',
+  'release',
+  'lists',
+  'answer',
+  'sheet',
+  'lease',
+  'heartbeat',
+] as const;
