--- a/packages/standins/__tests__/engineModel.spec.ts
+++ b/packages/standins/__tests__/engineModel.spec.ts
@@ -1,7 +1,9 @@
-import { describe, it } from '@filbertlatch/core/testing';
+import { describe, it, itAlone } from '@filbertlatch/core/testing';
+import FakeTimers from '@sinonjs/fake-timers';
 
 import { LoadReports, StepClock } from '../src/index.js';
 import { Slots } from '../src/slots.js';
+import { startSteps } from '../src/stepClock.js';
 
 describe('StepClock', () => {
   it('gives the steps that a late timer owes, but not those of a long pause', (t) => {
@@ -56,3 +58,23 @@
     t.deepEqual(ran, [1, 2]);
   });
 });
+
+describe('startSteps', () => {
+  itAlone('keeps its phase when a step was late', (t) => {
+    const clock = FakeTimers.install({
+      now: 0,
+      toFake: ['setTimeout', 'clearTimeout', 'performance'],
+    });
+    t.teardown(() => clock.uninstall());
+    const instants: number[] = [];
+    const stop = startSteps(10, () => {
+      instants.push(clock.now);
+      // The second step takes six milliseconds of the loop.
+      if (instants.length === 2) clock.jump(6);
+    });
+    clock.tick(39);
+    stop();
+    clock.tick(50);
+    t.deepEqual(instants, [10, 20, 30, 40]);
+  });
+});
--- a/packages/standins/src/createEngine.ts
+++ b/packages/standins/src/createEngine.ts
@@ -9,7 +9,7 @@
 import { bodySchema, EngineStream } from './engineStream.js';
 import { LoadReports, type MeasuredLoad } from './loadReports.js';
 import { orderSchema } from './orderSchema.js';
-import { StepClock } from './stepClock.js';
+import { startSteps, StepClock } from './stepClock.js';
 
 const MS_PER_SECOND = 1000;
 const MEDIAN_TOKENS = 60;
@@ -136,10 +136,10 @@
   });
 
   const steps = new StepClock(options.stepMs, performance.now());
-  const timer = setInterval(() => {
+  const stopSteps = startSteps(options.stepMs, () => {
     for (let due = steps.take(performance.now(), switches.speed); due > 0; due -= 1) queue.step();
     reports.record();
-  }, options.stepMs);
+  });
   const listener = await listen(app, '127.0.0.1', 0);
   return {
     id: options.id,
@@ -149,7 +149,7 @@
     models,
     runs,
     stop: async () => {
-      clearInterval(timer);
+      stopSteps();
       await listener.close();
     },
   };
--- a/packages/standins/src/stepClock.ts
+++ b/packages/standins/src/stepClock.ts
@@ -23,3 +23,24 @@
     return due;
   }
 }
+
+/**
+ * Calls at every multiple of a period after now, and returns how to stop it. Intervals of one
+ * period drift together where one is late, and many engines would then step as one.
+ */
+export function startSteps(periodMs: number, onStep: () => void): () => void {
+  const start = performance.now();
+  let timer: NodeJS.Timeout;
+  const arm = () => {
+    const passed = (performance.now() - start) % periodMs;
+    timer = setTimeout(
+      () => {
+        onStep();
+        arm();
+      },
+      Math.ceil(periodMs - passed),
+    );
+  };
+  arm();
+  return () => clearTimeout(timer);
+}
