Start a request only when a long answer fits its window too

Change: a request that is not started needs room for the 0.9 quantile, up to four fifths of its window; quantile and mean are worked out once an answer, not once a waiting request and tick.

--- a/packages/core/src/entry/dispatchWaiting.ts
+++ b/packages/core/src/entry/dispatchWaiting.ts
@@ -11,7 +11,6 @@
   chooseEndpoint,
   expectPrefixes,
   firstTokenMs,
-  msPerToken,
   noteSent,
 } from '../placement/index.js';
 import { isKeptFree } from '../suspects/index.js';
@@ -19,7 +18,7 @@
 import { tierRank, type PoolId, type Request } from '../types/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
-import { expectRemaining, expectTokens } from './expectTokens.js';
+import { expectTokens, isHopeless } from './expectTokens.js';
 import { listCandidates, refreshParts } from './listCandidates.js';
 import { refreshPeerDemand, shareBoost } from './peerDemand.js';
 import { hasRoomFor, listOpen, measureRoom, type PoolRoom } from './poolRoom.js';
@@ -59,11 +58,6 @@
   };
 }
 
-function isHopeless(core: Core, request: Request, produced: number, now: number): boolean {
-  const cost = expectRemaining(core, request, produced);
-  return now + cost * msPerToken(core.placement, request.pool) > request.deadline;
-}
-
 /** Sends a request to the best endpoint; false when none takes it after all. */
 function sendRequest(
   core: Core,
--- a/packages/core/src/entry/expectTokens.ts
+++ b/packages/core/src/entry/expectTokens.ts
@@ -1,4 +1,4 @@
-import { PROMPT_TOKEN_COST } from '../placement/index.js';
+import { msPerToken, PROMPT_TOKEN_COST } from '../placement/index.js';
 import { hasLearned, predictMean, predictRemaining } from '../prediction/index.js';
 import type { Request } from '../types/index.js';
 import type { Core } from './core.js';
@@ -6,6 +6,12 @@
 /** Quantile of the answer's length by which a request is held to be able to end in time. */
 const IN_TIME_QUANTILE = 0.5;
 
+/** Quantile of a long answer, which a request that is not started yet has to have room for. */
+const LONG_QUANTILE = 0.9;
+
+/** Part of a window that a long answer may ask for by itself. */
+const MOST_OF_WINDOW = 0.8;
+
 /** Returns the name under which answer lengths of a request are learnt. */
 export function lengthSource(request: Request): string {
   return `${request.classId}|${request.pool}`;
@@ -30,15 +36,30 @@
  * Returns the least cost still to come of a request of which some tokens are there: before
  * anything was learnt it is held to be short, for else it could never be tried.
  */
-export function expectRemaining(core: Core, request: Request, produced: number): number {
+export function expectRemaining(
+  core: Core,
+  request: Request,
+  produced: number,
+  quantile = IN_TIME_QUANTILE,
+): number {
   const source = lengthSource(request);
   if (!hasLearned(core.prediction, source)) return costOf(request, 1);
-  const output = predictRemaining(
-    core.prediction,
-    source,
-    produced,
-    request.maxOutputTokens,
-    IN_TIME_QUANTILE,
-  );
+  const { maxOutputTokens } = request;
+  const output = predictRemaining(core.prediction, source, produced, maxOutputTokens, quantile);
   return costOf(request, output);
 }
+
+/**
+ * Says whether a request is too unlikely to end within its window to be worth starting or going
+ * on with. One not started yet has to fit with a long answer too, unless that would take most of
+ * a window by itself: then no wait would ever be short enough.
+ */
+export function isHopeless(core: Core, request: Request, produced: number, now: number): boolean {
+  const pace = msPerToken(core.placement, request.pool);
+  const leastMs = expectRemaining(core, request, produced) * pace;
+  if (now + leastMs > request.deadline) return true;
+  if (produced > 0) return false;
+  const longMs = expectRemaining(core, request, 0, LONG_QUANTILE) * pace;
+  const windowMs = request.deadline - request.arrivedAt;
+  return now + Math.min(longMs, windowMs * MOST_OF_WINDOW) > request.deadline;
+}
--- a/packages/core/src/entry/shedWaiting.ts
+++ b/packages/core/src/entry/shedWaiting.ts
@@ -6,7 +6,7 @@
 import type { Class, PoolId, RefusalCode, Request } from '../types/index.js';
 import type { Action } from './action.js';
 import type { Core } from './core.js';
-import { expectRemaining } from './expectTokens.js';
+import { isHopeless } from './expectTokens.js';
 import { refuseRequest } from './finishRequest.js';
 import { poolRate, type PoolRoom } from './poolRoom.js';
 
@@ -88,10 +88,8 @@
 
 /** Sheds what could not end within its window even if it started now. */
 export function shedHopeless(core: Core, pool: PoolId, now: number, actions: Action[]): void {
-  const pace = msPerToken(core.placement, pool);
-  const hopeless = takeHopeless(core.admission, pool, ({ request }) => {
-    const produced = core.requests.get(request.id)?.delivered ?? 0;
-    return now + expectRemaining(core, request, produced) * pace > request.deadline;
-  });
+  const hopeless = takeHopeless(core.admission, pool, ({ request }) =>
+    isHopeless(core, request, core.requests.get(request.id)?.delivered ?? 0, now),
+  );
   shedRequests(core, hopeless, 'deadline_unreachable', SHORTEST_RETRY_MS, actions);
 }
--- a/packages/core/src/prediction/commands.ts
+++ b/packages/core/src/prediction/commands.ts
@@ -8,13 +8,20 @@
 export function recordLength(state: PredictionState, source: string, tokens: number): void {
   let histogram = state.histograms.get(source);
   if (histogram === undefined) {
-    histogram = { counts: new Float64Array(BUCKET_COUNT), total: 0 };
+    histogram = {
+      counts: new Float64Array(BUCKET_COUNT),
+      total: 0,
+      quantiles: new Map(),
+      mean: null,
+    };
     state.histograms.set(source, histogram);
   }
   if (histogram.total >= LARGEST_WEIGHT) {
     histogram.counts = histogram.counts.map((count) => count / 2);
     histogram.total /= 2;
   }
+  histogram.quantiles.clear();
+  histogram.mean = null;
   const bucket = bucketOf(tokens);
   histogram.counts[bucket]! += 1;
   histogram.total += 1;
--- a/packages/core/src/prediction/state.ts
+++ b/packages/core/src/prediction/state.ts
@@ -2,6 +2,10 @@
 export interface LengthHistogram {
   counts: Float64Array;
   total: number;
+  /** Lengths of whole answers by quantile, kept until the next answer is recorded. */
+  readonly quantiles: Map<number, number>;
+  /** Mean length, kept as long; null when it is not worked out. */
+  mean: number | null;
 }
 
 /** What is known of output lengths, by `class|pool`. */
