--- a/packages/router/src/reports/reportTask.ts
+++ b/packages/router/src/reports/reportTask.ts
@@ -1,5 +1,4 @@
-import type { Endpoint } from '@filbertlatch/core';
-import { listActiveEndpoints } from '@filbertlatch/core';
+import { countVms, listActiveEndpoints, type Endpoint } from '@filbertlatch/core';
 
 import { now } from '../clock.js';
 import type { Decider } from '../decider/index.js';
@@ -8,6 +7,12 @@
 /** Time between two readings; it bounds what reports cost, whatever the fleet's size. */
 const READ_INTERVAL_MS = 100;
 
+/** Beyond so many VMs heartbeats need the control traffic, and reports are read less often. */
+const SMALL_FLEET = 32;
+
+/** In a large fleet one interval in so many reads. */
+const LARGE_FLEET_TURNS = 10;
+
 /** Shortest time between two readings of one engine. */
 const ENDPOINT_INTERVAL_MS = 500;
 
@@ -31,6 +36,8 @@
 
   #turn = 0;
 
+  #isManagedNext = false;
+
   constructor(decider: Decider) {
     this.#decider = decider;
   }
@@ -38,7 +45,8 @@
   /** Starts to read. */
   start(): void {
     this.#timer = setInterval(() => {
-      void this.#readNext();
+      this.#turn += 1;
+      if (this.#isDue()) void this.#readNext();
     }, READ_INTERVAL_MS);
   }
 
@@ -54,12 +62,17 @@
     await this.#client.close();
   }
 
+  #isDue(): boolean {
+    const isSmall = countVms(this.#decider.core.membership) <= SMALL_FLEET;
+    return isSmall || this.#turn % LARGE_FLEET_TURNS === 0;
+  }
+
   /** Takes turns: engines in use stay fresh however many engines the fleet manages. */
   #chooseNext(): Engine | undefined {
     const { core } = this.#decider;
     const managed = core.table.view?.managed ?? [];
-    this.#turn += 1;
-    if (managed.length === 0 || this.#turn % 2 === 0) {
+    this.#isManagedNext = !this.#isManagedNext;
+    if (managed.length === 0 || this.#isManagedNext) {
       return this.#chooseOldest(listActiveEndpoints(core.placement, now()));
     }
     return this.#chooseOldest(managed.map((engine) => engine.id));
