--- a/packages/daemon/__tests__/daemonProcess.spec.ts
+++ b/packages/daemon/__tests__/daemonProcess.spec.ts
@@ -1,17 +1,22 @@
 import { spawn, type ChildProcessByStdio } from 'node:child_process';
+import { createHash } from 'node:crypto';
 import { once } from 'node:events';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import type { Readable } from 'node:stream';
 import { text } from 'node:stream/consumers';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 
+import { checkTable } from '@filbertlatch/core';
 import { describe, it } from '@filbertlatch/core/testing';
-import { createPlatform } from '@filbertlatch/standins';
+import { createEngine, createPlatform } from '@filbertlatch/standins';
 import type { ExecutionContext } from 'ava';
 import { request } from 'undici';
 
+const API_KEY = 'key-of-the-test';
+const TOKENS = 30;
 const BINARY = fileURLToPath(new URL('../../bin/filbertlatchd.js', import.meta.url));
 
 type Daemon = ChildProcessByStdio<null, Readable, Readable>;
@@ -54,7 +59,78 @@
   return { code, errors: await errors };
 }
 
+async function publishFleet(t: ExecutionContext) {
+  const platform = await createPlatform();
+  const engine = await createEngine({
+    id: 'engine-1',
+    models: ['desk'],
+    slots: 4,
+    stepMs: 20,
+    prefillTokensPerSecond: 10_000,
+    seed: 1,
+  });
+  t.teardown(() => Promise.all([platform.stop(), engine.stop()]));
+  const place = { zone: 'zone-a', region: 'region-1' };
+  const target = { firstTokenMs: 5000, betweenTokensMs: 500, wholeMs: 60_000 };
+  const keyDigest = createHash('sha256').update(API_KEY).digest('hex');
+  const checked = checkTable({
+    revision: 1,
+    classes: [{ id: 'headline', tier: 'critical', share: 0.5, target }],
+    accounts: [{ id: 'station', keyDigest, homeRegion: 'region-1', defaultClass: 'headline' }],
+    models: [{ id: 'desk' }],
+    endpoints: [
+      {
+        ...place,
+        id: engine.id,
+        kind: 'engine',
+        url: engine.url,
+        slots: 4,
+        models: ['desk'],
+        fencing: 'checked',
+      },
+    ],
+    limits: [],
+  });
+  if (!checked.ok) throw new Error(checked.faults.map((fault) => fault.path).join());
+  platform.publishTable(checked.value);
+  const self = { ...place, id: 'vm-1', peerUrl: 'http://127.0.0.1:1', state: 'live' as const };
+  platform.publishList({ revision: 1, vms: [self], leavingEndpoints: [] });
+  return platform;
+}
+
+async function waitUntilReady(callerUrl: string): Promise<void> {
+  for (;;) {
+    const { statusCode, body } = await request(`${callerUrl}/ready`);
+    await body.dump();
+    if (statusCode === 200) return;
+    await sleep(20);
+  }
+}
+
 describe('the daemon as a process', () => {
+  it('finishes an open stream before it exits on SIGTERM', async (t) => {
+    const platform = await publishFleet(t);
+    const daemon = await startDaemon(t, JSON.stringify(settingsFor(platform.url)));
+    const { callerUrl } = await readAddresses(daemon);
+    await waitUntilReady(callerUrl);
+    const { body } = await request(`${callerUrl}/v1/chat/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${API_KEY}` },
+      body: JSON.stringify({
+        model: 'desk',
+        stream: true,
+        messages: [{ role: 'user', content: 'A headline, please.' }],
+        standin: { tokens: TOKENS },
+      }),
+    });
+    const ended = endOf(daemon);
+    daemon.kill('SIGTERM');
+    const answer = await body.text();
+    t.is(answer.split('"content":" w').length - 1, TOKENS);
+    t.true(answer.endsWith('data: [DONE]\n\n'));
+    t.is((await ended).code, 0);
+  });
+
   it('listens, answers and exits with 0 on SIGTERM', async (t) => {
     const platform = await createPlatform();
     t.teardown(() => platform.stop());
