Tell a retry in the instant of a crash from the crash, and wait for its news

Besides, a resend on the heels of the answer can be faster than the news of the third crash. Change: an attempt that began at or after the last known crash met another one; a suspect waits 300 ms for news before it runs alone. Both tests fail without their change (4 crashes) and pass with it.

--- a/packages/core/__tests__/suspects.spec.ts
+++ b/packages/core/__tests__/suspects.spec.ts
@@ -150,6 +150,35 @@
     t.is(poisoned.refusals.get('bad-11')?.code, 'suspect_request');
   });
 
+  it('stops at three crashes when the resend comes before the news of the third', (t) => {
+    const poisoned = new PoisonedFleet();
+    poisoned.send('vm-0', 'bad-0', POISON);
+    for (let waited = 0; !poisoned.outcomes.has('bad-0') && waited < 100; waited += 1) {
+      poisoned.run(STEP_MS);
+    }
+    t.is(poisoned.crashes, 3);
+    const { core } = poisoned.fleet.node('vm-1');
+    // What a resend on the heels of the answer meets: the news of two crashes only.
+    const known = core.suspects.evidence.get(POISON)!.crashes;
+    const last = [...known].at(-1)!;
+    known.delete(last[0]);
+    poisoned.send('vm-1', 'bad-1', POISON);
+    poisoned.fleet.run(STEP_MS);
+    known.set(...last);
+    poisoned.run(5000);
+    t.is(poisoned.crashes, 3);
+    t.is(poisoned.refusals.get('bad-1')?.code, 'suspect_request');
+  });
+
+  it('stops at three crashes when each retry begins in the instant of the crash', (t) => {
+    const poisoned = new PoisonedFleet(engines.slice(0, 1));
+    for (let again = 0; again < 4; again += 1) {
+      poisoned.send(vms[again % vms.length]!.id, `bad-${again}`, POISON);
+      poisoned.run(4000);
+    }
+    t.is(poisoned.crashes, 3);
+  });
+
   it('stops at three crashes where one endpoint serves the pool alone', (t) => {
     const poisoned = new PoisonedFleet(engines.slice(0, 1));
     for (let again = 0; again < 12; again += 1) {
--- a/packages/core/src/entry/watchSuspects.ts
+++ b/packages/core/src/entry/watchSuspects.ts
@@ -20,6 +20,9 @@
 import { listCandidates } from './listCandidates.js';
 import { startAttempt } from './startAttempt.js';
 
+/** A caller's resend may be faster than the news of a crash: a suspect waits for it. */
+const NEWS_MS = 300;
+
 /** Peers that hear of a crash at once; the rest hear by heartbeats. */
 const PEERS_TOLD_AT_ONCE = 8;
 
@@ -79,17 +82,19 @@
 ): boolean {
   const verdict = judgeRequest(core.suspects, live.request.fingerprint, now);
   if (verdict === 'innocent') return false;
-  if (verdict === 'suspect') isolateRequest(core.suspects, live.request.pool, live.request.id);
-  else refuseRequest(core, live, refusalOf(live), 'refused', actions);
+  if (verdict === 'suspect') {
+    isolateRequest(core.suspects, live.request.pool, live.request.id, now);
+  } else refuseRequest(core, live, refusalOf(live), 'refused', actions);
   return true;
 }
 
 function refuseLate(core: Core, isolation: Isolation, now: number, actions: Action[]): void {
-  for (const requestId of [...isolation.waiting]) {
+  for (const isolated of [...isolation.waiting]) {
+    const { requestId } = isolated;
     const live = core.requests.get(requestId);
     if (live !== undefined && live.request.deadline > now) continue;
     if (live === undefined) {
-      isolation.waiting.splice(isolation.waiting.indexOf(requestId), 1);
+      isolation.waiting.splice(isolation.waiting.indexOf(isolated), 1);
       continue;
     }
     releaseSuspect(core.suspects, live.request.pool, requestId);
@@ -106,7 +111,9 @@
   now: number,
   actions: Action[],
 ): void {
-  const live = core.requests.get(isolation.waiting[0] ?? '');
+  const first = isolation.waiting[0];
+  if (first === undefined || now < first.since + NEWS_MS) return;
+  const live = core.requests.get(first.requestId);
   if (live === undefined || isolation.runningId !== null) return;
   const { fingerprint } = live.request;
   const all = listCandidates(core, view, pool);
--- a/packages/core/src/suspects/commands.ts
+++ b/packages/core/src/suspects/commands.ts
@@ -16,7 +16,7 @@
     return true;
   }
   // One crash ends many attempts, on many VMs; one sent after it met another.
-  const isLater = startedAt > before.at;
+  const isLater = startedAt >= before.at;
   const isNews = isLater || (isAlone && !before.isAlone);
   before.times += isLater ? 1 : 0;
   if (at > before.at) {
@@ -63,13 +63,18 @@
 }
 
 /** Puts a suspect in line for an endpoint of its own. */
-export function isolateRequest(state: SuspectState, pool: PoolId, requestId: string): void {
+export function isolateRequest(
+  state: SuspectState,
+  pool: PoolId,
+  requestId: string,
+  now: number,
+): void {
   const isolation: Isolation = state.isolations.get(pool) ?? {
     waiting: [],
     endpointId: null,
     runningId: null,
   };
-  isolation.waiting.push(requestId);
+  isolation.waiting.push({ requestId, since: now });
   state.isolations.set(pool, isolation);
 }
 
@@ -77,7 +82,7 @@
 export function releaseSuspect(state: SuspectState, pool: PoolId, requestId: string): void {
   const isolation = state.isolations.get(pool);
   if (isolation === undefined) return;
-  const index = isolation.waiting.indexOf(requestId);
+  const index = isolation.waiting.findIndex((isolated) => isolated.requestId === requestId);
   if (index >= 0) isolation.waiting.splice(index, 1);
   if (isolation.runningId === requestId) {
     isolation.runningId = null;
--- a/packages/core/src/suspects/index.ts
+++ b/packages/core/src/suspects/index.ts
@@ -18,6 +18,7 @@
   createSuspectState,
   type Crash,
   type Evidence,
+  type Isolated,
   type Isolation,
   type SuspectState,
 } from './state.js';
--- a/packages/core/src/suspects/state.ts
+++ b/packages/core/src/suspects/state.ts
@@ -16,9 +16,15 @@
   readonly crashes: Map<string, Crash>;
 }
 
+/** A suspect in line, and since when; epoch milliseconds. */
+export interface Isolated {
+  readonly requestId: string;
+  readonly since: number;
+}
+
 /** A suspect that waits for an endpoint of its own, or runs on it. */
 export interface Isolation {
-  readonly waiting: string[];
+  readonly waiting: Isolated[];
   /** The endpoint kept free of other requests; null when none is needed. */
   endpointId: string | null;
   /** The request that runs there now. */
