Make one piece of what stood twice: live VMs, log-normal lengths, waiting in tests

Seven filters of the list by state are listLiveVms and listVmsNear, two Box-Muller draws are nextLogNormal, three waitUntil are one; the weight store's share counts VMs by countVms. listPositions and CallerGoneError had no caller and go.

--- a/packages/bench/__tests__/keyedRequests.spec.ts
+++ b/packages/bench/__tests__/keyedRequests.spec.ts
@@ -4,12 +4,12 @@
 import { v7 as createKey } from 'uuid';
 
 import { createFleet, keyOf, type Fleet } from '../src/index.js';
+import { waitUntil } from './createTestRouter.js';
 import { loadUnhurriedScenario } from './unhurriedScenario.js';
 
 const SEED = 5;
 const ROUTERS = 3;
 const ANSWER_MS = 150;
-const POLL_MS = 5;
 
 interface Answer {
   readonly status: number;
@@ -78,14 +78,6 @@
   return fleet.services.reduce((sum, service) => sum + service.runs.length, 0);
 }
 
-async function waitUntil(holds: () => boolean): Promise<void> {
-  while (!holds()) {
-    await new Promise((resolve) => {
-      setTimeout(resolve, POLL_MS);
-    });
-  }
-}
-
 describe('a request that runs at most once', () => {
   it('runs once when it is sent to every VM at the same time, and all get its answer', (t) =>
     withFleet(t, async (fleet) => {
--- a/packages/bench/__tests__/wholePath.spec.ts
+++ b/packages/bench/__tests__/wholePath.spec.ts
@@ -4,6 +4,7 @@
 import { request } from 'undici';
 
 import { createFleet, keyOf, type Fleet } from '../src/index.js';
+import { waitUntil } from './createTestRouter.js';
 import { loadUnhurriedScenario } from './unhurriedScenario.js';
 
 const SEED = 11;
@@ -30,14 +31,6 @@
   return { standin: { tokens } };
 }
 
-async function waitUntil(holds: () => boolean | Promise<boolean>): Promise<void> {
-  while (!(await holds())) {
-    await new Promise((resolve) => {
-      setTimeout(resolve, 5);
-    });
-  }
-}
-
 describe('the whole path', () => {
   describe('with the public openai client', () => {
     it('streams an answer token by token', (t) =>
--- a/packages/bench/src/generateLoad.ts
+++ b/packages/bench/src/generateLoad.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { createRandom, type Random } from '@filbertlatch/core';
+import { createRandom, nextLogNormal, type Random } from '@filbertlatch/core';
 import { Agent } from 'undici';
 
 import type { Balance } from './balance.js';
@@ -11,9 +11,7 @@
 const RANDOM_STRIDE = 1000;
 
 function drawLength(random: Random, { median, spread, most }: Load['outputTokens']): number {
-  const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
-  const normal = radius * Math.cos(2 * Math.PI * random.next());
-  return Math.min(most, Math.max(1, Math.round(median * Math.exp(spread * normal))));
+  return Math.min(most, Math.max(1, Math.round(nextLogNormal(random, median, spread))));
 }
 
 /** Returns the factor on a load's rate at a second of the run. */
--- a/packages/core/src/claims/lists.ts
+++ b/packages/core/src/claims/lists.ts
@@ -1,4 +1,4 @@
-import type { ListsCall, ListsReply, VmList } from '../types/index.js';
+import { listLiveVms, type ListsCall, type ListsReply, type VmList } from '../types/index.js';
 import { hasJoined, holdMs, listLists, listWitnesses, quorumOf } from './queries.js';
 import type { ClaimState, EarlierList } from './state.js';
 
@@ -60,7 +60,7 @@
 // Whichever witnesses a key has, at most a minority can be among the VMs not known to be
 // beyond the list: either they are few, or they lie in few zones of each region.
 function isLeftByMost(state: ClaimState, { list, leftBy }: EarlierList): boolean {
-  const live = list.vms.filter((vm) => vm.state === 'live');
+  const live = listLiveVms(list);
   const regions = new Set(live.map((vm) => vm.region));
   return [...regions].every((region) => {
     const near = live.filter((vm) => vm.region === region);
--- a/packages/core/src/claims/queries.ts
+++ b/packages/core/src/claims/queries.ts
@@ -1,5 +1,5 @@
 import { rankMembers } from '../shared/index.js';
-import type { Vm, VmList } from '../types/index.js';
+import { listVmsNear, type Vm, type VmList } from '../types/index.js';
 import type { ClaimSettings } from './rules.js';
 import type { Claim, ClaimState } from './state.js';
 
@@ -8,9 +8,7 @@
  * best. The same list gives the same witnesses on every VM.
  */
 export function listWitnesses(list: VmList, key: string, region: string, most: number): Vm[] {
-  const live = list.vms.filter((vm) => vm.state === 'live');
-  const near = live.filter((vm) => vm.region === region);
-  const ranked = rankMembers(key, near.length > 0 ? near : live);
+  const ranked = rankMembers(key, listVmsNear(list, region));
   const seen = new Set<string>();
   const best = ranked.filter((vm) => {
     const isFirst = !seen.has(vm.zone);
--- a/packages/core/src/entry/giveOrders.ts
+++ b/packages/core/src/entry/giveOrders.ts
@@ -1,5 +1,5 @@
 import { listClassLoads } from '../admission/index.js';
-import { isEndpointLeaving, isStale } from '../membership/index.js';
+import { countVms, isEndpointLeaving, isStale } from '../membership/index.js';
 import {
   assignModels,
   earnLoadBudget,
@@ -129,9 +129,8 @@
 }
 
 function earnBudget(core: Core, now: number): void {
-  const vms = core.membership.list?.vms.filter((vm) => vm.state === 'live').length ?? 1;
   const { weightsBytesPerSecond } = core.orders;
-  earnLoadBudget(core.orders, weightsBytesPerSecond / Math.max(1, vms), now);
+  earnLoadBudget(core.orders, weightsBytesPerSecond / countVms(core.membership), now);
 }
 
 /** Says whether a model's other engines are enough while this one changes. */
--- a/packages/core/src/entry/onLease.ts
+++ b/packages/core/src/entry/onLease.ts
@@ -9,7 +9,7 @@
 } from '../limits/index.js';
 import { countVms } from '../membership/index.js';
 import { firstMember } from '../shared/index.js';
-import type { LeaseCall, LeaseReply, Vm } from '../types/index.js';
+import { listLiveVms, type LeaseCall, type LeaseReply, type Vm } from '../types/index.js';
 import type { Action } from './action.js';
 import { nextId, type Core } from './core.js';
 
@@ -20,8 +20,7 @@
 
 /** Names the VM that grants leases of a limit: the same one on all VMs that know the list. */
 export function findCoordinator(core: Core, limitId: string): Vm | undefined {
-  const live = (core.membership.list?.vms ?? []).filter((vm) => vm.state === 'live');
-  return firstMember(`limits/${limitId}`, live);
+  return firstMember(`limits/${limitId}`, listLiveVms(core.membership.list));
 }
 
 function isCoordinator(core: Core, limitId: string): boolean {
--- a/packages/core/src/entry/peerDemand.ts
+++ b/packages/core/src/entry/peerDemand.ts
@@ -9,7 +9,7 @@
 } from '../admission/index.js';
 import { msPerToken, type PoolPart } from '../placement/index.js';
 import type { TableView } from '../table/index.js';
-import type { Endpoint, PoolId } from '../types/index.js';
+import { listLiveVms, type Endpoint, type PoolId } from '../types/index.js';
 import type { Core } from './core.js';
 
 /** Peers' loads heard longer ago than this say nothing about now. */
@@ -41,7 +41,7 @@
 /** Lists the demand of all live VMs, in the order of their ids. */
 export function listDemands(core: Core, pool: PoolId): VmDemand[] {
   const { self, list } = core.membership;
-  const ids = (list?.vms ?? []).filter((vm) => vm.state === 'live').map((vm) => vm.id);
+  const ids = listLiveVms(list).map((vm) => vm.id);
   if (!ids.includes(self.id)) ids.push(self.id);
   return ids.sort().map((vmId) => {
     const offers =
--- a/packages/core/src/membership/queries.ts
+++ b/packages/core/src/membership/queries.ts
@@ -1,4 +1,4 @@
-import type { MemberNews, Vm, VmState } from '../types/index.js';
+import { listLiveVms, type MemberNews, type Vm, type VmState } from '../types/index.js';
 import type { Distance, Member, MembershipState } from './state.js';
 
 /** Calls in a row without an answer after which a peer is held to be out of reach. */
@@ -14,12 +14,12 @@
 
 /** Lists the other VMs that are published as live. */
 export function listPeers(state: MembershipState): Vm[] {
-  return (state.list?.vms ?? []).filter((vm) => vm.id !== state.self.id && vm.state === 'live');
+  return listLiveVms(state.list).filter((vm) => vm.id !== state.self.id);
 }
 
 /** Counts the published live VMs, this one included; at least 1. */
 export function countVms(state: MembershipState): number {
-  return Math.max(1, (state.list?.vms ?? []).filter((vm) => vm.state === 'live').length);
+  return Math.max(1, listLiveVms(state.list).length);
 }
 
 /** Says whether an endpoint is published as about to stop. */
--- a/packages/core/src/orders/queries.ts
+++ b/packages/core/src/orders/queries.ts
@@ -1,6 +1,13 @@
 import { firstMember } from '../shared/index.js';
 import type { TableView } from '../table/index.js';
-import type { Endpoint, Engine, PoolId, Vm, VmList } from '../types/index.js';
+import {
+  listVmsNear,
+  type Endpoint,
+  type Engine,
+  type PoolId,
+  type Vm,
+  type VmList,
+} from '../types/index.js';
 import type { OrdersState } from './state.js';
 
 const NO_ENDPOINTS: readonly Endpoint[] = [];
@@ -12,9 +19,7 @@
 
 /** Returns the VM that may order an engine: one of its region while there is any. */
 export function findOwner(list: VmList, engine: Engine): Vm | undefined {
-  const live = list.vms.filter((vm) => vm.state === 'live');
-  const near = live.filter((vm) => vm.region === engine.region);
-  return firstMember(`orders/${engine.id}`, near.length > 0 ? near : live);
+  return firstMember(`orders/${engine.id}`, listVmsNear(list, engine.region));
 }
 
 /** Lists the models that an engine serves now: what was read back, else what its row says. */
--- a/packages/core/src/shared/random.ts
+++ b/packages/core/src/shared/random.ts
@@ -21,3 +21,11 @@
 export function nextInteger(random: Random, bound: number): number {
   return Math.floor(random.next() * bound);
 }
+
+/** Returns a number of a log-normal distribution; `spread` is the logarithm's deviation. */
+export function nextLogNormal(random: Random, median: number, spread: number): number {
+  // Box-Muller.
+  const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
+  const normal = radius * Math.cos(2 * Math.PI * random.next());
+  return median * Math.exp(spread * normal);
+}
--- a/packages/core/src/table/index.ts
+++ b/packages/core/src/table/index.ts
@@ -16,7 +16,6 @@
   hasFailedFetches,
   highestSeen,
   isWorthFetching,
-  listPositions,
   readSheet,
   tableDigest,
   tableRevision,
--- a/packages/core/src/table/queries.ts
+++ b/packages/core/src/table/queries.ts
@@ -1,5 +1,5 @@
 import { digestText } from '../shared/index.js';
-import type { Account, Class, Manifest, SheetPosition } from '../types/index.js';
+import type { Account, Class, Manifest } from '../types/index.js';
 import type { Sheet, TableState } from './state.js';
 
 /** Time after which a revision that is still incomplete may give way to a lower one. */
@@ -24,14 +24,6 @@
   return state.view?.classes.get(id);
 }
 
-/** Lists the positions of the sheets in force. */
-export function listPositions(state: TableState): SheetPosition[] {
-  return Object.entries(state.manifest?.sheets ?? {}).map(([sheet, position]) => ({
-    sheet,
-    ...position,
-  }));
-}
-
 /** Returns a digest of what a manifest names: two equal digests are the same table. */
 export function digestManifest(manifest: Manifest): string {
   const names = Object.keys(manifest.sheets).sort();
--- a/packages/core/src/types/index.ts
+++ b/packages/core/src/types/index.ts
@@ -29,4 +29,4 @@
 } from './table.js';
 export { tierRank, tiers, type Tier } from './tier.js';
 export { worstVerdict, type Verdict } from './verdict.js';
-export { vmListSchema, vmSchema, type Vm, type VmList } from './vm.js';
+export { listLiveVms, listVmsNear, vmListSchema, vmSchema, type Vm, type VmList } from './vm.js';
--- a/packages/core/src/types/vm.ts
+++ b/packages/core/src/types/vm.ts
@@ -21,3 +21,15 @@
 
 /** The published list of our VMs, the authority on who belongs. */
 export type VmList = z.infer<typeof vmListSchema>;
+
+/** Lists the VMs that are published as live; none before the first list. */
+export function listLiveVms(list: VmList | null): Vm[] {
+  return (list?.vms ?? []).filter((vm) => vm.state === 'live');
+}
+
+/** Lists the live VMs of a region, or all live ones where the region has none. */
+export function listVmsNear(list: VmList, region: string): Vm[] {
+  const live = listLiveVms(list);
+  const near = live.filter((vm) => vm.region === region);
+  return near.length > 0 ? near : live;
+}
--- a/packages/router/src/errors/index.ts
+++ b/packages/router/src/errors/index.ts
@@ -1,5 +1,4 @@
 export {
-  CallerGoneError,
   PeerError,
   PlatformError,
   RouterError,
--- a/packages/router/src/errors/routerError.ts
+++ b/packages/router/src/errors/routerError.ts
@@ -7,8 +7,7 @@
   | 'credentials_unreadable'
   | 'platform_unavailable'
   | 'peer_unavailable'
-  | 'answer_too_large'
-  | 'caller_gone';
+  | 'answer_too_large';
 
 /** Base of all errors that the library throws; `code` tells them apart. */
 export class RouterError extends Error {
@@ -45,10 +44,3 @@
     super('peer_unavailable', message, options);
   }
 }
-
-/** The caller closed its connection. */
-export class CallerGoneError extends RouterError {
-  constructor() {
-    super('caller_gone', 'The caller closed its connection.');
-  }
-}
--- a/packages/standins/src/createEngine.ts
+++ b/packages/standins/src/createEngine.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http';
 
-import { createRandom, type Random } from '@filbertlatch/core';
+import { createRandom, nextLogNormal, type Random } from '@filbertlatch/core';
 import { listen, PRIORITY_HEADER, REQUEST_ID_HEADER } from '@filbertlatch/router';
 import type { HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
@@ -83,10 +83,7 @@
 }
 
 function drawLength(random: Random): number {
-  // Box-Muller: answer lengths are close to log-normal.
-  const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
-  const normal = radius * Math.cos(2 * Math.PI * random.next());
-  return Math.max(1, Math.round(MEDIAN_TOKENS * Math.exp(LENGTH_SPREAD * normal)));
+  return Math.max(1, Math.round(nextLogNormal(random, MEDIAN_TOKENS, LENGTH_SPREAD)));
 }
 
 function measureLoad(
