--- a/eslint.config.js
+++ b/eslint.config.js
@@ -20,7 +20,7 @@
 const coreForbidden = ['node:*', 'undici', 'hono', 'winston', '@hono/*', 'prom-client'];
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export * from './admission/index.js';
 export * from './claims/index.js';
+export * from './directory/index.js';
 export * from './entry/index.js';
 export * from './health/index.js';
 export * from './limits/index.js';
@@ -7,6 +8,9 @@
 export * from './orders/index.js';
 export * from './placement/index.js';
 export * from './prediction/index.js';
+export * from './retries/index.js';
+export * from './routing/index.js';
+export * from './scheduling/index.js';
 export * from './shared/index.js';
 export * from './suspects/index.js';
 export * from './table/index.js';
--- /dev/null
+++ b/packages/core/src/retries/index.ts
@@ -0,0 +1,7 @@
+export {
+  createRetryAllowance,
+  earnRepeat,
+  takeRepeat,
+  type RepeatBounds,
+  type RetryAllowance,
+} from './allowance.js';
--- /dev/null
+++ b/packages/core/src/routing/queries.ts
@@ -0,0 +1,43 @@
+import { hashText } from '../shared/index.js';
+import type { KeyedAccount, Route, RoutingState } from './state.js';
+
+const HASH_RANGE = 2 ** 32;
+
+/** Returns the version in force; -1 before the first. */
+export function configurationVersion(state: RoutingState): number {
+  return state.configuration?.version ?? -1;
+}
+
+/** Finds the route of a host with the longest prefix that begins the path. */
+export function findRoute(state: RoutingState, host: string, path: string): Route | undefined {
+  const prefixes = state.routes.get(host.toLowerCase());
+  if (prefixes === undefined) return undefined;
+  let end = path.lastIndexOf('/');
+  while (end >= 0) {
+    const route = prefixes.get(path.slice(0, end + 1));
+    if (route !== undefined) return route;
+    end = end === 0 ? -1 : path.lastIndexOf('/', end - 1);
+  }
+  return undefined;
+}
+
+/** Finds the account that holds a key now. */
+export function findKeyHolder(state: RoutingState, key: string | null): KeyedAccount | undefined {
+  return key === null ? undefined : state.configuration?.accounts?.get(key);
+}
+
+/** Chooses the service of a request by the route's weights; the same for the same request id. */
+export function chooseService(route: Route, requestId: string): string | undefined {
+  const total = route.split.reduce((sum, { weight }) => sum + weight, 0);
+  let left = (hashText(`${route.id}\n${requestId}`) / HASH_RANGE) * total;
+  for (const { serviceId, weight } of route.split) {
+    left -= weight;
+    if (left < 0 && weight > 0) return serviceId;
+  }
+  return route.split.findLast(({ weight }) => weight > 0)?.serviceId;
+}
+
+/** Says whether a request of the route may run more than once. */
+export function isRepeatable({ repetition, isResumable }: Route): boolean {
+  return repetition === 'idempotent' || (repetition === 'streaming' && isResumable);
+}
--- /dev/null
+++ b/packages/core/src/scheduling/commands.ts
@@ -0,0 +1,141 @@
+import { addToRate } from '../shared/index.js';
+import { workMs } from './costs.js';
+import type { GenerationSize, Job } from './job.js';
+import { kindOfRoute } from './queries.js';
+import {
+  createDemand,
+  createEndpointWork,
+  type EndpointWork,
+  type PeerWork,
+  type SchedulingState,
+} from './state.js';
+
+/** Weight of the newest request in the sizes of its route. */
+const PROFILE_WEIGHT = 0.05;
+
+/** Weight of the newest answer in the failed part of its endpoint. */
+const FAILURE_WEIGHT = 0.2;
+
+/** Weight of the newest first event in the pace of its endpoint. */
+const PACE_WEIGHT = 0.1;
+
+const SLOWEST_PACE = 6;
+const FASTEST_PACE = 0.4;
+
+/** Failures count for half after so long without an answer, so that an endpoint is tried again. */
+export const FAILURE_HALF_LIFE_MS = 2000;
+
+/** Returns what is known of an endpoint; creates it when nothing is. */
+export function workOf(state: SchedulingState, endpointId: string): EndpointWork {
+  let work = state.work.get(endpointId);
+  if (work === undefined) {
+    work = createEndpointWork();
+    state.work.set(endpointId, work);
+  }
+  return work;
+}
+
+function profileRoute(state: SchedulingState, routeId: string, size: GenerationSize): void {
+  const profile = state.profiles.get(routeId);
+  if (profile === undefined) {
+    const { promptTokens, outputTokens } = size;
+    state.profiles.set(routeId, { promptTokens, outputTokens });
+    return;
+  }
+  profile.promptTokens += PROFILE_WEIGHT * (size.promptTokens - profile.promptTokens);
+  profile.outputTokens += PROFILE_WEIGHT * (size.outputTokens - profile.outputTokens);
+}
+
+/** Counts an arrival into its service's demand. */
+export function noteArrival(state: SchedulingState, job: Job, now: number): void {
+  if (job.size === null) return;
+  profileRoute(state, job.routeId, job.size);
+  const demand = state.demand.get(job.serviceId) ?? createDemand();
+  state.demand.set(job.serviceId, demand);
+  const kind = kindOfRoute(state, job);
+  addToRate(kind === 'prefill' ? demand.prefill : demand.decode, workMs(job.size), now);
+}
+
+/** A request that was sent to an endpoint, as its load is counted. */
+export interface SentWork {
+  readonly endpointId: string;
+  readonly tokens: number;
+  phase: 'waiting' | 'streaming' | 'ended';
+}
+
+/** Counts a request as sent. */
+export function startWork(state: SchedulingState, endpointId: string, tokens: number): SentWork {
+  const { own } = workOf(state, endpointId);
+  own.waiting += 1;
+  own.waitingTokens += tokens;
+  return { endpointId, tokens, phase: 'waiting' };
+}
+
+function endWaiting(state: SchedulingState, { endpointId, tokens }: SentWork): void {
+  const { own } = workOf(state, endpointId);
+  own.waiting -= 1;
+  own.waitingTokens -= tokens;
+}
+
+/** Counts the first event of a sent request. */
+export function beginStreaming(state: SchedulingState, sent: SentWork): void {
+  if (sent.phase !== 'waiting') return;
+  endWaiting(state, sent);
+  workOf(state, sent.endpointId).own.streaming += 1;
+  sent.phase = 'streaming';
+}
+
+/** Counts a sent request as over. */
+export function endWork(state: SchedulingState, sent: SentWork): void {
+  if (sent.phase === 'waiting') endWaiting(state, sent);
+  else if (sent.phase === 'streaming') workOf(state, sent.endpointId).own.streaming -= 1;
+  sent.phase = 'ended';
+}
+
+/** Takes in how long a first event took against what was predicted. */
+export function observeFirstEvent(
+  state: SchedulingState,
+  endpointId: string,
+  predictedMs: number,
+  observedMs: number,
+): void {
+  const work = workOf(state, endpointId);
+  const ratio = Math.min(SLOWEST_PACE, Math.max(FASTEST_PACE, observedMs / predictedMs));
+  work.pace += PACE_WEIGHT * (ratio - work.pace);
+}
+
+/** Takes in whether an endpoint answered or failed. */
+export function observeOutcome(
+  state: SchedulingState,
+  endpointId: string,
+  isFailure: boolean,
+  now: number,
+): void {
+  const work = workOf(state, endpointId);
+  work.failedPart += FAILURE_WEIGHT * ((isFailure ? 1 : 0) - work.failedPart);
+  work.failedAt = now;
+}
+
+/** Takes in that bytes came from an endpoint. */
+export function hearEndpoint(state: SchedulingState, endpointId: string, now: number): void {
+  workOf(state, endpointId).heardAt = now;
+}
+
+/** Takes in what another VM told of its work. */
+export function learnPeerWork(state: SchedulingState, peerId: string, work: PeerWork): void {
+  state.peers.set(peerId, work);
+}
+
+/** Forgets an endpoint that is gone, and peers that tell nothing any more. */
+export function forgetStale(
+  state: SchedulingState,
+  isKnown: (endpointId: string) => boolean,
+  oldest: number,
+): void {
+  for (const [id, { own }] of state.work) {
+    if (!isKnown(id) && own.waiting + own.streaming === 0) state.work.delete(id);
+  }
+  state.peers.forEach(({ at }, id) => {
+    if (at < oldest) state.peers.delete(id);
+  });
+}
--- /dev/null
+++ b/packages/core/src/scheduling/index.ts
@@ -0,0 +1,26 @@
+export {
+  beginStreaming,
+  endWork,
+  forgetStale,
+  hearEndpoint,
+  learnPeerWork,
+  noteArrival,
+  observeOutcome,
+  observeFirstEvent,
+  startWork,
+  workOf,
+  type SentWork,
+} from './commands.js';
+export { divideEngines, type EngineDivision } from './divideEngines.js';
+export type { GenerationSize, Job, PromptPart } from './job.js';
+export { placeJob, type Placement, type PlacementContext } from './place.js';
+export { kindOfRoute, ownDemand, totalDemand, totalLoad } from './queries.js';
+export {
+  createSchedulingState,
+  type EndpointWork,
+  type RouteProfile,
+  type WorkKind,
+  type PeerWork,
+  type SchedulingState,
+  type WorkLoad,
+} from './state.js';
--- /dev/null
+++ b/packages/core/src/scheduling/place.ts
@@ -0,0 +1,187 @@
+import type { RegisteredEndpoint } from '../directory/index.js';
+import { rankMembers, type Random } from '../shared/index.js';
+import { FAILURE_HALF_LIFE_MS } from './commands.js';
+import { BASE_FIRST_EVENT_MS, ownTokens, prefillMs, sharedParts } from './costs.js';
+import { divideEngines } from './divideEngines.js';
+import type { GenerationSize, Job } from './job.js';
+import { kindOfRoute, totalLoad } from './queries.js';
+import type { SchedulingState } from './state.js';
+
+/** Where a request goes, or why it goes nowhere now and when to come back. */
+export type Placement =
+  | {
+      readonly kind: 'send';
+      readonly endpoint: RegisteredEndpoint;
+      /** Prompt tokens that the endpoint is expected to read. */
+      readonly tokens: number;
+      /** Expected time to the first event or answer, in milliseconds. */
+      readonly predictedMs: number;
+    }
+  | {
+      readonly kind: 'refuse';
+      readonly reason: 'no-endpoint' | 'full' | 'too-late';
+      readonly predictedMs: number;
+      readonly retryAfterMs: number;
+    };
+
+/** What a placement is decided from. */
+export interface PlacementContext {
+  readonly state: SchedulingState;
+  /** Endpoints of the service that may be used. */
+  readonly endpoints: readonly RegisteredEndpoint[];
+  /** Availability zone of this VM. */
+  readonly zone: string;
+  readonly random: Random;
+  readonly now: number;
+}
+
+interface Candidate {
+  readonly endpoint: RegisteredEndpoint;
+  readonly tokens: number;
+  readonly predictedMs: number;
+  readonly cost: number;
+}
+
+/** Engines beside its home that a cached prompt may go to. */
+const SPILL_ENGINES = 2;
+
+/** Reading a shared part once more is paid by all that wait behind it. */
+const REREAD_WEIGHT = 1.5;
+
+/** Part of the target within which a first event must be expected for a new request. */
+const NEW_LIMIT = 0.9;
+
+/** Part of the target for a request that returns: late already, it must not delay others. */
+const RETURNING_LIMIT = 0.45;
+
+/** Requests that a plain endpoint may hold for each slot before it counts as full. */
+const PLAIN_BACKLOG = 3;
+
+/** An endpoint that fails this much more than the best is used when there is no other. */
+const FAILED_MARGIN = 0.3;
+
+const NO_ENDPOINT_RETRY_MS = 500;
+const LEAST_RETRY_MS = 150;
+
+/** Longest time to come back after, as a part of the time left: callers honour no more. */
+const MOST_RETRY_PART = 1 / 3;
+
+function retryAfter(job: Job, backlogMs: number, random: Random): number {
+  // Spread over twice the backlog, so that a burst's tail does not return as a burst.
+  const spread = backlogMs * (0.5 + random.next());
+  return Math.min(job.remainingMs * MOST_RETRY_PART, Math.max(LEAST_RETRY_MS, spread));
+}
+
+/** Returns the part of an endpoint's answers that failed lately; it fades. */
+function failedPart({ state, now }: PlacementContext, endpointId: string): number {
+  const work = state.work.get(endpointId);
+  if (work === undefined) return 0;
+  return work.failedPart * 0.5 ** ((now - work.failedAt) / FAILURE_HALF_LIFE_MS);
+}
+
+function avoidFailing(context: PlacementContext): RegisteredEndpoint[] {
+  const { endpoints } = context;
+  if (endpoints.length < 2) return [...endpoints];
+  const parts = endpoints.map(({ id }) => failedPart(context, id));
+  const best = Math.min(...parts);
+  return endpoints.filter((_, index) => parts[index]! <= best + FAILED_MARGIN);
+}
+
+function cheapest(candidates: readonly Candidate[]): Candidate | undefined {
+  let best: Candidate | undefined;
+  for (const candidate of candidates) {
+    if (best === undefined || candidate.cost < best.cost) best = candidate;
+  }
+  return best;
+}
+
+/** Weighs the engines for work limited by prefill: the cache's home, or the next that is free. */
+function weighPrefill(
+  { state, now }: PlacementContext,
+  engines: readonly RegisteredEndpoint[],
+  size: GenerationSize,
+): Candidate[] {
+  const shared = sharedParts(size);
+  const key = shared.at(-1)?.id ?? size.parts[0]?.id ?? '';
+  const ranked = rankMembers(key, engines).slice(0, 1 + SPILL_ENGINES);
+  return ranked.map((endpoint, rank) => {
+    const tokens = rank === 0 ? ownTokens(size) : size.promptTokens;
+    const load = totalLoad(state, endpoint.id, now);
+    const pace = state.work.get(endpoint.id)?.pace ?? 1;
+    const waitMs = prefillMs(load.waitingTokens) * pace;
+    const readMs = prefillMs(tokens) * pace;
+    const predictedMs = BASE_FIRST_EVENT_MS + waitMs + readMs;
+    const isFull = load.waiting + load.streaming >= endpoint.slots;
+    const cost = waitMs + REREAD_WEIGHT * readMs + (isFull ? Number.MAX_SAFE_INTEGER / 2 : 0);
+    return { endpoint, tokens, predictedMs, cost };
+  });
+}
+
+/** Weighs the engines for work limited by decode: the smallest batch. */
+function weighDecode(
+  { state, random, now }: PlacementContext,
+  engines: readonly RegisteredEndpoint[],
+  size: GenerationSize,
+): Candidate[] {
+  const tokens = ownTokens(size);
+  return engines.map((endpoint) => {
+    const load = totalLoad(state, endpoint.id, now);
+    const pace = state.work.get(endpoint.id)?.pace ?? 1;
+    const waitMs = prefillMs(load.waitingTokens) * pace;
+    const busy = load.waiting + load.streaming;
+    // Below one request, so that VMs with the same view do not all choose the same engine.
+    const cost = busy + waitMs / BASE_FIRST_EVENT_MS + random.next();
+    return { endpoint, tokens, predictedMs: BASE_FIRST_EVENT_MS + waitMs, cost };
+  });
+}
+
+function placeDecode(context: PlacementContext, job: Job, size: GenerationSize): Placement {
+  const { state, random, now } = context;
+  const usable = avoidFailing(context);
+  const { own, rest } = divideEngines(state, job.serviceId, usable, 'decode', now);
+  const isFree = ({ endpoint, cost }: Candidate) => cost < endpoint.slots;
+  const best =
+    cheapest(weighDecode(context, own, size).filter(isFree)) ??
+    cheapest(weighDecode(context, rest, size).filter(isFree));
+  if (best !== undefined) return { kind: 'send', ...best };
+  const retryAfterMs = retryAfter(job, job.targetMs, random);
+  return { kind: 'refuse', reason: 'full', predictedMs: job.targetMs, retryAfterMs };
+}
+
+function placePrefill(context: PlacementContext, job: Job, size: GenerationSize): Placement {
+  const { state, random, now } = context;
+  const usable = avoidFailing(context);
+  const { own } = divideEngines(state, job.serviceId, usable, 'prefill', now);
+  const best = cheapest(weighPrefill(context, own, size))!;
+  const limitMs = job.targetMs * (job.isReturning ? RETURNING_LIMIT : NEW_LIMIT);
+  if (best.predictedMs <= limitMs) return { kind: 'send', ...best };
+  const retryAfterMs = retryAfter(job, best.predictedMs, random);
+  return { kind: 'refuse', reason: 'too-late', predictedMs: best.predictedMs, retryAfterMs };
+}
+
+function placePlain(context: PlacementContext, job: Job): Placement {
+  const { state, zone, random, now } = context;
+  const weighed = avoidFailing(context).map((endpoint) => {
+    const { waiting, streaming } = totalLoad(state, endpoint.id, now);
+    const busy = (waiting + streaming) / endpoint.slots;
+    const far = endpoint.zone === zone ? 0 : 0.15;
+    const cost = busy + far + random.next() * 0.1;
+    return { endpoint, tokens: 0, predictedMs: job.targetMs / 2, cost };
+  });
+  const best = cheapest(weighed.filter(({ cost }) => cost < PLAIN_BACKLOG));
+  if (best !== undefined) return { kind: 'send', ...best };
+  const retryAfterMs = retryAfter(job, job.targetMs, random);
+  return { kind: 'refuse', reason: 'full', predictedMs: job.targetMs, retryAfterMs };
+}
+
+/** Chooses the endpoint for a request, or refuses it with the time to come back. */
+export function placeJob(context: PlacementContext, job: Job): Placement {
+  if (context.endpoints.length === 0) {
+    const retryAfterMs = Math.min(NO_ENDPOINT_RETRY_MS, job.remainingMs * MOST_RETRY_PART);
+    return { kind: 'refuse', reason: 'no-endpoint', predictedMs: 0, retryAfterMs };
+  }
+  if (job.size === null) return placePlain(context, job);
+  return kindOfRoute(context.state, job) === 'prefill'
+    ? placePrefill(context, job, job.size)
+    : placeDecode(context, job, job.size);
+}
--- /dev/null
+++ b/packages/core/src/scheduling/queries.ts
@@ -0,0 +1,66 @@
+import { hashText, readRate } from '../shared/index.js';
+import { PREFILL_BOUND_RATIO } from './costs.js';
+import type { Job } from './job.js';
+import type { SchedulingState, WorkKind, WorkLoad } from './state.js';
+
+/** What a peer told counts for so long; it tells several times a second. */
+const PEER_FRESH_MS = 1500;
+
+/** Returns the kind of work that requests of a route are. */
+export function kindOfRoute(
+  state: SchedulingState,
+  { routeId, size }: Pick<Job, 'routeId' | 'size'>,
+): WorkKind {
+  if (size === null) return 'plain';
+  const { promptTokens, outputTokens } = state.profiles.get(routeId) ?? size;
+  return promptTokens > PREFILL_BOUND_RATIO * Math.max(1, outputTokens) ? 'prefill' : 'decode';
+}
+
+/** Returns the work of all VMs at an endpoint, as far as this one knows. */
+export function totalLoad(state: SchedulingState, endpointId: string, now: number): WorkLoad {
+  const total = { waiting: 0, streaming: 0, waitingTokens: 0 };
+  const add = (load: WorkLoad | undefined) => {
+    if (load === undefined) return;
+    total.waiting += load.waiting;
+    total.streaming += load.streaming;
+    total.waitingTokens += load.waitingTokens;
+  };
+  add(state.work.get(endpointId)?.own);
+  for (const peer of state.peers.values()) {
+    if (now - peer.at <= PEER_FRESH_MS) add(peer.loads.get(endpointId));
+  }
+  return total;
+}
+
+/** Returns this VM's prefill and decode demand for a service, as told to peers. */
+export function ownDemand(
+  state: SchedulingState,
+  serviceId: string,
+  now: number,
+): readonly [number, number] {
+  const demand = state.demand.get(serviceId);
+  if (demand === undefined) return [0, 0];
+  return [readRate(demand.prefill, now), readRate(demand.decode, now)];
+}
+
+/** Returns the prefill and decode demand of all VMs for a service, in engines. */
+export function totalDemand(
+  state: SchedulingState,
+  serviceId: string,
+  now: number,
+): readonly [number, number] {
+  let [prefill, decode] = ownDemand(state, serviceId, now);
+  for (const peer of state.peers.values()) {
+    const told = now - peer.at <= PEER_FRESH_MS ? peer.demand.get(serviceId) : undefined;
+    prefill += told?.[0] ?? 0;
+    decode += told?.[1] ?? 0;
+  }
+  return [prefill, decode];
+}
+
+/** Orders endpoints the same way on every VM. */
+export function orderEndpoints<T extends { readonly id: string }>(endpoints: readonly T[]): T[] {
+  const keyed = endpoints.map((endpoint) => ({ endpoint, key: hashText(endpoint.id) }));
+  keyed.sort((a, b) => a.key - b.key || (a.endpoint.id < b.endpoint.id ? -1 : 1));
+  return keyed.map(({ endpoint }) => endpoint);
+}
--- /dev/null
+++ b/packages/core/src/scheduling/state.ts
@@ -0,0 +1,81 @@
+import { createRate, type Rate } from '../shared/index.js';
+
+/** What limits an engine under a kind of work: reading prompts, or producing tokens. */
+export type WorkKind = 'prefill' | 'decode' | 'plain';
+
+/** Work at one endpoint: requests without a first event yet, and those that run. */
+export interface WorkLoad {
+  /** Requests that have no answer or first event yet. */
+  waiting: number;
+  /** Streams that produce events. */
+  streaming: number;
+  /** Prompt tokens of the waiting requests that no cache holds. */
+  waitingTokens: number;
+}
+
+/** What this VM knows of one endpoint. */
+export interface EndpointWork {
+  readonly own: WorkLoad;
+  /** Observed time to a first event divided by the predicted one, lately. */
+  pace: number;
+  /** Part of the answers that were failures, lately. */
+  failedPart: number;
+  /** Instant of the last answer that `failedPart` counts. */
+  failedAt: number;
+  /** Instant of the last byte from the endpoint. */
+  heardAt: number;
+}
+
+/** Work that a VM sees arrive for one service, in endpoint milliseconds per millisecond. */
+export interface Demand {
+  readonly prefill: Rate;
+  readonly decode: Rate;
+}
+
+/** What another VM told of its own work. */
+export interface PeerWork {
+  /** Instant at which it came. */
+  readonly at: number;
+  /** By endpoint. */
+  readonly loads: ReadonlyMap<string, WorkLoad>;
+  /** Prefill and decode demand by service. */
+  readonly demand: ReadonlyMap<string, readonly [number, number]>;
+}
+
+/** Sizes of a route's requests lately; they tell what limits an engine that runs them. */
+export interface RouteProfile {
+  promptTokens: number;
+  outputTokens: number;
+}
+
+/** Where parts of prompts were read lately, and how busy all endpoints are. */
+export interface SchedulingState {
+  readonly work: Map<string, EndpointWork>;
+  readonly demand: Map<string, Demand>;
+  readonly profiles: Map<string, RouteProfile>;
+  readonly peers: Map<string, PeerWork>;
+}
+
+/** Creates the state of a VM that has sent nothing. */
+export function createSchedulingState(): SchedulingState {
+  return { work: new Map(), demand: new Map(), profiles: new Map(), peers: new Map() };
+}
+
+/** Creates the work of an endpoint that nothing was sent to. */
+export function createEndpointWork(): EndpointWork {
+  return {
+    own: { waiting: 0, streaming: 0, waitingTokens: 0 },
+    pace: 1,
+    failedPart: 0,
+    failedAt: 0,
+    heardAt: 0,
+  };
+}
+
+/** Demand is followed this fast: a burst grows to its height within a second. */
+const DEMAND_TIME_MS = 1000;
+
+/** Creates the demand of a service that nobody asked for yet. */
+export function createDemand(): Demand {
+  return { prefill: createRate(DEMAND_TIME_MS), decode: createRate(DEMAND_TIME_MS) };
+}
--- /dev/null
+++ b/packages/router/src/gateway/admitCall.ts
@@ -0,0 +1,104 @@
+import type { IncomingMessage } from 'node:http';
+
+import {
+  chooseService,
+  findKeyHolder,
+  findRoute,
+  isRepeatable,
+  noteArrival,
+  type Job,
+  type Route,
+  type RoutedService,
+} from '@filbertlatch/core';
+
+import type { IncomingCall } from './dialect.js';
+import type { GatewayContext } from './gatewayContext.js';
+
+/** A request that may be sent on. */
+export interface AdmittedCall {
+  readonly kind: 'admitted';
+  readonly route: Route;
+  readonly service: RoutedService;
+  readonly accountId: string | null;
+  readonly job: Job;
+  readonly call: IncomingCall;
+  readonly isRepeatable: boolean;
+  /** Instant at which its answer is due: the caller's deadline or the route's time-out. */
+  readonly dueAt: number;
+}
+
+/** A request that is answered at once. */
+export interface RejectedCall {
+  readonly kind: 'rejected';
+  readonly status: number;
+  readonly reason: string;
+  readonly retryAfterMs: number | null;
+  readonly routeId: string;
+}
+
+/** Wait for a VM that has just started and knows no configuration. */
+const START_RETRY_MS = 300;
+
+/** A caller that has this part of the route's time, or less, has tried before. */
+const RETURNING_PART = 0.94;
+
+/** Each rank of an account goes before all ranks of routes. */
+const ROUTE_RANKS = 10;
+
+function reject(
+  status: number,
+  reason: string,
+  routeId = 'none',
+  retryAfterMs: number | null = null,
+): RejectedCall {
+  return { kind: 'rejected', status, reason, retryAfterMs, routeId };
+}
+
+function splitTarget(target: string): string {
+  const query = target.indexOf('?');
+  return query < 0 ? target : target.slice(0, query);
+}
+
+/** Finds route, account and service of a request by the configuration in force now. */
+export function admitCall(
+  { state, dialect }: GatewayContext,
+  request: IncomingMessage,
+  arrivedAt: number,
+): AdmittedCall | RejectedCall {
+  const { routing, scheduling } = state;
+  const { configuration } = routing;
+  if (configuration === null) return reject(503, 'starting', 'none', START_RETRY_MS);
+  const host = (request.headers.host ?? '').replace(/:\d+$/, '');
+  const route = findRoute(routing, host, splitTarget(request.url ?? '/'));
+  if (route === undefined) return reject(404, 'no_route');
+  const call = dialect.readCall(request.headers);
+  const account = findKeyHolder(routing, call.key);
+  const needsKey = configuration.accounts !== null && !route.isPublic;
+  if (needsKey && account === undefined) return reject(401, 'unknown_key', route.id);
+  const requestId = call.requestId ?? '';
+  const serviceId = chooseService(route, requestId);
+  const service = serviceId === undefined ? undefined : configuration.services.get(serviceId);
+  if (service === undefined) return reject(503, 'no_service', route.id, START_RETRY_MS);
+  const remainingMs = Math.min(call.remainingMs ?? route.timeoutMs, route.timeoutMs);
+  const job: Job = {
+    id: requestId,
+    routeId: route.id,
+    serviceId: service.id,
+    priority: (account?.priority ?? 0) * ROUTE_RANKS + route.priority,
+    size: service.engine === null ? null : call.size,
+    targetMs: route.targetMs,
+    isReturning: call.remainingMs !== null && call.remainingMs < route.timeoutMs * RETURNING_PART,
+    remainingMs,
+  };
+  noteArrival(scheduling, job, arrivedAt);
+  return {
+    kind: 'admitted',
+    route,
+    service,
+    accountId: account?.id ?? null,
+    job,
+    call,
+    isRepeatable: isRepeatable(route),
+    dueAt: arrivedAt + remainingMs,
+  };
+}
--- /dev/null
+++ b/packages/router/src/gateway/attempt.ts
@@ -0,0 +1,114 @@
+import type { Verdict } from '@filbertlatch/core';
+import type { Dispatcher } from 'undici';
+
+import type { EndpointChannels } from './endpointChannels.js';
+
+/** One request to be sent to one endpoint. */
+export interface AttemptCall {
+  readonly method: string;
+  readonly path: string;
+  /** Name, value, name, value. */
+  readonly headers: string[];
+  readonly body: Buffer | null;
+}
+
+/** Why an attempt ended without a whole answer. */
+export interface AttemptFailure {
+  readonly verdict: Verdict;
+  readonly cause: 'unreachable' | 'broken' | 'malformed' | 'cancelled';
+  readonly message: string;
+}
+
+/** Takes what comes of an attempt; after `end` or `fail` nothing more comes. */
+export interface AttemptObserver {
+  head(status: number, headers: string[]): void;
+  /** Returns false to pause the endpoint until `Attempt.resume`. */
+  body(chunk: Buffer): boolean;
+  end(): void;
+  fail(failure: AttemptFailure): void;
+}
+
+function toText(rawHeaders: readonly Buffer[]): string[] {
+  return rawHeaders.map((header) => header.toString('latin1'));
+}
+
+/** One attempt of a request at one endpoint; knows whether any byte of it was sent. */
+export class Attempt {
+  readonly #channels: EndpointChannels;
+
+  readonly #observer: AttemptObserver;
+
+  #abort: ((reason: Error) => void) | null = null;
+
+  #resume: (() => void) | null = null;
+
+  #hasStarted = false;
+
+  #isOver = false;
+
+  #isCancelled = false;
+
+  constructor(channels: EndpointChannels, observer: AttemptObserver) {
+    this.#channels = channels;
+    this.#observer = observer;
+  }
+
+  /** Sends the request. */
+  start(call: AttemptCall): void {
+    const { method, path, headers, body } = call;
+    const options = { method: method as Dispatcher.HttpMethod, path, headers, body };
+    this.#channels.pool.dispatch(options, {
+      onConnect: (abort) => {
+        if (this.#isCancelled) {
+          abort(new Error('cancelled before it was sent'));
+          return;
+        }
+        this.#hasStarted = true;
+        this.#abort = abort;
+      },
+      onHeaders: (status, rawHeaders, resume) => {
+        this.#resume = resume;
+        if (status < 200) return true;
+        this.#observer.head(status, toText(rawHeaders));
+        return true;
+      },
+      onData: (chunk) => this.#isOver || this.#observer.body(chunk),
+      onComplete: () => this.#complete(),
+      onError: (error) => this.#fail(error),
+    });
+  }
+
+  /** Lets a paused endpoint go on. */
+  resume(): void {
+    this.#resume?.();
+  }
+
+  /** Closes the attempt's connection, so that the endpoint stops; no event follows. */
+  cancel(): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    this.#isCancelled = true;
+    this.#abort?.(new Error('cancelled'));
+  }
+
+  #complete(): void {
+    // The client library takes the reset of a connection for the end of a body without length.
+    if (this.#channels.isResetting) this.#fail(new Error('reset within the body'));
+    else if (!this.#isOver) {
+      this.#isOver = true;
+      this.#observer.end();
+    }
+  }
+
+  #fail(error: Error & { code?: string }): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    const isMalformed = error.code?.startsWith('HPE_') === true;
+    const brokenCause = isMalformed ? 'malformed' : 'broken';
+    this.#observer.fail({
+      verdict: this.#hasStarted ? 'may-have-run' : 'not-run',
+      cause: this.#hasStarted ? brokenCause : 'unreachable',
+      message: error.message,
+    });
+  }
+}
--- /dev/null
+++ b/packages/router/src/gateway/dumpGateway.ts
@@ -0,0 +1,45 @@
+import {
+  configurationVersion,
+  kindOfRoute,
+  phaseOf,
+  totalDemand,
+  totalLoad,
+} from '@filbertlatch/core';
+
+import { isServing, type GatewayState } from './gatewayState.js';
+
+/** What a gateway believes, as JSON. */
+export type GatewayDump = ReturnType<typeof dumpGateway>;
+
+/** Dumps the state; carries no key, prompt or body. */
+export function dumpGateway(state: GatewayState, openRequests: number, now: number) {
+  const { routing, directory, scheduling, health, peers } = state;
+  const { configuration } = routing;
+  return {
+    vm: state.vmId,
+    zone: state.zone,
+    isReady: isServing(state),
+    isLeaving: state.isLeaving,
+    openRequests,
+    configurationVersion: configurationVersion(routing),
+    directoryRevision: directory.revision,
+    isStoreLost: directory.isStoreLost,
+    routes: (configuration?.routes ?? []).map((route) => ({
+      ...route,
+      work: kindOfRoute(scheduling, { routeId: route.id, size: null }),
+      sizes: scheduling.profiles.get(route.id) ?? null,
+    })),
+    services: [...(configuration?.services.values() ?? [])].map((service) => ({
+      ...service,
+      demand: totalDemand(scheduling, service.id, now),
+    })),
+    endpoints: [...directory.endpoints.values()].map((endpoint) => ({
+      ...endpoint,
+      isMissing: directory.missing.has(endpoint.id),
+      health: phaseOf(health, endpoint.id),
+      load: totalLoad(scheduling, endpoint.id, now),
+      own: scheduling.work.get(endpoint.id) ?? null,
+    })),
+    peers: [...peers].map(([id, peer]) => ({ id, ...peer, ageMs: Math.round(now - peer.heardAt) })),
+  };
+}
--- /dev/null
+++ b/packages/router/src/gateway/endpointChannels.ts
@@ -0,0 +1,75 @@
+import { buildConnector, Pool } from 'undici';
+
+/** Connections to an endpoint within a data centre are open within milliseconds. */
+const CONNECT_TIMEOUT_MS = 700;
+
+/** Idle time after which a connection is closed when the endpoint does not announce its own. */
+const IDLE_TIMEOUT_MS = 3000;
+
+/** A connection is closed this long before the endpoint would, so that no request crosses it. */
+const IDLE_MARGIN_MS = 1000;
+
+/** The connections to one lifetime of one endpoint, one request at a time on each. */
+export class EndpointChannels {
+  readonly #origin: string;
+
+  readonly #connections: number;
+
+  #pool: Pool;
+
+  #isResetting = false;
+
+  constructor(address: string, connections: number) {
+    this.#origin = `http://${address}`;
+    this.#connections = connections;
+    this.#pool = this.#createPool();
+  }
+
+  /** The pool that new requests use. */
+  get pool(): Pool {
+    return this.#pool;
+  }
+
+  /** True while the error of a connection is being handled. */
+  get isResetting(): boolean {
+    return this.#isResetting;
+  }
+
+  /** Leaves the open connections to the requests on them; later requests use new ones. */
+  renew(): void {
+    const old = this.#pool;
+    this.#pool = this.#createPool();
+    // Requests on the old connections end or are cancelled by their own deadlines.
+    old.close().catch(() => old.destroy());
+  }
+
+  /** Closes the idle connections now and the others when their requests have ended. */
+  close(): void {
+    this.#pool.close().catch(() => this.#pool.destroy());
+  }
+
+  #createPool(): Pool {
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    return new Pool(this.#origin, {
+      connections: this.#connections,
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      connect: (options, callback) => {
+        connect(options, (...result) => {
+          result[1]?.prependListener('error', () => this.#markReset());
+          callback(...result);
+        });
+      },
+    });
+  }
+
+  #markReset(): void {
+    this.#isResetting = true;
+    process.nextTick(() => {
+      this.#isResetting = false;
+    });
+  }
+}
--- /dev/null
+++ b/packages/router/src/gateway/eventSplitter.ts
@@ -0,0 +1,61 @@
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+
+/** Longest event that is held until it is whole; a longer one is malformed. */
+const MOST_EVENT_BYTES = 1_048_576;
+
+/** Returns the index behind the first blank line; -1 when there is none. */
+function findEventEnd(bytes: Buffer, from: number): number {
+  let lineStart = from;
+  for (let index = bytes.indexOf(LINE_FEED, from); index >= 0;) {
+    const isBlank =
+      index === lineStart || (index === lineStart + 1 && bytes[lineStart] === CARRIAGE_RETURN);
+    if (isBlank) return index + 1;
+    lineStart = index + 1;
+    index = bytes.indexOf(LINE_FEED, lineStart);
+  }
+  return -1;
+}
+
+function readId(event: string): string | null {
+  const match = /^id: ?([^\r\n]*)/m.exec(event);
+  return match === null ? null : match[1]!;
+}
+
+/** Cuts a byte stream into whole events, so that a stream can go on behind its last one. */
+export class EventSplitter {
+  #rest: Buffer = Buffer.alloc(0);
+
+  #lastEventId: string | null = null;
+
+  /** Id of the last whole event. */
+  get lastEventId(): string | null {
+    return this.#lastEventId;
+  }
+
+  /** True when the bytes so far end with a whole event. */
+  get isWhole(): boolean {
+    return this.#rest.length === 0;
+  }
+
+  /** Takes bytes and returns those of the events that are whole now. */
+  push(chunk: Buffer): Buffer {
+    this.#rest = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
+    let end = 0;
+    for (let next = findEventEnd(this.#rest, 0); next >= 0;) {
+      const id = readId(this.#rest.toString('latin1', end, next));
+      if (id !== null) this.#lastEventId = id;
+      end = next;
+      next = findEventEnd(this.#rest, end);
+    }
+    const whole = this.#rest.subarray(0, end);
+    this.#rest = this.#rest.subarray(end);
+    if (this.#rest.length > MOST_EVENT_BYTES) throw new RangeError('event without an end');
+    return whole;
+  }
+
+  /** Forgets the bytes of an event that was cut off. */
+  dropPartial(): void {
+    this.#rest = Buffer.alloc(0);
+  }
+}
--- /dev/null
+++ b/packages/router/src/gateway/gateway.ts
@@ -0,0 +1,172 @@
+import { createServer, type Server } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { getRequestListener } from '@hono/node-server';
+import {
+  configurationVersion,
+  createRandom,
+  fadeEvidence,
+  forgetStale,
+  hashText,
+} from '@filbertlatch/core';
+import { Hono } from 'hono';
+
+import { now } from '../clock.js';
+import { createLog } from '../log/index.js';
+import { ChannelTable } from './channelTable.js';
+import type { Dialect } from './dialect.js';
+import { FrontServer } from './frontServer.js';
+import type { GatewayContext } from './gatewayContext.js';
+import { GatewayLog } from './gatewayLog.js';
+import { GatewayMetrics } from './gatewayMetrics.js';
+import { countFleet, createGatewayState, isServing } from './gatewayState.js';
+import { dumpGateway, type GatewayDump } from './dumpGateway.js';
+import { PeerTask } from './peerTask.js';
+import { ProbeTask } from './probeTask.js';
+import type { PublicationSource } from './publication.js';
+import { PublicationTask } from './publicationTask.js';
+import type { GatewaySettings } from './settings.js';
+
+/** Pause between two looks at what is due. */
+const TICK_MS = 100;
+
+/** A tick that comes this late shows that the process stood still. */
+const PAUSE_MS = 1500;
+
+/** The balancer goes on sending connections until it has missed two checks a second apart. */
+const LEAST_DRAIN_MS = 3200;
+
+/** Time before the kill at which the process ends by itself. */
+const KILL_MARGIN_MS = 300;
+
+/** Peers that told nothing for so long are left out of the load. */
+const PEER_STALE_MS = 5000;
+
+const MS_PER_SECOND = 1000;
+
+/** One running gateway. */
+export interface Gateway {
+  /** Returns what the process believes; carries no key, prompt or body. */
+  state(): GatewayDump;
+  /** Uses the seeds of settings that were read again. */
+  useSettings(settings: GatewaySettings): void;
+  /** Takes no new connections, finishes what runs, then stops. */
+  drain(): Promise<void>;
+  /** Stops at once. */
+  stop(): void;
+}
+
+function splitAddress(address: string): { host: string; port: number } {
+  const [host = '', port = '0'] = address.split(':');
+  return { host, port: Number(port) };
+}
+
+async function listen(server: Server, address: string): Promise<void> {
+  const { host, port } = splitAddress(address);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+}
+
+/** Starts a gateway; resolves when it listens. */
+export async function createGateway(
+  settings: GatewaySettings,
+  source: PublicationSource,
+  dialect: Dialect,
+): Promise<Gateway> {
+  const seed = hashText(`${settings.vm.id}\n${now()}`);
+  const state = createGatewayState(settings, createRandom(seed));
+  const log = new GatewayLog(createLog(settings.vm.id, settings.logLevel, []));
+  const channels = new ChannelTable();
+  const probes = new ProbeTask(state, log);
+  const publication = new PublicationTask(state, source, log);
+  const peers = new PeerTask(settings, state, publication, log);
+  let inForce = settings;
+  const metrics = new GatewayMetrics({
+    configurationVersion: () => configurationVersion(state.routing),
+    endpoints: () => state.directory.endpoints.size,
+    peers: () => state.peers.size,
+  });
+  const countVms = () => countFleet(state, inForce.seeds.length, now());
+  const context: GatewayContext = { state, channels, dialect, log, metrics, probes, countVms };
+  const front = new FrontServer(context);
+  const dump = () => dumpGateway(state, front.openRequests, now());
+
+  const readiness = createServer((request, response) => {
+    request.resume();
+    response.writeHead(isServing(state) ? 200 : 503, { 'content-length': 0 }).end();
+  });
+  const controlApi = new Hono();
+  controlApi.route('/', peers.api);
+  controlApi.get('/state', (c) => c.json(dump()));
+  controlApi.get('/metrics', async (c) => c.text(await metrics.render()));
+  const control = createServer(getRequestListener(controlApi.fetch));
+
+  const isKnown = (id: string) => state.directory.endpoints.has(id);
+  let tickedAt = now();
+  let ticks = 0;
+  const tick = () => {
+    const instant = now();
+    if (instant - tickedAt > PAUSE_MS) {
+      log.warn('process_paused', { pausedMs: Math.round(instant - tickedAt) });
+      publication.restart();
+    }
+    tickedAt = instant;
+    ticks += 1;
+    publication.dropMissing();
+    probes.probeDue();
+    front.useLimits();
+    if (ticks % 10 !== 0) return;
+    channels.forget(isKnown);
+    probes.forget(isKnown);
+    forgetStale(state.scheduling, isKnown, instant - PEER_STALE_MS);
+    fadeEvidence(state.suspects, instant);
+  };
+
+  const callers = splitAddress(settings.listen.callers);
+  await Promise.all([
+    front.listen(callers.host, callers.port),
+    listen(readiness, settings.listen.ready),
+    listen(control, settings.listen.control),
+  ]);
+  log.change('started', { settings: settings.vm, seeds: settings.seeds });
+  publication.start();
+  peers.start();
+  const timer = setInterval(tick, TICK_MS);
+
+  const stop = () => {
+    clearInterval(timer);
+    publication.stop();
+    peers.stop();
+    front.close();
+    readiness.close();
+    readiness.closeAllConnections();
+    control.close();
+    control.closeAllConnections();
+    channels.forget(() => false);
+    log.change('stopped', { openRequests: front.openRequests });
+  };
+  const drain = async () => {
+    const begun = now();
+    state.isLeaving = true;
+    log.change('drain_began', { openRequests: front.openRequests });
+    const latest = begun + settings.graceSeconds * MS_PER_SECOND - KILL_MARGIN_MS;
+    const isDone = () => front.openRequests === 0 && now() >= begun + LEAST_DRAIN_MS;
+    while (!isDone() && now() < latest) {
+      await sleep(TICK_MS);
+      if (now() >= begun + LEAST_DRAIN_MS) front.closeIdle();
+    }
+    stop();
+  };
+  return {
+    state: dump,
+    useSettings: (next) => {
+      inForce = next;
+      peers.useSeeds(next.seeds);
+      log.change('settings_read', { seeds: next.seeds });
+    },
+    drain,
+    stop,
+  };
+}
--- /dev/null
+++ b/packages/router/src/gateway/gatewayMetrics.ts
@@ -0,0 +1,76 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+const PREFIX = 'filbertlatch_';
+const MS_PER_SECOND = 1000;
+const BUCKETS_SECONDS = [0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 15];
+
+/** Gauges that are read at each scrape. */
+export interface GatewayGauges {
+  readonly configurationVersion: () => number;
+  readonly endpoints: () => number;
+  readonly peers: () => number;
+}
+
+/** Counters and latency histograms of one gateway. */
+export class GatewayMetrics {
+  readonly #registry = new Registry();
+
+  readonly #outcomes = new Counter({
+    name: `${PREFIX}requests_total`,
+    help: 'Requests that ended, by route and outcome.',
+    labelNames: ['route', 'outcome'],
+    registers: [this.#registry],
+  });
+
+  readonly #attempts = new Counter({
+    name: `${PREFIX}attempts_total`,
+    help: 'Requests sent to endpoints, by endpoint and outcome.',
+    labelNames: ['endpoint', 'outcome'],
+    registers: [this.#registry],
+  });
+
+  readonly #first = new Histogram({
+    name: `${PREFIX}first_answer_seconds`,
+    help: 'From arrival to the answer, or to the first event of a stream.',
+    labelNames: ['route'],
+    buckets: BUCKETS_SECONDS,
+    registers: [this.#registry],
+  });
+
+  constructor(gauges: GatewayGauges) {
+    this.#gauge('configuration_version', 'Version in force; -1 before the first.', () =>
+      gauges.configurationVersion(),
+    );
+    this.#gauge('endpoints', 'Endpoints that are registered.', () => gauges.endpoints());
+    this.#gauge('peers', 'Other VMs heard lately.', () => gauges.peers());
+  }
+
+  /** Counts a request's end. */
+  countRequest(route: string, outcome: string): void {
+    this.#outcomes.inc({ route, outcome });
+  }
+
+  /** Counts the end of an attempt. */
+  countAttempt(endpoint: string, outcome: string): void {
+    this.#attempts.inc({ endpoint, outcome });
+  }
+
+  /** Records the time to an answer or first event. */
+  recordFirst(route: string, ms: number): void {
+    this.#first.observe({ route }, ms / MS_PER_SECOND);
+  }
+
+  /** Renders all metrics in the Prometheus text format. */
+  async render(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  #gauge(name: string, help: string, read: () => number): void {
+    const gauge: Gauge = new Gauge({
+      name: `${PREFIX}${name}`,
+      help,
+      registers: [this.#registry],
+      collect: () => gauge.set(read()),
+    });
+  }
+}
--- /dev/null
+++ b/packages/router/src/gateway/index.ts
@@ -0,0 +1,16 @@
+export { createGateway, type Gateway } from './gateway.js';
+export type { AnswerHead, Dialect, ForwardedCall, IncomingCall, ReportedLoad } from './dialect.js';
+export { dropHeaders, findHeader } from './headers.js';
+export {
+  HistoryLostError,
+  type PublicationPart,
+  type PublicationSource,
+  type PublishedEntry,
+  type Reading,
+} from './publication.js';
+export {
+  gatewaySettingsSchema,
+  loadGatewaySettings,
+  parseGatewaySettings,
+  type GatewaySettings,
+} from './settings.js';
--- /dev/null
+++ b/packages/router/src/gateway/peerMessage.ts
@@ -0,0 +1,47 @@
+import type { CrashNews, WorkLoad } from '@filbertlatch/core';
+import { z } from 'zod';
+
+const count = z.number().min(0).max(1e9);
+const text = z.string().min(1).max(256);
+
+/** What one VM tells the others several times a second; hints, never authority. */
+export const peerNewsSchema = z.object({
+  vmId: text,
+  address: text,
+  isLeaving: z.boolean(),
+  hasStore: z.boolean(),
+  configurationVersion: z.number().int(),
+  directoryRevision: z.number().int(),
+  /** Endpoint, waiting requests, streaming requests, waiting tokens. */
+  loads: z.array(z.tuple([text, count, count, count])).max(4096),
+  /** Service, prefill demand, decode demand. */
+  demand: z.array(z.tuple([text, count, count])).max(256),
+  /** Control addresses of VMs heard lately. */
+  members: z.array(text).max(64),
+  /** Fingerprint, endpoint, instant of the crash, instant of the sending. */
+  crashes: z.array(z.tuple([text, text, count.max(1e14), count.max(1e14)])).max(32),
+});
+
+/** Checked news of a peer. */
+export type PeerNews = z.infer<typeof peerNewsSchema>;
+
+/** Returns the loads of a peer by endpoint. */
+export function readLoads({ loads }: PeerNews): Map<string, WorkLoad> {
+  return new Map(
+    loads.map(([id, waiting, streaming, waitingTokens]) => [
+      id,
+      { waiting, streaming, waitingTokens },
+    ]),
+  );
+}
+
+/** Returns the crashes that a peer saw. */
+export function readCrashes({ crashes }: PeerNews): CrashNews[] {
+  return crashes.map(([fingerprint, endpointId, at, startedAt]) => ({
+    fingerprint,
+    endpointId,
+    at,
+    startedAt,
+    isAlone: false,
+  }));
+}
--- /dev/null
+++ b/packages/router/src/gateway/peerTask.ts
@@ -0,0 +1,269 @@
+import { createSocket, type Socket } from 'node:dgram';
+
+import {
+  configurationVersion,
+  learnCrashes,
+  learnPeerWork,
+  listCrashes,
+  ownDemand,
+} from '@filbertlatch/core';
+import { Hono } from 'hono';
+import { JSONRPCClient, JSONRPCServer } from 'json-rpc-2.0';
+import { Agent, request } from 'undici';
+
+import { now } from '../clock.js';
+import type { GatewayLog } from './gatewayLog.js';
+import type { GatewayState } from './gatewayState.js';
+import { peerNewsSchema, readCrashes, readLoads, type PeerNews } from './peerMessage.js';
+import type { GatewaySettings } from './settings.js';
+
+/** Pause between two messages to the same peers. */
+const NEWS_INTERVAL_MS = 100;
+
+/** Most peers told at a time; a larger fleet tells another part each time. */
+const MOST_PEERS_TOLD = 16;
+
+/** Longest wait for what a peer has of the publication. */
+const FETCH_TIMEOUT_MS = 800;
+
+/** A peer that has told nothing for so long is forgotten. */
+const FORGET_MS = 30_000;
+
+/** Part of the messages that go to the seeds too, so that parted halves of a fleet meet again. */
+const SEED_PART = 0.2;
+
+/** What a peer gives to one that cannot read the store. */
+export interface PeerPublication {
+  readonly configurationText: string | null;
+  readonly directoryRevision: number;
+  /** Entries as this VM holds them. */
+  readonly endpoints: readonly unknown[];
+}
+
+/** Takes in what a peer has of the publication. */
+export interface PublicationTaker {
+  readonly isConnected: boolean;
+  offerConfiguration(text: string, source: string): void;
+  offerEndpoints(endpoints: readonly unknown[], revision: number, source: string): void;
+}
+
+function splitAddress(address: string): { host: string; port: number } {
+  const [host = '', port = '0'] = address.split(':');
+  return { host, port: Number(port) };
+}
+
+/** The task that owns the calls to and from other VMs: news by datagram, the rest by request. */
+export class PeerTask {
+  readonly api = new Hono();
+
+  readonly #settings: GatewaySettings;
+
+  readonly #state: GatewayState;
+
+  readonly #taker: PublicationTaker;
+
+  readonly #log: GatewayLog;
+
+  readonly #agent = new Agent({ connections: 1, connect: { timeout: FETCH_TIMEOUT_MS } });
+
+  readonly #server = new JSONRPCServer();
+
+  readonly #fetching = new Set<string>();
+
+  #socket: Socket | null = null;
+
+  #timer: NodeJS.Timeout | null = null;
+
+  #seeds: readonly string[];
+
+  constructor(
+    settings: GatewaySettings,
+    state: GatewayState,
+    taker: PublicationTaker,
+    log: GatewayLog,
+  ) {
+    this.#settings = settings;
+    this.#state = state;
+    this.#taker = taker;
+    this.#log = log;
+    this.#seeds = settings.seeds;
+    this.#server.addMethod('news', (params: unknown) => this.#hear(params));
+    this.#server.addMethod('publication', () => this.#publication());
+    this.api.post('/rpc', async (c) => c.json(await this.#server.receive(await c.req.json())));
+  }
+
+  /** Starts to tell and to listen. */
+  start(): void {
+    const { host, port } = splitAddress(this.#settings.listen.control);
+    this.#socket = createSocket('udp4');
+    this.#socket.on('message', (bytes) => this.#receive(bytes));
+    this.#socket.on('error', (error) => {
+      this.#log.warn('peer_socket_failed', { error: error.message });
+    });
+    this.#socket.bind(port, host);
+    this.#timer = setInterval(() => this.tell(), NEWS_INTERVAL_MS);
+  }
+
+  /** Uses other seeds from now on. */
+  useSeeds(seeds: readonly string[]): void {
+    this.#seeds = seeds;
+  }
+
+  /** Tells the peers what this VM knows and does. */
+  tell(): void {
+    const message = JSON.stringify({ jsonrpc: '2.0', method: 'news', params: this.#news() });
+    this.#chooseTargets().forEach((address) => {
+      const { host, port } = splitAddress(address);
+      // A datagram that cannot be sent is as good as lost; the next one tells the same.
+      this.#socket?.send(message, port, host, () => {});
+    });
+  }
+
+  /** Stops telling and closes the sockets. */
+  stop(): void {
+    if (this.#timer !== null) clearInterval(this.#timer);
+    this.#socket?.close();
+    this.#socket = null;
+    void this.#agent.destroy();
+  }
+
+  #chooseTargets(): string[] {
+    const { peers, random } = this.#state;
+    const own = this.#settings.listen.control;
+    const known = [...peers.values()].map(({ address }) => address);
+    const withSeeds = known.length === 0 || random.next() < SEED_PART;
+    const all = new Set(withSeeds ? [...known, ...this.#seeds] : known);
+    all.delete(own);
+    const targets = [...all];
+    if (targets.length <= MOST_PEERS_TOLD) return targets;
+    const first = Math.floor(random.next() * targets.length);
+    return [...targets.slice(first), ...targets.slice(0, first)].slice(0, MOST_PEERS_TOLD);
+  }
+
+  #news(): PeerNews {
+    const { vmId, isLeaving, routing, directory, scheduling, suspects, peers } = this.#state;
+    const instant = now();
+    const loads = [...scheduling.work]
+      .filter(([, { own }]) => own.waiting + own.streaming > 0)
+      .map(([id, { own }]): [string, number, number, number] => [
+        id,
+        own.waiting,
+        own.streaming,
+        Math.round(own.waitingTokens),
+      ]);
+    const demand = [...scheduling.demand.keys()].map((id): [string, number, number] => [
+      id,
+      ...ownDemand(scheduling, id, instant),
+    ]);
+    return {
+      vmId,
+      address: this.#settings.listen.control,
+      isLeaving,
+      hasStore: this.#taker.isConnected,
+      configurationVersion: configurationVersion(routing),
+      directoryRevision: directory.revision,
+      loads,
+      demand,
+      members: [...peers.values()].map(({ address }) => address).slice(0, MOST_PEERS_TOLD),
+      crashes: listCrashes(suspects, instant).map((crash) => [
+        crash.fingerprint,
+        crash.endpointId,
+        crash.at,
+        crash.startedAt,
+      ]),
+    };
+  }
+
+  #receive(bytes: Buffer): void {
+    void this.#server.receiveJSON(bytes.toString('utf8'));
+  }
+
+  #hear(params: unknown): void {
+    const checked = peerNewsSchema.safeParse(params);
+    if (!checked.success) {
+      this.#log.warn('peer_news_unreadable', { error: checked.error.message });
+      return;
+    }
+    const news = checked.data;
+    const { vmId, peers, scheduling, suspects } = this.#state;
+    if (news.vmId === vmId) return;
+    const instant = now();
+    if (!peers.has(news.vmId)) this.#log.change('peer_found', { peer: news.vmId });
+    peers.set(news.vmId, {
+      address: news.address,
+      heardAt: instant,
+      configurationVersion: news.configurationVersion,
+      directoryRevision: news.directoryRevision,
+      hasStore: news.hasStore,
+    });
+    this.#forgetSilent(instant);
+    const demand = new Map(
+      news.demand.map(([id, prefill, decode]) => [id, [prefill, decode] as const]),
+    );
+    learnPeerWork(scheduling, news.vmId, { at: instant, loads: readLoads(news), demand });
+    learnCrashes(suspects, readCrashes(news), instant);
+    this.#introduce(news.members);
+    this.#catchUp(news);
+  }
+
+  #forgetSilent(instant: number): void {
+    this.#state.peers.forEach(({ heardAt }, id) => {
+      if (instant - heardAt > FORGET_MS) this.#state.peers.delete(id);
+    });
+  }
+
+  /** Tells VMs that only others have heard of. */
+  #introduce(members: readonly string[]): void {
+    const known = new Set([...this.#state.peers.values()].map(({ address }) => address));
+    const stranger = members.find(
+      (address) => !known.has(address) && address !== this.#settings.listen.control,
+    );
+    if (stranger === undefined) return;
+    const message = JSON.stringify({ jsonrpc: '2.0', method: 'news', params: this.#news() });
+    const { host, port } = splitAddress(stranger);
+    this.#socket?.send(message, port, host, () => {});
+  }
+
+  /** Asks a peer that has something newer which this VM cannot read itself soon. */
+  #catchUp(news: PeerNews): void {
+    const { routing, directory } = this.#state;
+    const isOlder = news.configurationVersion > configurationVersion(routing);
+    const isBehind =
+      !this.#taker.isConnected && news.hasStore && news.directoryRevision > directory.revision;
+    if (!isOlder && !isBehind) return;
+    if (this.#fetching.has(news.vmId)) return;
+    this.#fetching.add(news.vmId);
+    void this.#fetch(news).finally(() => this.#fetching.delete(news.vmId));
+  }
+
+  async #fetch({ vmId, address }: PeerNews): Promise<void> {
+    try {
+      const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
+        const { body } = await request(`http://${address}/rpc`, {
+          method: 'POST',
+          dispatcher: this.#agent,
+          headers: { 'content-type': 'application/json' },
+          body: JSON.stringify(payload),
+          signal: AbortSignal.timeout(FETCH_TIMEOUT_MS),
+        });
+        client.receive((await body.json()) as never);
+      });
+      const found = (await client.request('publication', {})) as PeerPublication;
+      if (found.configurationText !== null) {
+        this.#taker.offerConfiguration(found.configurationText, vmId);
+      }
+      this.#taker.offerEndpoints(found.endpoints, found.directoryRevision, vmId);
+    } catch (error) {
+      this.#log.warn('peer_unavailable', { peer: vmId, error: String(error) });
+    }
+  }
+
+  #publication(): PeerPublication {
+    const { configurationText, directory } = this.#state;
+    return {
+      configurationText,
+      directoryRevision: directory.revision,
+      endpoints: [...directory.endpoints.values()],
+    };
+  }
+}
--- /dev/null
+++ b/packages/router/src/gateway/probeTask.ts
@@ -0,0 +1,104 @@
+import { recordCrash, recordProbe, takeProbes, type RegisteredEndpoint } from '@filbertlatch/core';
+import { request } from 'undici';
+
+import { now } from '../clock.js';
+import type { GatewayLog } from './gatewayLog.js';
+import type { GatewayState } from './gatewayState.js';
+
+/** A healthy endpoint answers its health check within its queue's time. */
+const PROBE_TIMEOUT_MS = 1000;
+
+/** A probe within this time of the last one of the same endpoint tells nothing new. */
+const LEAST_PROBE_INTERVAL_MS = 500;
+
+/** A request in flight within this time before a refused probe met the crash. */
+const CRASH_WINDOW_MS = 2500;
+
+interface Break {
+  readonly fingerprint: string;
+  readonly at: number;
+  readonly startedAt: number;
+}
+
+/** The task that asks endpoints whether they are healthy, each time on a new connection. */
+export class ProbeTask {
+  readonly #state: GatewayState;
+
+  readonly #log: GatewayLog;
+
+  readonly #probedAt = new Map<string, number>();
+
+  readonly #breaks = new Map<string, Break[]>();
+
+  constructor(state: GatewayState, log: GatewayLog) {
+    this.#state = state;
+    this.#log = log;
+  }
+
+  /** Remembers a request whose connection broke: a crash that a probe finds is held against it. */
+  noteBreak(endpointId: string, fingerprint: string, startedAt: number): void {
+    const at = now();
+    const recent = (this.#breaks.get(endpointId) ?? []).filter(
+      (known) => at - known.at < CRASH_WINDOW_MS,
+    );
+    recent.push({ fingerprint, at, startedAt });
+    this.#breaks.set(endpointId, recent);
+  }
+
+  /** Probes an endpoint soon. */
+  probe(endpointId: string): void {
+    const last = this.#probedAt.get(endpointId) ?? 0;
+    if (now() - last < LEAST_PROBE_INTERVAL_MS) return;
+    const endpoint = this.#state.directory.endpoints.get(endpointId);
+    if (endpoint === undefined) return;
+    this.#probedAt.set(endpointId, now());
+    void this.#ask(endpoint);
+  }
+
+  /** Probes the ejected endpoints whose time is over. */
+  probeDue(): void {
+    takeProbes(this.#state.health, now()).forEach((id) => {
+      this.#probedAt.delete(id);
+      this.probe(id);
+    });
+  }
+
+  /** Forgets endpoints that are gone. */
+  forget(isKnown: (endpointId: string) => boolean): void {
+    [...this.#probedAt.keys()]
+      .filter((id) => !isKnown(id))
+      .forEach((id) => {
+        this.#probedAt.delete(id);
+        this.#breaks.delete(id);
+      });
+  }
+
+  async #ask(endpoint: RegisteredEndpoint): Promise<void> {
+    const { routing, health } = this.#state;
+    const path = routing.configuration?.services.get(endpoint.serviceId)?.healthPath ?? '/';
+    try {
+      const { statusCode, body } = await request(`http://${endpoint.address}${path}`, {
+        signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
+        reset: true,
+      });
+      await body.dump();
+      recordProbe(health, endpoint.id, statusCode === 200, now());
+      this.#log.change('endpoint_probed', { endpointId: endpoint.id, statusCode });
+    } catch (error) {
+      recordProbe(health, endpoint.id, false, now());
+      this.#recordCrashes(endpoint.id);
+      const fields = { endpointId: endpoint.id, error: String(error) };
+      this.#log.change('endpoint_unreachable', fields);
+    }
+  }
+
+  #recordCrashes(endpointId: string): void {
+    const instant = now();
+    const broken = this.#breaks.get(endpointId) ?? [];
+    this.#breaks.delete(endpointId);
+    for (const { fingerprint, at, startedAt } of broken) {
+      if (instant - at > CRASH_WINDOW_MS) continue;
+      recordCrash(this.#state.suspects, { fingerprint, endpointId, at, startedAt, isAlone: false });
+    }
+  }
+}
--- /dev/null
+++ b/packages/router/src/gateway/readBody.ts
@@ -0,0 +1,28 @@
+import type { IncomingMessage } from 'node:http';
+
+/** How reading a request's body ended. */
+export type BodyReading =
+  | { readonly kind: 'whole'; readonly body: Buffer | null }
+  | { readonly kind: 'too-large' }
+  | { readonly kind: 'cut' };
+
+/** Reads a request's body whole, up to a bound. */
+export function readBody(request: IncomingMessage, maxBytes: number): Promise<BodyReading> {
+  const announced = Number(request.headers['content-length'] ?? 0);
+  if (announced > maxBytes) return Promise.resolve({ kind: 'too-large' });
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > maxBytes) resolve({ kind: 'too-large' });
+      else chunks.push(chunk);
+    });
+    request.on('end', () => {
+      const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+      resolve({ kind: 'whole', body: size === 0 ? null : body });
+    });
+    request.on('close', () => resolve({ kind: 'cut' }));
+    request.on('error', () => resolve({ kind: 'cut' }));
+  });
+}
--- a/packages/router/src/log/createLog.ts
+++ b/packages/router/src/log/createLog.ts
@@ -1,11 +1,17 @@
 import { createLogger, format, transports, type Logger } from 'winston';
 
-/** Creates the log of one VM: JSON lines on standard error, for changes of state only. */
-export function createLog(vmId: string, level: string): Logger {
+const ALL_LEVELS = ['error', 'warn', 'info'];
+
+/** Creates the log of one VM: JSON lines on standard error, or on output for no such levels. */
+export function createLog(
+  vmId: string,
+  level: string,
+  stderrLevels: readonly string[] = ALL_LEVELS,
+): Logger {
   return createLogger({
     level,
     defaultMeta: { vm: vmId },
     format: format.combine(format.timestamp(), format.json()),
-    transports: [new transports.Console({ stderrLevels: ['error', 'warn', 'info'] })],
+    transports: [new transports.Console({ stderrLevels: [...stderrLevels] })],
   });
 }
--- a/packages/router/src/platform/watcher.ts
+++ b/packages/router/src/platform/watcher.ts
@@ -13,9 +13,13 @@
 const INACTIVE_MS = 1000;
 
 /** Returns the wait before the next try, with full jitter, in milliseconds. */
-export function backoffMs(failures: number, random: Random): number {
+export function backoffMs(
+  failures: number,
+  random: Random,
+  longestMs: number = LONGEST_BACKOFF_MS,
+): number {
   const exponent = Math.min(failures, LARGEST_EXPONENT);
-  return random.next() * Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** exponent);
+  return random.next() * Math.min(longestMs, FIRST_BACKOFF_MS * 2 ** exponent);
 }
 
 /** Reads once; resolves with true when the answer was new. */
@@ -31,6 +35,8 @@
 
   readonly #isReader: () => boolean;
 
+  readonly #longestBackoffMs: number;
+
   readonly #stop = new AbortController();
 
   #attempt = new AbortController();
@@ -40,7 +46,9 @@
     onFailure: (error: unknown) => void,
     random: Random,
     isReader: () => boolean = () => true,
+    longestBackoffMs: number = LONGEST_BACKOFF_MS,
   ) {
+    this.#longestBackoffMs = longestBackoffMs;
     this.#isReader = isReader;
     this.#poll = poll;
     this.#onFailure = onFailure;
@@ -66,7 +74,7 @@
         if (this.#attempt.signal.aborted) continue;
         failures += 1;
         this.#onFailure(error);
-        await this.#wait(backoffMs(failures, this.#random));
+        await this.#wait(backoffMs(failures, this.#random, this.#longestBackoffMs));
       }
     }
   }
