--- a/packages/core/src/scheduling/commands.ts
+++ b/packages/core/src/scheduling/commands.ts
@@ -1,6 +1,7 @@
 import { addToRate } from '../shared/index.js';
 import { workMs } from './costs.js';
 import type { GenerationSize, Job } from './job.js';
+import { fadeReads } from './promptCaches.js';
 import { kindOfRoute } from './queries.js';
 import {
   createDemand,
@@ -131,7 +132,9 @@
   state: SchedulingState,
   isKnown: (endpointId: string) => boolean,
   oldest: number,
+  now: number,
 ): void {
+  fadeReads(state.caches, isKnown, now);
   for (const [id, { own }] of state.work) {
     if (!isKnown(id) && own.waiting + own.streaming === 0) state.work.delete(id);
   }
--- a/packages/core/src/scheduling/divideEngines.ts
+++ b/packages/core/src/scheduling/divideEngines.ts
@@ -5,6 +5,9 @@
 /** Demand below this counts as none, in engines: one request now and then needs no engine. */
 const LEAST_DEMAND = 0.02;
 
+/** The border moves when demand is this much beyond it, in engines: each move empties caches. */
+const BORDER_MARGIN = 0.75;
+
 /** The engines of a service for one kind of work, and those to fall back on. */
 export interface EngineDivision<T> {
   /** The engines of this kind, the one at the border last. */
@@ -13,6 +16,21 @@
   readonly rest: readonly T[];
 }
 
+/** Returns the number of engines for decode; remembers it, so that it moves with reason only. */
+function moveBorder(
+  { borders }: SchedulingState,
+  serviceId: string,
+  engines: number,
+  decodePart: number,
+): number {
+  const wanted = engines * decodePart;
+  const before = borders.get(serviceId) ?? Math.round(wanted);
+  const moved = Math.abs(wanted - before) > BORDER_MARGIN ? Math.round(wanted) : before;
+  const border = Math.min(engines - 1, Math.max(1, moved));
+  borders.set(serviceId, border);
+  return border;
+}
+
 /**
  * Divides the engines of a service between work limited by prefill and by decode, by demand.
  * Long prefills stretch every pause of the streams beside them, so the two kinds are kept
@@ -29,8 +47,7 @@
   const isMixed = prefill > LEAST_DEMAND && decode > LEAST_DEMAND;
   const ordered = orderEndpoints(endpoints);
   if (!isMixed || endpoints.length < 2) return { own: ordered, rest: [] };
-  const part = (endpoints.length * decode) / (prefill + decode);
-  const border = Math.min(endpoints.length - 1, Math.max(1, Math.round(part)));
+  const border = moveBorder(state, serviceId, endpoints.length, decode / (prefill + decode));
   const decodeEngines = ordered.slice(0, border);
   const prefillEngines = ordered.slice(border);
   return kind === 'decode'
--- a/packages/core/src/scheduling/index.ts
+++ b/packages/core/src/scheduling/index.ts
@@ -14,6 +14,14 @@
 export { divideEngines, type EngineDivision } from './divideEngines.js';
 export type { GenerationSize, Job, PromptPart } from './job.js';
 export { placeJob, type Placement, type PlacementContext } from './place.js';
+export {
+  learnReads,
+  recordPrompt,
+  takeUntold,
+  uncachedTokens,
+  type PartRead,
+  type PromptCaches,
+} from './promptCaches.js';
 export { kindOfRoute, ownDemand, totalDemand, totalLoad } from './queries.js';
 export {
   createSchedulingState,
--- a/packages/core/src/scheduling/place.ts
+++ b/packages/core/src/scheduling/place.ts
@@ -4,6 +4,7 @@
 import { BASE_FIRST_EVENT_MS, ownTokens, prefillMs, sharedParts } from './costs.js';
 import { divideEngines } from './divideEngines.js';
 import type { GenerationSize, Job } from './job.js';
+import { listHolders, uncachedTokens } from './promptCaches.js';
 import { kindOfRoute, totalLoad } from './queries.js';
 import type { SchedulingState } from './state.js';
 
@@ -42,11 +43,17 @@
   readonly cost: number;
 }
 
-/** Engines beside its home that a cached prompt may go to. */
+/** Engines beside its home that a prompt may go to before any has read its parts. */
 const SPILL_ENGINES = 2;
 
 /** Reading a shared part once more is paid by all that wait behind it. */
-const REREAD_WEIGHT = 1.5;
+const REREAD_WEIGHT = 2.5;
+
+/** Keeps a part that nobody has read yet at its home unless another is clearly freer. */
+const RANK_COST_MS = 15;
+
+/** An engine without a free slot comes after all others. */
+const FULL_COST_MS = 1e6;
 
 /** Part of the target within which a first event must be expected for a new request. */
 const NEW_LIMIT = 0.9;
@@ -95,24 +102,36 @@
   return best;
 }
 
+/** Returns the engines for a prompt: the first by hashing, and those that hold its parts. */
+function listPrefillEngines(
+  { state }: PlacementContext,
+  engines: readonly RegisteredEndpoint[],
+  size: GenerationSize,
+): RegisteredEndpoint[] {
+  const key = sharedParts(size).at(-1)?.id ?? size.parts[0]?.id ?? '';
+  const holders = new Set(listHolders(state.caches, key));
+  return rankMembers(key, engines).filter(
+    ({ id }, rank) => rank <= SPILL_ENGINES || holders.has(id),
+  );
+}
+
 /** Weighs the engines for work limited by prefill: the cache's home, or the next that is free. */
 function weighPrefill(
-  { state, now }: PlacementContext,
+  context: PlacementContext,
   engines: readonly RegisteredEndpoint[],
   size: GenerationSize,
 ): Candidate[] {
-  const shared = sharedParts(size);
-  const key = shared.at(-1)?.id ?? size.parts[0]?.id ?? '';
-  const ranked = rankMembers(key, engines).slice(0, 1 + SPILL_ENGINES);
-  return ranked.map((endpoint, rank) => {
-    const tokens = rank === 0 ? ownTokens(size) : size.promptTokens;
+  const { state, now } = context;
+  return listPrefillEngines(context, engines, size).map((endpoint, rank) => {
+    const tokens = uncachedTokens(state.caches, endpoint.id, size, now);
     const load = totalLoad(state, endpoint.id, now);
     const pace = state.work.get(endpoint.id)?.pace ?? 1;
     const waitMs = prefillMs(load.waitingTokens) * pace;
     const readMs = prefillMs(tokens) * pace;
     const predictedMs = BASE_FIRST_EVENT_MS + waitMs + readMs;
     const isFull = load.waiting + load.streaming >= endpoint.slots;
-    const cost = waitMs + REREAD_WEIGHT * readMs + (isFull ? Number.MAX_SAFE_INTEGER / 2 : 0);
+    const fullMs = isFull ? FULL_COST_MS : 0;
+    const cost = waitMs + REREAD_WEIGHT * readMs + rank * RANK_COST_MS + fullMs;
     return { endpoint, tokens, predictedMs, cost };
   });
 }
@@ -152,11 +171,13 @@
   const { state, random, now } = context;
   const usable = avoidFailing(context);
   const { own } = divideEngines(state, job.serviceId, usable, 'prefill', now);
-  const best = cheapest(weighPrefill(context, own, size))!;
+  const weighed = weighPrefill(context, own, size);
   const limitMs = job.targetMs * (job.isReturning ? RETURNING_LIMIT : NEW_LIMIT);
-  if (best.predictedMs <= limitMs) return { kind: 'send', ...best };
-  const retryAfterMs = retryAfter(job, best.predictedMs, random);
-  return { kind: 'refuse', reason: 'too-late', predictedMs: best.predictedMs, retryAfterMs };
+  const best = cheapest(weighed.filter(({ predictedMs }) => predictedMs <= limitMs));
+  if (best !== undefined) return { kind: 'send', ...best };
+  const predictedMs = Math.min(...weighed.map((candidate) => candidate.predictedMs));
+  const retryAfterMs = retryAfter(job, predictedMs, random);
+  return { kind: 'refuse', reason: 'too-late', predictedMs, retryAfterMs };
 }
 
 function placePlain(context: PlacementContext, job: Job): Placement {
--- a/packages/core/src/scheduling/state.ts
+++ b/packages/core/src/scheduling/state.ts
@@ -1,4 +1,5 @@
 import { createRate, type Rate } from '../shared/index.js';
+import { createPromptCaches, type PromptCaches } from './promptCaches.js';
 
 /** What limits an engine under a kind of work: reading prompts, or producing tokens. */
 export type WorkKind = 'prefill' | 'decode' | 'plain';
@@ -54,11 +55,21 @@
   readonly demand: Map<string, Demand>;
   readonly profiles: Map<string, RouteProfile>;
   readonly peers: Map<string, PeerWork>;
+  readonly caches: PromptCaches;
+  /** Engines for decode by service, as divided last. */
+  readonly borders: Map<string, number>;
 }
 
 /** Creates the state of a VM that has sent nothing. */
 export function createSchedulingState(): SchedulingState {
-  return { work: new Map(), demand: new Map(), profiles: new Map(), peers: new Map() };
+  return {
+    work: new Map(),
+    demand: new Map(),
+    profiles: new Map(),
+    peers: new Map(),
+    caches: createPromptCaches(),
+    borders: new Map(),
+  };
 }
 
 /** Creates the work of an endpoint that nothing was sent to. */
--- a/packages/router/src/gateway/attempt.ts
+++ b/packages/router/src/gateway/attempt.ts
@@ -1,4 +1,5 @@
 import type { Verdict } from '@filbertlatch/core';
+import { errors } from 'undici';
 
 import type { EndpointChannels } from './endpointChannels.js';
 
@@ -99,10 +100,10 @@
     }
   }
 
-  #fail(error: Error & { code?: string }): void {
+  #fail(error: Error): void {
     if (this.#isOver) return;
     this.#isOver = true;
-    const isMalformed = error.code?.startsWith('HPE_') === true;
+    const isMalformed = error instanceof errors.HTTPParserError;
     const brokenCause = isMalformed ? 'malformed' : 'broken';
     this.#observer.fail({
       verdict: this.#hasStarted ? 'may-have-run' : 'not-run',
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -120,7 +120,7 @@
     if (ticks % 10 !== 0) return;
     channels.forget(isKnown);
     probes.forget(isKnown);
-    forgetStale(state.scheduling, isKnown, instant - PEER_STALE_MS);
+    forgetStale(state.scheduling, isKnown, instant - PEER_STALE_MS, instant);
     fadeEvidence(state.suspects, instant);
   };
 
--- a/packages/router/src/gateway/peerMessage.ts
+++ b/packages/router/src/gateway/peerMessage.ts
@@ -1,4 +1,4 @@
-import type { CrashNews, WorkLoad } from '@filbertlatch/core';
+import type { CrashNews, PartRead, WorkLoad } from '@filbertlatch/core';
 import { z } from 'zod';
 
 const count = z.number().min(0).max(1e9);
@@ -16,6 +16,8 @@
   loads: z.array(z.tuple([text, count, count, count])).max(4096),
   /** Service, prefill demand, decode demand. */
   demand: z.array(z.tuple([text, count, count])).max(256),
+  /** Part of a prompt and the engine that was sent it. */
+  reads: z.array(z.tuple([text, text])).max(128),
   /** Control addresses of VMs heard lately. */
   members: z.array(text).max(64),
   /** Fingerprint, endpoint, instant of the crash, instant of the sending. */
@@ -35,6 +37,11 @@
   );
 }
 
+/** Returns the shared parts of prompts that a peer sent, and where to. */
+export function readReads({ reads }: PeerNews): PartRead[] {
+  return reads.map(([partId, endpointId]) => ({ partId, endpointId }));
+}
+
 /** Returns the crashes that a peer saw. */
 export function readCrashes({ crashes }: PeerNews): CrashNews[] {
   return crashes.map(([fingerprint, endpointId, at, startedAt]) => ({
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -4,8 +4,11 @@
   configurationVersion,
   learnCrashes,
   learnPeerWork,
+  learnReads,
   listCrashes,
   ownDemand,
+  takeUntold,
+  type PartRead,
 } from '@filbertlatch/core';
 import { Hono } from 'hono';
 import { JSONRPCClient, JSONRPCServer } from 'json-rpc-2.0';
@@ -14,7 +17,7 @@
 import { now } from '../clock.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
-import { peerNewsSchema, readCrashes, readLoads, type PeerNews } from './peerMessage.js';
+import { peerNewsSchema, readCrashes, readLoads, readReads, type PeerNews } from './peerMessage.js';
 import type { GatewaySettings } from './settings.js';
 
 /** Pause between two messages to the same peers. */
@@ -111,7 +114,9 @@
 
   /** Tells the peers what this VM knows and does. */
   tell(): void {
-    const message = JSON.stringify({ jsonrpc: '2.0', method: 'news', params: this.#news() });
+    const reads = takeUntold(this.#state.scheduling.caches);
+    const params = this.#news(reads);
+    const message = JSON.stringify({ jsonrpc: '2.0', method: 'news', params });
     this.#chooseTargets().forEach((address) => {
       const { host, port } = splitAddress(address);
       // A datagram that cannot be sent is as good as lost; the next one tells the same.
@@ -140,7 +145,7 @@
     return [...targets.slice(first), ...targets.slice(0, first)].slice(0, MOST_PEERS_TOLD);
   }
 
-  #news(): PeerNews {
+  #news(reads: readonly PartRead[] = []): PeerNews {
     const { vmId, isLeaving, routing, directory, scheduling, suspects, peers } = this.#state;
     const instant = now();
     const loads = [...scheduling.work]
@@ -164,6 +169,7 @@
       directoryRevision: directory.revision,
       loads,
       demand,
+      reads: reads.map(({ partId, endpointId }) => [partId, endpointId]),
       members: [...peers.values()].map(({ address }) => address).slice(0, MOST_PEERS_TOLD),
       crashes: listCrashes(suspects, instant).map((crash) => [
         crash.fingerprint,
@@ -201,6 +207,7 @@
       news.demand.map(([id, prefill, decode]) => [id, [prefill, decode] as const]),
     );
     learnPeerWork(scheduling, news.vmId, { at: instant, loads: readLoads(news), demand });
+    learnReads(scheduling.caches, readReads(news), instant);
     learnCrashes(suspects, readCrashes(news), instant);
     this.#introduce(news.members);
     this.#catchUp(news);
--- a/packages/router/src/gateway/run.ts
+++ b/packages/router/src/gateway/run.ts
@@ -5,6 +5,7 @@
   observeFirstEvent,
   observeOutcome,
   recordFailure,
+  recordPrompt,
   recordSuccess,
   startWork,
   type RegisteredEndpoint,
@@ -99,6 +100,8 @@
       fail: (failure) => this.#fail(failure),
     });
     this.#work = startWork(state.scheduling, endpoint.id, tokens);
+    const { size } = admitted.job;
+    if (size !== null) recordPrompt(state.scheduling.caches, endpoint.id, size, this.sentAt);
   }
 
   /** True when the endpoint has begun to answer. */
