--- a/packages/core/__tests__/gateway/fixtures.ts
+++ b/packages/core/__tests__/gateway/fixtures.ts
@@ -88,6 +88,7 @@
     serviceId: 'engines',
     priority: 1,
     size: draftSize('digest-1'),
+    kvTokens: 600_000,
     targetMs: 500,
     isReturning: false,
     remainingMs: 5000,
--- a/packages/core/__tests__/gateway/placement.spec.ts
+++ b/packages/core/__tests__/gateway/placement.spec.ts
@@ -2,6 +2,7 @@
   beginStreaming,
   createRandom,
   createSchedulingState,
+  createWorkLoad,
   divideEngines,
   endWork,
   learnPeerWork,
@@ -128,7 +129,11 @@
       const state = createSchedulingState();
       const loads = new Map(
         engines.map(
-          ({ id }) => [id, { waiting: 20, streaming: 5, waitingTokens: 60_000 }] as const,
+          ({ id }) =>
+            [
+              id,
+              { waiting: 20, streaming: 5, waitingTokens: 60_000, heldTokens: 100_000 },
+            ] as const,
         ),
       );
       learnPeerWork(state, 'vm-2', { at: 0, loads, demand: new Map() });
@@ -195,10 +200,10 @@
       const sent = startWork(state, 'engine-0', 100);
       beginStreaming(state, sent);
       beginStreaming(state, sent);
-      t.deepEqual(totalLoad(state, 'engine-0', 0), { waiting: 0, streaming: 1, waitingTokens: 0 });
+      t.deepEqual(totalLoad(state, 'engine-0', 0), { ...createWorkLoad(), streaming: 1 });
       endWork(state, sent);
       endWork(state, sent);
-      t.deepEqual(totalLoad(state, 'engine-0', 0), { waiting: 0, streaming: 0, waitingTokens: 0 });
+      t.deepEqual(totalLoad(state, 'engine-0', 0), createWorkLoad());
     });
   });
 });
--- a/packages/core/src/scheduling/commands.ts
+++ b/packages/core/src/scheduling/commands.ts
@@ -1,7 +1,7 @@
 import { addToRate } from '../shared/index.js';
-import { workMs } from './costs.js';
+import { heldTokens, workMs } from './costs.js';
 import type { GenerationSize, Job } from './job.js';
-import { fadeReads } from './promptCaches.js';
+import { fadeReads, leastUncached } from './promptCaches.js';
 import { kindOfRoute } from './queries.js';
 import {
   createDemand,
@@ -36,40 +36,53 @@
   return work;
 }
 
-function profileRoute(state: SchedulingState, routeId: string, size: GenerationSize): void {
+function profileRoute(state: SchedulingState, job: Job, size: GenerationSize): void {
+  const { routeId, serviceId, priority } = job;
+  const { promptTokens, outputTokens } = size;
   const profile = state.profiles.get(routeId);
-  if (profile === undefined) {
-    const { promptTokens, outputTokens } = size;
-    state.profiles.set(routeId, { promptTokens, outputTokens });
+  if (profile === undefined || profile.serviceId !== serviceId) {
+    state.profiles.set(routeId, { serviceId, promptTokens, outputTokens, priority });
     return;
   }
-  profile.promptTokens += PROFILE_WEIGHT * (size.promptTokens - profile.promptTokens);
-  profile.outputTokens += PROFILE_WEIGHT * (size.outputTokens - profile.outputTokens);
+  profile.promptTokens += PROFILE_WEIGHT * (promptTokens - profile.promptTokens);
+  profile.outputTokens += PROFILE_WEIGHT * (outputTokens - profile.outputTokens);
+  profile.priority += PROFILE_WEIGHT * (priority - profile.priority);
 }
 
 /** Counts an arrival into its service's demand. */
 export function noteArrival(state: SchedulingState, job: Job, now: number): void {
   if (job.size === null) return;
-  profileRoute(state, job.routeId, job.size);
+  profileRoute(state, job, job.size);
   const demand = state.demand.get(job.serviceId) ?? createDemand();
   state.demand.set(job.serviceId, demand);
   const kind = kindOfRoute(state, job);
-  addToRate(kind === 'prefill' ? demand.prefill : demand.decode, workMs(job.size), now);
+  const uncached = leastUncached(state.caches, job.size, now);
+  addToRate(kind === 'prefill' ? demand.prefill : demand.decode, workMs(job.size, uncached), now);
 }
 
 /** A request that was sent to an endpoint, as its load is counted. */
 export interface SentWork {
   readonly endpointId: string;
+  /** Prompt tokens that the endpoint has to read. */
   readonly tokens: number;
+  /** Memory that it takes until it ends, in tokens. */
+  readonly held: number;
   phase: 'waiting' | 'streaming' | 'ended';
 }
 
 /** Counts a request as sent. */
-export function startWork(state: SchedulingState, endpointId: string, tokens: number): SentWork {
+export function startWork(
+  state: SchedulingState,
+  endpointId: string,
+  tokens: number,
+  size: GenerationSize | null = null,
+): SentWork {
   const { own } = workOf(state, endpointId);
+  const held = size === null ? 0 : heldTokens(size);
   own.waiting += 1;
   own.waitingTokens += tokens;
-  return { endpointId, tokens, phase: 'waiting' };
+  own.heldTokens += held;
+  return { endpointId, tokens, held, phase: 'waiting' };
 }
 
 function endWaiting(state: SchedulingState, { endpointId, tokens }: SentWork): void {
@@ -88,8 +101,11 @@
 
 /** Counts a sent request as over. */
 export function endWork(state: SchedulingState, sent: SentWork): void {
+  if (sent.phase === 'ended') return;
+  const { own } = workOf(state, sent.endpointId);
   if (sent.phase === 'waiting') endWaiting(state, sent);
-  else if (sent.phase === 'streaming') workOf(state, sent.endpointId).own.streaming -= 1;
+  else own.streaming -= 1;
+  own.heldTokens -= sent.held;
   sent.phase = 'ended';
 }
 
--- a/packages/core/src/scheduling/costs.ts
+++ b/packages/core/src/scheduling/costs.ts
@@ -28,7 +28,32 @@
   return Math.max(0, size.promptTokens - shared);
 }
 
-/** Returns what a generation takes of an engine that holds its shared parts; milliseconds. */
-export function workMs(size: GenerationSize): number {
-  return prefillMs(ownTokens(size)) + size.outputTokens * MS_PER_OUTPUT_TOKEN;
+/** Part of the shared tokens that a request adds: others run with the same parts. */
+const SHARED_HELD_PART = 0.5;
+
+/** Returns the memory that a request takes until it ends, in tokens. */
+export function heldTokens(size: GenerationSize): number {
+  const own = ownTokens(size);
+  return own + size.outputTokens + SHARED_HELD_PART * (size.promptTokens - own);
+}
+
+/** Returns what a generation with so many uncached tokens takes of an engine; milliseconds. */
+export function workMs({ outputTokens }: GenerationSize, uncached: number): number {
+  return prefillMs(uncached) + outputTokens * MS_PER_OUTPUT_TOKEN;
+}
+
+/** A step without prompts to read, and what each request in the batch adds to it. */
+const STEP_MS = 4;
+const STEP_MS_PER_REQUEST = 0.1;
+
+/** A step that reads a chunk of prompts takes this much longer. */
+const CHUNK_MS = 36;
+
+/** With so much to read an engine reads prompts in every step. */
+const BUSY_WAIT_MS = 200;
+
+/** Returns the time that an engine takes for one output token of each of its requests. */
+export function stepMs(batch: number, prefillWaitMs: number): number {
+  const readingPart = Math.min(1, prefillWaitMs / BUSY_WAIT_MS);
+  return STEP_MS + STEP_MS_PER_REQUEST * batch + CHUNK_MS * readingPart;
 }
--- a/packages/core/src/scheduling/divideEngines.ts
+++ b/packages/core/src/scheduling/divideEngines.ts
@@ -1,5 +1,5 @@
 import type { RegisteredEndpoint } from '../directory/index.js';
-import { orderEndpoints, totalDemand } from './queries.js';
+import { moreUrgentKind, orderEndpoints, totalDemand } from './queries.js';
 import type { SchedulingState, WorkKind } from './state.js';
 
 /** Demand below this counts as none, in engines: one request now and then needs no engine. */
@@ -16,14 +16,31 @@
   readonly rest: readonly T[];
 }
 
+/** The more urgent kind of work gets so much more than its demand, where there is not enough. */
+const URGENT_HEADROOM = 1.15;
+
+/** Returns how many engines decode should have: its part of the demand, the urgent kind first. */
+function wantedDecodeEngines(
+  state: SchedulingState,
+  serviceId: string,
+  engines: number,
+  prefill: number,
+  decode: number,
+): number {
+  const part = (engines * decode) / (prefill + decode);
+  const urgent = moreUrgentKind(state, serviceId);
+  if (urgent === 'decode') return Math.max(part, decode * URGENT_HEADROOM);
+  if (urgent === 'prefill') return Math.min(part, engines - prefill * URGENT_HEADROOM);
+  return part;
+}
+
 /** Returns the number of engines for decode; remembers it, so that it moves with reason only. */
 function moveBorder(
   { borders }: SchedulingState,
   serviceId: string,
   engines: number,
-  decodePart: number,
+  wanted: number,
 ): number {
-  const wanted = engines * decodePart;
   const before = borders.get(serviceId) ?? Math.round(wanted);
   const moved = Math.abs(wanted - before) > BORDER_MARGIN ? Math.round(wanted) : before;
   const border = Math.min(engines - 1, Math.max(1, moved));
@@ -47,7 +64,8 @@
   const isMixed = prefill > LEAST_DEMAND && decode > LEAST_DEMAND;
   const ordered = orderEndpoints(endpoints);
   if (!isMixed || endpoints.length < 2) return { own: ordered, rest: [] };
-  const border = moveBorder(state, serviceId, endpoints.length, decode / (prefill + decode));
+  const wanted = wantedDecodeEngines(state, serviceId, endpoints.length, prefill, decode);
+  const border = moveBorder(state, serviceId, endpoints.length, wanted);
   const decodeEngines = ordered.slice(0, border);
   const prefillEngines = ordered.slice(border);
   return kind === 'decode'
--- a/packages/core/src/scheduling/index.ts
+++ b/packages/core/src/scheduling/index.ts
@@ -25,6 +25,7 @@
 export { kindOfRoute, ownDemand, totalDemand, totalLoad } from './queries.js';
 export {
   createSchedulingState,
+  createWorkLoad,
   type EndpointWork,
   type RouteProfile,
   type WorkKind,
--- a/packages/core/src/scheduling/job.ts
+++ b/packages/core/src/scheduling/job.ts
@@ -20,6 +20,8 @@
   /** Rank among all requests: 0 is the most urgent. */
   readonly priority: number;
   readonly size: GenerationSize | null;
+  /** Memory of one engine of the service, in tokens; null when it is not told. */
+  readonly kvTokens: number | null;
   /** Time to the first event, or answer, that earns full worth; milliseconds from arrival. */
   readonly targetMs: number;
   /** The caller's whole time at arrival, against the route's: less means that it came back. */
--- a/packages/core/src/scheduling/place.ts
+++ b/packages/core/src/scheduling/place.ts
@@ -1,7 +1,14 @@
 import type { RegisteredEndpoint } from '../directory/index.js';
 import { rankMembers, type Random } from '../shared/index.js';
 import { FAILURE_HALF_LIFE_MS } from './commands.js';
-import { BASE_FIRST_EVENT_MS, ownTokens, prefillMs, sharedParts } from './costs.js';
+import {
+  BASE_FIRST_EVENT_MS,
+  heldTokens,
+  ownTokens,
+  prefillMs,
+  sharedParts,
+  stepMs,
+} from './costs.js';
 import { divideEngines } from './divideEngines.js';
 import type { GenerationSize, Job } from './job.js';
 import { listHolders, uncachedTokens } from './promptCaches.js';
@@ -40,6 +47,9 @@
   readonly endpoint: RegisteredEndpoint;
   readonly tokens: number;
   readonly predictedMs: number;
+  /** Expected time to the whole answer. */
+  readonly wholeMs: number;
+  readonly waitMs: number;
   readonly cost: number;
 }
 
@@ -52,8 +62,14 @@
 /** Keeps a part that nobody has read yet at its home unless another is clearly freer. */
 const RANK_COST_MS = 15;
 
-/** An engine without a free slot comes after all others. */
-const FULL_COST_MS = 1e6;
+/** Part of an engine's memory that is filled; what waits for memory waits longest. */
+const USED_MEMORY = 0.85;
+
+/** An engine of the other kind takes a long prompt while no more than this waits there. */
+const SPARE_WAIT_MS = 40;
+
+/** Part of the time left within which the whole answer must be expected. */
+const WHOLE_LIMIT = 0.9;
 
 /** Part of the target within which a first event must be expected for a new request. */
 const NEW_LIMIT = 0.9;
@@ -129,13 +145,25 @@
     const waitMs = prefillMs(load.waitingTokens) * pace;
     const readMs = prefillMs(tokens) * pace;
     const predictedMs = BASE_FIRST_EVENT_MS + waitMs + readMs;
-    const isFull = load.waiting + load.streaming >= endpoint.slots;
-    const fullMs = isFull ? FULL_COST_MS : 0;
-    const cost = waitMs + REREAD_WEIGHT * readMs + rank * RANK_COST_MS + fullMs;
-    return { endpoint, tokens, predictedMs, cost };
+    const batch = load.waiting + load.streaming;
+    const wholeMs = predictedMs + size.outputTokens * stepMs(batch, waitMs) * pace;
+    const cost = waitMs + REREAD_WEIGHT * readMs + rank * RANK_COST_MS;
+    return { endpoint, tokens, predictedMs, wholeMs, waitMs, cost };
   });
 }
 
+/** Says whether an engine has a slot and memory left for one more request. */
+function hasRoom(
+  { state, now }: PlacementContext,
+  endpoint: RegisteredEndpoint,
+  job: Job,
+): boolean {
+  const load = totalLoad(state, endpoint.id, now);
+  if (load.waiting + load.streaming >= endpoint.slots) return false;
+  if (job.kvTokens === null || job.size === null) return true;
+  return load.heldTokens + heldTokens(job.size) <= job.kvTokens * USED_MEMORY;
+}
+
 /** Weighs the engines for work limited by decode: the smallest batch. */
 function weighDecode(
   { state, random, now }: PlacementContext,
@@ -150,7 +178,8 @@
     const busy = load.waiting + load.streaming;
     // Below one request, so that VMs with the same view do not all choose the same engine.
     const cost = busy + waitMs / BASE_FIRST_EVENT_MS + random.next();
-    return { endpoint, tokens, predictedMs: BASE_FIRST_EVENT_MS + waitMs, cost };
+    const predictedMs = BASE_FIRST_EVENT_MS + waitMs;
+    return { endpoint, tokens, predictedMs, wholeMs: predictedMs, waitMs, cost };
   });
 }
 
@@ -158,7 +187,7 @@
   const { state, random, now } = context;
   const usable = avoidFailing(context);
   const { own, rest } = divideEngines(state, job.serviceId, usable, 'decode', now);
-  const isFree = ({ endpoint, cost }: Candidate) => cost < endpoint.slots;
+  const isFree = ({ endpoint }: Candidate) => hasRoom(context, endpoint, job);
   const best =
     cheapest(weighDecode(context, own, size).filter(isFree)) ??
     cheapest(weighDecode(context, rest, size).filter(isFree));
@@ -170,10 +199,20 @@
 function placePrefill(context: PlacementContext, job: Job, size: GenerationSize): Placement {
   const { state, random, now } = context;
   const usable = avoidFailing(context);
-  const { own } = divideEngines(state, job.serviceId, usable, 'prefill', now);
+  const { own, rest } = divideEngines(state, job.serviceId, usable, 'prefill', now);
   const weighed = weighPrefill(context, own, size);
   const limitMs = job.targetMs * (job.isReturning ? RETURNING_LIMIT : NEW_LIMIT);
-  const best = cheapest(weighed.filter(({ predictedMs }) => predictedMs <= limitMs));
+  const isInTime = ({ endpoint, predictedMs, wholeMs }: Candidate) =>
+    predictedMs <= limitMs &&
+    wholeMs <= job.remainingMs * WHOLE_LIMIT &&
+    hasRoom(context, endpoint, job);
+  const best =
+    cheapest(weighed.filter(isInTime)) ??
+    cheapest(
+      weighPrefill(context, rest, size).filter(
+        (candidate) => candidate.waitMs <= SPARE_WAIT_MS && isInTime(candidate),
+      ),
+    );
   if (best !== undefined) return { kind: 'send', ...best };
   const predictedMs = Math.min(...weighed.map((candidate) => candidate.predictedMs));
   const retryAfterMs = retryAfter(job, predictedMs, random);
@@ -187,7 +226,8 @@
     const busy = (waiting + streaming) / endpoint.slots;
     const far = endpoint.zone === zone ? 0 : 0.15;
     const cost = busy + far + random.next() * 0.1;
-    return { endpoint, tokens: 0, predictedMs: job.targetMs / 2, cost };
+    const predictedMs = job.targetMs / 2;
+    return { endpoint, tokens: 0, predictedMs, wholeMs: predictedMs, waitMs: 0, cost };
   });
   const best = cheapest(weighed.filter(({ cost }) => cost < PLAIN_BACKLOG));
   if (best !== undefined) return { kind: 'send', ...best };
--- a/packages/core/src/scheduling/promptCaches.ts
+++ b/packages/core/src/scheduling/promptCaches.ts
@@ -95,6 +95,17 @@
   return Math.max(0, size.promptTokens - cached);
 }
 
+/** Returns the prompt tokens to read at the engine that holds most of a prompt. */
+export function leastUncached(caches: PromptCaches, size: GenerationSize, now: number): number {
+  const last = sharedParts(size).at(-1);
+  let least = size.promptTokens;
+  if (last === undefined) return least;
+  for (const endpointId of listHolders(caches, last.id)) {
+    least = Math.min(least, uncachedTokens(caches, endpointId, size, now));
+  }
+  return least;
+}
+
 /** Lists the engines that hold a part. */
 export function listHolders({ reads }: PromptCaches, partId: string): Iterable<string> {
   return reads.get(partId)?.keys() ?? [];
--- a/packages/core/src/scheduling/queries.ts
+++ b/packages/core/src/scheduling/queries.ts
@@ -1,7 +1,7 @@
 import { hashText, readRate } from '../shared/index.js';
 import { PREFILL_BOUND_RATIO } from './costs.js';
 import type { Job } from './job.js';
-import type { SchedulingState, WorkKind, WorkLoad } from './state.js';
+import { createWorkLoad, type SchedulingState, type WorkKind, type WorkLoad } from './state.js';
 
 /** What a peer told counts for so long; it tells several times a second. */
 const PEER_FRESH_MS = 1500;
@@ -18,12 +18,13 @@
 
 /** Returns the work of all VMs at an endpoint, as far as this one knows. */
 export function totalLoad(state: SchedulingState, endpointId: string, now: number): WorkLoad {
-  const total = { waiting: 0, streaming: 0, waitingTokens: 0 };
+  const total = createWorkLoad();
   const add = (load: WorkLoad | undefined) => {
     if (load === undefined) return;
     total.waiting += load.waiting;
     total.streaming += load.streaming;
     total.waitingTokens += load.waitingTokens;
+    total.heldTokens += load.heldTokens;
   };
   add(state.work.get(endpointId)?.own);
   for (const peer of state.peers.values()) {
@@ -58,6 +59,19 @@
   return [prefill, decode];
 }
 
+/** Returns the kind of a service's work whose requests are the more urgent; null when equal. */
+export function moreUrgentKind(state: SchedulingState, serviceId: string): WorkKind | null {
+  const most = { prefill: Number.POSITIVE_INFINITY, decode: Number.POSITIVE_INFINITY };
+  for (const [routeId, profile] of state.profiles) {
+    if (profile.serviceId !== serviceId) continue;
+    const size = { ...profile, parts: [] };
+    const kind = kindOfRoute(state, { routeId, size }) === 'prefill' ? 'prefill' : 'decode';
+    most[kind] = Math.min(most[kind], profile.priority);
+  }
+  if (most.prefill === most.decode) return null;
+  return most.prefill < most.decode ? 'prefill' : 'decode';
+}
+
 /** Orders endpoints the same way on every VM. */
 export function orderEndpoints<T extends { readonly id: string }>(endpoints: readonly T[]): T[] {
   const keyed = endpoints.map((endpoint) => ({ endpoint, key: hashText(endpoint.id) }));
--- a/packages/core/src/scheduling/state.ts
+++ b/packages/core/src/scheduling/state.ts
@@ -12,6 +12,8 @@
   streaming: number;
   /** Prompt tokens of the waiting requests that no cache holds. */
   waitingTokens: number;
+  /** Memory that its requests take until they end, in tokens. */
+  heldTokens: number;
 }
 
 /** What this VM knows of one endpoint. */
@@ -45,8 +47,11 @@
 
 /** Sizes of a route's requests lately; they tell what limits an engine that runs them. */
 export interface RouteProfile {
+  readonly serviceId: string;
   promptTokens: number;
   outputTokens: number;
+  /** Mean rank of its requests; 0 is the most urgent. */
+  priority: number;
 }
 
 /** Where parts of prompts were read lately, and how busy all endpoints are. */
@@ -72,10 +77,15 @@
   };
 }
 
+/** Creates the load of an endpoint that has nothing to do. */
+export function createWorkLoad(): WorkLoad {
+  return { waiting: 0, streaming: 0, waitingTokens: 0, heldTokens: 0 };
+}
+
 /** Creates the work of an endpoint that nothing was sent to. */
 export function createEndpointWork(): EndpointWork {
   return {
-    own: { waiting: 0, streaming: 0, waitingTokens: 0 },
+    own: createWorkLoad(),
     pace: 1,
     failedPart: 0,
     failedAt: 0,
--- a/packages/router/src/gateway/admitCall.ts
+++ b/packages/router/src/gateway/admitCall.ts
@@ -90,6 +90,7 @@
     serviceId: service.id,
     priority: (account?.priority ?? 0) * ROUTE_RANKS + route.priority,
     size: service.engine === null ? null : call.size,
+    kvTokens: service.engine?.kvTokens ?? null,
     targetMs: route.targetMs,
     isReturning: call.remainingMs !== null && call.remainingMs < route.timeoutMs * RETURNING_PART,
     remainingMs,
--- a/packages/router/src/gateway/peerMessage.ts
+++ b/packages/router/src/gateway/peerMessage.ts
@@ -12,8 +12,8 @@
   hasStore: z.boolean(),
   configurationVersion: z.number().int(),
   directoryRevision: z.number().int(),
-  /** Endpoint, waiting requests, streaming requests, waiting tokens. */
-  loads: z.array(z.tuple([text, count, count, count])).max(4096),
+  /** Endpoint, waiting requests, streaming requests, waiting tokens, held tokens. */
+  loads: z.array(z.tuple([text, count, count, count, count])).max(4096),
   /** Service, prefill demand, decode demand. */
   demand: z.array(z.tuple([text, count, count])).max(256),
   /** Part of a prompt and the engine that was sent it. */
@@ -30,9 +30,9 @@
 /** Returns the loads of a peer by endpoint. */
 export function readLoads({ loads }: PeerNews): Map<string, WorkLoad> {
   return new Map(
-    loads.map(([id, waiting, streaming, waitingTokens]) => [
+    loads.map(([id, waiting, streaming, waitingTokens, heldTokens]) => [
       id,
-      { waiting, streaming, waitingTokens },
+      { waiting, streaming, waitingTokens, heldTokens },
     ]),
   );
 }
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -150,11 +150,12 @@
     const instant = now();
     const loads = [...scheduling.work]
       .filter(([, { own }]) => own.waiting + own.streaming > 0)
-      .map(([id, { own }]): [string, number, number, number] => [
+      .map(([id, { own }]): PeerNews['loads'][number] => [
         id,
         own.waiting,
         own.streaming,
         Math.round(own.waitingTokens),
+        Math.round(own.heldTokens),
       ]);
     const demand = [...scheduling.demand.keys()].map((id): [string, number, number] => [
       id,
--- a/packages/router/src/gateway/run.ts
+++ b/packages/router/src/gateway/run.ts
@@ -99,8 +99,8 @@
       end: () => this.#takeEnd(),
       fail: (failure) => this.#fail(failure),
     });
-    this.#work = startWork(state.scheduling, endpoint.id, tokens);
     const { size } = admitted.job;
+    this.#work = startWork(state.scheduling, endpoint.id, tokens, size);
     if (size !== null) recordPrompt(state.scheduling.caches, endpoint.id, size, this.sentAt);
   }
 
@@ -208,7 +208,9 @@
     log.decision('attempt_failed', {
       requestId: this.#admitted.job.id,
       endpointId: this.endpoint.id,
-      ...failure,
+      verdict: failure.verdict,
+      cause: failure.cause,
+      error: failure.message,
       sinceSentMs: Math.round(now() - this.sentAt),
     });
     if (failure.verdict === 'not-run') this.#observer.turnedAway(failure.message);
