--- a/packages/core/__tests__/gateway/placement.spec.ts
+++ b/packages/core/__tests__/gateway/placement.spec.ts
@@ -36,6 +36,11 @@
   return placeJob({ state, endpoints, zone: 'zone-a', random: createRandom(7), now }, job);
 }
 
+/** Counts a request with so many tokens to read as sent. */
+function send(state: SchedulingState, endpointId: string, tokens: number) {
+  return startWork(state, { endpointId, tokens, predictedMs: 100, size: null }, 0);
+}
+
 /** Lets both kinds of work arrive evenly for two seconds. */
 function warm(state: SchedulingState, draftsPerSecond: number, headlinesPerSecond: number) {
   for (let now = 0; now < 2000; now += 10) {
@@ -108,7 +113,7 @@
       const state = createSchedulingState();
       const home = place(state, draft, 0);
       if (home.kind !== 'send') return t.fail('expected a placement');
-      startWork(state, home.endpoint.id, 20_000);
+      send(state, home.endpoint.id, 20_000);
       const next = place(state, draft, 0);
       if (next.kind !== 'send') return t.fail('expected a placement');
       t.not(next.endpoint.id, home.endpoint.id);
@@ -117,7 +122,7 @@
 
     it('refuses at once what cannot begin in time, and says when to come back', (t) => {
       const state = createSchedulingState();
-      engines.forEach(({ id }) => startWork(state, id, 60_000));
+      engines.forEach(({ id }) => send(state, id, 60_000));
       const placement = place(state, draft, 0);
       if (placement.kind !== 'refuse') return t.fail('expected a refusal');
       t.is(placement.reason, 'too-late');
@@ -136,7 +141,7 @@
             ] as const,
         ),
       );
-      learnPeerWork(state, 'vm-2', { at: 0, loads, demand: new Map() });
+      learnPeerWork(state, 'vm-2', { at: 0, loads, paces: new Map(), demand: new Map() });
       t.is(place(state, draft, 100).kind, 'refuse');
       t.is(place(state, draft, 10_000).kind, 'send', 'old news no longer counts');
     });
@@ -146,7 +151,7 @@
     it('takes the smallest batch', (t) => {
       const state = createSchedulingState();
       engines.slice(1).forEach(({ id }) => {
-        for (let sent = 0; sent < 3; sent += 1) beginStreaming(state, startWork(state, id, 10));
+        for (let sent = 0; sent < 3; sent += 1) beginStreaming(state, send(state, id, 10), 0);
       });
       const placement = place(state, headline, 0);
       t.is(placement.kind === 'send' ? placement.endpoint.id : null, engines[0]!.id);
@@ -157,7 +162,7 @@
       const now = warm(state, 40, 40);
       const { own } = divideEngines(state, 'engines', engines, 'decode', now);
       own.forEach(({ id, slots }) => {
-        for (let sent = 0; sent < slots; sent += 1) startWork(state, id, 0);
+        for (let sent = 0; sent < slots; sent += 1) send(state, id, 0);
       });
       t.is(place(state, headline, now).kind, 'send');
     });
@@ -172,7 +177,7 @@
       const state = createSchedulingState();
       const first = place(state, plain, 0, [near, far]);
       t.is(first.kind === 'send' ? first.endpoint.id : null, 'near');
-      for (let sent = 0; sent < 4; sent += 1) startWork(state, 'near', 0);
+      for (let sent = 0; sent < 4; sent += 1) send(state, 'near', 0);
       const next = place(state, plain, 0, [near, far]);
       t.is(next.kind === 'send' ? next.endpoint.id : null, 'far');
     });
@@ -197,9 +202,9 @@
   describe('load', () => {
     it('counts a request once, whatever its end is told', (t) => {
       const state = createSchedulingState();
-      const sent = startWork(state, 'engine-0', 100);
-      beginStreaming(state, sent);
-      beginStreaming(state, sent);
+      const sent = send(state, 'engine-0', 100);
+      beginStreaming(state, sent, 0);
+      beginStreaming(state, sent, 0);
       t.deepEqual(totalLoad(state, 'engine-0', 0), { ...createWorkLoad(), streaming: 1 });
       endWork(state, sent);
       endWork(state, sent);
--- a/packages/core/src/scheduling/commands.ts
+++ b/packages/core/src/scheduling/commands.ts
@@ -2,6 +2,7 @@
 import { heldTokens, workMs } from './costs.js';
 import type { GenerationSize, Job } from './job.js';
 import { fadeReads, leastUncached } from './promptCaches.js';
+import { recordPace } from './pace.js';
 import { kindOfRoute } from './queries.js';
 import {
   createDemand,
@@ -9,6 +10,7 @@
   type EndpointWork,
   type PeerWork,
   type SchedulingState,
+  type WaitingWork,
 } from './state.js';
 
 /** Weight of the newest request in the sizes of its route. */
@@ -17,12 +19,6 @@
 /** Weight of the newest answer in the failed part of its endpoint. */
 const FAILURE_WEIGHT = 0.2;
 
-/** Weight of the newest first event in the pace of its endpoint. */
-const PACE_WEIGHT = 0.1;
-
-const SLOWEST_PACE = 6;
-const FASTEST_PACE = 0.4;
-
 /** Failures count for half after so long without an answer, so that an endpoint is tried again. */
 export const FAILURE_HALF_LIFE_MS = 2000;
 
@@ -60,8 +56,17 @@
   addToRate(kind === 'prefill' ? demand.prefill : demand.decode, workMs(job.size, uncached), now);
 }
 
+/** A request to be sent to an endpoint. */
+export interface PlannedWork {
+  readonly endpointId: string;
+  /** Prompt tokens that the endpoint has to read. */
+  readonly tokens: number;
+  readonly predictedMs: number;
+  readonly size: GenerationSize | null;
+}
+
 /** A request that was sent to an endpoint, as its load is counted. */
-export interface SentWork {
+export interface SentWork extends WaitingWork {
   readonly endpointId: string;
   /** Prompt tokens that the endpoint has to read. */
   readonly tokens: number;
@@ -71,31 +76,32 @@
 }
 
 /** Counts a request as sent. */
-export function startWork(
-  state: SchedulingState,
-  endpointId: string,
-  tokens: number,
-  size: GenerationSize | null = null,
-): SentWork {
-  const { own } = workOf(state, endpointId);
+export function startWork(state: SchedulingState, planned: PlannedWork, now: number): SentWork {
+  const { endpointId, tokens, predictedMs, size } = planned;
   const held = size === null ? 0 : heldTokens(size);
+  const sent: SentWork = { endpointId, tokens, held, predictedMs, sentAt: now, phase: 'waiting' };
+  const { own, waiting } = workOf(state, endpointId);
   own.waiting += 1;
   own.waitingTokens += tokens;
   own.heldTokens += held;
-  return { endpointId, tokens, held, phase: 'waiting' };
+  waiting.add(sent);
+  return sent;
 }
 
-function endWaiting(state: SchedulingState, { endpointId, tokens }: SentWork): void {
-  const { own } = workOf(state, endpointId);
+function endWaiting(state: SchedulingState, sent: SentWork): void {
+  const { own, waiting } = workOf(state, sent.endpointId);
   own.waiting -= 1;
-  own.waitingTokens -= tokens;
+  own.waitingTokens -= sent.tokens;
+  waiting.delete(sent);
 }
 
 /** Counts the first event of a sent request. */
-export function beginStreaming(state: SchedulingState, sent: SentWork): void {
+export function beginStreaming(state: SchedulingState, sent: SentWork, now: number): void {
   if (sent.phase !== 'waiting') return;
   endWaiting(state, sent);
-  workOf(state, sent.endpointId).own.streaming += 1;
+  const work = workOf(state, sent.endpointId);
+  work.own.streaming += 1;
+  recordPace(work, sent.predictedMs, now - sent.sentAt, now);
   sent.phase = 'streaming';
 }
 
@@ -109,18 +115,6 @@
   sent.phase = 'ended';
 }
 
-/** Takes in how long a first event took against what was predicted. */
-export function observeFirstEvent(
-  state: SchedulingState,
-  endpointId: string,
-  predictedMs: number,
-  observedMs: number,
-): void {
-  const work = workOf(state, endpointId);
-  const ratio = Math.min(SLOWEST_PACE, Math.max(FASTEST_PACE, observedMs / predictedMs));
-  work.pace += PACE_WEIGHT * (ratio - work.pace);
-}
-
 /** Takes in whether an endpoint answered or failed. */
 export function observeOutcome(
   state: SchedulingState,
--- a/packages/core/src/scheduling/index.ts
+++ b/packages/core/src/scheduling/index.ts
@@ -6,13 +6,14 @@
   learnPeerWork,
   noteArrival,
   observeOutcome,
-  observeFirstEvent,
   startWork,
   workOf,
+  type PlannedWork,
   type SentWork,
 } from './commands.js';
 export { divideEngines, type EngineDivision } from './divideEngines.js';
 export type { GenerationSize, Job, PromptPart } from './job.js';
+export { ownPace, paceOf } from './pace.js';
 export { placeJob, type Placement, type PlacementContext } from './place.js';
 export {
   learnReads,
--- a/packages/core/src/scheduling/place.ts
+++ b/packages/core/src/scheduling/place.ts
@@ -11,6 +11,7 @@
 } from './costs.js';
 import { divideEngines } from './divideEngines.js';
 import type { GenerationSize, Job } from './job.js';
+import { paceOf } from './pace.js';
 import { listHolders, uncachedTokens } from './promptCaches.js';
 import { kindOfRoute, totalLoad } from './queries.js';
 import type { SchedulingState } from './state.js';
@@ -62,11 +63,11 @@
 /** Keeps a part that nobody has read yet at its home unless another is clearly freer. */
 const RANK_COST_MS = 15;
 
-/** Part of an engine's memory that is filled; what waits for memory waits longest. */
-const USED_MEMORY = 0.85;
+/** Part of an engine's memory for running requests; the rest is left to cached parts. */
+const USED_MEMORY = 0.6;
 
-/** An engine of the other kind takes a long prompt while no more than this waits there. */
-const SPARE_WAIT_MS = 40;
+/** Requests that a wait of one idle first event counts as: a late first event is late for good. */
+const DECODE_WAIT_WEIGHT = 5;
 
 /** Part of the time left within which the whole answer must be expected. */
 const WHOLE_LIMIT = 0.9;
@@ -141,10 +142,10 @@
   return listPrefillEngines(context, engines, size).map((endpoint, rank) => {
     const tokens = uncachedTokens(state.caches, endpoint.id, size, now);
     const load = totalLoad(state, endpoint.id, now);
-    const pace = state.work.get(endpoint.id)?.pace ?? 1;
+    const pace = paceOf(state, endpoint.id, now);
     const waitMs = prefillMs(load.waitingTokens) * pace;
     const readMs = prefillMs(tokens) * pace;
-    const predictedMs = BASE_FIRST_EVENT_MS + waitMs + readMs;
+    const predictedMs = BASE_FIRST_EVENT_MS * pace + waitMs + readMs;
     const batch = load.waiting + load.streaming;
     const wholeMs = predictedMs + size.outputTokens * stepMs(batch, waitMs) * pace;
     const cost = waitMs + REREAD_WEIGHT * readMs + rank * RANK_COST_MS;
@@ -173,12 +174,12 @@
   const tokens = ownTokens(size);
   return engines.map((endpoint) => {
     const load = totalLoad(state, endpoint.id, now);
-    const pace = state.work.get(endpoint.id)?.pace ?? 1;
+    const pace = paceOf(state, endpoint.id, now);
     const waitMs = prefillMs(load.waitingTokens) * pace;
+    const predictedMs = BASE_FIRST_EVENT_MS * pace + waitMs;
     const busy = load.waiting + load.streaming;
     // Below one request, so that VMs with the same view do not all choose the same engine.
-    const cost = busy + waitMs / BASE_FIRST_EVENT_MS + random.next();
-    const predictedMs = BASE_FIRST_EVENT_MS + waitMs;
+    const cost = busy + (DECODE_WAIT_WEIGHT * predictedMs) / BASE_FIRST_EVENT_MS + random.next();
     return { endpoint, tokens, predictedMs, wholeMs: predictedMs, waitMs, cost };
   });
 }
@@ -199,20 +200,14 @@
 function placePrefill(context: PlacementContext, job: Job, size: GenerationSize): Placement {
   const { state, random, now } = context;
   const usable = avoidFailing(context);
-  const { own, rest } = divideEngines(state, job.serviceId, usable, 'prefill', now);
+  const { own } = divideEngines(state, job.serviceId, usable, 'prefill', now);
   const weighed = weighPrefill(context, own, size);
   const limitMs = job.targetMs * (job.isReturning ? RETURNING_LIMIT : NEW_LIMIT);
   const isInTime = ({ endpoint, predictedMs, wholeMs }: Candidate) =>
     predictedMs <= limitMs &&
     wholeMs <= job.remainingMs * WHOLE_LIMIT &&
     hasRoom(context, endpoint, job);
-  const best =
-    cheapest(weighed.filter(isInTime)) ??
-    cheapest(
-      weighPrefill(context, rest, size).filter(
-        (candidate) => candidate.waitMs <= SPARE_WAIT_MS && isInTime(candidate),
-      ),
-    );
+  const best = cheapest(weighed.filter(isInTime));
   if (best !== undefined) return { kind: 'send', ...best };
   const predictedMs = Math.min(...weighed.map((candidate) => candidate.predictedMs));
   const retryAfterMs = retryAfter(job, predictedMs, random);
--- a/packages/core/src/scheduling/state.ts
+++ b/packages/core/src/scheduling/state.ts
@@ -16,11 +16,25 @@
   heldTokens: number;
 }
 
+/** Sums of times to first events divided by what was predicted, and their number. */
+export interface Pace {
+  readonly ratios: Rate;
+  readonly samples: Rate;
+}
+
+/** A request without a first event yet. */
+export interface WaitingWork {
+  readonly sentAt: number;
+  readonly predictedMs: number;
+}
+
 /** What this VM knows of one endpoint. */
 export interface EndpointWork {
   readonly own: WorkLoad;
-  /** Observed time to a first event divided by the predicted one, lately. */
-  pace: number;
+  /** Times to first events against the predicted ones lately. */
+  readonly pace: Pace;
+  /** Requests that wait for their first event. */
+  readonly waiting: Set<WaitingWork>;
   /** Part of the answers that were failures, lately. */
   failedPart: number;
   /** Instant of the last answer that `failedPart` counts. */
@@ -41,6 +55,8 @@
   readonly at: number;
   /** By endpoint. */
   readonly loads: ReadonlyMap<string, WorkLoad>;
+  /** Sum of its ratios of observed to predicted times, and their number, by endpoint. */
+  readonly paces: ReadonlyMap<string, readonly [number, number]>;
   /** Prefill and decode demand by service. */
   readonly demand: ReadonlyMap<string, readonly [number, number]>;
 }
@@ -82,11 +98,15 @@
   return { waiting: 0, streaming: 0, waitingTokens: 0, heldTokens: 0 };
 }
 
+/** Pace is followed this fast: about as long as a request waits on a busy engine. */
+const PACE_TIME_MS = 800;
+
 /** Creates the work of an endpoint that nothing was sent to. */
 export function createEndpointWork(): EndpointWork {
   return {
     own: createWorkLoad(),
-    pace: 1,
+    pace: { ratios: createRate(PACE_TIME_MS), samples: createRate(PACE_TIME_MS) },
+    waiting: new Set(),
     failedPart: 0,
     failedAt: 0,
     heardAt: 0,
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -7,6 +7,7 @@
   learnReads,
   listCrashes,
   ownDemand,
+  ownPace,
   takeUntold,
   type PartRead,
 } from '@filbertlatch/core';
@@ -32,6 +33,9 @@
 /** A peer that has told nothing for so long is forgotten. */
 const FORGET_MS = 30_000;
 
+/** Fewer samples of a pace than this are not worth telling. */
+const LEAST_SAMPLES = 0.1;
+
 /** Part of the messages that go to the seeds too, so that parted halves of a fleet meet again. */
 const SEED_PART = 0.2;
 
@@ -157,6 +161,9 @@
         Math.round(own.waitingTokens),
         Math.round(own.heldTokens),
       ]);
+    const paces = [...scheduling.work]
+      .map(([id, work]): PeerNews['paces'][number] => [id, ...ownPace(work, instant)])
+      .filter(([, , samples]) => samples > LEAST_SAMPLES);
     const demand = [...scheduling.demand.keys()].map((id): [string, number, number] => [
       id,
       ...ownDemand(scheduling, id, instant),
@@ -169,6 +176,7 @@
       configurationVersion: configurationVersion(routing),
       directoryRevision: directory.revision,
       loads,
+      paces,
       demand,
       reads: reads.map(({ partId, endpointId }) => [partId, endpointId]),
       members: [...peers.values()].map(({ address }) => address).slice(0, MOST_PEERS_TOLD),
@@ -207,7 +215,10 @@
     const demand = new Map(
       news.demand.map(([id, prefill, decode]) => [id, [prefill, decode] as const]),
     );
-    learnPeerWork(scheduling, news.vmId, { at: instant, loads: readLoads(news), demand });
+    const paces = new Map(
+      news.paces.map(([id, ratios, samples]) => [id, [ratios, samples] as const]),
+    );
+    learnPeerWork(scheduling, news.vmId, { at: instant, loads: readLoads(news), paces, demand });
     learnReads(scheduling.caches, readReads(news), instant);
     learnCrashes(suspects, readCrashes(news), instant);
     this.#introduce(news.members);
--- a/packages/router/src/gateway/run.ts
+++ b/packages/router/src/gateway/run.ts
@@ -2,7 +2,6 @@
   beginStreaming,
   endWork,
   hearEndpoint,
-  observeFirstEvent,
   observeOutcome,
   recordFailure,
   recordPrompt,
@@ -100,7 +99,8 @@
       fail: (failure) => this.#fail(failure),
     });
     const { size } = admitted.job;
-    this.#work = startWork(state.scheduling, endpoint.id, tokens, size);
+    const planned = { endpointId: endpoint.id, tokens, predictedMs, size };
+    this.#work = startWork(state.scheduling, planned, this.sentAt);
     if (size !== null) recordPrompt(state.scheduling.caches, endpoint.id, size, this.sentAt);
   }
 
@@ -165,9 +165,7 @@
 
   #noteFirstEvent(): void {
     if (this.#work.phase !== 'waiting') return;
-    const { scheduling } = this.#context.state;
-    beginStreaming(scheduling, this.#work);
-    observeFirstEvent(scheduling, this.endpoint.id, this.predictedMs, now() - this.sentAt);
+    beginStreaming(this.#context.state.scheduling, this.#work, now());
   }
 
   #takeEnd(): void {
