--- a/packages/core/__tests__/gateway/placement.spec.ts
+++ b/packages/core/__tests__/gateway/placement.spec.ts
@@ -55,7 +55,7 @@
 describe('placement', () => {
   describe('engines divided by demand', () => {
     it('keeps long prefills off the engines that run tight streams', (t) => {
-      const state = createSchedulingState();
+      const state = createSchedulingState('vm-1');
       const now = warm(state, 40, 40);
       const decode = divideEngines(state, 'engines', engines, 'decode', now).own;
       const prefill = divideEngines(state, 'engines', engines, 'prefill', now).own;
@@ -64,8 +64,8 @@
     });
 
     it('moves the border with the demand', (t) => {
-      const few = createSchedulingState();
-      const many = createSchedulingState();
+      const few = createSchedulingState('vm-1');
+      const many = createSchedulingState('vm-1');
       const fewNow = warm(few, 80, 20);
       const manyNow = warm(many, 20, 80);
       const count = (state: SchedulingState, now: number) =>
@@ -75,14 +75,34 @@
       t.true(count(many, manyNow) < engines.length);
     });
 
+    it('follows the border of the VM with the lowest id, while that tells one', (t) => {
+      const state = createSchedulingState('vm-2');
+      const now = warm(state, 40, 40);
+      const tell = (peer: string, border: number) =>
+        learnPeerWork(state, peer, {
+          at: now,
+          loads: new Map(),
+          paces: new Map(),
+          borders: new Map([['engines', border]]),
+          demand: new Map(),
+        });
+      const count = (at: number) =>
+        divideEngines(state, 'engines', engines, 'decode', at).own.length;
+      tell('vm-3', 7);
+      const own = count(now);
+      t.not(own, 7);
+      tell('vm-1', 1);
+      t.is(count(now), 1);
+    });
+
     it('gives all engines to a service with one kind of work', (t) => {
-      const state = createSchedulingState();
+      const state = createSchedulingState('vm-1');
       noteArrival(state, draft, 0);
       t.is(divideEngines(state, 'engines', engines, 'prefill', 0).own.length, engines.length);
     });
 
     it('divides a single engine between both', (t) => {
-      const state = createSchedulingState();
+      const state = createSchedulingState('vm-1');
       const now = warm(state, 40, 40);
       const one = engines.slice(0, 1);
       t.is(divideEngines(state, 'engines', one, 'decode', now).own.length, 1);
@@ -92,7 +112,7 @@
 
   describe('work limited by prefill', () => {
     it('sends prompts with the same shared part to the same engine', (t) => {
-      const state = createSchedulingState();
+      const state = createSchedulingState('vm-1');
       const first = place(state, draft, 0);
       const again = place(state, createJob({ id: 'request-2' }), 0);
       t.is(first.kind, 'send');
@@ -100,7 +120,7 @@
     });
 
     it('spreads different shared parts', (t) => {
-      const state = createSchedulingState();
+      const state = createSchedulingState('vm-1');
       const used = new Set<string>();
       for (let index = 0; index < 64; index += 1) {
         const placement = place(state, createJob({ size: draftSize(`digest-${index}`) }), 0);
@@ -110,7 +130,7 @@
     });
 
     it('leaves the home of a cached part when the queue there costs more than reading again', (t) => {
-      const state = createSchedulingState();
+      const state = createSchedulingState('vm-1');
       const home = place(state, draft, 0);
       if (home.kind !== 'send') return t.fail('expected a placement');
       send(state, home.endpoint.id, 20_000);
@@ -121,7 +141,7 @@
     });
 
     it('refuses at once what cannot begin in time, and says when to come back', (t) => {
-      const state = createSchedulingState();
+      const state = createSchedulingState('vm-1');
       engines.forEach(({ id }) => send(state, id, 60_000));
       const placement = place(state, draft, 0);
       if (placement.kind !== 'refuse') return t.fail('expected a refusal');
@@ -131,7 +151,7 @@
     });
 
     it('counts what peers sent', (t) => {
-      const state = createSchedulingState();
+      const state = createSchedulingState('vm-1');
       const loads = new Map(
         engines.map(
           ({ id }) =>
@@ -141,7 +161,13 @@
             ] as const,
         ),
       );
-      learnPeerWork(state, 'vm-2', { at: 0, loads, paces: new Map(), demand: new Map() });
+      learnPeerWork(state, 'vm-2', {
+        at: 0,
+        loads,
+        paces: new Map(),
+        borders: new Map(),
+        demand: new Map(),
+      });
       t.is(place(state, draft, 100).kind, 'refuse');
       t.is(place(state, draft, 10_000).kind, 'send', 'old news no longer counts');
     });
@@ -149,7 +175,7 @@
 
   describe('work limited by decode', () => {
     it('takes the smallest batch', (t) => {
-      const state = createSchedulingState();
+      const state = createSchedulingState('vm-1');
       engines.slice(1).forEach(({ id }) => {
         for (let sent = 0; sent < 3; sent += 1) beginStreaming(state, send(state, id, 10), 0);
       });
@@ -158,7 +184,7 @@
     });
 
     it('is not refused while any engine has a free slot', (t) => {
-      const state = createSchedulingState();
+      const state = createSchedulingState('vm-1');
       const now = warm(state, 40, 40);
       const { own } = divideEngines(state, 'engines', engines, 'decode', now);
       own.forEach(({ id, slots }) => {
@@ -174,7 +200,7 @@
     const far = createEndpoint('far', { slots: 6, zone: 'zone-b' });
 
     it('stay in the zone while it has room and leave it when it has none', (t) => {
-      const state = createSchedulingState();
+      const state = createSchedulingState('vm-1');
       const first = place(state, plain, 0, [near, far]);
       t.is(first.kind === 'send' ? first.endpoint.id : null, 'near');
       for (let sent = 0; sent < 4; sent += 1) send(state, 'near', 0);
@@ -183,7 +209,7 @@
     });
 
     it('avoid an endpoint that fails much more often, until its failures have faded', (t) => {
-      const state = createSchedulingState();
+      const state = createSchedulingState('vm-1');
       for (let answer = 0; answer < 6; answer += 1) observeOutcome(state, 'near', true, 0);
       const chosen = (now: number) => {
         const placement = place(state, plain, now, [near, far]);
@@ -194,14 +220,14 @@
     });
 
     it('are refused when there is no endpoint', (t) => {
-      const placement = place(createSchedulingState(), plain, 0, []);
+      const placement = place(createSchedulingState('vm-1'), plain, 0, []);
       t.is(placement.kind === 'refuse' ? placement.reason : null, 'no-endpoint');
     });
   });
 
   describe('load', () => {
     it('counts a request once, whatever its end is told', (t) => {
-      const state = createSchedulingState();
+      const state = createSchedulingState('vm-1');
       const sent = send(state, 'engine-0', 100);
       beginStreaming(state, sent, 0);
       beginStreaming(state, sent, 0);
--- a/packages/core/src/scheduling/divideEngines.ts
+++ b/packages/core/src/scheduling/divideEngines.ts
@@ -34,15 +34,42 @@
   return part;
 }
 
+/** What a peer told counts for so long. */
+const PEER_FRESH_MS = 1500;
+
+/**
+ * Returns the border of the VM with the lowest id that told one lately; undefined when that is
+ * this one. Two VMs with different borders would put both kinds of work on the engine between.
+ */
+function followedBorder(
+  { vmId, peers }: SchedulingState,
+  serviceId: string,
+  now: number,
+): number | undefined {
+  let lowest = vmId;
+  let border: number | undefined;
+  for (const [peerId, peer] of peers) {
+    const told = now - peer.at <= PEER_FRESH_MS ? peer.borders.get(serviceId) : undefined;
+    if (told !== undefined && peerId < lowest) {
+      lowest = peerId;
+      border = told;
+    }
+  }
+  return border;
+}
+
 /** Returns the number of engines for decode; remembers it, so that it moves with reason only. */
 function moveBorder(
-  { borders }: SchedulingState,
+  state: SchedulingState,
   serviceId: string,
   engines: number,
   wanted: number,
+  now: number,
 ): number {
+  const { borders } = state;
   const before = borders.get(serviceId) ?? Math.round(wanted);
-  const moved = Math.abs(wanted - before) > BORDER_MARGIN ? Math.round(wanted) : before;
+  const ownMove = Math.abs(wanted - before) > BORDER_MARGIN ? Math.round(wanted) : before;
+  const moved = followedBorder(state, serviceId, now) ?? ownMove;
   const border = Math.min(engines - 1, Math.max(1, moved));
   borders.set(serviceId, border);
   return border;
@@ -65,7 +92,7 @@
   const ordered = orderEndpoints(endpoints);
   if (!isMixed || endpoints.length < 2) return { own: ordered, rest: [] };
   const wanted = wantedDecodeEngines(state, serviceId, endpoints.length, prefill, decode);
-  const border = moveBorder(state, serviceId, endpoints.length, wanted);
+  const border = moveBorder(state, serviceId, endpoints.length, wanted, now);
   const decodeEngines = ordered.slice(0, border);
   const prefillEngines = ordered.slice(border);
   return kind === 'decode'
--- a/packages/core/src/scheduling/state.ts
+++ b/packages/core/src/scheduling/state.ts
@@ -57,6 +57,8 @@
   readonly loads: ReadonlyMap<string, WorkLoad>;
   /** Sum of its ratios of observed to predicted times, and their number, by endpoint. */
   readonly paces: ReadonlyMap<string, readonly [number, number]>;
+  /** Engines for decode by service, as it divides them. */
+  readonly borders: ReadonlyMap<string, number>;
   /** Prefill and decode demand by service. */
   readonly demand: ReadonlyMap<string, readonly [number, number]>;
 }
@@ -72,6 +74,7 @@
 
 /** Where parts of prompts were read lately, and how busy all endpoints are. */
 export interface SchedulingState {
+  readonly vmId: string;
   readonly work: Map<string, EndpointWork>;
   readonly demand: Map<string, Demand>;
   readonly profiles: Map<string, RouteProfile>;
@@ -82,8 +85,9 @@
 }
 
 /** Creates the state of a VM that has sent nothing. */
-export function createSchedulingState(): SchedulingState {
+export function createSchedulingState(vmId: string): SchedulingState {
   return {
+    vmId,
     work: new Map(),
     demand: new Map(),
     profiles: new Map(),
--- a/packages/router/src/gateway/gatewayState.ts
+++ b/packages/router/src/gateway/gatewayState.ts
@@ -63,7 +63,7 @@
     random,
     routing: createRoutingState(),
     directory: createDirectoryState(),
-    scheduling: createSchedulingState(),
+    scheduling: createSchedulingState(settings.vm.id),
     health: createHealthState(),
     allowance: createRetryAllowance(bounds),
     suspects: createSuspectState(),
--- a/packages/router/src/gateway/peerMessage.ts
+++ b/packages/router/src/gateway/peerMessage.ts
@@ -16,6 +16,8 @@
   loads: z.array(z.tuple([text, count, count, count, count])).max(4096),
   /** Endpoint, sum of observed by predicted times to first events, number of them. */
   paces: z.array(z.tuple([text, count, count])).max(4096),
+  /** Service, engines for decode. */
+  borders: z.array(z.tuple([text, count])).max(256),
   /** Service, prefill demand, decode demand. */
   demand: z.array(z.tuple([text, count, count])).max(256),
   /** Part of a prompt and the engine that was sent it. */
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -177,6 +177,7 @@
       directoryRevision: directory.revision,
       loads,
       paces,
+      borders: [...scheduling.borders],
       demand,
       reads: reads.map(({ partId, endpointId }) => [partId, endpointId]),
       members: [...peers.values()].map(({ address }) => address).slice(0, MOST_PEERS_TOLD),
@@ -218,7 +219,13 @@
     const paces = new Map(
       news.paces.map(([id, ratios, samples]) => [id, [ratios, samples] as const]),
     );
-    learnPeerWork(scheduling, news.vmId, { at: instant, loads: readLoads(news), paces, demand });
+    learnPeerWork(scheduling, news.vmId, {
+      at: instant,
+      loads: readLoads(news),
+      paces,
+      borders: new Map(news.borders),
+      demand,
+    });
     learnReads(scheduling.caches, readReads(news), instant);
     learnCrashes(suspects, readCrashes(news), instant);
     this.#introduce(news.members);
