--- a/packages/core/src/scheduling/promptCaches.ts
+++ b/packages/core/src/scheduling/promptCaches.ts
@@ -95,6 +95,11 @@
   return Math.max(0, size.promptTokens - cached);
 }
 
+/** Lists the engines that hold a part. */
+export function listHolders({ reads }: PromptCaches, partId: string): Iterable<string> {
+  return reads.get(partId)?.keys() ?? [];
+}
+
 /** Returns the prompt tokens to read at the engine that holds most of a prompt. */
 export function leastUncached(caches: PromptCaches, size: GenerationSize, now: number): number {
   const last = sharedParts(size).at(-1);
@@ -105,8 +110,3 @@
   }
   return least;
 }
-
-/** Lists the engines that hold a part. */
-export function listHolders({ reads }: PromptCaches, partId: string): Iterable<string> {
-  return reads.get(partId)?.keys() ?? [];
-}
--- /dev/null
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -0,0 +1,257 @@
+import { once } from 'node:events';
+import {
+  createServer,
+  request as sendRequest,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+} from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+import type { Configuration, RegisteredEndpoint, Route } from '@filbertlatch/core';
+
+import {
+  createGateway,
+  dropHeaders,
+  findHeader,
+  type Dialect,
+  type Gateway,
+  type PublicationSource,
+  type Reading,
+} from '../../src/gateway/index.js';
+
+/** A dialect of the tests' own. */
+export const testDialect: Dialect = {
+  readCall: (headers) => ({
+    requestId: (headers['x-request'] as string | undefined) ?? null,
+    remainingMs: Number(headers['x-remaining'] ?? 5000),
+    key: (headers['x-key'] as string | undefined) ?? null,
+    size: null,
+  }),
+  writeCall: (headers, forwarded) => [
+    ...dropHeaders(headers, (name) => name === 'x-key' || name === 'x-remaining'),
+    ...['X-Remaining', String(Math.floor(forwarded.remainingMs))],
+    ...['X-Endpoint', forwarded.endpointId],
+    ...(forwarded.accountId === null ? [] : ['X-Account', forwarded.accountId]),
+    ...(forwarded.lastEventId === null ? [] : ['X-After', forwarded.lastEventId]),
+  ],
+  readAnswer: (status, headers) => ({
+    requestId: findHeader(headers, 'x-request'),
+    isNotRun: findHeader(headers, 'x-not-run') !== null,
+    isSigned: findHeader(headers, 'x-mac') !== null,
+    instanceId: null,
+    load: null,
+  }),
+};
+
+/** Creates a route of the plain service. */
+export function createRoute(changes: Partial<Route>): Route {
+  return {
+    id: 'plain',
+    host: 'desk.example',
+    prefix: '/plain/',
+    repetition: 'non-idempotent',
+    isResumable: false,
+    isPublic: false,
+    priority: 1,
+    attempts: 1,
+    timeoutMs: 5000,
+    targetMs: 2000,
+    gapTargetMs: null,
+    split: [{ serviceId: 'desk', weight: 1 }],
+    ...changes,
+  };
+}
+
+const routes: readonly Route[] = [
+  createRoute({}),
+  createRoute({ id: 'safe', prefix: '/safe/', repetition: 'idempotent', attempts: 2 }),
+  createRoute({ id: 'stream', prefix: '/stream/', repetition: 'streaming' }),
+  createRoute({
+    id: 'resumed',
+    prefix: '/resumed/',
+    repetition: 'streaming',
+    isResumable: true,
+    attempts: 2,
+  }),
+  createRoute({ id: 'open', prefix: '/open/', isPublic: true }),
+];
+
+/** A configuration with a route of each kind and one account. */
+export const testConfiguration: Configuration = {
+  version: 4,
+  routes,
+  services: new Map([
+    ['desk', { id: 'desk', healthPath: '/health', maxConnections: 64, engine: null }],
+  ]),
+  limits: {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 1000,
+    headerTimeoutMs: 3000,
+    idleTimeoutMs: 15_000,
+  },
+  accounts: new Map([['right-key', { id: 'station', priority: 0 }]]),
+};
+
+const never = (signal: AbortSignal): Promise<Reading> =>
+  new Promise((_, reject) => {
+    signal.addEventListener('abort', () => reject(new Error('stopped')));
+  });
+
+/** Publishes one configuration, or none, and some endpoints. */
+export function createSource(
+  configuration: Configuration | null,
+  endpoints: readonly RegisteredEndpoint[],
+): PublicationSource {
+  const entries = {
+    configuration: configuration === null ? [] : [{ id: '', text: 'published' }],
+    endpoints: endpoints.map(({ id }) => ({ id, text: id })),
+  };
+  return {
+    read: (part) => Promise.resolve({ entries: entries[part], revision: 10 }),
+    watch: (_part, _after, signal) => never(signal),
+    decodeConfiguration: () => configuration!,
+    decodeEndpoint: (id) => endpoints.find((endpoint) => endpoint.id === id) ?? null,
+  };
+}
+
+async function listenOn(server: Server): Promise<string> {
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+/** An endpoint whose answers a test writes. */
+export interface TestEndpoint {
+  readonly endpoint: RegisteredEndpoint;
+  readonly requests: IncomingMessage[];
+  close(): void;
+}
+
+/** Starts an endpoint; its health check answers by itself. */
+export async function startEndpoint(id: string, answer: RequestListener): Promise<TestEndpoint> {
+  const requests: IncomingMessage[] = [];
+  const server = createServer((request, response) => {
+    if (request.url === '/health') {
+      response.end();
+      return;
+    }
+    requests.push(request);
+    answer(request, response);
+  });
+  const address = await listenOn(server);
+  return {
+    requests,
+    endpoint: {
+      id,
+      serviceId: 'desk',
+      address,
+      zone: 'zone-a',
+      slots: 6,
+      state: 'ready',
+      startedAt: null,
+    },
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
+
+async function freeAddress(): Promise<string> {
+  const server = createServer();
+  const address = await listenOn(server);
+  server.close();
+  await once(server, 'close');
+  return address;
+}
+
+/** A gateway that listens, and where. */
+export interface TestGateway {
+  readonly gateway: Gateway;
+  readonly callers: string;
+  readonly ready: string;
+  readonly control: string;
+}
+
+/** Starts a gateway on free ports of loopback. */
+export async function startGateway(source: PublicationSource): Promise<TestGateway> {
+  const [callers, ready, control] = await Promise.all([
+    freeAddress(),
+    freeAddress(),
+    freeAddress(),
+  ]);
+  const settings = {
+    vm: { id: 'vm-1', zone: 'zone-a' },
+    listen: { callers, ready, control },
+    seeds: [],
+    platform: { address: '127.0.0.1:1' },
+    graceSeconds: 3.5,
+    repeats: { ratio: 0.2, slack: 50, windowSeconds: 10 },
+    logLevel: 'error' as const,
+  };
+  const gateway = await createGateway(settings, source, testDialect);
+  return { gateway, callers, ready, control };
+}
+
+/** What a caller got. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+  /** False when the connection broke before the answer's end. */
+  readonly isComplete: boolean;
+}
+
+/** Sends a request as a caller and takes the answer to its end. */
+export function call(
+  address: string,
+  path: string,
+  options: { method?: string; headers?: Record<string, string>; body?: string } = {},
+): Promise<CallerAnswer> {
+  const [host, port] = address.split(':');
+  return new Promise((resolve, reject) => {
+    const outgoing = sendRequest(
+      {
+        host,
+        port: Number(port),
+        path,
+        method: options.method ?? 'GET',
+        agent: false,
+        headers: {
+          host: 'desk.example',
+          'x-request': 'request-1',
+          'x-key': 'right-key',
+          ...options.headers,
+        },
+      },
+      (response) => {
+        let body = '';
+        response.setEncoding('latin1');
+        response.on('data', (chunk: string) => {
+          body += chunk;
+        });
+        response.on('error', () => {
+          // Told by `complete` below.
+        });
+        response.on('close', () => {
+          const { statusCode, headers, complete } = response;
+          resolve({ status: statusCode ?? 0, headers, body, isComplete: complete });
+        });
+      },
+    );
+    outgoing.on('error', reject);
+    outgoing.end(options.body);
+  });
+}
+
+/** Waits until a condition holds. */
+export async function until(condition: () => Promise<boolean> | boolean): Promise<void> {
+  for (let tries = 0; tries < 500; tries += 1) {
+    if (await condition()) return;
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+  }
+  throw new Error('the condition never held');
+}
--- /dev/null
+++ b/packages/router/__tests__/gateway/gateway.spec.ts
@@ -0,0 +1,278 @@
+import type { RequestListener, ServerResponse } from 'node:http';
+
+import { describe, it } from '@filbertlatch/core/testing';
+
+import {
+  call,
+  createSource,
+  startEndpoint,
+  startGateway,
+  testConfiguration,
+  until,
+  type TestEndpoint,
+  type TestGateway,
+} from './fixtures.js';
+
+type Answer = RequestListener;
+
+const whole: Answer = (request, response) => {
+  response.writeHead(201, {
+    'x-request': request.headers['x-request'],
+    'x-mac': 'mac-1',
+    'x-own': 'kept',
+  });
+  response.end(`answer to ${request.url}`);
+};
+
+const breaking: Answer = (request) => request.socket.destroy();
+
+const turningAway: Answer = (_request, response) => {
+  response.writeHead(503, { 'x-not-run': '1' }).end();
+};
+
+const event = (id: number) => `id: ${id}\ndata: ${'x'.repeat(id)}\n\n`;
+
+function beginEvents(request: Parameters<Answer>[0], response: ServerResponse): void {
+  response.writeHead(200, {
+    'x-request': request.headers['x-request'],
+    'x-mac': 'mac-1',
+    'content-type': 'text/event-stream',
+  });
+}
+
+interface Fleet {
+  readonly gateway: TestGateway;
+  readonly endpoints: readonly TestEndpoint[];
+}
+
+async function withFleet(answers: readonly Answer[], use: (fleet: Fleet) => Promise<void>) {
+  const endpoints = await Promise.all(
+    answers.map((answer, index) => startEndpoint(`e${index}`, answer)),
+  );
+  const source = createSource(
+    testConfiguration,
+    endpoints.map(({ endpoint }) => endpoint),
+  );
+  const gateway = await startGateway(source);
+  try {
+    await until(async () => (await call(gateway.ready, '/ready')).status === 200);
+    await use({ gateway, endpoints });
+  } finally {
+    gateway.gateway.stop();
+    endpoints.forEach((endpoint) => endpoint.close());
+  }
+}
+
+const countRuns = (endpoints: readonly TestEndpoint[]) =>
+  endpoints.reduce((sum, { requests }) => sum + requests.length, 0);
+
+describe('gateway', () => {
+  describe('before it knows a configuration', () => {
+    it('is not ready and tells callers when to come back', async (t) => {
+      const gateway = await startGateway(createSource(null, []));
+      t.is((await call(gateway.ready, '/ready')).status, 503);
+      const answer = await call(gateway.callers, '/plain/1');
+      t.is(answer.status, 503);
+      t.true(Number(answer.headers['retry-after']) > 0);
+      gateway.gateway.stop();
+    });
+  });
+
+  describe('a request', () => {
+    it('is passed on whole and its answer comes back as the endpoint gave it', async (t) => {
+      await withFleet([whole], async ({ gateway, endpoints }) => {
+        const answer = await call(gateway.callers, '/plain/a%2Fb?q=1', {
+          method: 'POST',
+          body: 'body',
+        });
+        t.is(answer.status, 201);
+        t.is(answer.body, 'answer to /plain/a%2Fb?q=1');
+        t.is(answer.headers['x-mac'], 'mac-1');
+        t.is(answer.headers['x-own'], 'kept');
+        const [received] = endpoints[0]!.requests;
+        t.is(received!.headers['x-account'], 'station');
+        t.is(received!.headers['x-endpoint'], 'e0');
+        t.is(received!.headers['x-key'], undefined);
+        t.true(Number(received!.headers['x-remaining']) <= 5000);
+      });
+    });
+
+    it('without a route, a known key or a body within the limit runs nowhere', async (t) => {
+      await withFleet([whole], async ({ gateway, endpoints }) => {
+        const status = async (path: string, options = {}) =>
+          (await call(gateway.callers, path, options)).status;
+        t.is(await status('/nowhere/'), 404);
+        t.is(await status('/plain/', { headers: { host: 'other.example' } }), 404);
+        t.is(await status('/plain/', { headers: { 'x-key': 'old-key' } }), 401);
+        t.is(await status('/plain/', { method: 'POST', body: 'x'.repeat(1001) }), 413);
+        t.is(countRuns(endpoints), 0);
+        t.is(await status('/open/', { headers: { 'x-key': 'old-key' } }), 201);
+      });
+    });
+
+    it('goes to another endpoint when one has not run it', async (t) => {
+      await withFleet([turningAway, whole], async ({ gateway }) => {
+        for (let sent = 0; sent < 6; sent += 1) {
+          t.is((await call(gateway.callers, '/plain/', { method: 'POST' })).status, 201);
+        }
+      });
+    });
+
+    it('is told to come back when no endpoint has run it', async (t) => {
+      await withFleet([turningAway], async ({ gateway }) => {
+        const answer = await call(gateway.callers, '/plain/', { method: 'POST' });
+        t.is(answer.status, 503);
+        t.truthy(answer.headers['retry-after']);
+      });
+    });
+  });
+
+  describe('a run whose connection breaks', () => {
+    it('is not repeated and not said to be not run, where it must run at most once', async (t) => {
+      await withFleet([breaking, breaking], async ({ gateway, endpoints }) => {
+        t.is((await call(gateway.callers, '/plain/', { method: 'POST' })).status, 502);
+        t.is(countRuns(endpoints), 1);
+      });
+    });
+
+    it('is repeated elsewhere when it is idempotent, within the attempts', async (t) => {
+      await withFleet([breaking, whole], async ({ gateway }) => {
+        for (let sent = 0; sent < 4; sent += 1) {
+          t.is((await call(gateway.callers, '/safe/')).status, 201);
+        }
+      });
+      await withFleet([breaking, breaking, breaking], async ({ gateway, endpoints }) => {
+        t.is((await call(gateway.callers, '/safe/')).status, 502);
+        t.is(countRuns(endpoints), 2);
+      });
+    });
+  });
+
+  describe('an answer that is not the request’s own', () => {
+    it('never reaches the caller', async (t) => {
+      const foreign: Answer = (_request, response) => {
+        response.writeHead(200, { 'x-request': 'request-2', 'x-mac': 'mac-2' }).end('secret');
+      };
+      const unsigned: Answer = (request, response) => {
+        response.writeHead(200, { 'x-request': request.headers['x-request'] }).end('forged');
+      };
+      for (const answer of [foreign, unsigned]) {
+        await withFleet([answer], async ({ gateway }) => {
+          const { status, body } = await call(gateway.callers, '/plain/');
+          t.is(status, 502);
+          t.false(body.includes('secret') || body.includes('forged'));
+        });
+      }
+    });
+
+    it('is not completed when it was cut short', async (t) => {
+      const cut: Answer = (request, response) => {
+        response.writeHead(200, {
+          'x-request': request.headers['x-request'],
+          'x-mac': 'mac-1',
+          'content-length': '100',
+        });
+        response.write('half');
+        setTimeout(() => request.socket.destroy(), 10);
+      };
+      await withFleet([cut], async ({ gateway }) => {
+        t.is((await call(gateway.callers, '/plain/')).status, 502);
+      });
+    });
+  });
+
+  describe('a stream', () => {
+    it('that breaks goes on elsewhere behind its last whole event, with the first headers', async (t) => {
+      const resuming: Answer = (request, response) => {
+        const after = Number(request.headers['x-after'] ?? 0);
+        beginEvents(request, response);
+        if (after === 0) {
+          response.write(event(1) + event(2) + event(3).slice(0, 5));
+          setTimeout(() => request.socket.destroy(), 10);
+        } else {
+          for (let id = after + 1; id <= 4; id += 1) response.write(event(id));
+          response.end();
+        }
+      };
+      await withFleet([resuming, resuming], async ({ gateway, endpoints }) => {
+        const answer = await call(gateway.callers, '/resumed/', { method: 'POST' });
+        t.true(answer.isComplete);
+        t.is(answer.body, event(1) + event(2) + event(3) + event(4));
+        t.is(countRuns(endpoints), 2);
+      });
+    });
+
+    it('that breaks and must not run again does not look complete', async (t) => {
+      const cut: Answer = (request, response) => {
+        beginEvents(request, response);
+        response.write(event(1));
+        setTimeout(() => request.socket.destroy(), 10);
+      };
+      await withFleet([cut, cut], async ({ gateway, endpoints }) => {
+        const answer = await call(gateway.callers, '/stream/', { method: 'POST' });
+        t.false(answer.isComplete);
+        t.is(answer.body, event(1));
+        t.is(countRuns(endpoints), 1);
+      });
+    });
+
+    it('is ended at the endpoint when its caller leaves', async (t) => {
+      let hasClosed = false;
+      const endless: Answer = (request, response) => {
+        beginEvents(request, response);
+        response.write(event(1));
+        response.on('close', () => {
+          hasClosed = true;
+        });
+      };
+      await withFleet([endless], async ({ gateway }) => {
+        const [host, port] = gateway.callers.split(':');
+        const { connect } = await import('node:net');
+        const socket = connect(Number(port), host);
+        socket.write(
+          'POST /stream/ HTTP/1.1\r\nHost: desk.example\r\nX-Request: r\r\nX-Key: right-key\r\nContent-Length: 0\r\n\r\n',
+        );
+        await new Promise((resolve) => {
+          socket.once('data', resolve);
+        });
+        socket.destroy();
+        await until(() => hasClosed);
+        t.true(hasClosed);
+      });
+    });
+  });
+
+  describe('a gateway that is to stop', () => {
+    it('is not ready, finishes what runs, and ends its connections', async (t) => {
+      let finish: () => void = () => {};
+      const slow: Answer = (request, response) => {
+        finish = () => whole(request, response);
+      };
+      await withFleet([slow], async ({ gateway, endpoints }) => {
+        const running = call(gateway.callers, '/plain/');
+        await until(() => countRuns(endpoints) === 1);
+        const drained = gateway.gateway.drain();
+        t.is((await call(gateway.ready, '/ready')).status, 503);
+        finish();
+        const answer = await running;
+        t.is(answer.status, 201);
+        t.is(answer.headers.connection, 'close');
+        await drained;
+        await t.throwsAsync(call(gateway.callers, '/plain/'));
+      });
+    });
+  });
+
+  describe('operators', () => {
+    it('read state and metrics, which hold no keys', async (t) => {
+      await withFleet([whole], async ({ gateway }) => {
+        await call(gateway.callers, '/plain/');
+        const state = await call(gateway.control, '/state');
+        t.is((JSON.parse(state.body) as { configurationVersion: number }).configurationVersion, 4);
+        t.false(state.body.includes('right-key'));
+        const metrics = await call(gateway.control, '/metrics');
+        t.regex(metrics.body, /filbertlatch_requests_total\{route="plain",outcome="served"\} 1/);
+      });
+    });
+  });
+});
