--- a/packages/bench/src/savedFigures.ts
+++ b/packages/bench/src/savedFigures.ts
@@ -1,7 +1,7 @@
 import { mkdir, readFile, writeFile } from 'node:fs/promises';
 
 import Table from 'cli-table3';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { Figures } from './targets.js';
 
--- a/packages/bench/src/targets.ts
+++ b/packages/bench/src/targets.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Shape of a target: a bound on a figure, fixed or taken from other figures of the run. */
 export const targetSchema = z.strictObject({
--- a/packages/cli/src/documentation/formatConfiguration.ts
+++ b/packages/cli/src/documentation/formatConfiguration.ts
@@ -1,6 +1,6 @@
 import { sheetNames, sheetSchemas, type SheetName } from '@filbertlatch/core';
 import { settingsSchema } from '@filbertlatch/router';
-import { z } from 'zod';
+import * as z from 'zod';
 
 interface Shape {
   readonly type?: string;
--- a/packages/cli/src/report/readResults.ts
+++ b/packages/cli/src/report/readResults.ts
@@ -1,7 +1,7 @@
 import { readFile } from 'node:fs/promises';
 
 import { checkShape } from '@filbertlatch/core';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { UsageError } from '../shared/index.js';
 
--- a/packages/cli/src/sheets/columns.ts
+++ b/packages/cli/src/sheets/columns.ts
@@ -1,5 +1,5 @@
 import { sheetSchemas, type SheetName } from '@filbertlatch/core';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** What the cells of a column hold. */
 export type ColumnType = 'text' | 'number' | 'boolean' | 'list';
--- a/packages/core/src/types/class.ts
+++ b/packages/core/src/types/class.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { tiers } from './tier.js';
 
--- a/packages/core/src/types/endpoint.ts
+++ b/packages/core/src/types/endpoint.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const base = {
   id: z.string().min(1).max(64).describe('Name of the endpoint.'),
--- a/packages/core/src/types/limit.ts
+++ b/packages/core/src/types/limit.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Shape of one row of the limits sheet. */
 export const limitSchema = z.strictObject({
--- a/packages/core/src/types/model.ts
+++ b/packages/core/src/types/model.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Shape of one row of the models sheet. */
 export const modelSchema = z.strictObject({
--- a/packages/core/src/types/table.ts
+++ b/packages/core/src/types/table.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { accountSchema } from './account.js';
 import { classSchema } from './class.js';
--- a/packages/core/src/types/vm.ts
+++ b/packages/core/src/types/vm.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Shape of one VM in the published list. */
 export const vmSchema = z.strictObject({
--- a/packages/router/src/admin/openApi.ts
+++ b/packages/router/src/admin/openApi.ts
@@ -1,5 +1,5 @@
 import { tableSchema as publishedTableSchema } from '@filbertlatch/core';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import {
   accountsSchema,
--- a/packages/router/src/admin/queries.ts
+++ b/packages/router/src/admin/queries.ts
@@ -8,7 +8,7 @@
   type Endpoint,
 } from '@filbertlatch/core';
 import type { Context, Hono } from 'hono';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { now } from '../clock.js';
 import { explainRecord, WINDOW_MS } from '../observation/index.js';
--- a/packages/router/src/admin/schemas.ts
+++ b/packages/router/src/admin/schemas.ts
@@ -5,7 +5,7 @@
   endpointSchema,
   accountSchema,
 } from '@filbertlatch/core';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const instant = z.number().describe('Epoch milliseconds.');
 const part = z.number().min(0).max(1).nullable();
--- a/packages/router/src/callers/generateRequest.ts
+++ b/packages/router/src/callers/generateRequest.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const promptSchema = z.union([z.string(), z.array(z.string())]);
 
--- a/packages/router/src/endpoints/engineProtocol.ts
+++ b/packages/router/src/endpoints/engineProtocol.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Header that carries the attempt's id to an endpoint, which echoes it. */
 export const REQUEST_ID_HEADER = 'x-request-id';
--- a/packages/router/src/gateway/peerMessage.ts
+++ b/packages/router/src/gateway/peerMessage.ts
@@ -1,5 +1,5 @@
 import type { CrashNews, PartRead, WorkLoad } from '@filbertlatch/core';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const count = z.number().min(0).max(1e9);
 const text = z.string().min(1).max(256);
--- a/packages/router/src/gateway/publicationTask.ts
+++ b/packages/router/src/gateway/publicationTask.ts
@@ -11,7 +11,7 @@
   regainStore,
 } from '@filbertlatch/core';
 
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { now } from '../clock.js';
 import { Watcher } from '../platform/index.js';
--- a/packages/router/src/gateway/settings.ts
+++ b/packages/router/src/gateway/settings.ts
@@ -1,7 +1,7 @@
 import { readFile } from 'node:fs/promises';
 
 import { checkShape } from '@filbertlatch/core';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { RouterError, SettingsError } from '../errors/index.js';
 
--- a/packages/router/src/peers/peerProtocol.ts
+++ b/packages/router/src/peers/peerProtocol.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const id = z.string().min(1).max(256);
 const longId = z.string().min(1).max(512);
--- a/packages/standins/src/engineStream.ts
+++ b/packages/standins/src/engineStream.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http';
 
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { EngineSwitches } from './createEngine.js';
 import type { Stream } from './engineQueue.js';
