--- a/packages/core/__tests__/gateway/retryAllowance.spec.ts
+++ b/packages/core/__tests__/gateway/retryAllowance.spec.ts
@@ -12,7 +12,7 @@
     for (let now = 0; now < 40_000; now += 10) {
       fleet.forEach((allowance) => {
         if (now % 50 === 0) {
-          earnRepeat(allowance, 'engines', VMS, now);
+          earnRepeat(allowance, 'engines', now);
           requests.push(now);
         }
         if (takeRepeat(allowance, 'engines', VMS, now)) taken.push(now);
@@ -26,6 +26,13 @@
     t.true(taken.length > 0);
   });
 
+  it('lets a busy VM resume all streams of an endpoint that crashed', (t) => {
+    const allowance = createRetryAllowance(bounds);
+    for (let now = 0; now < 10_000; now += 50) earnRepeat(allowance, 'engines', now);
+    const resumed = Array.from({ length: 15 }, () => takeRepeat(allowance, 'engines', VMS, 10_000));
+    t.true(resumed.every(Boolean));
+  });
+
   it('keeps services apart', (t) => {
     const allowance = createRetryAllowance({ ratio: 0, slack: 2, windowMs: 10_000 });
     t.true(takeRepeat(allowance, 'a', 1, 0));
--- a/packages/core/src/retries/allowance.ts
+++ b/packages/core/src/retries/allowance.ts
@@ -1,3 +1,5 @@
+import { addToRate, createRate, fadeRate, type Rate } from '../shared/index.js';
+
 /** The fleet's bound on repeats at a service: a part of its requests, and some besides. */
 export interface RepeatBounds {
   /** Repeats for each request within the window. */
@@ -7,41 +9,47 @@
   readonly windowMs: number;
 }
 
+/** This VM's requests and repeats at one service lately. */
+interface RepeatCounts {
+  readonly requests: Rate;
+  readonly repeats: Rate;
+}
+
 /** What one VM may repeat at each service; its part needs no word from the other VMs. */
 export interface RetryAllowance {
   readonly bounds: RepeatBounds;
-  /** Repeats saved by service. */
-  readonly saved: Map<string, { repeats: number; at: number }>;
+  readonly counts: Map<string, RepeatCounts>;
 }
 
-/** Part of the bound that is used, since windows slide and VMs are counted late. */
+/**
+ * Part of the bound that is used. A repeat at the start of a window has faded to this part at
+ * its end, so the sum below never falls under what a sliding window would count.
+ */
 const SAFE_PART = 0.6;
 
+/** Repeats fade this many windows slowly. */
+const REPEAT_WINDOWS = 2;
+
 /** Creates the allowance of a VM that has repeated nothing. */
 export function createRetryAllowance(bounds: RepeatBounds): RetryAllowance {
-  return { bounds, saved: new Map() };
+  return { bounds, counts: new Map() };
 }
 
-function refill(allowance: RetryAllowance, serviceId: string, vms: number, now: number) {
-  const { slack, windowMs } = allowance.bounds;
-  const most = (SAFE_PART * slack) / vms;
-  const saved = allowance.saved.get(serviceId) ?? { repeats: most, at: now };
-  // All of it may be spent at once, so only half comes back over a window.
-  const earned = (most * Math.max(0, now - saved.at)) / (2 * windowMs);
-  saved.repeats = Math.min(most, saved.repeats + earned);
-  saved.at = now;
-  allowance.saved.set(serviceId, saved);
-  return saved;
+function countsOf({ bounds, counts }: RetryAllowance, serviceId: string): RepeatCounts {
+  let known = counts.get(serviceId);
+  if (known === undefined) {
+    known = {
+      requests: createRate(bounds.windowMs),
+      repeats: createRate(bounds.windowMs * REPEAT_WINDOWS),
+    };
+    counts.set(serviceId, known);
+  }
+  return known;
 }
 
 /** Lets a first request at a service earn its part of a repeat. */
-export function earnRepeat(
-  allowance: RetryAllowance,
-  serviceId: string,
-  vms: number,
-  now: number,
-): void {
-  refill(allowance, serviceId, vms, now).repeats += SAFE_PART * allowance.bounds.ratio;
+export function earnRepeat(allowance: RetryAllowance, serviceId: string, now: number): void {
+  addToRate(countsOf(allowance, serviceId).requests, 1, now);
 }
 
 /** Takes one repeat at a service; false when the VM's part is used up. */
@@ -51,8 +59,10 @@
   vms: number,
   now: number,
 ): boolean {
-  const saved = refill(allowance, serviceId, vms, now);
-  if (saved.repeats < 1) return false;
-  saved.repeats -= 1;
+  const { ratio, slack } = allowance.bounds;
+  const { requests, repeats } = countsOf(allowance, serviceId);
+  const most = SAFE_PART * (ratio * fadeRate(requests, now) + slack / vms);
+  if (fadeRate(repeats, now) + 1 > most) return false;
+  addToRate(repeats, 1, now);
   return true;
 }
--- a/packages/core/src/scheduling/place.ts
+++ b/packages/core/src/scheduling/place.ts
@@ -73,7 +73,7 @@
 const WHOLE_LIMIT = 0.9;
 
 /** Part of the target within which a first event must be expected for a new request. */
-const NEW_LIMIT = 0.9;
+const NEW_LIMIT = 0.7;
 
 /** Part of the target for a request that returns: late already, it must not delay others. */
 const RETURNING_LIMIT = 0.45;
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -105,8 +105,8 @@
     const { dueAt, job } = this.#admitted;
     this.#response.on('close', () => this.#callerLeft());
     this.#dueTimer = setTimeout(() => this.#timeOut(), Math.max(0, dueAt - now()));
-    const { state, countVms } = this.#context;
-    earnRepeat(state.allowance, job.serviceId, countVms(), now());
+    const { state } = this.#context;
+    earnRepeat(state.allowance, job.serviceId, now());
     if (judgeRequest(state.suspects, this.#fingerprint(), now()) === 'refused') {
       this.#answer(500, 'crashes_endpoints');
       return;
