--- a/packages/core/__tests__/gateway/placement.spec.ts
+++ b/packages/core/__tests__/gateway/placement.spec.ts
@@ -14,6 +14,7 @@
   type Job,
   type RegisteredEndpoint,
   type SchedulingState,
+  type WorkKind,
 } from '../../src/index.js';
 import { describe, it } from '../../src/testing/index.js';
 import { createEndpoint, createJob, draftSize, headlineSize } from './fixtures.js';
@@ -37,8 +38,13 @@
 }
 
 /** Counts a request with so many tokens to read as sent. */
-function send(state: SchedulingState, endpointId: string, tokens: number) {
-  return startWork(state, { endpointId, tokens, predictedMs: 100, size: null }, 0);
+function send(
+  state: SchedulingState,
+  endpointId: string,
+  tokens: number,
+  kind: WorkKind = 'prefill',
+) {
+  return startWork(state, { endpointId, tokens, predictedMs: 100, kind, size: null }, 0);
 }
 
 /** Lets both kinds of work arrive evenly for two seconds. */
@@ -150,6 +156,21 @@
       return t.true(placement.retryAfterMs <= draft.remainingMs / 3);
     });
 
+    it('waits for the streams of an engine that has just changed sides', (t) => {
+      const state = createSchedulingState('vm-1');
+      const now = warm(state, 40, 40);
+      const { own } = divideEngines(state, 'engines', engines, 'prefill', now);
+      const home = place(state, draft, now);
+      if (home.kind !== 'send') return t.fail('expected a placement');
+      for (let sent = 0; sent < 20; sent += 1) send(state, home.endpoint.id, 0, 'decode');
+      const next = place(state, draft, now);
+      t.not(next.kind === 'send' ? next.endpoint.id : null, home.endpoint.id);
+      own.forEach(({ id }) => {
+        for (let sent = 0; sent < 20; sent += 1) send(state, id, 0, 'decode');
+      });
+      return t.is(place(state, draft, now).kind, 'refuse');
+    });
+
     it('counts what peers sent', (t) => {
       const state = createSchedulingState('vm-1');
       const loads = new Map(
@@ -157,7 +178,7 @@
           ({ id }) =>
             [
               id,
-              { waiting: 20, streaming: 5, waitingTokens: 60_000, heldTokens: 100_000 },
+              { waiting: 20, streaming: 5, waitingTokens: 60_000, heldTokens: 100_000, tight: 0 },
             ] as const,
         ),
       );
--- a/packages/core/src/scheduling/commands.ts
+++ b/packages/core/src/scheduling/commands.ts
@@ -11,6 +11,7 @@
   type PeerWork,
   type SchedulingState,
   type WaitingWork,
+  type WorkKind,
 } from './state.js';
 
 /** Weight of the newest request in the sizes of its route. */
@@ -62,6 +63,7 @@
   /** Prompt tokens that the endpoint has to read. */
   readonly tokens: number;
   readonly predictedMs: number;
+  readonly kind: WorkKind;
   readonly size: GenerationSize | null;
 }
 
@@ -72,18 +74,21 @@
   readonly tokens: number;
   /** Memory that it takes until it ends, in tokens. */
   readonly held: number;
+  readonly kind: WorkKind;
   phase: 'waiting' | 'streaming' | 'ended';
 }
 
 /** Counts a request as sent. */
 export function startWork(state: SchedulingState, planned: PlannedWork, now: number): SentWork {
-  const { endpointId, tokens, predictedMs, size } = planned;
+  const { endpointId, tokens, predictedMs, kind, size } = planned;
   const held = size === null ? 0 : heldTokens(size);
-  const sent: SentWork = { endpointId, tokens, held, predictedMs, sentAt: now, phase: 'waiting' };
+  const times = { predictedMs, sentAt: now };
+  const sent: SentWork = { endpointId, tokens, held, kind, ...times, phase: 'waiting' };
   const { own, waiting } = workOf(state, endpointId);
   own.waiting += 1;
   own.waitingTokens += tokens;
   own.heldTokens += held;
+  if (kind === 'decode') own.tight += 1;
   waiting.add(sent);
   return sent;
 }
@@ -112,6 +117,7 @@
   if (sent.phase === 'waiting') endWaiting(state, sent);
   else own.streaming -= 1;
   own.heldTokens -= sent.held;
+  if (sent.kind === 'decode') own.tight -= 1;
   sent.phase = 'ended';
 }
 
--- a/packages/core/src/scheduling/place.ts
+++ b/packages/core/src/scheduling/place.ts
@@ -60,6 +60,12 @@
 /** Reading a shared part once more is paid by all that wait behind it. */
 const REREAD_WEIGHT = 2.5;
 
+/**
+ * An engine with so many tight streams gets no long prompts: it has just changed sides, its
+ * streams end within seconds, and the prompts that it could read meanwhile are worth less.
+ */
+const MOST_TIGHT = 8;
+
 /** Keeps a part that nobody has read yet at its home unless another is clearly freer. */
 const RANK_COST_MS = 15;
 
@@ -67,7 +73,7 @@
 const USED_MEMORY = 0.6;
 
 /** Requests that a wait of one idle first event counts as: a late first event is late for good. */
-const DECODE_WAIT_WEIGHT = 5;
+const DECODE_WAIT_WEIGHT = 10;
 
 /** Part of the time left within which the whole answer must be expected. */
 const WHOLE_LIMIT = 0.9;
@@ -202,12 +208,14 @@
   const usable = avoidFailing(context);
   const { own } = divideEngines(state, job.serviceId, usable, 'prefill', now);
   const weighed = weighPrefill(context, own, size);
+  const isClear = ({ endpoint }: Candidate) =>
+    totalLoad(state, endpoint.id, now).tight <= MOST_TIGHT || own.length === usable.length;
   const limitMs = job.targetMs * (job.isReturning ? RETURNING_LIMIT : NEW_LIMIT);
   const isInTime = ({ endpoint, predictedMs, wholeMs }: Candidate) =>
     predictedMs <= limitMs &&
     wholeMs <= job.remainingMs * WHOLE_LIMIT &&
     hasRoom(context, endpoint, job);
-  const best = cheapest(weighed.filter(isInTime));
+  const best = cheapest(weighed.filter(isClear).filter(isInTime));
   if (best !== undefined) return { kind: 'send', ...best };
   const predictedMs = Math.min(...weighed.map((candidate) => candidate.predictedMs));
   const retryAfterMs = retryAfter(job, predictedMs, random);
--- a/packages/core/src/scheduling/queries.ts
+++ b/packages/core/src/scheduling/queries.ts
@@ -25,6 +25,7 @@
     total.streaming += load.streaming;
     total.waitingTokens += load.waitingTokens;
     total.heldTokens += load.heldTokens;
+    total.tight += load.tight;
   };
   add(state.work.get(endpointId)?.own);
   for (const peer of state.peers.values()) {
--- a/packages/core/src/scheduling/state.ts
+++ b/packages/core/src/scheduling/state.ts
@@ -14,6 +14,8 @@
   waitingTokens: number;
   /** Memory that its requests take until they end, in tokens. */
   heldTokens: number;
+  /** Requests limited by decode, whose pauses long prompts beside them stretch. */
+  tight: number;
 }
 
 /** Sums of times to first events divided by what was predicted, and their number. */
@@ -99,7 +101,7 @@
 
 /** Creates the load of an endpoint that has nothing to do. */
 export function createWorkLoad(): WorkLoad {
-  return { waiting: 0, streaming: 0, waitingTokens: 0, heldTokens: 0 };
+  return { waiting: 0, streaming: 0, waitingTokens: 0, heldTokens: 0, tight: 0 };
 }
 
 /** Pace is followed this fast: about as long as a request waits on a busy engine. */
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -74,6 +74,10 @@
 
   #firstAt: number | null = null;
 
+  #lastAt: number | null = null;
+
+  #longestPauseMs = 0;
+
   #isOver = false;
 
   #dueTimer: NodeJS.Timeout | null = null;
@@ -207,6 +211,7 @@
     const bytes = this.#events === null ? chunk : this.#events.push(chunk);
     if (bytes.length === 0) return true;
     this.#noteFirst();
+    this.#notePause();
     const run = this.#run!;
     if (this.#events !== null) this.#watchStuck(run);
     this.#beginStream(start);
@@ -227,6 +232,14 @@
     metrics.recordFirst(this.#admitted.route.id, this.#firstAt - this.#arrivedAt);
   }
 
+  #notePause(): void {
+    const instant = now();
+    if (this.#lastAt !== null) {
+      this.#longestPauseMs = Math.max(this.#longestPauseMs, instant - this.#lastAt);
+    }
+    this.#lastAt = instant;
+  }
+
   #endStream(start: AnswerStart): void {
     if (this.#events !== null && !this.#events.isWhole) {
       const message = 'stream ended within an event';
@@ -347,6 +360,7 @@
       predictedMs: Math.round(this.#placement?.predictedMs ?? 0),
       tried: [...this.#tried],
       firstMs: this.#firstAt === null ? null : Math.round(this.#firstAt - this.#arrivedAt),
+      longestPauseMs: Math.round(this.#longestPauseMs),
       totalMs: Math.round(now() - this.#arrivedAt),
     });
   }
--- a/packages/router/src/gateway/peerMessage.ts
+++ b/packages/router/src/gateway/peerMessage.ts
@@ -12,8 +12,8 @@
   hasStore: z.boolean(),
   configurationVersion: z.number().int(),
   directoryRevision: z.number().int(),
-  /** Endpoint, waiting requests, streaming requests, waiting tokens, held tokens. */
-  loads: z.array(z.tuple([text, count, count, count, count])).max(4096),
+  /** Endpoint, waiting requests, streaming requests, waiting tokens, held tokens, tight ones. */
+  loads: z.array(z.tuple([text, count, count, count, count, count])).max(4096),
   /** Endpoint, sum of observed by predicted times to first events, number of them. */
   paces: z.array(z.tuple([text, count, count])).max(4096),
   /** Service, engines for decode. */
@@ -34,9 +34,9 @@
 /** Returns the loads of a peer by endpoint. */
 export function readLoads({ loads }: PeerNews): Map<string, WorkLoad> {
   return new Map(
-    loads.map(([id, waiting, streaming, waitingTokens, heldTokens]) => [
+    loads.map(([id, waiting, streaming, waitingTokens, heldTokens, tight]) => [
       id,
-      { waiting, streaming, waitingTokens, heldTokens },
+      { waiting, streaming, waitingTokens, heldTokens, tight },
     ]),
   );
 }
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -160,6 +160,7 @@
         own.streaming,
         Math.round(own.waitingTokens),
         Math.round(own.heldTokens),
+        own.tight,
       ]);
     const paces = [...scheduling.work]
       .map(([id, work]): PeerNews['paces'][number] => [id, ...ownPace(work, instant)])
--- a/packages/router/src/gateway/run.ts
+++ b/packages/router/src/gateway/run.ts
@@ -2,6 +2,7 @@
   beginStreaming,
   endWork,
   hearEndpoint,
+  kindOfRoute,
   observeOutcome,
   recordFailure,
   recordPrompt,
@@ -99,7 +100,8 @@
       fail: (failure) => this.#fail(failure),
     });
     const { size } = admitted.job;
-    const planned = { endpointId: endpoint.id, tokens, predictedMs, size };
+    const kind = kindOfRoute(state.scheduling, admitted.job);
+    const planned = { endpointId: endpoint.id, tokens, predictedMs, kind, size };
     this.#work = startWork(state.scheduling, planned, this.sentAt);
     if (size !== null) recordPrompt(state.scheduling.caches, endpoint.id, size, this.sentAt);
   }
