--- a/packages/core/src/scheduling/place.ts
+++ b/packages/core/src/scheduling/place.ts
@@ -81,8 +81,8 @@
 /** Part of the target within which a first event must be expected for a new request. */
 const NEW_LIMIT = 0.7;
 
-/** Part of the target for a request that returns: late already, it must not delay others. */
-const RETURNING_LIMIT = 0.45;
+/** The same for a request that returns: late already, it must not delay others further. */
+const RETURNING_LIMIT = 0.7;
 
 /** Requests that a plain endpoint may hold for each slot before it counts as full. */
 const PLAIN_BACKLOG = 3;
@@ -180,7 +180,8 @@
   const tokens = ownTokens(size);
   return engines.map((endpoint) => {
     const load = totalLoad(state, endpoint.id, now);
-    const pace = paceOf(state, endpoint.id, now);
+    // An engine that is faster than predicted is no reason to make its batch larger.
+    const pace = Math.max(1, paceOf(state, endpoint.id, now));
     const waitMs = prefillMs(load.waitingTokens) * pace;
     const predictedMs = BASE_FIRST_EVENT_MS * pace + waitMs;
     const busy = load.waiting + load.streaming;
