--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -37,7 +37,7 @@
 const LEAST_DRAIN_MS = 2800;
 
 /** Time before the kill at which the process ends by itself. */
-const KILL_MARGIN_MS = 300;
+const KILL_MARGIN_MS = 600;
 
 /** Peers that told nothing for so long are left out of the load. */
 const PEER_STALE_MS = 5000;
