--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,6 +2,9 @@
 
 const ownPackages = '@filbertlatch/*';
 
+// The adapter to the users' platform imports the product, never the other way round.
+const adapter = '@filbertlatch/platform';
+
 // The layers: a package may import only the packages below it.
 const layers = {
   core: ['@filbertlatch/*'],
@@ -10,10 +13,12 @@
     '@filbertlatch/daemon',
     '@filbertlatch/bench',
     '@filbertlatch/cli',
+    adapter,
   ],
-  standins: ['@filbertlatch/daemon', '@filbertlatch/bench', '@filbertlatch/cli'],
-  daemon: ['@filbertlatch/bench', '@filbertlatch/cli'],
-  bench: ['@filbertlatch/daemon', '@filbertlatch/cli'],
+  standins: ['@filbertlatch/daemon', '@filbertlatch/bench', '@filbertlatch/cli', adapter],
+  daemon: ['@filbertlatch/bench', '@filbertlatch/cli', adapter],
+  bench: ['@filbertlatch/daemon', '@filbertlatch/cli', adapter],
+  cli: [adapter],
 };
 
 // The core decides; it must not see a socket, a timer, a file or a log.
