--- a/packages/core/src/scheduling/commands.ts
+++ b/packages/core/src/scheduling/commands.ts
@@ -133,11 +133,6 @@
   work.failedAt = now;
 }
 
-/** Takes in that bytes came from an endpoint. */
-export function hearEndpoint(state: SchedulingState, endpointId: string, now: number): void {
-  workOf(state, endpointId).heardAt = now;
-}
-
 /** Takes in what another VM told of its work. */
 export function learnPeerWork(state: SchedulingState, peerId: string, work: PeerWork): void {
   state.peers.set(peerId, work);
--- a/packages/core/src/scheduling/divideEngines.ts
+++ b/packages/core/src/scheduling/divideEngines.ts
@@ -1,6 +1,6 @@
 import type { RegisteredEndpoint } from '../directory/index.js';
 import { moreUrgentKind, orderEndpoints, totalDemand } from './queries.js';
-import type { SchedulingState, WorkKind } from './state.js';
+import { isFresh, type SchedulingState, type WorkKind } from './state.js';
 
 /** Demand below this counts as none, in engines: one request now and then needs no engine. */
 const LEAST_DEMAND = 0.02;
@@ -34,9 +34,6 @@
   return part;
 }
 
-/** What a peer told counts for so long. */
-const PEER_FRESH_MS = 1500;
-
 /**
  * Returns the border of the VM with the lowest id that told one lately; undefined when that is
  * this one. Two VMs with different borders would put both kinds of work on the engine between.
@@ -49,7 +46,7 @@
   let lowest = vmId;
   let border: number | undefined;
   for (const [peerId, peer] of peers) {
-    const told = now - peer.at <= PEER_FRESH_MS ? peer.borders.get(serviceId) : undefined;
+    const told = isFresh(peer, now) ? peer.borders.get(serviceId) : undefined;
     if (told !== undefined && peerId < lowest) {
       lowest = peerId;
       border = told;
--- a/packages/core/src/scheduling/index.ts
+++ b/packages/core/src/scheduling/index.ts
@@ -2,7 +2,6 @@
   beginStreaming,
   endWork,
   forgetStale,
-  hearEndpoint,
   learnPeerWork,
   noteArrival,
   observeOutcome,
--- a/packages/core/src/scheduling/pace.ts
+++ b/packages/core/src/scheduling/pace.ts
@@ -1,5 +1,5 @@
 import { addToRate, fadeRate } from '../shared/index.js';
-import type { EndpointWork, SchedulingState } from './state.js';
+import { isFresh, type EndpointWork, type SchedulingState } from './state.js';
 
 /** Ratios beyond these say no more than these do. */
 const SLOWEST_RATIO = 6;
@@ -8,9 +8,6 @@
 /** So many samples of a pace of 1 are taken for granted. */
 const PRIOR_SAMPLES = 2;
 
-/** What a peer told counts for so long. */
-const PEER_FRESH_MS = 1500;
-
 function bound(ratio: number): number {
   return Math.min(SLOWEST_RATIO, Math.max(FASTEST_RATIO, ratio));
 }
@@ -45,7 +42,7 @@
   const work = state.work.get(endpointId);
   let [ratios, samples] = work === undefined ? [0, 0] : ownPace(work, now);
   for (const peer of state.peers.values()) {
-    const told = now - peer.at <= PEER_FRESH_MS ? peer.paces.get(endpointId) : undefined;
+    const told = isFresh(peer, now) ? peer.paces.get(endpointId) : undefined;
     ratios += told?.[0] ?? 0;
     samples += told?.[1] ?? 0;
   }
--- a/packages/core/src/scheduling/queries.ts
+++ b/packages/core/src/scheduling/queries.ts
@@ -1,10 +1,13 @@
 import { hashText, readRate } from '../shared/index.js';
 import { PREFILL_BOUND_RATIO } from './costs.js';
 import type { Job } from './job.js';
-import { createWorkLoad, type SchedulingState, type WorkKind, type WorkLoad } from './state.js';
-
-/** What a peer told counts for so long; it tells several times a second. */
-const PEER_FRESH_MS = 1500;
+import {
+  createWorkLoad,
+  isFresh,
+  type SchedulingState,
+  type WorkKind,
+  type WorkLoad,
+} from './state.js';
 
 /** Returns the kind of work that requests of a route are. */
 export function kindOfRoute(
@@ -29,7 +32,7 @@
   };
   add(state.work.get(endpointId)?.own);
   for (const peer of state.peers.values()) {
-    if (now - peer.at <= PEER_FRESH_MS) add(peer.loads.get(endpointId));
+    if (isFresh(peer, now)) add(peer.loads.get(endpointId));
   }
   return total;
 }
@@ -53,7 +56,7 @@
 ): readonly [number, number] {
   let [prefill, decode] = ownDemand(state, serviceId, now);
   for (const peer of state.peers.values()) {
-    const told = now - peer.at <= PEER_FRESH_MS ? peer.demand.get(serviceId) : undefined;
+    const told = isFresh(peer, now) ? peer.demand.get(serviceId) : undefined;
     prefill += told?.[0] ?? 0;
     decode += told?.[1] ?? 0;
   }
--- a/packages/core/src/scheduling/state.ts
+++ b/packages/core/src/scheduling/state.ts
@@ -41,8 +41,6 @@
   failedPart: number;
   /** Instant of the last answer that `failedPart` counts. */
   failedAt: number;
-  /** Instant of the last byte from the endpoint. */
-  heardAt: number;
 }
 
 /** Work that a VM sees arrive for one service, in endpoint milliseconds per millisecond. */
@@ -115,7 +113,6 @@
     waiting: new Set(),
     failedPart: 0,
     failedAt: 0,
-    heardAt: 0,
   };
 }
 
@@ -126,3 +123,11 @@
 export function createDemand(): Demand {
   return { prefill: createRate(DEMAND_TIME_MS), decode: createRate(DEMAND_TIME_MS) };
 }
+
+/** What a peer told counts for so long; it tells several times a second. */
+const PEER_FRESH_MS = 1500;
+
+/** Says whether what a peer told still counts. */
+export function isFresh({ at }: PeerWork, now: number): boolean {
+  return now - at <= PEER_FRESH_MS;
+}
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -13,6 +13,7 @@
 
 import { now } from '../clock.js';
 import { createLog } from '../log/index.js';
+import { splitAddress } from './address.js';
 import { ChannelTable } from './channelTable.js';
 import type { Dialect } from './dialect.js';
 import { FrontServer } from './frontServer.js';
@@ -56,11 +57,6 @@
   stop(): void;
 }
 
-function splitAddress(address: string): { host: string; port: number } {
-  const [host = '', port = '0'] = address.split(':');
-  return { host, port: Number(port) };
-}
-
 async function listen(server: Server, address: string): Promise<void> {
   const { host, port } = splitAddress(address);
   await new Promise<void>((resolve, reject) => {
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -16,6 +16,7 @@
 import { Agent, request } from 'undici';
 
 import { now } from '../clock.js';
+import { splitAddress } from './address.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
 import { peerNewsSchema, readCrashes, readLoads, readReads, type PeerNews } from './peerMessage.js';
@@ -54,11 +55,6 @@
   offerEndpoints(endpoints: readonly unknown[], revision: number, source: string): void;
 }
 
-function splitAddress(address: string): { host: string; port: number } {
-  const [host = '', port = '0'] = address.split(':');
-  return { host, port: Number(port) };
-}
-
 /** The task that owns the calls to and from other VMs: news by datagram, the rest by request. */
 export class PeerTask {
   readonly api = new Hono();
--- a/packages/router/src/gateway/run.ts
+++ b/packages/router/src/gateway/run.ts
@@ -1,7 +1,6 @@
 import {
   beginStreaming,
   endWork,
-  hearEndpoint,
   kindOfRoute,
   observeOutcome,
   recordFailure,
@@ -135,8 +134,7 @@
   }
 
   #takeHead(status: number, headers: string[]): void {
-    const { dialect, state } = this.#context;
-    hearEndpoint(state.scheduling, this.endpoint.id, now());
+    const { dialect } = this.#context;
     this.#start = { status, headers };
     const head = dialect.readAnswer(status, headers);
     this.#head = head;
@@ -154,7 +152,6 @@
 
   #takeBody(chunk: Buffer): boolean {
     if (this.#isOver) return true;
-    hearEndpoint(this.#context.state.scheduling, this.endpoint.id, now());
     if (this.#isStream()) {
       this.#noteFirstEvent();
       return this.#observer.streamed(this.#start, chunk);
--- a/packages/router/src/gateway/settings.ts
+++ b/packages/router/src/gateway/settings.ts
@@ -1,9 +1,6 @@
-import { readFile } from 'node:fs/promises';
-
-import { checkShape } from '@filbertlatch/core';
 import * as z from 'zod';
 
-import { RouterError, SettingsError } from '../errors/index.js';
+import { checkSettings, readSettings } from '../settings/readSettings.js';
 
 const address = z
   .string()
@@ -43,19 +40,10 @@
 
 /** Checks settings; throws SettingsError with every fault. */
 export function parseGatewaySettings(value: unknown): GatewaySettings {
-  const checked = checkShape(gatewaySettingsSchema, value);
-  if (!checked.ok) throw new SettingsError(checked.faults);
-  return checked.value;
+  return checkSettings(gatewaySettingsSchema, value);
 }
 
 /** Reads and checks a settings file; throws RouterError when it cannot be used. */
 export async function loadGatewaySettings(path: string): Promise<GatewaySettings> {
-  let value: unknown;
-  try {
-    value = JSON.parse(await readFile(path, 'utf8'));
-  } catch (cause) {
-    const reason = cause instanceof Error ? cause.message : String(cause);
-    throw new RouterError('settings_unreadable', `${path}: ${reason}`, { cause });
-  }
-  return parseGatewaySettings(value);
+  return parseGatewaySettings(await readSettings(path));
 }
