--- a/packages/core/src/scheduling/place.ts
+++ b/packages/core/src/scheduling/place.ts
@@ -50,7 +50,6 @@
   readonly predictedMs: number;
   /** Expected time to the whole answer. */
   readonly wholeMs: number;
-  readonly waitMs: number;
   readonly cost: number;
 }
 
@@ -155,7 +154,7 @@
     const batch = load.waiting + load.streaming;
     const wholeMs = predictedMs + size.outputTokens * stepMs(batch, waitMs) * pace;
     const cost = waitMs + REREAD_WEIGHT * readMs + rank * RANK_COST_MS;
-    return { endpoint, tokens, predictedMs, wholeMs, waitMs, cost };
+    return { endpoint, tokens, predictedMs, wholeMs, cost };
   });
 }
 
@@ -187,7 +186,7 @@
     const busy = load.waiting + load.streaming;
     // Below one request, so that VMs with the same view do not all choose the same engine.
     const cost = busy + (DECODE_WAIT_WEIGHT * predictedMs) / BASE_FIRST_EVENT_MS + random.next();
-    return { endpoint, tokens, predictedMs, wholeMs: predictedMs, waitMs, cost };
+    return { endpoint, tokens, predictedMs, wholeMs: predictedMs, cost };
   });
 }
 
@@ -231,7 +230,7 @@
     const far = endpoint.zone === zone ? 0 : 0.15;
     const cost = busy + far + random.next() * 0.1;
     const predictedMs = job.targetMs / 2;
-    return { endpoint, tokens: 0, predictedMs, wholeMs: predictedMs, waitMs: 0, cost };
+    return { endpoint, tokens: 0, predictedMs, wholeMs: predictedMs, cost };
   });
   const best = cheapest(weighed.filter(({ cost }) => cost < PLAIN_BACKLOG));
   if (best !== undefined) return { kind: 'send', ...best };
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -115,13 +115,7 @@
   /** Tells the peers what this VM knows and does. */
   tell(): void {
     const reads = takeUntold(this.#state.scheduling.caches);
-    const params = this.#news(reads);
-    const message = JSON.stringify({ jsonrpc: '2.0', method: 'news', params });
-    this.#chooseTargets().forEach((address) => {
-      const { host, port } = splitAddress(address);
-      // A datagram that cannot be sent is as good as lost; the next one tells the same.
-      this.#socket?.send(message, port, host, () => {});
-    });
+    this.#send(this.#news(reads), this.#chooseTargets());
   }
 
   /** Stops telling and closes the sockets. */
@@ -132,6 +126,15 @@
     void this.#agent.destroy();
   }
 
+  #send(params: PeerNews, addresses: readonly string[]): void {
+    const message = JSON.stringify({ jsonrpc: '2.0', method: 'news', params });
+    addresses.forEach((address) => {
+      const { host, port } = splitAddress(address);
+      // A datagram that cannot be sent is as good as lost; the next one tells the same.
+      this.#socket?.send(message, port, host, () => {});
+    });
+  }
+
   #chooseTargets(): string[] {
     const { peers, random } = this.#state;
     const own = this.#settings.listen.control;
@@ -242,10 +245,7 @@
     const stranger = members.find(
       (address) => !known.has(address) && address !== this.#settings.listen.control,
     );
-    if (stranger === undefined) return;
-    const message = JSON.stringify({ jsonrpc: '2.0', method: 'news', params: this.#news() });
-    const { host, port } = splitAddress(stranger);
-    this.#socket?.send(message, port, host, () => {});
+    if (stranger !== undefined) this.#send(this.#news(), [stranger]);
   }
 
   /** Asks a peer that has something newer which this VM cannot read itself soon. */
