--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -1,18 +1,42 @@
+import { spawnSync } from 'node:child_process';
+import { copyFileSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+
 import { build } from 'esbuild';
 
-// Libraries in CommonJS call `require`, which a bundle in ESM has to bring along.
-const banner =
-  "import { createRequire as __createRequire } from 'node:module'; const require = __createRequire(import.meta.url);";
+const here = (name) => fileURLToPath(new URL(name, import.meta.url));
+
+/** Parts of libraries that the gateway never calls, and what stands for them. */
+const neededParts = {
+  name: 'needed-parts',
+  setup({ onResolve }) {
+    onResolve({ filter: /^undici$/ }, () => ({ path: here('parts/undici.cjs') }));
+    onResolve({ filter: /^(node:)?http2$/ }, () => ({ path: here('parts/http2.cjs') }));
+    onResolve({ filter: /^prom-client$/ }, () => ({ path: here('parts/promClient.cjs') }));
+  },
+};
+
+const directory = process.argv[2] ?? 'target';
 
 await build({
   entryPoints: ['platform/dist/src/main.js'],
-  outfile: 'target/filbertlatch.mjs',
+  outfile: join(directory, 'filbertlatch.cjs'),
   bundle: true,
   platform: 'node',
-  format: 'esm',
+  format: 'cjs',
   target: 'node20',
   minify: true,
   keepNames: true,
-  banner: { js: banner },
+  plugins: [neededParts],
   logLevel: 'warning',
 });
+copyFileSync('deploy/start.cjs', join(directory, 'start.cjs'));
+
+// Compiled code is of use only to a runtime with the same flags.
+const run = /^run = "(.*)"$/m.exec(readFileSync('deploy/system.toml', 'utf8'))[1];
+const flags = run.split(' ').filter((word) => word.startsWith('--'));
+const compiled = spawnSync(process.execPath, [...flags, 'deploy/compile.cjs', directory], {
+  stdio: 'inherit',
+});
+if (compiled.status !== 0) throw new Error('the bundle could not be compiled');
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,7 +34,7 @@
   ...configs.node.recommended,
   ...configs.base.typescript,
   {
-    files: ['**/*.ts', '**/*.js'],
+    files: ['**/*.ts', '**/*.js', '**/*.cjs'],
     rules: {
       // prettier owns the layout of the text.
       '@stylistic/max-len': 'off',
@@ -84,6 +84,16 @@
       'n/no-unpublished-import': 'off',
     },
   },
+  { files: ['**/*.cjs'], languageOptions: { sourceType: 'commonjs' } },
+  {
+    // Steps of the build, and a start that has nothing to do before the bundle is read.
+    files: ['deploy/**/*.js', 'deploy/**/*.cjs'],
+    rules: {
+      'n/no-sync': 'off',
+      'n/no-unpublished-require': 'off',
+      'import-x/no-extraneous-dependencies': 'off',
+    },
+  },
   ...Object.entries(layers).map(([name, patterns]) => ({
     files: [`packages/${name}/src/**/*.ts`],
     rules: {
--- a/packages/core/src/shared/hash.ts
+++ b/packages/core/src/shared/hash.ts
@@ -1,13 +1,18 @@
-import xxhash from 'xxhash-wasm';
+import { xxHash32 } from 'js-xxhash';
 
-const { h32, h64ToString } = await xxhash();
+const HEXADECIMAL = 16;
+const HASH_DIGITS = 8;
+
+/** Seeds of the two halves of a digest. */
+const DIGEST_SEEDS = [0, 1];
 
 /** Returns a 32-bit hash of a text; the same on every VM. */
 export function hashText(text: string): number {
-  return h32(text);
+  return xxHash32(text);
 }
 
-/** Returns a 64-bit hash of a text in hexadecimal; the same on every VM. */
+/** Returns 64 bits of hash of a text in hexadecimal; the same on every VM. */
 export function digestText(text: string): string {
-  return h64ToString(text);
+  const halves = DIGEST_SEEDS.map((seed) => xxHash32(text, seed));
+  return halves.map((half) => half.toString(HEXADECIMAL).padStart(HASH_DIGITS, '0')).join('');
 }
--- /dev/null
+++ b/packages/router/src/gateway/controlApi.ts
@@ -0,0 +1,26 @@
+import type { RequestListener } from 'node:http';
+
+import { getRequestListener } from '@hono/node-server';
+import { Hono } from 'hono';
+import type { JSONRPCRequest, JSONRPCResponse } from 'json-rpc-2.0';
+
+import type { GatewayDump } from './dumpGateway.js';
+
+/** What the control address answers from. */
+export interface ControlSource {
+  /** Answers a peer's call. */
+  receive(call: JSONRPCRequest): Promise<JSONRPCResponse | null>;
+  /** What the gateway believes. */
+  dump(): GatewayDump;
+  /** Metrics in the Prometheus text format. */
+  renderMetrics(): Promise<string>;
+}
+
+/** Creates the listener of the control address. */
+export function createControlApi(source: ControlSource): RequestListener {
+  const api = new Hono();
+  api.post('/rpc', async (c) => c.json(await source.receive(await c.req.json())));
+  api.get('/state', (c) => c.json(source.dump()));
+  api.get('/metrics', async (c) => c.text(await source.renderMetrics()));
+  return getRequestListener(api.fetch);
+}
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -1,7 +1,6 @@
 import { createServer, type Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { getRequestListener } from '@hono/node-server';
 import {
   configurationVersion,
   createRandom,
@@ -9,7 +8,6 @@
   forgetStale,
   hashText,
 } from '@filbertlatch/core';
-import { Hono } from 'hono';
 
 import { now } from '../clock.js';
 import { createLog } from '../log/index.js';
@@ -22,6 +20,7 @@
 import { GatewayMetrics } from './gatewayMetrics.js';
 import { countFleet, createGatewayState, isServing } from './gatewayState.js';
 import { dumpGateway, type GatewayDump } from './dumpGateway.js';
+import { createLazyControlApi } from './lazyControlApi.js';
 import { PeerTask } from './peerTask.js';
 import { ProbeTask } from './probeTask.js';
 import type { PublicationSource } from './publication.js';
@@ -93,11 +92,12 @@
     request.resume();
     response.writeHead(isServing(state) ? 200 : 503, { 'content-length': 0 }).end();
   });
-  const controlApi = new Hono();
-  controlApi.route('/', peers.api);
-  controlApi.get('/state', (c) => c.json(dump()));
-  controlApi.get('/metrics', async (c) => c.text(await metrics.render()));
-  const control = createServer(getRequestListener(controlApi.fetch));
+  const controlApi = createLazyControlApi({
+    receive: (call) => peers.receive(call),
+    dump,
+    renderMetrics: () => metrics.render(),
+  });
+  const control = createServer(controlApi);
 
   const isKnown = (id: string) => state.directory.endpoints.has(id);
   let tickedAt = now();
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -11,9 +11,13 @@
   takeUntold,
   type PartRead,
 } from '@filbertlatch/core';
-import { Hono } from 'hono';
-import { JSONRPCClient, JSONRPCServer } from 'json-rpc-2.0';
-import { Agent, request } from 'undici';
+import {
+  JSONRPCClient,
+  JSONRPCServer,
+  type JSONRPCRequest,
+  type JSONRPCResponse,
+} from 'json-rpc-2.0';
+import { Agent } from 'undici';
 
 import { now } from '../clock.js';
 import { splitAddress } from './address.js';
@@ -31,6 +35,9 @@
 /** Longest wait for what a peer has of the publication. */
 const FETCH_TIMEOUT_MS = 800;
 
+/** A change reaches all VMs from the store within this time, as a rule. */
+const READING_MS = 250;
+
 /** A peer that has told nothing for so long is forgotten. */
 const FORGET_MS = 30_000;
 
@@ -57,8 +64,6 @@
 
 /** The task that owns the calls to and from other VMs: news by datagram, the rest by request. */
 export class PeerTask {
-  readonly api = new Hono();
-
   readonly #settings: GatewaySettings;
 
   readonly #state: GatewayState;
@@ -73,6 +78,9 @@
 
   readonly #fetching = new Set<string>();
 
+  /** Instant at which the first peer was ahead of this VM; null while none is. */
+  #behindSince: number | null = null;
+
   #socket: Socket | null = null;
 
   #timer: NodeJS.Timeout | null = null;
@@ -92,7 +100,11 @@
     this.#seeds = settings.seeds;
     this.#server.addMethod('news', (params: unknown) => this.#hear(params));
     this.#server.addMethod('publication', () => this.#publication());
-    this.api.post('/rpc', async (c) => c.json(await this.#server.receive(await c.req.json())));
+  }
+
+  /** Answers a peer's call. */
+  async receive(call: JSONRPCRequest): Promise<JSONRPCResponse | null> {
+    return this.#server.receive(call);
   }
 
   /** Starts to tell and to listen. */
@@ -254,8 +266,13 @@
     const isOlder = news.configurationVersion > configurationVersion(routing);
     const isBehind =
       !this.#taker.isConnected && news.hasStore && news.directoryRevision > directory.revision;
-    if (!isOlder && !isBehind) return;
-    if (this.#fetching.has(news.vmId)) return;
+    if (!isOlder && !isBehind) {
+      this.#behindSince = null;
+      return;
+    }
+    this.#behindSince ??= now();
+    const isReadingItself = this.#taker.isConnected && now() - this.#behindSince < READING_MS;
+    if (isReadingItself || this.#fetching.has(news.vmId)) return;
     this.#fetching.add(news.vmId);
     void this.#fetch(news).finally(() => this.#fetching.delete(news.vmId));
   }
@@ -263,9 +280,10 @@
   async #fetch({ vmId, address }: PeerNews): Promise<void> {
     try {
       const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
-        const { body } = await request(`http://${address}/rpc`, {
+        const { body } = await this.#agent.request({
+          origin: `http://${address}`,
+          path: '/rpc',
           method: 'POST',
-          dispatcher: this.#agent,
           headers: { 'content-type': 'application/json' },
           body: JSON.stringify(payload),
           signal: AbortSignal.timeout(FETCH_TIMEOUT_MS),
--- a/packages/router/src/gateway/probeTask.ts
+++ b/packages/router/src/gateway/probeTask.ts
@@ -1,5 +1,5 @@
 import { recordCrash, recordProbe, takeProbes, type RegisteredEndpoint } from '@filbertlatch/core';
-import { request } from 'undici';
+import { Client } from 'undici';
 
 import { now } from '../clock.js';
 import type { GatewayLog } from './gatewayLog.js';
@@ -76,11 +76,10 @@
   async #ask(endpoint: RegisteredEndpoint): Promise<void> {
     const { routing, health } = this.#state;
     const path = routing.configuration?.services.get(endpoint.serviceId)?.healthPath ?? '/';
+    const client = new Client(`http://${endpoint.address}`);
     try {
-      const { statusCode, body } = await request(`http://${endpoint.address}${path}`, {
-        signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
-        reset: true,
-      });
+      const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
+      const { statusCode, body } = await client.request({ method: 'GET', path, signal });
       await body.dump();
       recordProbe(health, endpoint.id, statusCode === 200, now());
       this.#log.change('endpoint_probed', { endpointId: endpoint.id, statusCode });
@@ -89,6 +88,8 @@
       this.#recordCrashes(endpoint.id);
       const fields = { endpointId: endpoint.id, error: String(error) };
       this.#log.change('endpoint_unreachable', fields);
+    } finally {
+      void client.destroy();
     }
   }
 
