Send a long prompt to any free engine when none of its own is free

A prompt was weighed at three engines by hashing and at holders of its parts only; these had just changed sides and still ran tight streams, while others idled at 12 drafts a second each. Ruled out: memory (62 drafts fit at a time), slow engines (observed by predicted time 1.0 to 1.2).

--- a/packages/core/__tests__/gateway/placement.spec.ts
+++ b/packages/core/__tests__/gateway/placement.spec.ts
@@ -171,6 +171,20 @@
       return t.is(place(state, draft, now).kind, 'refuse');
     });
 
+    it('goes to any engine that is free when none of its own is', (t) => {
+      const state = createSchedulingState('vm-1');
+      const now = warm(state, 40, 20);
+      const { own } = divideEngines(state, 'engines', engines, 'prefill', now);
+      const [free, ...others] = own;
+      others.forEach(({ id }) => {
+        for (let sent = 0; sent < 20; sent += 1) send(state, id, 0, 'decode');
+      });
+      for (let index = 0; index < 32; index += 1) {
+        const placement = place(state, createJob({ size: draftSize(`digest-${index}`) }), now);
+        t.is(placement.kind === 'send' ? placement.endpoint.id : placement.reason, free!.id);
+      }
+    });
+
     it('counts what peers sent', (t) => {
       const state = createSchedulingState('vm-1');
       const loads = new Map(
--- a/packages/core/src/scheduling/place.ts
+++ b/packages/core/src/scheduling/place.ts
@@ -124,27 +124,32 @@
   return best;
 }
 
-/** Returns the engines for a prompt: the first by hashing, and those that hold its parts. */
-function listPrefillEngines(
+/** Returns what a prompt's home is chosen by: its last shared part. */
+function hashKey(size: GenerationSize): string {
+  return sharedParts(size).at(-1)?.id ?? size.parts[0]?.id ?? '';
+}
+
+/** Returns the engines that a prompt belongs to: the first by hashing, and holders of its parts. */
+function listHomes(
   { state }: PlacementContext,
   engines: readonly RegisteredEndpoint[],
   size: GenerationSize,
 ): RegisteredEndpoint[] {
-  const key = sharedParts(size).at(-1)?.id ?? size.parts[0]?.id ?? '';
+  const key = hashKey(size);
   const holders = new Set(listHolders(state.caches, key));
   return rankMembers(key, engines).filter(
     ({ id }, rank) => rank <= SPILL_ENGINES || holders.has(id),
   );
 }
 
-/** Weighs the engines for work limited by prefill: the cache's home, or the next that is free. */
+/** Weighs engines for work limited by prefill, the ones before preferred to those behind. */
 function weighPrefill(
   context: PlacementContext,
   engines: readonly RegisteredEndpoint[],
   size: GenerationSize,
 ): Candidate[] {
   const { state, now } = context;
-  return listPrefillEngines(context, engines, size).map((endpoint, rank) => {
+  return engines.map((endpoint, rank) => {
     const tokens = uncachedTokens(state.caches, endpoint.id, size, now);
     const load = totalLoad(state, endpoint.id, now);
     const pace = paceOf(state, endpoint.id, now);
@@ -207,7 +212,8 @@
   const { state, random, now } = context;
   const usable = avoidFailing(context);
   const { own } = divideEngines(state, job.serviceId, usable, 'prefill', now);
-  const weighed = weighPrefill(context, own, size);
+  const weighed = weighPrefill(context, listHomes(context, own, size), size);
+  const weighOthers = () => weighPrefill(context, rankMembers(hashKey(size), own), size);
   const isClear = ({ endpoint }: Candidate) =>
     totalLoad(state, endpoint.id, now).tight <= MOST_TIGHT || own.length === usable.length;
   const limitMs = job.targetMs * (job.isReturning ? RETURNING_LIMIT : NEW_LIMIT);
@@ -215,7 +221,10 @@
     predictedMs <= limitMs &&
     wholeMs <= job.remainingMs * WHOLE_LIMIT &&
     hasRoom(context, endpoint, job);
-  const best = cheapest(weighed.filter(isClear).filter(isInTime));
+  // Reading the shared parts once more is worth less than an answer.
+  const best =
+    cheapest(weighed.filter(isClear).filter(isInTime)) ??
+    cheapest(weighOthers().filter(isClear).filter(isInTime));
   if (best !== undefined) return { kind: 'send', ...best };
   const predictedMs = Math.min(...weighed.map((candidate) => candidate.predictedMs));
   const retryAfterMs = retryAfter(job, predictedMs, random);
