Tell peers at once what the store brought; back off less while nothing is known

From its return it took 130 to 240 ms until all had the configuration and the endpoints (news every 100 ms, random waits up to 600 ms), and callers were told to come back after 300 ms, into the same outage, with one try each. Ruled out: the start itself (0.15 s).

--- a/packages/router/__tests__/gateway/gateway.spec.ts
+++ b/packages/router/__tests__/gateway/gateway.spec.ts
@@ -76,6 +76,17 @@
       t.true(Number(answer.headers['retry-after']) > 0);
       gateway.gateway.stop();
     });
+
+    it('tells them to wait longer while the platform does not answer', async (t) => {
+      const read = async () => Promise.reject(new Error('away'));
+      const gateway = await startGateway({ ...createSource(null, []), read });
+      await until(async () => {
+        const answer = await call(gateway.callers, '/plain/1');
+        return answer.status === 503 && Number(answer.headers['retry-after']) >= 1;
+      });
+      t.pass();
+      gateway.gateway.stop();
+    });
   });
 
   describe('a request', () => {
--- a/packages/router/src/gateway/admitCall.ts
+++ b/packages/router/src/gateway/admitCall.ts
@@ -39,6 +39,9 @@
 /** Wait for a VM that has just started and knows no configuration. */
 const START_RETRY_MS = 300;
 
+/** The same while the platform is away: for seconds, and callers come back only so often. */
+const OUTAGE_RETRY_MS = 1500;
+
 /** Wait for a caller whose VM leaves: its next connection goes to another. */
 const LEAVING_RETRY_MS = 50;
 
@@ -71,7 +74,10 @@
   const { routing, scheduling } = state;
   const { configuration } = routing;
   if (state.isClosed) return reject(503, 'leaving', 'none', LEAVING_RETRY_MS);
-  if (configuration === null) return reject(503, 'starting', 'none', START_RETRY_MS);
+  if (configuration === null) {
+    const retryMs = state.directory.isStoreLost ? OUTAGE_RETRY_MS : START_RETRY_MS;
+    return reject(503, 'starting', 'none', retryMs);
+  }
   const host = (request.headers.host ?? '').replace(/:\d+$/, '');
   const route = findRoute(routing, host, splitTarget(request.url ?? '/'));
   if (route === undefined) return reject(404, 'no_route');
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -77,6 +77,7 @@
   const probes = new ProbeTask(state, log);
   const publication = new PublicationTask(state, source, log);
   const peers = new PeerTask(settings, state, publication, log);
+  publication.whenNew(() => peers.tell());
   let inForce = settings;
   const metrics = new GatewayMetrics({
     configurationVersion: () => configurationVersion(state.routing),
--- a/packages/router/src/gateway/publicationTask.ts
+++ b/packages/router/src/gateway/publicationTask.ts
@@ -28,6 +28,9 @@
 /** Longest pause between tries: a change must be in force soon after the store is back. */
 const LONGEST_BACKOFF_MS = 600;
 
+/** The same for a VM that knows nothing yet: callers wait for it alone. */
+const LONGEST_START_BACKOFF_MS = 150;
+
 /** Changes of endpoints are collected for so long, since each answer of the store has a price. */
 const BATCH_MS = 150;
 
@@ -66,6 +69,8 @@
 
   readonly #stop = new AbortController();
 
+  #tellPeers: (() => void) | null = null;
+
   readonly #positions: Record<PublicationPart, Position> = {
     configuration: { revision: -1, isLost: false },
     endpoints: { revision: -1, isLost: false },
@@ -83,7 +88,7 @@
           (error) => this.#lose(part, error),
           state.random,
           () => true,
-          LONGEST_BACKOFF_MS,
+          () => this.#longestBackoffMs(part),
         ),
     );
   }
@@ -93,6 +98,11 @@
     return !this.#positions.configuration.isLost && !this.#positions.endpoints.isLost;
   }
 
+  /** Sets what is called when the store has brought something that peers may lack. */
+  whenNew(tell: () => void): void {
+    this.#tellPeers = tell;
+  }
+
   /** Starts to read. */
   start(): void {
     this.#watchers.forEach((watcher) => {
@@ -171,10 +181,15 @@
     if (part === 'configuration') {
       const text = reading.entries.findLast((entry) => entry.text !== null)?.text ?? null;
       if (text !== null) this.offerConfiguration(text, 'store');
+      if (text !== null) this.#tellPeers?.();
       return;
     }
-    if (isWhole) this.#applyAll(reading);
-    else this.#applyChanges(reading);
+    if (isWhole) {
+      this.#applyAll(reading);
+      this.#tellPeers?.();
+    } else {
+      this.#applyChanges(reading);
+    }
   }
 
   #applyAll({ entries, revision }: Reading): void {
@@ -201,6 +216,13 @@
     reachRevision(directory, revision);
   }
 
+  #longestBackoffMs(part: PublicationPart): number {
+    const { routing, directory } = this.#state;
+    const isUnknown =
+      part === 'configuration' ? routing.configuration === null : directory.revision < 0;
+    return isUnknown ? LONGEST_START_BACKOFF_MS : LONGEST_BACKOFF_MS;
+  }
+
   #decode({ id, text }: PublishedEntry) {
     if (text === null) return null;
     const endpoint = this.#source.decodeEndpoint(id, text);
--- a/packages/router/src/platform/watcher.ts
+++ b/packages/router/src/platform/watcher.ts
@@ -35,7 +35,7 @@
 
   readonly #isReader: () => boolean;
 
-  readonly #longestBackoffMs: number;
+  readonly #longestBackoffMs: () => number;
 
   readonly #stop = new AbortController();
 
@@ -46,7 +46,7 @@
     onFailure: (error: unknown) => void,
     random: Random,
     isReader: () => boolean = () => true,
-    longestBackoffMs: number = LONGEST_BACKOFF_MS,
+    longestBackoffMs: () => number = () => LONGEST_BACKOFF_MS,
   ) {
     this.#longestBackoffMs = longestBackoffMs;
     this.#isReader = isReader;
@@ -74,7 +74,7 @@
         if (this.#attempt.signal.aborted) continue;
         failures += 1;
         this.#onFailure(error);
-        await this.#wait(backoffMs(failures, this.#random, this.#longestBackoffMs));
+        await this.#wait(backoffMs(failures, this.#random, this.#longestBackoffMs()));
       }
     }
   }
