--- a/packages/core/src/scheduling/commands.ts
+++ b/packages/core/src/scheduling/commands.ts
@@ -34,15 +34,17 @@
 }
 
 function profileRoute(state: SchedulingState, job: Job, size: GenerationSize): void {
-  const { routeId, serviceId, priority } = job;
+  const { routeId, serviceId, priority, gapTargetMs } = job;
   const { promptTokens, outputTokens } = size;
   const profile = state.profiles.get(routeId);
   if (profile === undefined || profile.serviceId !== serviceId) {
-    state.profiles.set(routeId, { serviceId, promptTokens, outputTokens, priority });
+    const sizes = { promptTokens, outputTokens };
+    state.profiles.set(routeId, { serviceId, ...sizes, priority, gapTargetMs });
     return;
   }
   profile.promptTokens += PROFILE_WEIGHT * (promptTokens - profile.promptTokens);
   profile.outputTokens += PROFILE_WEIGHT * (outputTokens - profile.outputTokens);
+  profile.gapTargetMs = gapTargetMs;
   profile.priority += PROFILE_WEIGHT * (priority - profile.priority);
 }
 
--- a/packages/core/src/scheduling/job.ts
+++ b/packages/core/src/scheduling/job.ts
@@ -22,8 +22,12 @@
   readonly size: GenerationSize | null;
   /** Memory of one engine of the service, in tokens; null when it is not told. */
   readonly kvTokens: number | null;
+  /** Tokens in one event of a stream of the service. */
+  readonly tokensPerEvent: number;
   /** Time to the first event, or answer, that earns full worth; milliseconds from arrival. */
   readonly targetMs: number;
+  /** Longest pause between events that earns full worth; null where any will do. */
+  readonly gapTargetMs: number | null;
   /** The caller's whole time at arrival, against the route's: less means that it came back. */
   readonly isReturning: boolean;
   /** Time left until nobody waits for the answer. */
--- a/packages/core/src/scheduling/place.ts
+++ b/packages/core/src/scheduling/place.ts
@@ -13,7 +13,8 @@
 import type { GenerationSize, Job } from './job.js';
 import { paceOf } from './pace.js';
 import { listHolders, uncachedTokens } from './promptCaches.js';
-import { kindOfRoute, totalLoad } from './queries.js';
+import { kindOfRoute, leastGap, totalLoad } from './queries.js';
+import { sparesStreams } from './sparesStreams.js';
 import type { SchedulingState } from './state.js';
 
 /** Where a request goes, or why it goes nowhere now and when to come back. */
@@ -211,9 +212,13 @@
 function placePrefill(context: PlacementContext, job: Job, size: GenerationSize): Placement {
   const { state, random, now } = context;
   const usable = avoidFailing(context);
-  const { own } = divideEngines(state, job.serviceId, usable, 'prefill', now);
+  const { own, rest } = divideEngines(state, job.serviceId, usable, 'prefill', now);
   const weighed = weighPrefill(context, listHomes(context, own, size), size);
-  const weighOthers = () => weighPrefill(context, rankMembers(hashKey(size), own), size);
+  const weighOthers = (engines: readonly RegisteredEndpoint[]) =>
+    weighPrefill(context, rankMembers(hashKey(size), engines), size);
+  const gapMs = leastGap(state, job.serviceId);
+  const isSparing = ({ endpoint, tokens }: Candidate) =>
+    sparesStreams(totalLoad(state, endpoint.id, now), job, tokens, gapMs);
   const isClear = ({ endpoint }: Candidate) =>
     totalLoad(state, endpoint.id, now).tight <= MOST_TIGHT || own.length === usable.length;
   const limitMs = job.targetMs * (job.isReturning ? RETURNING_LIMIT : NEW_LIMIT);
@@ -224,7 +229,12 @@
   // Reading the shared parts once more is worth less than an answer.
   const best =
     cheapest(weighed.filter(isClear).filter(isInTime)) ??
-    cheapest(weighOthers().filter(isClear).filter(isInTime));
+    cheapest(weighOthers(own).filter(isClear).filter(isInTime)) ??
+    cheapest(
+      weighOthers([...own, ...rest])
+        .filter(isSparing)
+        .filter(isInTime),
+    );
   if (best !== undefined) return { kind: 'send', ...best };
   const predictedMs = Math.min(...weighed.map((candidate) => candidate.predictedMs));
   const retryAfterMs = retryAfter(job, predictedMs, random);
--- a/packages/core/src/scheduling/queries.ts
+++ b/packages/core/src/scheduling/queries.ts
@@ -76,6 +76,17 @@
   return most.prefill < most.decode ? 'prefill' : 'decode';
 }
 
+/** Returns the tightest pause that a service's streams limited by decode may have. */
+export function leastGap(state: SchedulingState, serviceId: string): number {
+  let least = Number.POSITIVE_INFINITY;
+  for (const [routeId, profile] of state.profiles) {
+    if (profile.serviceId !== serviceId || profile.gapTargetMs === null) continue;
+    const isDecode = kindOfRoute(state, { routeId, size: { ...profile, parts: [] } }) === 'decode';
+    if (isDecode) least = Math.min(least, profile.gapTargetMs);
+  }
+  return least;
+}
+
 /** Orders endpoints the same way on every VM. */
 export function orderEndpoints<T extends { readonly id: string }>(endpoints: readonly T[]): T[] {
   const keyed = endpoints.map((endpoint) => ({ endpoint, key: hashText(endpoint.id) }));
--- a/packages/core/src/scheduling/state.ts
+++ b/packages/core/src/scheduling/state.ts
@@ -70,6 +70,8 @@
   outputTokens: number;
   /** Mean rank of its requests; 0 is the most urgent. */
   priority: number;
+  /** Longest pause between events that earns full worth; null where any will do. */
+  gapTargetMs: number | null;
 }
 
 /** Where parts of prompts were read lately, and how busy all endpoints are. */
--- a/packages/router/src/gateway/admitCall.ts
+++ b/packages/router/src/gateway/admitCall.ts
@@ -97,7 +97,9 @@
     priority: (account?.priority ?? 0) * ROUTE_RANKS + route.priority,
     size: service.engine === null ? null : call.size,
     kvTokens: service.engine?.kvTokens ?? null,
+    tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
     targetMs: route.targetMs,
+    gapTargetMs: route.gapTargetMs,
     isReturning: call.remainingMs !== null && call.remainingMs < route.timeoutMs * RETURNING_PART,
     remainingMs,
   };
