Size batches by the speed of each engine's steps; forget what an engine held when it starts again

Their streams took 6.3 s, those of the others 4.3 s: these engines are slower, and a batch was weighed by its size alone. Now each whole stream tells how long its engine's steps were against what its batch explains; VMs share it, and a batch counts as much larger as the steps are slower. An endpoint that starts again under its id holds nothing any more: caches and paces of it are dropped.

--- a/packages/core/__tests__/gateway/directory.spec.ts
+++ b/packages/core/__tests__/gateway/directory.spec.ts
@@ -40,6 +40,15 @@
       t.deepEqual(idsOf(state), ['e1']);
     });
 
+    it('tells which endpoints have started again under their ids', (t) => {
+      const state = createKnown();
+      const endpoint = createEndpoint('e1', { startedAt: 5 });
+      t.true(applyEntry(state, { id: 'e1', endpoint, isRemoved: false }, 5000));
+      t.false(applyEntry(state, { id: 'e1', endpoint, isRemoved: false }, 5100));
+      const later = [createEndpoint('e1', { startedAt: 6 }), createEndpoint('e2')];
+      t.deepEqual(applyEntries(state, later, 11, 5200), ['e1']);
+    });
+
     it('ignores a reading that is older than what it knows', (t) => {
       const state = createKnown();
       applyEntries(state, [], 9, 5000);
--- a/packages/core/__tests__/gateway/placement.spec.ts
+++ b/packages/core/__tests__/gateway/placement.spec.ts
@@ -5,12 +5,17 @@
   createWorkLoad,
   divideEngines,
   endWork,
+  forgetLifetime,
   learnPeerWork,
   noteArrival,
   observeOutcome,
+  observeStream,
+  paceOf,
   placeJob,
+  recordPrompt,
   startWork,
   totalLoad,
+  uncachedTokens,
   type Job,
   type RegisteredEndpoint,
   type SchedulingState,
@@ -244,6 +249,36 @@
       t.is(placement.kind === 'send' ? placement.endpoint.id : null, engines[0]!.id);
     });
 
+    it('gives an engine with slower steps a batch that is as much smaller', (t) => {
+      const state = createSchedulingState('vm-1');
+      const [slow, fast] = engines;
+      const play = (endpointId: string, slowness: number) => {
+        for (let run = 0; run < 40; run += 1) {
+          const sent = send(state, endpointId, 0, 'decode');
+          beginStreaming(state, sent, 100);
+          // 5 tokens an event; one request more than none in a batch that is otherwise empty.
+          observeStream(state, sent, 51, 5, 100 + 50 * 5 * 4.1 * slowness);
+          endWork(state, sent);
+        }
+      };
+      play(slow!.id, 2);
+      play(fast!.id, 1);
+      const now = 1200;
+      const counts = new Map<string, number>([
+        [slow!.id, 0],
+        [fast!.id, 0],
+      ]);
+      for (let sent = 0; sent < 90; sent += 1) {
+        const placement = place(state, headline, now, [slow!, fast!]);
+        if (placement.kind !== 'send') return t.fail('expected a placement');
+        const { id } = placement.endpoint;
+        send(state, id, 0, 'decode', now);
+        counts.set(id, counts.get(id)! + 1);
+      }
+      const ratio = counts.get(fast!.id)! / counts.get(slow!.id)!;
+      return t.true(ratio > 1.6 && ratio < 2.4, `ratio ${ratio}`);
+    });
+
     it('is not refused while any engine has a free slot', (t) => {
       const state = createSchedulingState('vm-1');
       const now = warm(state, 40, 40);
@@ -286,6 +321,25 @@
     });
   });
 
+  describe('an endpoint that has started again under its id', () => {
+    it('holds no parts of prompts, and its old pace no longer counts', (t) => {
+      const state = createSchedulingState('vm-1');
+      const home = place(state, draft, 0);
+      if (home.kind !== 'send') return t.fail('expected a placement');
+      const { id } = home.endpoint;
+      recordPrompt(state.caches, id, draft.size!, 0);
+      const sent = send(state, id, 100);
+      beginStreaming(state, sent, 600);
+      t.true(uncachedTokens(state.caches, id, draft.size!, 600) < draft.size!.promptTokens);
+      t.true(paceOf(state, id, 600) > 1.5);
+      forgetLifetime(state, id);
+      t.is(uncachedTokens(state.caches, id, draft.size!, 600), draft.size!.promptTokens);
+      t.is(paceOf(state, id, 600), 1);
+      endWork(state, sent);
+      return t.deepEqual(totalLoad(state, id, 600), createWorkLoad());
+    });
+  });
+
   describe('load', () => {
     it('counts a request once, whatever its end is told', (t) => {
       const state = createSchedulingState('vm-1');
--- a/packages/core/src/directory/commands.ts
+++ b/packages/core/src/directory/commands.ts
@@ -19,20 +19,25 @@
   else state.endpoints.delete(id);
 }
 
-function putEntry(state: DirectoryState, endpoint: RegisteredEndpoint): void {
+/** Returns true when the endpoint has started again under the id that it had. */
+function putEntry(state: DirectoryState, endpoint: RegisteredEndpoint): boolean {
+  const before = state.endpoints.get(endpoint.id);
   state.endpoints.set(endpoint.id, endpoint);
   state.missing.delete(endpoint.id);
+  return before !== undefined && before.startedAt !== endpoint.startedAt;
 }
 
-/** Takes in one change of an entry. */
-export function applyEntry(state: DirectoryState, change: EntryChange, now: number): void {
-  if (change.endpoint === null) removeEntry(state, change.id, change.isRemoved, now);
-  else putEntry(state, change.endpoint);
+/** Takes in one change of an entry; true when its endpoint has started again. */
+export function applyEntry(state: DirectoryState, change: EntryChange, now: number): boolean {
+  if (change.endpoint !== null) return putEntry(state, change.endpoint);
+  removeEntry(state, change.id, change.isRemoved, now);
+  return false;
 }
 
 /**
  * Takes in all entries as of a revision; an older reading changes nothing. Entries that a
  * peer with a store in order does not list are gone, even while this VM's own store is away.
+ * Returns the ids of endpoints that have started again.
  */
 export function applyEntries(
   state: DirectoryState,
@@ -40,14 +45,15 @@
   revision: number,
   now: number,
   source: 'store' | 'peer' = 'store',
-): void {
-  if (revision < state.revision) return;
+): string[] {
+  if (revision < state.revision) return [];
   const listed = new Set(endpoints.map(({ id }) => id));
-  endpoints.forEach((endpoint) => putEntry(state, endpoint));
+  const restarted = endpoints.filter((endpoint) => putEntry(state, endpoint));
   for (const id of [...state.endpoints.keys()]) {
     if (!listed.has(id)) removeEntry(state, id, source === 'store', now);
   }
   state.revision = revision;
+  return restarted.map(({ id }) => id);
 }
 
 /** Records that the reading has come to a revision. */
--- a/packages/core/src/scheduling/commands.ts
+++ b/packages/core/src/scheduling/commands.ts
@@ -1,9 +1,9 @@
 import { addToRate } from '../shared/index.js';
-import { heldTokens, workMs } from './costs.js';
+import { heldTokens, stepMs, workMs } from './costs.js';
 import type { GenerationSize, Job } from './job.js';
 import { fadeReads, leastUncached } from './promptCaches.js';
 import { recordPace } from './pace.js';
-import { kindOfRoute } from './queries.js';
+import { kindOfRoute, totalLoad } from './queries.js';
 import {
   createDemand,
   createEndpointWork,
@@ -78,6 +78,8 @@
   readonly held: number;
   readonly kind: WorkKind;
   phase: 'waiting' | 'streaming' | 'ended';
+  /** Instant of its first event; null before. */
+  streamingSince: number | null;
 }
 
 /** Counts a request as sent. */
@@ -85,7 +87,15 @@
   const { endpointId, tokens, predictedMs, kind, size } = planned;
   const held = size === null ? 0 : heldTokens(size);
   const times = { predictedMs, sentAt: now };
-  const sent: SentWork = { endpointId, tokens, held, kind, ...times, phase: 'waiting' };
+  const sent: SentWork = {
+    endpointId,
+    tokens,
+    held,
+    kind,
+    ...times,
+    phase: 'waiting',
+    streamingSince: null,
+  };
   const { own, waiting } = workOf(state, endpointId);
   own.waiting += 1;
   own.waitingTokens += tokens;
@@ -108,8 +118,27 @@
   endWaiting(state, sent);
   const work = workOf(state, sent.endpointId);
   work.own.streaming += 1;
-  recordPace(work, sent.predictedMs, now - sent.sentAt, now);
+  recordPace(work.pace, sent.predictedMs, now - sent.sentAt, now);
   sent.phase = 'streaming';
+  sent.streamingSince = now;
+}
+
+/** A stream with fewer events tells little of its engine's steps. */
+const LEAST_EVENTS = 8;
+
+/** Takes in a whole stream: how long its engine's steps were. */
+export function observeStream(
+  state: SchedulingState,
+  sent: SentWork,
+  events: number,
+  tokensPerEvent: number,
+  now: number,
+): void {
+  if (sent.kind !== 'decode' || sent.streamingSince === null || events < LEAST_EVENTS) return;
+  const load = totalLoad(state, sent.endpointId, now);
+  const expectedMs = tokensPerEvent * stepMs(load.waiting + load.streaming, 0);
+  const observedMs = (now - sent.streamingSince) / (events - 1);
+  recordPace(workOf(state, sent.endpointId).stepPace, expectedMs, observedMs, now);
 }
 
 /** Counts a sent request as over. */
@@ -140,6 +169,16 @@
   state.peers.set(peerId, work);
 }
 
+/** Forgets what an endpoint held and how fast it was: it has started again. */
+export function forgetLifetime(state: SchedulingState, endpointId: string): void {
+  state.caches.reads.forEach((engines) => engines.delete(endpointId));
+  const work = state.work.get(endpointId);
+  if (work === undefined) return;
+  // Requests on their way still count until their connections break.
+  const { own, waiting } = work;
+  state.work.set(endpointId, { ...createEndpointWork(), own, waiting });
+}
+
 /** Forgets an endpoint that is gone, and peers that tell nothing any more. */
 export function forgetStale(
   state: SchedulingState,
--- a/packages/core/src/scheduling/index.ts
+++ b/packages/core/src/scheduling/index.ts
@@ -1,10 +1,12 @@
 export {
   beginStreaming,
   endWork,
+  forgetLifetime,
   forgetStale,
   learnPeerWork,
   noteArrival,
   observeOutcome,
+  observeStream,
   startWork,
   workOf,
   type PlannedWork,
@@ -12,7 +14,7 @@
 } from './commands.js';
 export { divideEngines, type EngineDivision } from './divideEngines.js';
 export type { GenerationSize, Job, PromptPart } from './job.js';
-export { ownPace, paceOf } from './pace.js';
+export { ownPace, paceOf, stepPaceOf } from './pace.js';
 export { placeJob, type Placement, type PlacementContext } from './place.js';
 export {
   learnReads,
@@ -31,5 +33,6 @@
   type WorkKind,
   type PeerWork,
   type SchedulingState,
+  type ToldPace,
   type WorkLoad,
 } from './state.js';
--- a/packages/core/src/scheduling/pace.ts
+++ b/packages/core/src/scheduling/pace.ts
@@ -1,5 +1,11 @@
 import { addToRate, fadeRate } from '../shared/index.js';
-import { isFresh, type EndpointWork, type SchedulingState } from './state.js';
+import {
+  isFresh,
+  type EndpointWork,
+  type Pace,
+  type SchedulingState,
+  type ToldPace,
+} from './state.js';
 
 /** Ratios beyond these say no more than these do. */
 const SLOWEST_RATIO = 6;
@@ -12,19 +18,13 @@
   return Math.min(SLOWEST_RATIO, Math.max(FASTEST_RATIO, ratio));
 }
 
-/** Takes in how long a first event took against what was predicted. */
-export function recordPace(
-  { pace }: EndpointWork,
-  predictedMs: number,
-  observedMs: number,
-  now: number,
-): void {
-  addToRate(pace.ratios, bound(observedMs / predictedMs), now);
+/** Takes in how long something took against what was expected. */
+export function recordPace(pace: Pace, expectedMs: number, observedMs: number, now: number): void {
+  addToRate(pace.ratios, bound(observedMs / expectedMs), now);
   addToRate(pace.samples, 1, now);
 }
 
-/** Returns this VM's sum of ratios and their number; those that wait too long count already. */
-export function ownPace({ pace, waiting }: EndpointWork, now: number): [number, number] {
+function ownFirstPace({ pace, waiting }: EndpointWork, now: number): [number, number] {
   let ratios = fadeRate(pace.ratios, now);
   let samples = fadeRate(pace.samples, now);
   for (const { sentAt, predictedMs } of waiting) {
@@ -37,14 +37,34 @@
   return [ratios, samples];
 }
 
-/** Returns how much slower than predicted an endpoint is lately, as all VMs see it. */
-export function paceOf(state: SchedulingState, endpointId: string, now: number): number {
+/** Returns this VM's sums of ratios; requests that wait too long for an event count already. */
+export function ownPace(work: EndpointWork, now: number): ToldPace {
+  const { ratios, samples } = work.stepPace;
+  return { first: ownFirstPace(work, now), step: [fadeRate(ratios, now), fadeRate(samples, now)] };
+}
+
+function meanRatio(
+  state: SchedulingState,
+  endpointId: string,
+  part: keyof ToldPace,
+  now: number,
+): number {
   const work = state.work.get(endpointId);
-  let [ratios, samples] = work === undefined ? [0, 0] : ownPace(work, now);
+  let [ratios, samples] = work === undefined ? [0, 0] : ownPace(work, now)[part];
   for (const peer of state.peers.values()) {
-    const told = isFresh(peer, now) ? peer.paces.get(endpointId) : undefined;
+    const told = isFresh(peer, now) ? peer.paces.get(endpointId)?.[part] : undefined;
     ratios += told?.[0] ?? 0;
     samples += told?.[1] ?? 0;
   }
   return (ratios + PRIOR_SAMPLES) / (samples + PRIOR_SAMPLES);
 }
+
+/** Returns how much later than predicted first events are lately, as all VMs see it. */
+export function paceOf(state: SchedulingState, endpointId: string, now: number): number {
+  return meanRatio(state, endpointId, 'first', now);
+}
+
+/** Returns how much longer an engine's steps are than its batch explains, as all VMs see it. */
+export function stepPaceOf(state: SchedulingState, endpointId: string, now: number): number {
+  return meanRatio(state, endpointId, 'step', now);
+}
--- a/packages/core/src/scheduling/place.ts
+++ b/packages/core/src/scheduling/place.ts
@@ -11,7 +11,7 @@
 } from './costs.js';
 import { divideEngines } from './divideEngines.js';
 import type { GenerationSize, Job } from './job.js';
-import { paceOf } from './pace.js';
+import { paceOf, stepPaceOf } from './pace.js';
 import { listHolders, uncachedTokens } from './promptCaches.js';
 import { kindOfRoute, leastGap, totalLoad } from './queries.js';
 import { sparesStreams } from './sparesStreams.js';
@@ -176,7 +176,7 @@
   return load.heldTokens + heldTokens(job.size) <= job.kvTokens * USED_MEMORY;
 }
 
-/** Weighs the engines for work limited by decode: the smallest batch. */
+/** Weighs the engines for work limited by decode: the smallest batch for the engine's speed. */
 function weighDecode(
   { state, random, now }: PlacementContext,
   engines: readonly RegisteredEndpoint[],
@@ -191,7 +191,8 @@
     const predictedMs = BASE_FIRST_EVENT_MS * pace + waitMs;
     const busy = load.waiting + load.streaming;
     // Below one request, so that VMs with the same view do not all choose the same engine.
-    const cost = busy + (DECODE_WAIT_WEIGHT * predictedMs) / BASE_FIRST_EVENT_MS + random.next();
+    const batch = (busy + 1) * stepPaceOf(state, endpoint.id, now);
+    const cost = batch + (DECODE_WAIT_WEIGHT * predictedMs) / BASE_FIRST_EVENT_MS + random.next();
     return { endpoint, tokens, predictedMs, wholeMs: predictedMs, cost };
   });
 }
--- a/packages/core/src/scheduling/state.ts
+++ b/packages/core/src/scheduling/state.ts
@@ -18,7 +18,7 @@
   tight: number;
 }
 
-/** Sums of times to first events divided by what was predicted, and their number. */
+/** Sums of observed times divided by what was expected, and their number. */
 export interface Pace {
   readonly ratios: Rate;
   readonly samples: Rate;
@@ -35,6 +35,8 @@
   readonly own: WorkLoad;
   /** Times to first events against the predicted ones lately. */
   readonly pace: Pace;
+  /** Times between events of whole streams against what a batch of that size should take. */
+  readonly stepPace: Pace;
   /** Requests that wait for their first event. */
   readonly waiting: Set<WaitingWork>;
   /** Part of the answers that were failures, lately. */
@@ -49,14 +51,20 @@
   readonly decode: Rate;
 }
 
+/** One VM's sums of ratios and their numbers for an endpoint: first events, then steps. */
+export interface ToldPace {
+  readonly first: readonly [number, number];
+  readonly step: readonly [number, number];
+}
+
 /** What another VM told of its own work. */
 export interface PeerWork {
   /** Instant at which it came. */
   readonly at: number;
   /** By endpoint. */
   readonly loads: ReadonlyMap<string, WorkLoad>;
-  /** Sum of its ratios of observed to predicted times, and their number, by endpoint. */
-  readonly paces: ReadonlyMap<string, readonly [number, number]>;
+  /** By endpoint. */
+  readonly paces: ReadonlyMap<string, ToldPace>;
   /** Engines for decode by service, as it divides them. */
   readonly borders: ReadonlyMap<string, number>;
   /** Prefill and decode demand by service. */
@@ -107,11 +115,19 @@
 /** Pace is followed this fast: about as long as a request waits on a busy engine. */
 const PACE_TIME_MS = 800;
 
+/** The speed of an engine's steps is followed slower: it is mostly the engine's own. */
+const STEP_PACE_TIME_MS = 3000;
+
+function createPace(timeMs: number): Pace {
+  return { ratios: createRate(timeMs), samples: createRate(timeMs) };
+}
+
 /** Creates the work of an endpoint that nothing was sent to. */
 export function createEndpointWork(): EndpointWork {
   return {
     own: createWorkLoad(),
-    pace: { ratios: createRate(PACE_TIME_MS), samples: createRate(PACE_TIME_MS) },
+    pace: createPace(PACE_TIME_MS),
+    stepPace: createPace(STEP_PACE_TIME_MS),
     waiting: new Set(),
     failedPart: 0,
     failedAt: 0,
--- a/packages/router/src/gateway/peerMessage.ts
+++ b/packages/router/src/gateway/peerMessage.ts
@@ -1,4 +1,4 @@
-import type { CrashNews, PartRead, WorkLoad } from '@filbertlatch/core';
+import type { CrashNews, PartRead, ToldPace, WorkLoad } from '@filbertlatch/core';
 import * as z from 'zod';
 
 const count = z.number().min(0).max(1e9);
@@ -15,8 +15,8 @@
   directoryRevision: z.number().int(),
   /** Endpoint, waiting requests, streaming requests, waiting tokens, held tokens, tight ones. */
   loads: z.array(z.tuple([text, count, count, count, count, count])).max(4096),
-  /** Endpoint, sum of observed by predicted times to first events, number of them. */
-  paces: z.array(z.tuple([text, count, count])).max(4096),
+  /** Endpoint; sum of observed by expected times and their number, of first events and steps. */
+  paces: z.array(z.tuple([text, count, count, count, count])).max(4096),
   /** Service, engines for decode. */
   borders: z.array(z.tuple([text, count])).max(256),
   /** Service, prefill demand, decode demand. */
@@ -42,6 +42,16 @@
   );
 }
 
+/** Returns the paces of endpoints as a peer sees them. */
+export function readPaces({ paces }: PeerNews): Map<string, ToldPace> {
+  return new Map(
+    paces.map(([id, firstRatios, firstSamples, stepRatios, stepSamples]) => [
+      id,
+      { first: [firstRatios, firstSamples], step: [stepRatios, stepSamples] },
+    ]),
+  );
+}
+
 /** Returns the shared parts of prompts that a peer sent, and where to. */
 export function readReads({ reads }: PeerNews): PartRead[] {
   return reads.map(([partId, endpointId]) => ({ partId, endpointId }));
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -23,7 +23,14 @@
 import { splitAddress } from './address.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
-import { peerNewsSchema, readCrashes, readLoads, readReads, type PeerNews } from './peerMessage.js';
+import {
+  peerNewsSchema,
+  readCrashes,
+  readLoads,
+  readPaces,
+  readReads,
+  type PeerNews,
+} from './peerMessage.js';
 import type { GatewaySettings } from './settings.js';
 
 /** Pause between two messages to the same peers. */
@@ -174,8 +181,11 @@
         own.tight,
       ]);
     const paces = [...scheduling.work]
-      .map(([id, work]): PeerNews['paces'][number] => [id, ...ownPace(work, instant)])
-      .filter(([, , samples]) => samples > LEAST_SAMPLES);
+      .map(([id, work]): PeerNews['paces'][number] => {
+        const { first, step } = ownPace(work, instant);
+        return [id, ...first, ...step];
+      })
+      .filter(([, , firstSamples, , stepSamples]) => firstSamples + stepSamples > LEAST_SAMPLES);
     const demand = [...scheduling.demand.keys()].map((id): [string, number, number] => [
       id,
       ...ownDemand(scheduling, id, instant),
@@ -229,13 +239,10 @@
     const demand = new Map(
       news.demand.map(([id, prefill, decode]) => [id, [prefill, decode] as const]),
     );
-    const paces = new Map(
-      news.paces.map(([id, ratios, samples]) => [id, [ratios, samples] as const]),
-    );
     learnPeerWork(scheduling, news.vmId, {
       at: instant,
       loads: readLoads(news),
-      paces,
+      paces: readPaces(news),
       borders: new Map(news.borders),
       demand,
     });
--- a/packages/router/src/gateway/publicationTask.ts
+++ b/packages/router/src/gateway/publicationTask.ts
@@ -6,6 +6,7 @@
   applyEntry,
   configurationVersion,
   dropMissing,
+  forgetLifetime,
   loseStore,
   reachRevision,
   regainStore,
@@ -142,7 +143,7 @@
     if (this.isConnected || revision <= directory.revision) return;
     const checked = endpoints.map((endpoint) => registeredEndpointSchema.safeParse(endpoint));
     const usable = checked.flatMap(({ data }) => (data === undefined ? [] : [data]));
-    applyEntries(directory, usable, revision, now(), 'peer');
+    this.#forgetRestarted(applyEntries(directory, usable, revision, now(), 'peer'));
     // The store is read whole on its return: its changes since would bring back older entries.
     this.#positions.endpoints.revision = -1;
     this.#log.change('endpoints_read', { endpoints: usable.length, revision, source });
@@ -196,7 +197,7 @@
     const endpoints = entries
       .map((entry) => this.#decode(entry))
       .filter((endpoint) => endpoint !== null);
-    applyEntries(this.#state.directory, endpoints, revision, now());
+    this.#forgetRestarted(applyEntries(this.#state.directory, endpoints, revision, now()));
     this.#log.change('endpoints_read', { endpoints: endpoints.length, revision });
   }
 
@@ -206,7 +207,7 @@
       const before = directory.endpoints.get(entry.id)?.state ?? 'unknown';
       const isRemoved = entry.text === null;
       const change = { id: entry.id, endpoint: this.#decode(entry), isRemoved };
-      applyEntry(directory, change, now());
+      if (applyEntry(directory, change, now())) this.#forgetRestarted([entry.id]);
       const after = directory.endpoints.get(entry.id)?.state ?? 'gone';
       if (before !== after) {
         const fields = { endpointId: entry.id, before, after, revision };
@@ -223,6 +224,13 @@
     return isUnknown ? LONGEST_START_BACKOFF_MS : LONGEST_BACKOFF_MS;
   }
 
+  #forgetRestarted(endpointIds: readonly string[]): void {
+    endpointIds.forEach((endpointId) => {
+      forgetLifetime(this.#state.scheduling, endpointId);
+      this.#log.change('endpoint_restarted', { endpointId });
+    });
+  }
+
   #decode({ id, text }: PublishedEntry) {
     if (text === null) return null;
     const endpoint = this.#source.decodeEndpoint(id, text);
--- a/packages/router/src/gateway/run.ts
+++ b/packages/router/src/gateway/run.ts
@@ -3,6 +3,7 @@
   endWork,
   kindOfRoute,
   observeOutcome,
+  observeStream,
   recordFailure,
   recordPrompt,
   recordSuccess,
@@ -73,6 +74,9 @@
 
   #bytes = 0;
 
+  /** Pieces of a stream as they came; as good as always one event each. */
+  #pieces = 0;
+
   #start: AnswerStart = { status: 0, headers: [] };
 
   #head: AnswerHead | null = null;
@@ -154,6 +158,7 @@
     if (this.#isOver) return true;
     if (this.#isStream()) {
       this.#noteFirstEvent();
+      this.#pieces += 1;
       return this.#observer.streamed(this.#start, chunk);
     }
     this.#bytes += chunk.length;
@@ -171,6 +176,7 @@
     if (this.#isOver) return;
     if (this.#isStream()) {
       this.#countSuccess();
+      this.#observeStream();
       this.#end('served');
       this.#observer.streamEnded(this.#start);
     } else if (this.#head?.isNotRun === true) {
@@ -227,6 +233,12 @@
     }
   }
 
+  #observeStream(): void {
+    const { tokensPerEvent } = this.#admitted.job;
+    const { scheduling } = this.#context.state;
+    observeStream(scheduling, this.#work, this.#pieces, tokensPerEvent, now());
+  }
+
   #observeOutcome(isFailure: boolean): void {
     observeOutcome(this.#context.state.scheduling, this.endpoint.id, isFailure, now());
   }
