Keep lapsed endpoints through a second outage of the store

Cause: an entry that lapsed in one outage was dropped two seconds after that outage, although the store had gone away again meanwhile and the endpoint had no time to write itself back. Found by a property test over random orders of store, peers and outages, which failed before the change. Ruled out by the same tests: revisions never fall, and what the store holds is served once lapsed entries had time to return.

--- a/packages/core/src/directory/commands.ts
+++ b/packages/core/src/directory/commands.ts
@@ -65,6 +65,8 @@
 export function loseStore(state: DirectoryState): void {
   state.isStoreLost = true;
   state.settledAt = Number.POSITIVE_INFINITY;
+  // The time to return begins anew with the next return of the store.
+  state.missing.forEach((_, id) => state.missing.set(id, state.settledAt));
 }
 
 /** Records that the store answers again. */
