--- a/packages/cli/src/documentation/formatConfiguration.ts
+++ b/packages/cli/src/documentation/formatConfiguration.ts
@@ -1,5 +1,6 @@
 import { sheetNames, sheetSchemas, type SheetName } from '@filbertlatch/core';
 import { settingsSchema } from '@filbertlatch/router';
+import { gatewaySettingsSchema } from '@filbertlatch/router/gateway';
 import * as z from 'zod';
 
 interface Shape {
@@ -95,6 +96,15 @@
     '',
     ...formatShape(shapeOf(settingsSchema)),
     '',
+    '## Settings of a gateway',
+    '',
+    'A JSON file; every fault of it is named at once, with exit code 2. It is looked at every two',
+    'seconds and on SIGHUP; only `seeds` changes without a restart. Unknown fields are ignored.',
+    "On the users' platform it is filled in from `deploy/settings.json.template`. Routes, services,",
+    'accounts and limits on callers are no settings: the platform publishes them.',
+    '',
+    ...formatShape(shapeOf(gatewaySettingsSchema)),
+    '',
     '## The table',
     '',
     'Published by the operators, one sheet a key; in force on every VM within seconds. The whole table',
--- a/packages/router/src/gateway/settings.ts
+++ b/packages/router/src/gateway/settings.ts
@@ -32,7 +32,10 @@
       windowSeconds: z.number().positive().describe('Window in which repeats are counted.'),
     })
     .describe('Bound on requests sent to a second endpoint.'),
-  logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
+  logLevel: z
+    .enum(['error', 'warn', 'info', 'debug'])
+    .default('info')
+    .describe('Least urgent lines that are written.'),
 });
 
 /** Checked settings of a gateway. */
