Sum up an engine's load once a candidate; hash a body only when something is held against a request

Read once more, behaviour as it was: - placing summed up the load of all VMs two to four times for each engine; a candidate carries it now; - the fingerprint of every request hashed its whole body (0.5 ms for 4 kB since the hash is JavaScript), although without evidence nothing is judged by it; - new and returning requests had two limits of the same value; one is left, and isReturning, which is only logged, is no longer part of a job; - the two questions over a service's routes share one walk; taking from the allowance stands once; - the news is written beside where it is read (peerMessage), out of the task of the sockets; - the start uses the runtime's own wrapper for a module.

--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -1,6 +1,6 @@
 // Starts the bundle from the code that the build compiled: compiling takes most of a start.
 const { readFileSync } = require('node:fs');
-const { createRequire } = require('node:module');
+const { createRequire, wrap } = require('node:module');
 const { join } = require('node:path');
 const { Script } = require('node:vm');
 
@@ -18,9 +18,8 @@
 
 /** Runs the bundle, from compiled code where there is some; returns the script. */
 function runBundle(cachedData) {
-  const source = readFileSync(bundlePath, 'utf8');
-  const wrapped = `(function (exports, require, module, __filename, __dirname) {${source}\n})`;
-  const script = new Script(wrapped, { filename: bundlePath, cachedData });
+  const source = wrap(readFileSync(bundlePath, 'utf8'));
+  const script = new Script(source, { filename: bundlePath, cachedData });
   if (script.cachedDataRejected === true) {
     // Code of another version of the runtime, or compiled under other flags, is of no use.
     process.stderr.write('filbertlatch: compiled code refused, the bundle is compiled anew\n');
--- a/packages/core/__tests__/gateway/fixtures.ts
+++ b/packages/core/__tests__/gateway/fixtures.ts
@@ -92,7 +92,6 @@
     tokensPerEvent: 5,
     targetMs: 500,
     gapTargetMs: 400,
-    isReturning: false,
     remainingMs: 5000,
     ...changes,
   };
--- a/packages/core/src/scheduling/commands.ts
+++ b/packages/core/src/scheduling/commands.ts
@@ -86,13 +86,13 @@
 export function startWork(state: SchedulingState, planned: PlannedWork, now: number): SentWork {
   const { endpointId, tokens, predictedMs, kind, size } = planned;
   const held = size === null ? 0 : heldTokens(size);
-  const times = { predictedMs, sentAt: now };
   const sent: SentWork = {
     endpointId,
     tokens,
     held,
     kind,
-    ...times,
+    predictedMs,
+    sentAt: now,
     phase: 'waiting',
     streamingSince: null,
   };
--- a/packages/core/src/scheduling/job.ts
+++ b/packages/core/src/scheduling/job.ts
@@ -28,8 +28,6 @@
   readonly targetMs: number;
   /** Longest pause between events that earns full worth; null where any will do. */
   readonly gapTargetMs: number | null;
-  /** The caller's whole time at arrival, against the route's: less means that it came back. */
-  readonly isReturning: boolean;
   /** Time left until nobody waits for the answer. */
   readonly remainingMs: number;
 }
--- a/packages/core/src/scheduling/place.ts
+++ b/packages/core/src/scheduling/place.ts
@@ -15,7 +15,7 @@
 import { listHolders, uncachedTokens } from './promptCaches.js';
 import { kindOfRoute, leastGap, totalLoad } from './queries.js';
 import { sparesStreams } from './sparesStreams.js';
-import type { SchedulingState } from './state.js';
+import type { SchedulingState, WorkLoad } from './state.js';
 
 /** Where a request goes, or why it goes nowhere now and when to come back. */
 export type Placement =
@@ -47,6 +47,8 @@
 
 interface Candidate {
   readonly endpoint: RegisteredEndpoint;
+  /** Work of all VMs there. */
+  readonly load: WorkLoad;
   readonly tokens: number;
   readonly predictedMs: number;
   /** Expected time to the whole answer. */
@@ -78,11 +80,8 @@
 /** Part of the time left within which the whole answer must be expected. */
 const WHOLE_LIMIT = 0.9;
 
-/** Part of the target within which a first event must be expected for a new request. */
-const NEW_LIMIT = 0.85;
-
-/** The same for a request that returns: late already, it must not delay others further. */
-const RETURNING_LIMIT = 0.85;
+/** Part of the target within which a first event must be expected, of returning requests too. */
+const FIRST_EVENT_LIMIT = 0.85;
 
 /** Requests that a plain endpoint may hold for each slot before it counts as full. */
 const PLAIN_BACKLOG = 3;
@@ -160,17 +159,12 @@
     const batch = load.waiting + load.streaming;
     const wholeMs = predictedMs + size.outputTokens * stepMs(batch, waitMs) * pace;
     const cost = waitMs + REREAD_WEIGHT * readMs + rank * RANK_COST_MS;
-    return { endpoint, tokens, predictedMs, wholeMs, cost };
+    return { endpoint, load, tokens, predictedMs, wholeMs, cost };
   });
 }
 
 /** Says whether an engine has a slot and memory left for one more request. */
-function hasRoom(
-  { state, now }: PlacementContext,
-  endpoint: RegisteredEndpoint,
-  job: Job,
-): boolean {
-  const load = totalLoad(state, endpoint.id, now);
+function hasRoom({ endpoint, load }: Candidate, job: Job): boolean {
   if (load.waiting + load.streaming >= endpoint.slots) return false;
   if (job.kvTokens === null || job.size === null) return true;
   return load.heldTokens + heldTokens(job.size) <= job.kvTokens * USED_MEMORY;
@@ -193,7 +187,7 @@
     // Below one request, so that VMs with the same view do not all choose the same engine.
     const batch = (busy + 1) * stepPaceOf(state, endpoint.id, now);
     const cost = batch + (DECODE_WAIT_WEIGHT * predictedMs) / BASE_FIRST_EVENT_MS + random.next();
-    return { endpoint, tokens, predictedMs, wholeMs: predictedMs, cost };
+    return { endpoint, load, tokens, predictedMs, wholeMs: predictedMs, cost };
   });
 }
 
@@ -201,7 +195,7 @@
   const { state, random, now } = context;
   const usable = avoidFailing(context);
   const { own, rest } = divideEngines(state, job.serviceId, usable, 'decode', now);
-  const isFree = ({ endpoint }: Candidate) => hasRoom(context, endpoint, job);
+  const isFree = (candidate: Candidate) => hasRoom(candidate, job);
   const best =
     cheapest(weighDecode(context, own, size).filter(isFree)) ??
     cheapest(weighDecode(context, rest, size).filter(isFree));
@@ -218,15 +212,13 @@
   const weighOthers = (engines: readonly RegisteredEndpoint[]) =>
     weighPrefill(context, rankMembers(hashKey(size), engines), size);
   const gapMs = leastGap(state, job.serviceId);
-  const isSparing = ({ endpoint, tokens }: Candidate) =>
-    sparesStreams(totalLoad(state, endpoint.id, now), job, tokens, gapMs);
-  const isClear = ({ endpoint }: Candidate) =>
-    totalLoad(state, endpoint.id, now).tight <= MOST_TIGHT || own.length === usable.length;
-  const limitMs = job.targetMs * (job.isReturning ? RETURNING_LIMIT : NEW_LIMIT);
-  const isInTime = ({ endpoint, predictedMs, wholeMs }: Candidate) =>
-    predictedMs <= limitMs &&
-    wholeMs <= job.remainingMs * WHOLE_LIMIT &&
-    hasRoom(context, endpoint, job);
+  const isSparing = ({ load, tokens }: Candidate) => sparesStreams(load, job, tokens, gapMs);
+  const isClear = ({ load }: Candidate) => load.tight <= MOST_TIGHT || own.length === usable.length;
+  const limitMs = job.targetMs * FIRST_EVENT_LIMIT;
+  const isInTime = (candidate: Candidate) =>
+    candidate.predictedMs <= limitMs &&
+    candidate.wholeMs <= job.remainingMs * WHOLE_LIMIT &&
+    hasRoom(candidate, job);
   // Reading the shared parts once more is worth less than an answer.
   const best =
     cheapest(weighed.filter(isClear).filter(isInTime)) ??
@@ -245,12 +237,12 @@
 function placePlain(context: PlacementContext, job: Job): Placement {
   const { state, zone, random, now } = context;
   const weighed = avoidFailing(context).map((endpoint) => {
-    const { waiting, streaming } = totalLoad(state, endpoint.id, now);
-    const busy = (waiting + streaming) / endpoint.slots;
+    const load = totalLoad(state, endpoint.id, now);
+    const busy = (load.waiting + load.streaming) / endpoint.slots;
     const far = endpoint.zone === zone ? 0 : 0.15;
     const cost = busy + far + random.next() * 0.1;
     const predictedMs = job.targetMs / 2;
-    return { endpoint, tokens: 0, predictedMs, wholeMs: predictedMs, cost };
+    return { endpoint, load, tokens: 0, predictedMs, wholeMs: predictedMs, cost };
   });
   const best = cheapest(weighed.filter(({ cost }) => cost < PLAIN_BACKLOG));
   if (best !== undefined) return { kind: 'send', ...best };
--- a/packages/core/src/scheduling/queries.ts
+++ b/packages/core/src/scheduling/queries.ts
@@ -4,19 +4,26 @@
 import {
   createWorkLoad,
   isFresh,
+  type RouteProfile,
   type SchedulingState,
   type WorkKind,
   type WorkLoad,
 } from './state.js';
 
+function kindOfSizes({
+  promptTokens,
+  outputTokens,
+}: Pick<RouteProfile, 'promptTokens' | 'outputTokens'>): 'prefill' | 'decode' {
+  return promptTokens > PREFILL_BOUND_RATIO * Math.max(1, outputTokens) ? 'prefill' : 'decode';
+}
+
 /** Returns the kind of work that requests of a route are. */
 export function kindOfRoute(
   state: SchedulingState,
   { routeId, size }: Pick<Job, 'routeId' | 'size'>,
 ): WorkKind {
   if (size === null) return 'plain';
-  const { promptTokens, outputTokens } = state.profiles.get(routeId) ?? size;
-  return promptTokens > PREFILL_BOUND_RATIO * Math.max(1, outputTokens) ? 'prefill' : 'decode';
+  return kindOfSizes(state.profiles.get(routeId) ?? size);
 }
 
 /** Returns the work of all VMs at an endpoint, as far as this one knows. */
@@ -63,28 +70,27 @@
   return [prefill, decode];
 }
 
+function listProfiles({ profiles }: SchedulingState, serviceId: string): RouteProfile[] {
+  return [...profiles.values()].filter((profile) => profile.serviceId === serviceId);
+}
+
 /** Returns the kind of a service's work whose requests are the more urgent; null when equal. */
 export function moreUrgentKind(state: SchedulingState, serviceId: string): WorkKind | null {
   const most = { prefill: Number.POSITIVE_INFINITY, decode: Number.POSITIVE_INFINITY };
-  for (const [routeId, profile] of state.profiles) {
-    if (profile.serviceId !== serviceId) continue;
-    const size = { ...profile, parts: [] };
-    const kind = kindOfRoute(state, { routeId, size }) === 'prefill' ? 'prefill' : 'decode';
+  listProfiles(state, serviceId).forEach((profile) => {
+    const kind = kindOfSizes(profile);
     most[kind] = Math.min(most[kind], profile.priority);
-  }
+  });
   if (most.prefill === most.decode) return null;
   return most.prefill < most.decode ? 'prefill' : 'decode';
 }
 
 /** Returns the tightest pause that a service's streams limited by decode may have. */
 export function leastGap(state: SchedulingState, serviceId: string): number {
-  let least = Number.POSITIVE_INFINITY;
-  for (const [routeId, profile] of state.profiles) {
-    if (profile.serviceId !== serviceId || profile.gapTargetMs === null) continue;
-    const isDecode = kindOfRoute(state, { routeId, size: { ...profile, parts: [] } }) === 'decode';
-    if (isDecode) least = Math.min(least, profile.gapTargetMs);
-  }
-  return least;
+  const gaps = listProfiles(state, serviceId)
+    .filter((profile) => kindOfSizes(profile) === 'decode')
+    .map(({ gapTargetMs }) => gapTargetMs ?? Number.POSITIVE_INFINITY);
+  return Math.min(...gaps);
 }
 
 /** Orders endpoints the same way on every VM. */
--- a/packages/core/src/suspects/index.ts
+++ b/packages/core/src/suspects/index.ts
@@ -9,6 +9,7 @@
 export {
   FADE_MS,
   hasCrashed,
+  hasEvidence,
   isKeptFree,
   judgeRequest,
   listCrashes,
--- a/packages/core/src/suspects/queries.ts
+++ b/packages/core/src/suspects/queries.ts
@@ -30,13 +30,18 @@
   return [...crashes].filter(({ at }) => at >= now - FADE_MS);
 }
 
+/** Says whether anything is held against any request; without, no fingerprint is needed. */
+export function hasEvidence({ evidence }: SuspectState): boolean {
+  return evidence.size > 0;
+}
+
 /** Says how a request may run: with others, alone, or not at all. */
 export function judgeRequest(
   state: SuspectState,
   fingerprint: string,
   now: number,
 ): 'innocent' | 'suspect' | 'refused' {
-  if (state.evidence.size === 0) return 'innocent';
+  if (!hasEvidence(state)) return 'innocent';
   const crashes = listRecent(state, fingerprint, now);
   const times = crashes.reduce((sum, crash) => sum + crash.times, 0);
   if (times < CRASHES_TO_SUSPECT) return 'innocent';
--- a/packages/router/src/gateway/admitCall.ts
+++ b/packages/router/src/gateway/admitCall.ts
@@ -23,6 +23,8 @@
   readonly job: Job;
   readonly call: IncomingCall;
   readonly isRepeatable: boolean;
+  /** True of a caller that has less than the route's whole time: it has tried before. */
+  readonly isReturning: boolean;
   /** Instant at which its answer is due: the caller's deadline or the route's time-out. */
   readonly dueAt: number;
 }
@@ -100,7 +102,6 @@
     tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
     targetMs: route.targetMs,
     gapTargetMs: route.gapTargetMs,
-    isReturning: call.remainingMs !== null && call.remainingMs < route.timeoutMs * RETURNING_PART,
     remainingMs,
   };
   noteArrival(scheduling, job, arrivedAt);
@@ -112,6 +113,7 @@
     job,
     call,
     isRepeatable: isRepeatable(route),
+    isReturning: remainingMs < route.timeoutMs * RETURNING_PART,
     dueAt: arrivedAt + remainingMs,
   };
 }
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -3,6 +3,7 @@
 import {
   digestText,
   earnRepeat,
+  hasEvidence,
   judgeRequest,
   listServing,
   listUsable,
@@ -111,13 +112,20 @@
     this.#dueTimer = setTimeout(() => this.#timeOut(), Math.max(0, dueAt - now()));
     const { state } = this.#context;
     earnRepeat(state.allowance, job.serviceId, now());
-    if (judgeRequest(state.suspects, this.#fingerprint(), now()) === 'refused') {
+    if (this.#isSuspect()) {
       this.#answer(500, 'crashes_endpoints');
       return;
     }
     this.#send();
   }
 
+  #isSuspect(): boolean {
+    const { suspects } = this.#context.state;
+    // Hot path: a fingerprint hashes the whole body.
+    if (!hasEvidence(suspects)) return false;
+    return judgeRequest(suspects, this.#fingerprint(), now()) === 'refused';
+  }
+
   #fingerprint(): string {
     const { accountId } = this.#admitted;
     const body = this.#body?.toString('latin1') ?? '';
@@ -282,23 +290,22 @@
 
   /** Takes a repeat for one more run, where that does no harm and is within all bounds. */
   #takeRepeat(): boolean {
-    const { isRepeatable, route, job } = this.#admitted;
-    if (!isRepeatable || this.#runs >= route.attempts || this.#usable().length === 0) return false;
+    const { isRepeatable, route } = this.#admitted;
+    return isRepeatable && this.#runs < route.attempts && this.#takeAllowance();
+  }
+
+  /** Takes one more send from the fleet's bound, where there is an endpoint left for it. */
+  #takeAllowance(): boolean {
+    if (this.#usable().length === 0) return false;
     const { state, countVms } = this.#context;
-    return takeRepeat(state.allowance, job.serviceId, countVms(), now());
+    return takeRepeat(state.allowance, this.#admitted.job.serviceId, countVms(), now());
   }
 
   /** Goes to another endpoint after one that did not run the request. */
   #goElsewhere(): void {
     this.#runs -= 1;
     this.#turnedAway += 1;
-    const { state, countVms } = this.#context;
-    const { serviceId } = this.#admitted.job;
-    const isAllowed =
-      this.#turnedAway <= MOST_TURNED_AWAY &&
-      this.#usable().length > 0 &&
-      takeRepeat(state.allowance, serviceId, countVms(), now());
-    if (isAllowed) this.#send();
+    if (this.#turnedAway <= MOST_TURNED_AWAY && this.#takeAllowance()) this.#send();
     else this.#giveUp('turned_away', FAILED_RETRY_MS);
   }
 
@@ -347,14 +354,14 @@
     if (this.#dueTimer !== null) clearTimeout(this.#dueTimer);
     if (this.#stuckTimer !== null) clearTimeout(this.#stuckTimer);
     const { metrics, log, state } = this.#context;
-    const { route, job } = this.#admitted;
+    const { route, job, isReturning } = this.#admitted;
     metrics.countRequest(route.id, outcome);
     log.decision('request_ended', {
       requestId: job.id,
       route: route.id,
       outcome,
       priority: job.priority,
-      isReturning: job.isReturning,
+      isReturning,
       configuration: state.routing.configuration?.version,
       placement: this.#placement?.kind,
       predictedMs: Math.round(this.#placement?.predictedMs ?? 0),
--- a/packages/router/src/gateway/peerMessage.ts
+++ b/packages/router/src/gateway/peerMessage.ts
@@ -1,6 +1,16 @@
-import type { CrashNews, PartRead, ToldPace, WorkLoad } from '@filbertlatch/core';
+import {
+  configurationVersion,
+  listCrashes,
+  ownDemand,
+  ownPace,
+  type CrashNews,
+  type PartRead,
+  type PeerWork,
+} from '@filbertlatch/core';
 import * as z from 'zod';
 
+import type { GatewayState } from './gatewayState.js';
+
 const count = z.number().min(0).max(1e9);
 const instant = z.number().min(0).describe('Epoch milliseconds.');
 const text = z.string().min(1).max(256);
@@ -32,24 +42,92 @@
 /** Checked news of a peer. */
 export type PeerNews = z.infer<typeof peerNewsSchema>;
 
-/** Returns the loads of a peer by endpoint. */
-export function readLoads({ loads }: PeerNews): Map<string, WorkLoad> {
-  return new Map(
-    loads.map(([id, waiting, streaming, waitingTokens, heldTokens, tight]) => [
-      id,
-      { waiting, streaming, waitingTokens, heldTokens, tight },
-    ]),
-  );
+/** Fewer samples of a pace than this are not worth telling. */
+const LEAST_SAMPLES = 0.1;
+
+/** Most members told in one message. */
+const MOST_MEMBERS = 16;
+
+/** What only the task that sends news knows of its VM. */
+export interface NewsSender {
+  /** Its control address. */
+  readonly address: string;
+  /** True while the store answers it. */
+  readonly hasStore: boolean;
+  /** Parts of prompts that it sent to engines lately. */
+  readonly reads: readonly PartRead[];
 }
 
-/** Returns the paces of endpoints as a peer sees them. */
-export function readPaces({ paces }: PeerNews): Map<string, ToldPace> {
-  return new Map(
-    paces.map(([id, firstRatios, firstSamples, stepRatios, stepSamples]) => [
+function writeLoads({ scheduling }: GatewayState): PeerNews['loads'] {
+  return [...scheduling.work]
+    .filter(([, { own }]) => own.waiting + own.streaming > 0)
+    .map(([id, { own }]) => [
       id,
-      { first: [firstRatios, firstSamples], step: [stepRatios, stepSamples] },
-    ]),
-  );
+      own.waiting,
+      own.streaming,
+      Math.round(own.waitingTokens),
+      Math.round(own.heldTokens),
+      own.tight,
+    ]);
+}
+
+function writePaces({ scheduling }: GatewayState, now: number): PeerNews['paces'] {
+  return [...scheduling.work]
+    .map(([id, work]): PeerNews['paces'][number] => {
+      const { first, step } = ownPace(work, now);
+      return [id, ...first, ...step];
+    })
+    .filter(([, , firstSamples, , stepSamples]) => firstSamples + stepSamples > LEAST_SAMPLES);
+}
+
+function writeCrashes({ suspects }: GatewayState, now: number): PeerNews['crashes'] {
+  return listCrashes(suspects, now).map((crash) => [
+    crash.fingerprint,
+    crash.endpointId,
+    crash.at,
+    crash.startedAt,
+  ]);
+}
+
+/** Returns what a VM tells its peers now. */
+export function writeNews(state: GatewayState, sender: NewsSender, now: number): PeerNews {
+  const { vmId, isLeaving, routing, directory, scheduling, peers } = state;
+  return {
+    vmId,
+    address: sender.address,
+    isLeaving,
+    hasStore: sender.hasStore,
+    configurationVersion: configurationVersion(routing),
+    directoryRevision: directory.revision,
+    loads: writeLoads(state),
+    paces: writePaces(state, now),
+    borders: [...scheduling.borders],
+    demand: [...scheduling.demand.keys()].map((id) => [id, ...ownDemand(scheduling, id, now)]),
+    reads: sender.reads.map(({ partId, endpointId }) => [partId, endpointId]),
+    members: [...peers.values()].map(({ address }) => address).slice(0, MOST_MEMBERS),
+    crashes: writeCrashes(state, now),
+  };
+}
+
+/** Returns what a peer told of its work. */
+export function readWork({ loads, paces, borders, demand }: PeerNews, at: number): PeerWork {
+  return {
+    at,
+    loads: new Map(
+      loads.map(([id, waiting, streaming, waitingTokens, heldTokens, tight]) => [
+        id,
+        { waiting, streaming, waitingTokens, heldTokens, tight },
+      ]),
+    ),
+    paces: new Map(
+      paces.map(([id, firstRatios, firstSamples, stepRatios, stepSamples]) => [
+        id,
+        { first: [firstRatios, firstSamples], step: [stepRatios, stepSamples] },
+      ]),
+    ),
+    borders: new Map(borders),
+    demand: new Map(demand.map(([id, prefill, decode]) => [id, [prefill, decode]])),
+  };
 }
 
 /** Returns the shared parts of prompts that a peer sent, and where to. */
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -5,9 +5,6 @@
   learnCrashes,
   learnPeerWork,
   learnReads,
-  listCrashes,
-  ownDemand,
-  ownPace,
   takeUntold,
   type PartRead,
 } from '@filbertlatch/core';
@@ -26,9 +23,9 @@
 import {
   peerNewsSchema,
   readCrashes,
-  readLoads,
-  readPaces,
   readReads,
+  readWork,
+  writeNews,
   type PeerNews,
 } from './peerMessage.js';
 import type { GatewaySettings } from './settings.js';
@@ -48,9 +45,6 @@
 /** A peer that has told nothing for so long is forgotten. */
 const FORGET_MS = 30_000;
 
-/** Fewer samples of a pace than this are not worth telling. */
-const LEAST_SAMPLES = 0.1;
-
 /** Part of the messages that go to the seeds too, so that parted halves of a fleet meet again. */
 const SEED_PART = 0.2;
 
@@ -168,48 +162,12 @@
   }
 
   #news(reads: readonly PartRead[] = []): PeerNews {
-    const { vmId, isLeaving, routing, directory, scheduling, suspects, peers } = this.#state;
-    const instant = now();
-    const loads = [...scheduling.work]
-      .filter(([, { own }]) => own.waiting + own.streaming > 0)
-      .map(([id, { own }]): PeerNews['loads'][number] => [
-        id,
-        own.waiting,
-        own.streaming,
-        Math.round(own.waitingTokens),
-        Math.round(own.heldTokens),
-        own.tight,
-      ]);
-    const paces = [...scheduling.work]
-      .map(([id, work]): PeerNews['paces'][number] => {
-        const { first, step } = ownPace(work, instant);
-        return [id, ...first, ...step];
-      })
-      .filter(([, , firstSamples, , stepSamples]) => firstSamples + stepSamples > LEAST_SAMPLES);
-    const demand = [...scheduling.demand.keys()].map((id): [string, number, number] => [
-      id,
-      ...ownDemand(scheduling, id, instant),
-    ]);
-    return {
-      vmId,
+    const sender = {
       address: this.#settings.listen.control,
-      isLeaving,
       hasStore: this.#taker.isConnected,
-      configurationVersion: configurationVersion(routing),
-      directoryRevision: directory.revision,
-      loads,
-      paces,
-      borders: [...scheduling.borders],
-      demand,
-      reads: reads.map(({ partId, endpointId }) => [partId, endpointId]),
-      members: [...peers.values()].map(({ address }) => address).slice(0, MOST_PEERS_TOLD),
-      crashes: listCrashes(suspects, instant).map((crash) => [
-        crash.fingerprint,
-        crash.endpointId,
-        crash.at,
-        crash.startedAt,
-      ]),
+      reads,
     };
+    return writeNews(this.#state, sender, now());
   }
 
   #receive(bytes: Buffer): void {
@@ -236,16 +194,7 @@
       hasStore: news.hasStore,
     });
     this.#forgetSilent(instant);
-    const demand = new Map(
-      news.demand.map(([id, prefill, decode]) => [id, [prefill, decode] as const]),
-    );
-    learnPeerWork(scheduling, news.vmId, {
-      at: instant,
-      loads: readLoads(news),
-      paces: readPaces(news),
-      borders: new Map(news.borders),
-      demand,
-    });
+    learnPeerWork(scheduling, news.vmId, readWork(news, instant));
     learnReads(scheduling.caches, readReads(news), instant);
     learnCrashes(suspects, readCrashes(news), instant);
     this.#introduce(news.members);
--- a/packages/router/src/gateway/publicationTask.ts
+++ b/packages/router/src/gateway/publicationTask.ts
@@ -181,8 +181,9 @@
   #apply(part: PublicationPart, reading: Reading, isWhole: boolean): void {
     if (part === 'configuration') {
       const text = reading.entries.findLast((entry) => entry.text !== null)?.text ?? null;
-      if (text !== null) this.offerConfiguration(text, 'store');
-      if (text !== null) this.#tellPeers?.();
+      if (text === null) return;
+      this.offerConfiguration(text, 'store');
+      this.#tellPeers?.();
       return;
     }
     if (isWhole) {
