Show what a VM knows of a request's crashes

Added, all bounded by the rate limit of decision lines or read at a scrape:

- gauges known_crashes and unreported_crashes: what messages to peers leave out.

The fingerprint of a request is computed once instead of at each use. No decision changes.

--- a/packages/core/src/suspects/index.ts
+++ b/packages/core/src/suspects/index.ts
@@ -12,7 +12,10 @@
   hasRecordedCrashes,
   isReservedForSuspect,
   classifyRequest,
+  countCrashes,
+  countKnownCrashes,
   listCrashes,
+  type CrashCount,
   type CrashReport,
 } from './queries.js';
 export {
--- a/packages/core/src/suspects/queries.ts
+++ b/packages/core/src/suspects/queries.ts
@@ -54,6 +54,29 @@
   return isConfirmed ? 'refused' : 'suspect';
 }
 
+/** What a VM knows of the crashes of one request. */
+export interface CrashCount {
+  readonly crashes: number;
+  /** Distinct ids of the endpoints that crashed. */
+  readonly endpoints: number;
+}
+
+/** Counts the recent crashes of a request. */
+export function countCrashes(state: SuspectState, fingerprint: string, now: number): CrashCount {
+  const recent = listRecentCrashes(state, fingerprint, now);
+  const crashes = recent.reduce((sum, { crashCount }) => sum + crashCount, 0);
+  return { crashes, endpoints: recent.length };
+}
+
+/** Counts the recent crashes of all requests, by endpoint and request. */
+export function countKnownCrashes(state: SuspectState, now: number): number {
+  let known = 0;
+  for (const fingerprint of state.crashHistories.keys()) {
+    known += listRecentCrashes(state, fingerprint, now).length;
+  }
+  return known;
+}
+
 /** Returns whether an endpoint crashed while it ran a request. */
 export function hasCrashedEndpoint(
   state: SuspectState,
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -2,6 +2,7 @@
 
 import {
   digestText,
+  countCrashes,
   creditRequest,
   hasRecordedCrashes,
   classifyRequest,
@@ -91,6 +92,8 @@
 
   #placement: Placement | null = null;
 
+  #contentHash: string | null = null;
+
   constructor(
     context: GatewayContext,
     admitted: AdmittedRequest,
@@ -125,15 +128,29 @@
 
   #isSuspect(): boolean {
     const { suspects } = this.#context.state;
-    // Hot path: the fingerprint hashes the whole body.
+    // Hot path: without recorded crashes no fingerprint is needed.
     if (!hasRecordedCrashes(suspects)) return false;
     return classifyRequest(suspects, this.#fingerprint(), now()) === 'refused';
   }
 
+  /** Hash of the request's content; computed once, since it covers the whole body. */
   #fingerprint(): string {
-    const { accountId } = this.#admitted;
-    const body = this.#body?.toString('latin1') ?? '';
-    return digestText(`${accountId}\n${this.#request.method}\n${this.#request.url}\n${body}`);
+    if (this.#contentHash === null) {
+      const { accountId } = this.#admitted;
+      const { method, url } = this.#request;
+      const body = this.#body?.toString('latin1') ?? '';
+      this.#contentHash = digestText(`${accountId}\n${method}\n${url}\n${body}`);
+    }
+    return this.#contentHash;
+  }
+
+  /** Returns what this VM knows of the request's crashes, for the log; empty without any. */
+  #describeCrashes(): object {
+    const { suspects } = this.#context.state;
+    if (!hasRecordedCrashes(suspects)) return {};
+    const fingerprint = this.#fingerprint();
+    const { crashes, endpoints } = countCrashes(suspects, fingerprint, now());
+    return crashes === 0 ? {} : { fingerprint, crashes, crashedEndpoints: endpoints };
   }
 
   #listCandidates(): RegisteredEndpoint[] {
@@ -376,6 +393,7 @@
       placement: this.#placement?.kind,
       predictedMs: Math.round(this.#placement?.predictedMs ?? 0),
       tried: [...this.#triedEndpointIds],
+      ...this.#describeCrashes(),
       firstMs:
         this.#firstAnswerAt === null ? null : Math.round(this.#firstAnswerAt - this.#arrivedAt),
       longestPauseMs: Math.round(this.#longestPauseMs),
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -3,7 +3,9 @@
 
 import {
   configurationVersion,
+  countKnownCrashes,
   createRandom,
+  listCrashes,
   removeExpiredCrashes,
   dropStaleWork,
   hashText,
@@ -86,6 +88,9 @@
     configurationVersion: () => configurationVersion(state.routing),
     endpoints: () => state.directory.endpoints.size,
     peers: () => state.peers.size,
+    knownCrashes: () => countKnownCrashes(state.suspects, now()),
+    unreportedCrashes: () =>
+      countKnownCrashes(state.suspects, now()) - listCrashes(state.suspects, now()).length,
   });
   const countVms = () => countFleetVms(state, currentSettings.seeds.length, now());
   const context: GatewayContext = {
--- a/packages/router/src/gateway/gatewayMetrics.ts
+++ b/packages/router/src/gateway/gatewayMetrics.ts
@@ -9,6 +9,8 @@
   readonly configurationVersion: () => number;
   readonly endpoints: () => number;
   readonly peers: () => number;
+  readonly knownCrashes: () => number;
+  readonly unreportedCrashes: () => number;
 }
 
 /** Counters and latency histograms of one gateway. */
@@ -43,6 +45,12 @@
     );
     this.#gauge('endpoints', 'Endpoints that are registered.', () => gauges.endpoints());
     this.#gauge('peers', 'Other VMs heard lately.', () => gauges.peers());
+    this.#gauge('known_crashes', 'Recent crashes recorded against requests.', () =>
+      gauges.knownCrashes(),
+    );
+    this.#gauge('unreported_crashes', 'Known crashes that messages to peers leave out.', () =>
+      gauges.unreportedCrashes(),
+    );
   }
 
   /** Counts a completed request. */
--- a/packages/router/src/gateway/probeTask.ts
+++ b/packages/router/src/gateway/probeTask.ts
@@ -1,4 +1,5 @@
 import {
+  countCrashes,
   recordCrash,
   recordProbeResult,
   takeDueProbes,
@@ -51,6 +52,7 @@
     );
     recent.push({ fingerprint, at, startedAt });
     this.#brokenAttempts.set(endpointId, recent);
+    this.#log.decision('attempt_broken', { fingerprint, endpointId });
   }
 
   /** Starts a probe of an endpoint, unless it was just probed. */
@@ -107,7 +109,10 @@
     this.#brokenAttempts.delete(endpointId);
     for (const { fingerprint, at, startedAt } of broken) {
       if (instant - at > CRASH_WINDOW_MS) continue;
-      recordCrash(this.#state.suspects, { fingerprint, endpointId, at, startedAt, isAlone: false });
+      const { suspects } = this.#state;
+      recordCrash(suspects, { fingerprint, endpointId, at, startedAt, isAlone: false });
+      const known = countCrashes(suspects, fingerprint, instant);
+      this.#log.decision('crash_recorded', { fingerprint, endpointId, ...known });
     }
   }
 }
