--- /dev/null
+++ b/packages/router/__tests__/gateway/crashingRequests.spec.ts
@@ -0,0 +1,62 @@
+import { describe, it, itKnownRed } from '@filbertlatch/core/testing';
+
+import { MAX_LATE_SENDS, playCrashScenario, type CrashScenario } from './crashFleet.js';
+
+const basis: CrashScenario = {
+  seed: 1,
+  vms: 3,
+  endpoints: 4,
+  end: 'reset',
+  downMs: [300, 600],
+  identity: 'kept',
+  crashingRequests: 1,
+  resendMs: [100, 200],
+  repetition: 'idempotent',
+  restart: 'none',
+  bystanders: 4,
+  lengthMs: 9000,
+};
+
+const scenarios: Readonly<Record<string, Partial<CrashScenario>>> = {
+  'restarts under its id, in a service of one endpoint': { endpoints: 1 },
+  'restarts under its id, in a service of two endpoints': {
+    endpoints: 2,
+    repetition: 'non-idempotent',
+  },
+  'is back under its id at once': { downMs: [0, 0], resendMs: [300, 500] },
+  'is back under another id at once': { downMs: [0, 0], resendMs: [300, 500], identity: 'new' },
+  'falls silent and is back after seconds': { endpoints: 3, end: 'silent', downMs: [1500, 2500] },
+  'falls silent under a request that must run once': {
+    endpoints: 3,
+    end: 'silent',
+    downMs: [1200, 2000],
+    repetition: 'non-idempotent',
+  },
+  'crashes beside so many that reports to peers are full, and VMs restart in turn': {
+    endpoints: 6,
+    crashingRequests: 40,
+    downMs: [20, 60],
+    resendMs: [500, 800],
+    restart: 'in-turn',
+    lengthMs: 18_000,
+  },
+};
+
+const knownRed = new Set(
+  Object.keys(scenarios).filter((title) => !title.includes('reports to peers are full')),
+);
+
+describe('a request that crashes the endpoint that runs it and is resent to any VM', () => {
+  describe('reaches endpoints at most three times later than 3 s after the third crash', () => {
+    Object.entries(scenarios).forEach(([title, changes], index) => {
+      const declare = knownRed.has(title) ? itKnownRed : it;
+      declare(`when the endpoint ${title}`, async (t) => {
+        const outcome = await playCrashScenario({ ...basis, seed: index + 1, ...changes });
+        t.true(outcome.settled > 0);
+        t.true(outcome.lateSends <= MAX_LATE_SENDS, `${outcome.lateSends} late sends`);
+        t.is(outcome.refusedBystanders, 0);
+        t.true(outcome.servedBystanders > 0);
+      });
+    });
+  });
+});
--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -39,7 +39,7 @@
     requestId: findHeader(headers, 'x-request'),
     isNotRun: findHeader(headers, 'x-not-run') !== null,
     isSigned: findHeader(headers, 'x-mac') !== null,
-    endpointId: null,
+    endpointId: findHeader(headers, 'x-instance'),
     load: null,
   }),
 };
@@ -158,7 +158,8 @@
   };
 }
 
-async function findFreeAddress(): Promise<string> {
+/** Returns a loopback address whose port was free a moment ago. */
+export async function findFreeAddress(): Promise<string> {
   const server = createServer();
   const address = await listenOn(server);
   server.close();
