Report every known crash to peers in turn, and each refused request

What callers saw: VMs that start anew run requests again that others refuse.

Cause: a message to peers held the 16 crashes of the newest fingerprints, always the same ones while nothing new came, so crashes beyond them were never told to a VM that started after them. A full list of fingerprints dropped the one with the oldest crash first, also a refused one.

The limit is the 32 that readers accept already; the check of the bound follows it. A full list drops the requests with fewest crashes first.

--- a/packages/core/src/entry/buildHeartbeat.ts
+++ b/packages/core/src/entry/buildHeartbeat.ts
@@ -1,6 +1,6 @@
 import { listClassLoads } from '../admission/index.js';
 import { listMemberUpdates, ownPeerUrl, ownVmState } from '../membership/index.js';
-import { listCrashes } from '../suspects/index.js';
+import { takeCrashReports } from '../suspects/index.js';
 import { tableDigest, tableRevision } from '../table/index.js';
 import type { ClassLoad, Heartbeat } from '../types/index.js';
 import type { Core } from './core.js';
@@ -34,7 +34,7 @@
     manifestDigest: tableDigest(table),
     positions: [],
     loads: listActiveLoads(core, now),
-    suspects: listCrashes(core.suspects, now),
+    suspects: takeCrashReports(core.suspects),
     members: listMemberUpdates(membership, now),
   };
 }
--- a/packages/core/src/suspects/commands.ts
+++ b/packages/core/src/suspects/commands.ts
@@ -1,8 +1,9 @@
 import type { PoolId } from '../types/index.js';
+import type { RequestTime } from './crashReports.js';
 import { CRASH_TTL_MS, latestCrashAt, type CrashReport } from './queries.js';
 import type { Crash, CrashHistory, Isolation, SuspectState } from './state.js';
 
-/** Most fingerprints kept; the one with the oldest latest crash is evicted first. */
+/** Most fingerprints kept. */
 const MAX_FINGERPRINTS = 2000;
 
 /** Largest lead of a peer's clock; a crash reported further in the future is ignored. */
@@ -33,18 +34,37 @@
   return isNew;
 }
 
+// Refused requests are kept longest, then those with more crashes, then later ones.
+function evictOne(histories: Map<string, CrashHistory>): void {
+  let least: { fingerprint: string; rank: number; at: number } | null = null;
+  for (const [fingerprint, history] of histories) {
+    const rank = history.refusedAt === null ? history.crashes.length : MAX_CRASHES_PER_REQUEST;
+    const at = latestCrashAt(history);
+    if (least === null || rank < least.rank || (rank === least.rank && at < least.at)) {
+      least = { fingerprint, rank, at };
+    }
+  }
+  if (least !== null) histories.delete(least.fingerprint);
+}
+
+function getOrCreateHistory({ crashHistories }: SuspectState, fingerprint: string): CrashHistory {
+  let history = crashHistories.get(fingerprint);
+  if (history === undefined) {
+    if (crashHistories.size === MAX_FINGERPRINTS) evictOne(crashHistories);
+    history = { crashes: [], refusedAt: null };
+    crashHistories.set(fingerprint, history);
+  }
+  return history;
+}
+
 /** Records a crash; returns false when it was known already. */
 export function recordCrash(state: SuspectState, crash: CrashReport): boolean {
-  const history = state.crashHistories.get(crash.fingerprint) ?? { crashes: [] };
-  // Re-inserted to keep the map ordered by the latest crash.
-  state.crashHistories.delete(crash.fingerprint);
-  state.crashHistories.set(crash.fingerprint, history);
-  if (state.crashHistories.size > MAX_FINGERPRINTS) {
-    state.crashHistories.delete(state.crashHistories.keys().next().value!);
-  }
-  return addCrash(history, crash);
+  return addCrash(getOrCreateHistory(state, crash.fingerprint), crash);
 }
 
+const isCredible = (at: number, now: number) =>
+  at <= now + MAX_CLOCK_SKEW_MS && at >= now - CRASH_TTL_MS;
+
 /**
  * Records the crashes that a peer reports. They are hints: a wrong one at worst makes a request
  * wait, run in isolation or be refused until it expires.
@@ -55,8 +75,20 @@
   now: number,
 ): void {
   for (const crash of crashes) {
-    if (crash.at > now + MAX_CLOCK_SKEW_MS || crash.at < now - CRASH_TTL_MS) continue;
-    recordCrash(state, crash);
+    if (isCredible(crash.at, now)) recordCrash(state, crash);
+  }
+}
+
+/** Records the requests that a peer refuses, with the times of their latest crashes. */
+export function recordPeerRefusals(
+  state: SuspectState,
+  refusals: readonly RequestTime[],
+  now: number,
+): void {
+  for (const { fingerprint, at } of refusals) {
+    if (!isCredible(at, now)) continue;
+    const history = getOrCreateHistory(state, fingerprint);
+    history.refusedAt = Math.max(history.refusedAt ?? 0, at);
   }
 }
 
@@ -68,7 +100,7 @@
   state.crashHistories.delete(fingerprint);
 }
 
-/** Removes the histories whose latest crash is older than `CRASH_TTL_MS`. */
+/** Removes crashes that are too old to count. */
 export function removeExpiredCrashes(state: SuspectState, now: number): void {
   state.crashHistories.forEach((history, fingerprint) => {
     if (latestCrashAt(history) < now - CRASH_TTL_MS) state.crashHistories.delete(fingerprint);
--- a/packages/core/src/suspects/index.ts
+++ b/packages/core/src/suspects/index.ts
@@ -3,6 +3,7 @@
   removeExpiredCrashes,
   enqueueSuspect,
   recordPeerCrashes,
+  recordPeerRefusals,
   recordCrash,
   releaseSuspect,
 } from './commands.js';
@@ -12,6 +13,12 @@
   recordLostAttempt,
   removeExpiredTraces,
 } from './lostAttempts.js';
+export {
+  MAX_REPORTED_CRASHES,
+  takeCrashReports,
+  takeRefusalReports,
+  type RequestTime,
+} from './crashReports.js';
 export {
   CRASH_TTL_MS,
   hasCrashedEndpoint,
@@ -21,7 +28,6 @@
   classifyRequest,
   countCrashes,
   countKnownCrashes,
-  listCrashes,
   type CrashCount,
   type CrashReport,
 } from './queries.js';
--- a/packages/core/src/suspects/queries.ts
+++ b/packages/core/src/suspects/queries.ts
@@ -1,18 +1,15 @@
 import type { PoolId } from '../types/index.js';
-import type { Crash, CrashHistory, SuspectState } from './state.js';
+import type { CrashHistory, SuspectState } from './state.js';
 
 /** How long the crashes of a request count, from the latest one on; milliseconds. */
 export const CRASH_TTL_MS = 600_000;
 
 /** Crashes after which a request is a suspect, which runs in isolation only. */
-const CRASHES_TO_SUSPECT = 2;
+export const CRASHES_TO_SUSPECT = 2;
 
 /** Crashes after which a request is refused; a single one in isolation suffices. */
 const CRASHES_TO_REFUSE = 3;
 
-/** Most crashes reported in one heartbeat. */
-const MAX_REPORTED_CRASHES = 16;
-
 /** A crash of an endpoint while it ran a request. */
 export interface CrashReport {
   /** Hash that identifies the request's content. */
@@ -27,19 +24,25 @@
 }
 
 /** Returns the time of a request's latest crash; epoch milliseconds. */
-export function latestCrashAt({ crashes }: CrashHistory): number {
-  return crashes.reduce((latest, { at }) => Math.max(latest, at), 0);
+export function latestCrashAt({ crashes, refusedAt }: CrashHistory): number {
+  return crashes.reduce((latest, { at }) => Math.max(latest, at), refusedAt ?? 0);
 }
 
-function listRecentCrashes(
-  state: SuspectState,
+/** Returns whether a request's recorded crashes suffice to refuse it. */
+export function isConfirmedCause({ crashes, refusedAt }: CrashHistory): boolean {
+  const wasAlone = crashes.some(({ isAlone }) => isAlone);
+  const crashesToRefuse = wasAlone ? CRASHES_TO_SUSPECT : CRASHES_TO_REFUSE;
+  return refusedAt !== null || crashes.length >= crashesToRefuse;
+}
+
+function findRecentHistory(
+  { crashHistories }: SuspectState,
   fingerprint: string,
   now: number,
-): readonly Crash[] {
-  const history = state.crashHistories.get(fingerprint);
-  return history !== undefined && latestCrashAt(history) >= now - CRASH_TTL_MS
-    ? history.crashes
-    : [];
+): CrashHistory | undefined {
+  const history = crashHistories.get(fingerprint);
+  const isRecent = history !== undefined && latestCrashAt(history) >= now - CRASH_TTL_MS;
+  return isRecent ? history : undefined;
 }
 
 /** Returns whether any crash is recorded; while none is, requests need no fingerprint. */
@@ -70,13 +73,12 @@
   fingerprint: string,
   now: number,
 ): 'innocent' | 'suspect' | 'refused' {
-  if (!hasRecordedCrashes(state)) return 'innocent';
-  const crashes = listRecentCrashes(state, fingerprint, now);
-  if (crashes.length === 0) return 'innocent';
-  const crashCount = crashes.length + countPresumedCrashes(state, fingerprint);
+  const history = findRecentHistory(state, fingerprint, now);
+  if (history === undefined) return 'innocent';
+  if (isConfirmedCause(history)) return 'refused';
+  const crashCount = history.crashes.length + countPresumedCrashes(state, fingerprint);
   if (crashCount < CRASHES_TO_SUSPECT) return 'innocent';
-  const isConfirmed = crashCount >= CRASHES_TO_REFUSE || crashes.some(({ isAlone }) => isAlone);
-  return isConfirmed ? 'refused' : 'suspect';
+  return crashCount < CRASHES_TO_REFUSE ? 'suspect' : 'refused';
 }
 
 /** What a VM knows of the crashes of one request. */
@@ -88,17 +90,15 @@
 
 /** Counts the recent crashes of a request. */
 export function countCrashes(state: SuspectState, fingerprint: string, now: number): CrashCount {
-  const recent = listRecentCrashes(state, fingerprint, now);
-  const endpoints = new Set(recent.map(({ endpointId }) => endpointId));
-  return { crashes: recent.length, endpoints: endpoints.size };
+  const { crashes = [] } = findRecentHistory(state, fingerprint, now) ?? {};
+  const endpoints = new Set(crashes.map(({ endpointId }) => endpointId));
+  return { crashes: crashes.length, endpoints: endpoints.size };
 }
 
-/** Counts the recent crashes of all requests. */
-export function countKnownCrashes(state: SuspectState, now: number): number {
+/** Counts the crashes of all requests. */
+export function countKnownCrashes({ crashHistories }: SuspectState): number {
   let known = 0;
-  for (const fingerprint of state.crashHistories.keys()) {
-    known += listRecentCrashes(state, fingerprint, now).length;
-  }
+  for (const { crashes } of crashHistories.values()) known += crashes.length;
   return known;
 }
 
@@ -112,22 +112,6 @@
   return crashes.some((crash) => crash.endpointId === endpointId);
 }
 
-/** Lists the crashes to report in a heartbeat, a bounded number, most recent requests first. */
-export function listCrashes(state: SuspectState, now: number): CrashReport[] {
-  const found: CrashReport[] = [];
-  for (const fingerprint of [...state.crashHistories.keys()].reverse()) {
-    for (const { endpointId, at, startedAt, isAlone } of listRecentCrashes(
-      state,
-      fingerprint,
-      now,
-    )) {
-      found.push({ fingerprint, endpointId, at, startedAt, isAlone });
-      if (found.length === MAX_REPORTED_CRASHES) return found;
-    }
-  }
-  return found;
-}
-
 /** Returns whether an endpoint is reserved for a suspect of a pool. */
 export function isReservedForSuspect(
   state: SuspectState,
--- a/packages/core/src/suspects/state.ts
+++ b/packages/core/src/suspects/state.ts
@@ -18,6 +18,8 @@
 export interface CrashHistory {
   /** Oldest record first. */
   readonly crashes: Crash[];
+  /** Time of the latest crash when a peer reports the request as refused; else null. */
+  refusedAt: number | null;
 }
 
 /** An attempt that ended without a complete answer; its endpoint may have crashed under it. */
@@ -58,7 +60,7 @@
 
 /** Requests that endpoints crashed under, and their isolated runs. */
 export interface SuspectState {
-  /** By request fingerprint, the one with the latest crash last. */
+  /** By request fingerprint, the one reported to peers last at the end. */
   readonly crashHistories: Map<string, CrashHistory>;
   /** By endpoint id. */
   readonly endpointTraces: Map<string, EndpointTrace>;
@@ -67,5 +69,9 @@
 
 /** Creates the state of a VM without recorded crashes. */
 export function createSuspectState(): SuspectState {
-  return { crashHistories: new Map(), endpointTraces: new Map(), isolations: new Map() };
+  return {
+    crashHistories: new Map(),
+    endpointTraces: new Map(),
+    isolations: new Map(),
+  };
 }
--- a/packages/core/src/types/heartbeat.ts
+++ b/packages/core/src/types/heartbeat.ts
@@ -39,7 +39,7 @@
   readonly manifestDigest: string;
   readonly positions: readonly SheetPosition[];
   readonly loads: readonly ClassLoad[];
-  /** Crashes of endpoints while a request was in flight, latest first. */
+  /** Crashes of endpoints while a request was in flight; in turn when there are too many. */
   readonly suspects: readonly {
     readonly fingerprint: string;
     readonly endpointId: string;
--- a/packages/router/__tests__/gateway/crashFleet.ts
+++ b/packages/router/__tests__/gateway/crashFleet.ts
@@ -32,14 +32,12 @@
 /** Crashes after which the VMs must stop sending a request. */
 const CRASHES_TO_STOP = 3;
 
-/** Fraction of the requests that have crashed three endpoints before VMs restart. */
-const RESTART_FRACTION = 0.9;
-
 /** Time between the restarts of two VMs. */
 const RESTART_INTERVAL_MS = 1500;
 
 const RUN_MS = 15;
 const CRASHING_BODY = 'crash';
+const COUNTED_SEND = 'counted';
 
 function drawBetween(random: Random, [least, most]: readonly [number, number]): number {
   return least + randomInteger(random, most - least + 1);
@@ -60,8 +58,10 @@
   /** Time between two sends of one request, in milliseconds. */
   readonly resendMs: readonly [number, number];
   readonly repetition: 'idempotent' | 'non-idempotent';
-  /** How VMs are restarted once most requests have crashed three endpoints. */
+  /** How VMs are restarted. */
   readonly restart: 'none' | 'in-turn' | 'together';
+  /** Time of the first restart, in milliseconds. */
+  readonly restartAtMs: number;
   /** Other requests in flight at each crash. */
   readonly bystanders: number;
   readonly lengthMs: number;
@@ -267,9 +267,9 @@
       body += chunk.toString();
     });
     request.on('error', () => {});
-    const [kind = '', name = ''] = String(request.headers['x-request']).split('/');
+    const [kind, name = ''] = String(request.headers['x-request']).split('/');
     const record = this.#records.get(name);
-    if (kind === CRASHING_BODY) record?.arrivals.push(performance.now());
+    if (kind === COUNTED_SEND) record?.arrivals.push(performance.now());
     await sleep(RUN_MS);
     if (lifetime !== this.#lifetime || this.#isMute || this.#server === null) return;
     if (body.startsWith(CRASHING_BODY)) {
@@ -346,6 +346,9 @@
     this.#store = store;
   }
 
+  /** Time of the latest start. */
+  startedAt = 0;
+
   get callers(): string {
     return this.#listen.callers;
   }
@@ -360,6 +363,7 @@
       repeats: { ratio: 0.2, slack: 500, windowSeconds: 10 },
       logLevel: 'error' as const,
     };
+    this.startedAt = performance.now();
     this.#gateway = await createGateway(settings, this.#store.createSource(), testDialect);
     await waitUntil(async () => (await call(this.#listen.ready, '/')).status === 200);
   }
@@ -391,6 +395,17 @@
   return listens.map((listen, index) => new RestartableVm(`vm-${index}`, listen, seeds, store));
 }
 
+/** Sends a request to a VM; returns the status of the answer, or null without one. */
+async function sendTo(
+  vm: RestartableVm,
+  body: string,
+  headers: Record<string, string>,
+): Promise<number | null> {
+  const options = { method: 'POST', headers, body };
+  const answer = await call(vm.callers, '/plain/1', options).catch(() => null);
+  return answer?.status ?? null;
+}
+
 /** Plays a scenario with gateways, endpoints and callers on loopback. */
 class CrashFleet {
   readonly #scenario: CrashScenario;
@@ -452,35 +467,36 @@
     const { resendMs } = this.#scenario;
     this.#records.set(name, { arrivals: [], crashes: [] });
     for (let sends = 0; !this.#isOver; sends += 1) {
-      const headers = { 'x-request': `${CRASHING_BODY}/${name}/${sends}`, 'x-remaining': '700' };
-      void this.#send(`${CRASHING_BODY} ${name}`, headers);
+      const vm = this.#chooseVm();
+      const kind = this.#isCounted(vm) ? COUNTED_SEND : 'uncounted';
+      const headers = { 'x-request': `${kind}/${name}/${sends}`, 'x-remaining': '700' };
+      void sendTo(vm, `${CRASHING_BODY} ${name}`, headers);
       await sleep(drawBetween(this.#random, resendMs));
     }
   }
 
+  /** When all VMs start anew at once, none can know; sends of the first seconds do not count then. */
+  #isCounted(vm: RestartableVm): boolean {
+    return this.#scenario.restart !== 'together' || performance.now() - vm.startedAt > SETTLE_MS;
+  }
+
   async #sendOthers(caller: number): Promise<void> {
     for (let sends = 0; !this.#isOver; sends += 1) {
       const name = `other/${caller}/${sends}`;
-      const status = await this.#send(name, { 'x-request': name, 'x-remaining': '700' });
+      const status = await sendTo(this.#chooseVm(), name, {
+        'x-request': name,
+        'x-remaining': '700',
+      });
       if (status === 500) this.#refusedBystanders += 1;
       if (status === 200) this.#servedBystanders += 1;
       await sleep(drawBetween(this.#random, [1, 20]));
     }
   }
 
-  async #send(body: string, headers: Record<string, string>): Promise<number | null> {
-    const options = { method: 'POST', headers, body };
-    const answer = await call(this.#chooseVm().callers, '/plain/1', options).catch(() => null);
-    return answer?.status ?? null;
-  }
-
-  /** Restarts the VMs some time after most requests have crashed three endpoints. */
   async #restartVms(): Promise<void> {
-    const { restart } = this.#scenario;
+    const { restart, restartAtMs } = this.#scenario;
     if (restart === 'none') return;
-    const isSettled = () => this.#listSettled().length > this.#records.size * RESTART_FRACTION;
-    while (!this.#isOver && !isSettled()) await sleep(50);
-    await sleep(SETTLE_MS);
+    await sleep(restartAtMs);
     if (restart === 'together') {
       await Promise.all(this.#vms.map((vm) => vm.restart()));
       return;
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -5,7 +5,7 @@
   configurationVersion,
   countKnownCrashes,
   createRandom,
-  listCrashes,
+  MAX_REPORTED_CRASHES,
   removeExpiredCrashes,
   removeExpiredTraces,
   dropStaleWork,
@@ -91,9 +91,8 @@
     configurationVersion: () => configurationVersion(state.routing),
     endpoints: () => state.directory.endpoints.size,
     peers: () => state.peers.size,
-    knownCrashes: () => countKnownCrashes(state.suspects, now()),
-    unreportedCrashes: () =>
-      countKnownCrashes(state.suspects, now()) - listCrashes(state.suspects, now()).length,
+    knownCrashes: () => countKnownCrashes(state.suspects),
+    unreportedCrashes: () => Math.max(0, countKnownCrashes(state.suspects) - MAX_REPORTED_CRASHES),
   });
   const countVms = () => countFleetVms(state, currentSettings.seeds.length, now());
   const context: GatewayContext = {
--- a/packages/router/src/gateway/gatewayMetrics.ts
+++ b/packages/router/src/gateway/gatewayMetrics.ts
@@ -48,8 +48,10 @@
     this.#gauge('known_crashes', 'Recent crashes recorded against requests.', () =>
       gauges.knownCrashes(),
     );
-    this.#gauge('unreported_crashes', 'Known crashes that messages to peers leave out.', () =>
-      gauges.unreportedCrashes(),
+    this.#gauge(
+      'unreported_crashes',
+      'Known crashes beyond those that one message to peers holds.',
+      () => gauges.unreportedCrashes(),
     );
   }
 
--- a/packages/router/src/gateway/gossipMessage.ts
+++ b/packages/router/src/gateway/gossipMessage.ts
@@ -1,11 +1,13 @@
 import {
   configurationVersion,
-  listCrashes,
   ownDemand,
   ownPaceSums,
+  takeCrashReports,
+  takeRefusalReports,
   type CrashReport,
   type SegmentRead,
   type PeerWork,
+  type RequestTime,
 } from '@filbertlatch/core';
 import * as z from 'zod';
 
@@ -44,6 +46,11 @@
    * Request fingerprint, endpoint id, instant of the crash, instant at which the request was sent.
    */
   crashes: z.array(z.tuple([text, text, instant, instant])).max(32),
+  /** Fingerprint of a request that crashed endpoints too often, instant of its latest crash. */
+  refused: z
+    .array(z.tuple([text, instant]))
+    .max(256)
+    .default([]),
 });
 
 /** A validated gossip message. */
@@ -87,8 +94,8 @@
     .filter(([, , firstSamples, , stepSamples]) => firstSamples + stepSamples > MIN_PACE_SAMPLES);
 }
 
-function collectCrashes({ suspects }: GatewayState, now: number): GossipMessage['crashes'] {
-  return listCrashes(suspects, now).map((crash) => [
+function collectCrashes({ suspects }: GatewayState): GossipMessage['crashes'] {
+  return takeCrashReports(suspects).map((crash) => [
     crash.fingerprint,
     crash.endpointId,
     crash.at,
@@ -96,13 +103,16 @@
   ]);
 }
 
-/** Creates the message that this VM sends to its peers. */
+/**
+ * Creates the next message that this VM sends to its peers. Long lists of crashes are sent in parts,
+ * in turn.
+ */
 export function createGossipMessage(
   state: GatewayState,
   sender: GossipSender,
   now: number,
 ): GossipMessage {
-  const { vmId, isLeaving, routing, directory, scheduling, peers } = state;
+  const { vmId, isLeaving, routing, directory, scheduling, suspects, peers } = state;
   return {
     vmId,
     address: sender.address,
@@ -116,7 +126,8 @@
     demand: [...scheduling.demand.keys()].map((id) => [id, ...ownDemand(scheduling, id, now)]),
     reads: sender.reads.map(({ segmentId, endpointId }) => [segmentId, endpointId]),
     members: [...peers.values()].map(({ address }) => address).slice(0, MAX_MEMBERS),
-    crashes: collectCrashes(state, now),
+    crashes: collectCrashes(state),
+    refused: takeRefusalReports(suspects, now).map(({ fingerprint, at }) => [fingerprint, at]),
   };
 }
 
@@ -159,3 +170,8 @@
     isAlone: false,
   }));
 }
+
+/** Returns the requests in a message that the peer refuses. */
+export function extractRefusals({ refused }: GossipMessage): RequestTime[] {
+  return refused.map(([fingerprint, at]) => ({ fingerprint, at }));
+}
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -3,6 +3,7 @@
 import {
   configurationVersion,
   recordPeerCrashes,
+  recordPeerRefusals,
   recordPeerWork,
   recordPeerReads,
   takeUnsentReads,
@@ -24,6 +25,7 @@
   gossipMessageSchema,
   extractCrashes,
   extractReads,
+  extractRefusals,
   extractWork,
   createGossipMessage,
   type GossipMessage,
@@ -205,6 +207,7 @@
     recordPeerWork(scheduling, message.vmId, extractWork(message, instant));
     recordPeerReads(scheduling.prefixCaches, extractReads(message), instant);
     recordPeerCrashes(suspects, extractCrashes(message), instant);
+    recordPeerRefusals(suspects, extractRefusals(message), instant);
     this.#gossipToUnknownMember(message.members);
     this.#fetchIfBehind(message);
   }
