Clear a request's crashes at all VMs once an endpoint has answered it

What callers saw: a request that was in flight when endpoints ended under others is refused for ten minutes, though it was answered in between.

Cause: the gateway never cleared a request's crashes after an answer, and a peer that repeats older crashes brings them back. Now that all crashes are found and counted, this would refuse requests that are sent often, such as a common GET.

Evidence: the new test of gateway.spec gets 500 instead of 201 without the call; crashReports.spec got 'refused' at a third VM from repeated reports.

Change: a complete success removes the request's crashes and lost attempts on its VM; the fingerprint and the time are told to peers for 30 s, and crashes or refusals before that time do not count any more.

--- a/packages/core/__tests__/crashReports.spec.ts
+++ b/packages/core/__tests__/crashReports.spec.ts
@@ -2,11 +2,14 @@
 
 import {
   classifyRequest,
+  clearCrashes,
   createRandom,
   createSuspectState,
   recordCrash,
+  recordPeerAnswers,
   recordPeerCrashes,
   recordPeerRefusals,
+  takeAnswerReports,
   takeCrashReports,
   takeRefusalReports,
   type CrashReport,
@@ -42,10 +45,12 @@
   const random = createRandom(seed);
   for (let now = 10_000; now < 10_000 + SETTLE_MS; now += MESSAGE_INTERVAL_MS) {
     const reports = takeCrashReports(from);
+    const answers = takeAnswerReports(from);
     const refusals = takeRefusalReports(from, now);
     if (random.next() >= LOST_MESSAGES) {
       recordPeerCrashes(to, reports, now);
       recordPeerRefusals(to, refusals, now);
+      recordPeerAnswers(to, answers, now);
     }
   }
 }
@@ -94,3 +99,31 @@
     t.is(countVerdicts(state, 'refused', 'refused'), 1);
   });
 });
+
+describe('a request that an endpoint has answered in full', () => {
+  it('is not refused for the crashes before it that peers report again', (t) => {
+    const [first, second, third] = [
+      createSuspectState(),
+      createSuspectState(),
+      createSuspectState(),
+    ];
+    recordMany(first, 'beside', 1, 3);
+    exchange(first, second, 1);
+    exchange(first, third, 1);
+    t.is(countVerdicts(second, 'beside', 'refused'), 1);
+    clearCrashes(second, 'beside-0', 5000);
+    exchange(second, third, 2);
+    exchange(first, second, 3);
+    exchange(first, third, 4);
+    t.is(classifyRequest(second, 'beside-0', 13_000), 'innocent');
+    t.is(classifyRequest(third, 'beside-0', 13_000), 'innocent');
+  });
+
+  it('is refused again after three later crashes', (t) => {
+    const state = createSuspectState();
+    recordMany(state, 'beside', 1, 3);
+    clearCrashes(state, 'beside-0', 5000);
+    createReports('beside-0', 3, 6000).forEach((report) => recordCrash(state, report));
+    t.is(classifyRequest(state, 'beside-0', 13_000), 'refused');
+  });
+});
--- a/packages/core/src/entry/onAttempt.ts
+++ b/packages/core/src/entry/onAttempt.ts
@@ -73,7 +73,7 @@
   actions: Action[],
 ): void {
   observeAnswerLength(core, live, outputTokens);
-  clearCrashes(core.suspects, live.request.fingerprint);
+  clearCrashes(core.suspects, live.request.fingerprint, now);
   increment(core, 'tokens_delivered', outputTokens);
   endRequest(core, live, now <= live.request.deadline ? 'complete' : 'late', actions);
 }
--- a/packages/core/src/suspects/commands.ts
+++ b/packages/core/src/suspects/commands.ts
@@ -6,6 +6,9 @@
 /** Most fingerprints kept. */
 const MAX_FINGERPRINTS = 2000;
 
+/** How long an answer is reported: all peers have heard of it by then. */
+const ANSWER_TTL_MS = 30_000;
+
 /** Largest lead of a peer's clock; a crash reported further in the future is ignored. */
 const MAX_CLOCK_SKEW_MS = 5000;
 
@@ -57,8 +60,13 @@
   return history;
 }
 
-/** Records a crash; returns false when it was known already. */
+function isAnsweredSince({ answeredAt }: SuspectState, fingerprint: string, at: number): boolean {
+  return at <= (answeredAt.get(fingerprint) ?? Number.NEGATIVE_INFINITY);
+}
+
+/** Records a crash; returns false when it was known already or the request was answered since. */
 export function recordCrash(state: SuspectState, crash: CrashReport): boolean {
+  if (isAnsweredSince(state, crash.fingerprint, crash.at)) return false;
   return addCrash(getOrCreateHistory(state, crash.fingerprint), crash);
 }
 
@@ -86,25 +94,58 @@
   now: number,
 ): void {
   for (const { fingerprint, at } of refusals) {
-    if (!isCredible(at, now)) continue;
+    if (!isCredible(at, now) || isAnsweredSince(state, fingerprint, at)) continue;
     const history = getOrCreateHistory(state, fingerprint);
     history.refusedAt = Math.max(history.refusedAt ?? 0, at);
   }
 }
 
+function removeAnsweredCrashes(state: SuspectState, fingerprint: string, at: number): void {
+  const history = state.crashHistories.get(fingerprint);
+  if (history === undefined) return;
+  const later = history.crashes.filter((crash) => crash.at > at);
+  history.crashes.splice(0, history.crashes.length, ...later);
+  if (history.refusedAt !== null && history.refusedAt <= at) history.refusedAt = null;
+  if (later.length === 0 && history.refusedAt === null) state.crashHistories.delete(fingerprint);
+  const latest = Math.max(at, state.answeredAt.get(fingerprint) ?? at);
+  state.answeredAt.delete(fingerprint);
+  state.answeredAt.set(fingerprint, latest);
+  if (state.answeredAt.size > MAX_FINGERPRINTS) {
+    state.answeredAt.delete(state.answeredAt.keys().next().value!);
+  }
+}
+
 /**
  * Removes a request's crashes after an endpoint has answered it in full: another request caused
  * them.
  */
-export function clearCrashes(state: SuspectState, fingerprint: string): void {
-  state.crashHistories.delete(fingerprint);
+export function clearCrashes(state: SuspectState, fingerprint: string, now: number): void {
+  state.endpointTraces.forEach(({ lostAttempts }) => {
+    const others = lostAttempts.filter((attempt) => attempt.fingerprint !== fingerprint);
+    lostAttempts.splice(0, lostAttempts.length, ...others);
+  });
+  removeAnsweredCrashes(state, fingerprint, now);
 }
 
-/** Removes crashes that are too old to count. */
+/** Records the requests that a peer reports as answered in full. */
+export function recordPeerAnswers(
+  state: SuspectState,
+  answers: readonly RequestTime[],
+  now: number,
+): void {
+  for (const { fingerprint, at } of answers) {
+    if (isCredible(at, now)) removeAnsweredCrashes(state, fingerprint, at);
+  }
+}
+
+/** Removes crashes and answers that are too old to count. */
 export function removeExpiredCrashes(state: SuspectState, now: number): void {
   state.crashHistories.forEach((history, fingerprint) => {
     if (latestCrashAt(history) < now - CRASH_TTL_MS) state.crashHistories.delete(fingerprint);
   });
+  state.answeredAt.forEach((at, fingerprint) => {
+    if (at < now - ANSWER_TTL_MS) state.answeredAt.delete(fingerprint);
+  });
 }
 
 /** Queues a suspect for an isolated run. */
--- a/packages/core/src/suspects/crashReports.ts
+++ b/packages/core/src/suspects/crashReports.ts
@@ -19,6 +19,9 @@
 /** Most refused requests in one message. */
 const MAX_REPORTED_REFUSALS = 64;
 
+/** Most answered requests in one message. */
+const MAX_REPORTED_ANSWERS = 32;
+
 /** A request and a time. */
 export interface RequestTime {
   /** Hash that identifies the request's content. */
@@ -81,3 +84,15 @@
   if (reports.length === MAX_REPORTED_REFUSALS) rotate(state.crashHistories, reported);
   return reports;
 }
+
+/** Takes the requests to report as answered in the next message, with the times of the answers. */
+export function takeAnswerReports(state: SuspectState): RequestTime[] {
+  const reports = [...state.answeredAt]
+    .slice(0, MAX_REPORTED_ANSWERS)
+    .map(([fingerprint, at]) => ({ fingerprint, at }));
+  rotate(
+    state.answeredAt,
+    reports.map(({ fingerprint }) => fingerprint),
+  );
+  return reports;
+}
--- a/packages/core/src/suspects/index.ts
+++ b/packages/core/src/suspects/index.ts
@@ -2,6 +2,7 @@
   clearCrashes,
   removeExpiredCrashes,
   enqueueSuspect,
+  recordPeerAnswers,
   recordPeerCrashes,
   recordPeerRefusals,
   recordCrash,
@@ -15,6 +16,7 @@
 } from './lostAttempts.js';
 export {
   MAX_REPORTED_CRASHES,
+  takeAnswerReports,
   takeCrashReports,
   takeRefusalReports,
   type RequestTime,
--- a/packages/core/src/suspects/state.ts
+++ b/packages/core/src/suspects/state.ts
@@ -62,6 +62,11 @@
 export interface SuspectState {
   /** By request fingerprint, the one reported to peers last at the end. */
   readonly crashHistories: Map<string, CrashHistory>;
+  /**
+   * By request fingerprint, the time of the latest complete answer after a crash: crashes before it
+   * do not count. Epoch milliseconds.
+   */
+  readonly answeredAt: Map<string, number>;
   /** By endpoint id. */
   readonly endpointTraces: Map<string, EndpointTrace>;
   readonly isolations: Map<PoolId, Isolation>;
@@ -71,6 +76,7 @@
 export function createSuspectState(): SuspectState {
   return {
     crashHistories: new Map(),
+    answeredAt: new Map(),
     endpointTraces: new Map(),
     isolations: new Map(),
   };
--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -128,11 +128,18 @@
   close(): void;
 }
 
-/** Starts an endpoint; health checks always succeed and are not recorded. */
-export async function startEndpoint(id: string, answer: RequestListener): Promise<TestEndpoint> {
+/**
+ * Starts an endpoint; health checks always succeed, under `healthId`, and are not recorded.
+ */
+export async function startEndpoint(
+  id: string,
+  answer: RequestListener,
+  healthId = id,
+): Promise<TestEndpoint> {
   const requests: IncomingMessage[] = [];
   const server = createServer((request, response) => {
     if (request.url === '/health') {
+      response.setHeader('x-instance', healthId);
       response.end();
       return;
     }
--- a/packages/router/__tests__/gateway/gateway.spec.ts
+++ b/packages/router/__tests__/gateway/gateway.spec.ts
@@ -162,6 +162,35 @@
     });
   });
 
+  describe('a request that is in flight at crashes of others', () => {
+    it('is not refused while complete answers come between them', async (t) => {
+      let sends = 0;
+      const answer: Answer = (request, response) => {
+        sends += 1;
+        if (sends % 2 === 1) request.socket.destroy();
+        else answerWhole(request, response);
+      };
+      // The other id in its health checks shows that the endpoint has ended.
+      const endpoint = await startEndpoint('e0', answer, 'e1');
+      const gateway = await startGateway(createSource(testConfiguration, [endpoint.endpoint]));
+      const countCrashes = async () => {
+        const { body } = await call(gateway.control, '/metrics');
+        return Number(/filbertlatch_known_crashes (\d+)/.exec(body)?.[1]);
+      };
+      try {
+        await waitUntil(async () => (await call(gateway.ready, '/ready')).status === 200);
+        for (let crash = 0; crash < 4; crash += 1) {
+          t.is((await call(gateway.callers, '/plain/')).status, 502);
+          await waitUntil(async () => (await countCrashes()) > 0);
+          t.is((await call(gateway.callers, '/plain/')).status, 201);
+        }
+      } finally {
+        gateway.gateway.stop();
+        endpoint.close();
+      }
+    });
+  });
+
   describe('an invalid answer', () => {
     it('with another request id or without a signature never reaches the caller', async (t) => {
       const foreign: Answer = (_request, response) => {
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -6,6 +6,7 @@
   creditRequest,
   hasRecordedCrashes,
   classifyRequest,
+  clearCrashes,
   listReadyEndpoints,
   listUsableEndpoints,
   placeJob,
@@ -50,6 +51,7 @@
 /** Status of a request that may have run without an answer. */
 const FAILED_STATUS = 502;
 
+const FIRST_REDIRECT_STATUS = 300;
 const FIRST_CLIENT_ERROR_STATUS = 400;
 const FIRST_SERVER_ERROR_STATUS = 500;
 
@@ -286,6 +288,7 @@
       this.#handleFailure({ verdict: 'may-have-run', cause: 'broken', message });
       return;
     }
+    this.#clearCrashes();
     this.#beginStream(head);
     this.#response.end();
     this.#finish('served');
@@ -302,6 +305,7 @@
       this.#failRequest('endpoint_failed');
       return;
     }
+    if (status < FIRST_REDIRECT_STATUS) this.#clearCrashes();
     this.#recordFirstAnswer();
     forwardAnswer(this.#response, this.#context.state, status, headers, body);
     this.#finish(status < FIRST_CLIENT_ERROR_STATUS ? 'served' : 'failed');
@@ -319,6 +323,14 @@
     else this.#failRequest('endpoint_failed');
   }
 
+  /** Removes the request's crashes after a complete answer: it is not what caused them. */
+  #clearCrashes(): void {
+    const { suspects } = this.#context.state;
+    const hasLostAttempts = this.#contentHash !== null;
+    if (!hasLostAttempts && !hasRecordedCrashes(suspects)) return;
+    clearCrashes(suspects, this.#fingerprint(), now());
+  }
+
   /** Records an attempt without a complete answer: its endpoint may have crashed under it. */
   #recordLost({ endpoint, sentAt }: EndpointAttempt, isBroken: boolean): void {
     this.#context.crashes.recordLostAttempt(endpoint.id, {
--- a/packages/router/src/gateway/gossipMessage.ts
+++ b/packages/router/src/gateway/gossipMessage.ts
@@ -2,6 +2,7 @@
   configurationVersion,
   ownDemand,
   ownPaceSums,
+  takeAnswerReports,
   takeCrashReports,
   takeRefusalReports,
   type CrashReport,
@@ -51,6 +52,11 @@
     .array(z.tuple([text, instant]))
     .max(256)
     .default([]),
+  /** Fingerprint of a request that was answered after a crash, instant of the answer. */
+  answered: z
+    .array(z.tuple([text, instant]))
+    .max(256)
+    .default([]),
 });
 
 /** A validated gossip message. */
@@ -128,6 +134,7 @@
     members: [...peers.values()].map(({ address }) => address).slice(0, MAX_MEMBERS),
     crashes: collectCrashes(state),
     refused: takeRefusalReports(suspects, now).map(({ fingerprint, at }) => [fingerprint, at]),
+    answered: takeAnswerReports(suspects).map(({ fingerprint, at }) => [fingerprint, at]),
   };
 }
 
@@ -175,3 +182,8 @@
 export function extractRefusals({ refused }: GossipMessage): RequestTime[] {
   return refused.map(([fingerprint, at]) => ({ fingerprint, at }));
 }
+
+/** Returns the requests in a message that were answered after a crash. */
+export function extractAnswers({ answered }: GossipMessage): RequestTime[] {
+  return answered.map(([fingerprint, at]) => ({ fingerprint, at }));
+}
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -2,6 +2,7 @@
 
 import {
   configurationVersion,
+  recordPeerAnswers,
   recordPeerCrashes,
   recordPeerRefusals,
   recordPeerWork,
@@ -23,6 +24,7 @@
 import type { GatewayState } from './gatewayState.js';
 import {
   gossipMessageSchema,
+  extractAnswers,
   extractCrashes,
   extractReads,
   extractRefusals,
@@ -208,6 +210,7 @@
     recordPeerReads(scheduling.prefixCaches, extractReads(message), instant);
     recordPeerCrashes(suspects, extractCrashes(message), instant);
     recordPeerRefusals(suspects, extractRefusals(message), instant);
+    recordPeerAnswers(suspects, extractAnswers(message), instant);
     this.#gossipToUnknownMember(message.members);
     this.#fetchIfBehind(message);
   }
