Forget an endpoint's health when it restarts under its id

What callers saw: an endpoint that is back stays unused for up to 30 s, so a service of few endpoints refuses while one of them is free.

Cause: health is kept by endpoint id, and an ejection with all its doublings outlives the process that earned it. Load, pace and cached segments were reset already, connections as well.

Evidence: the new test of publicationTask.spec got 'ejected' without the change. Its two other tests hold the signs of an end that the publication gives.

--- a/packages/core/src/health/commands.ts
+++ b/packages/core/src/health/commands.ts
@@ -52,6 +52,11 @@
   health.slowScans = 0;
 }
 
+/** Forgets what is known of an endpoint that has restarted under its id. */
+export function resetEndpointHealth(state: HealthState, endpointId: string): void {
+  state.endpoints.delete(endpointId);
+}
+
 /** Records an answer, which ends a series of failures and a probation caused by failures. */
 export function recordSuccess(state: HealthState, endpointId: string): void {
   const health = getOrCreateHealth(state, endpointId);
--- a/packages/core/src/health/index.ts
+++ b/packages/core/src/health/index.ts
@@ -3,6 +3,7 @@
   recordFailure,
   recordProbeResult,
   recordSuccess,
+  resetEndpointHealth,
   restoreEndpoint,
   takeDueProbes,
 } from './commands.js';
--- /dev/null
+++ b/packages/router/__tests__/gateway/publicationTask.spec.ts
@@ -0,0 +1,102 @@
+import {
+  createRandom,
+  ejectEndpoint,
+  getHealthPhase,
+  countCrashes,
+  type RegisteredEndpoint,
+} from '@filbertlatch/core';
+import { describe, it } from '@filbertlatch/core/testing';
+
+import { now } from '../../src/clock.js';
+import { CrashRecorder } from '../../src/gateway/crashRecorder.js';
+import { GatewayLog } from '../../src/gateway/gatewayLog.js';
+import { createGatewayState, type GatewayState } from '../../src/gateway/gatewayState.js';
+import { PublicationTask } from '../../src/gateway/publicationTask.js';
+import { parseGatewaySettings } from '../../src/gateway/settings.js';
+import type { PublicationSource } from '../../src/gateway/index.js';
+import { createLog } from '../../src/log/index.js';
+import { createSource, waitUntil } from './fixtures.js';
+
+const settings = parseGatewaySettings({
+  vm: { id: 'vm-1', zone: 'zone-a' },
+  listen: { callers: '127.0.0.1:1', ready: '127.0.0.1:2', control: '127.0.0.1:3' },
+  seeds: [],
+  platform: { address: '127.0.0.1:4' },
+  graceSeconds: 8,
+  repeats: { ratio: 0.2, slack: 56, windowSeconds: 10 },
+});
+
+const createEndpoint = (startedAt: number): RegisteredEndpoint => ({
+  id: 'e1',
+  serviceId: 'desk',
+  address: '127.0.0.1:5',
+  zone: 'zone-a',
+  slots: 6,
+  state: 'ready',
+  startedAt,
+});
+
+/** Publishes an endpoint, then the changes that the test makes. */
+class ChangingSource {
+  #change: ((text: string | null) => void) | null = null;
+
+  readonly source: PublicationSource = {
+    ...createSource(null, [createEndpoint(1)]),
+    decodeEndpoint: (_id, text) => createEndpoint(text === 'e1' ? 1 : 2),
+    watch: async (part, after, signal) => {
+      const text = await new Promise<string | null>((resolve, reject) => {
+        if (part === 'endpoints') this.#change = resolve;
+        signal.addEventListener('abort', () => reject(new Error('stopped')));
+      });
+      return { entries: [{ id: 'e1', text }], revision: after + 1 };
+    },
+  };
+
+  async change(text: string | null): Promise<void> {
+    await waitUntil(() => this.#change !== null);
+    this.#change!(text);
+  }
+}
+
+async function withTask(
+  use: (state: GatewayState, crashes: CrashRecorder, source: ChangingSource) => Promise<void>,
+) {
+  const state = createGatewayState(settings, createRandom(1));
+  const log = new GatewayLog(createLog('vm-1', 'error'));
+  const crashes = new CrashRecorder(state, log);
+  const source = new ChangingSource();
+  const task = new PublicationTask(state, source.source, crashes, log);
+  task.start();
+  try {
+    await waitUntil(() => state.directory.endpoints.has('e1'));
+    await use(state, crashes, source);
+  } finally {
+    task.stop();
+  }
+}
+
+describe('an endpoint in the publication', () => {
+  it('that restarts under its id is not ejected for failures before the restart', async (t) => {
+    await withTask(async (state, _crashes, source) => {
+      ejectEndpoint(state.health, 'e1', 'failures', now());
+      await source.change('restarted');
+      await waitUntil(() => state.directory.endpoints.get('e1')?.startedAt === 2);
+      t.is(getHealthPhase(state.health, 'e1'), 'healthy');
+    });
+  });
+
+  const signs = { 'restarts under its id': 'restarted', 'is removed while it is ready': null };
+  Object.entries(signs).forEach(([title, text]) => {
+    it(`that ${title} has crashed under the attempts that it did not answer`, async (t) => {
+      await withTask(async (state, crashes, source) => {
+        const at = now();
+        const lost = { startedAt: at - 50, at, isPresumedCrash: false };
+        crashes.recordLostAttempt('e1', { fingerprint: 'silent', ...lost });
+        t.is(countCrashes(state.suspects, 'silent', now()).crashes, 0);
+        await source.change(text);
+        await waitUntil(() => countCrashes(state.suspects, 'silent', now()).crashes === 1);
+        t.pass();
+      });
+    });
+  });
+});
--- a/packages/router/src/gateway/publicationTask.ts
+++ b/packages/router/src/gateway/publicationTask.ts
@@ -6,6 +6,7 @@
   applyEntryChange,
   configurationVersion,
   removeLapsed,
+  resetEndpointHealth,
   resetEndpointWork,
   markStoreLost,
   advanceRevision,
@@ -266,6 +267,7 @@
   #resetRestarted(endpointIds: readonly string[]): void {
     endpointIds.forEach((endpointId) => {
       resetEndpointWork(this.#state.scheduling, endpointId);
+      resetEndpointHealth(this.#state.health, endpointId);
       this.#crashes.recordEndpointEnd(endpointId, 'restarted');
       this.#log.change('endpoint_restarted', { endpointId });
     });
