Name other VMs in each gossip message when the list of members is full

Cause: a message named the first 16 peers that a VM knew, always the same ones, so in a larger fleet the others were never passed on.

Evidence: the new test of peerTask.spec saw 16 of 60 VMs named before, 60 after.

--- a/packages/router/__tests__/gateway/peerTask.spec.ts
+++ b/packages/router/__tests__/gateway/peerTask.spec.ts
@@ -12,6 +12,7 @@
 
 import { now } from '../../src/clock.js';
 import { GatewayLog } from '../../src/gateway/gatewayLog.js';
+import { createGossipMessage } from '../../src/gateway/gossipMessage.js';
 import { createGatewayState } from '../../src/gateway/gatewayState.js';
 import { PeerTask } from '../../src/gateway/peerTask.js';
 import { parseGatewaySettings } from '../../src/gateway/settings.js';
@@ -44,6 +45,25 @@
   return { state, task, control };
 }
 
+describe('a gossip message', () => {
+  it('names each VM of a fleet larger than its list in one of a hundred messages', (t) => {
+    const { state } = createPeer('vm-0', 1, []);
+    for (let index = 1; index <= 60; index += 1) {
+      const address = `127.0.0.1:${index}`;
+      const versions = { configurationVersion: 1, directoryRevision: 1 };
+      state.peers.set(`vm-${index}`, { address, heardAt: 0, hasStore: true, ...versions });
+    }
+    const named = new Set<string>();
+    for (let message = 0; message < 100; message += 1) {
+      const sender = { address: '127.0.0.1:61', hasStore: true, reads: [] };
+      const { members } = createGossipMessage(state, sender, now());
+      t.true(members.length <= 16);
+      members.forEach((address) => named.add(address));
+    }
+    t.is(named.size, 60);
+  });
+});
+
 describe('peer task', () => {
   it('sends load and crashes in one message, so that a crash does not displace the load', async (t) => {
     const ports = await Promise.all([findFreePort(), findFreePort()]);
--- a/packages/router/src/gateway/gossipMessage.ts
+++ b/packages/router/src/gateway/gossipMessage.ts
@@ -2,6 +2,7 @@
   configurationVersion,
   ownDemand,
   ownPaceSums,
+  randomInteger,
   takeAnswerReports,
   takeCrashReports,
   takeRefusalReports,
@@ -100,6 +101,14 @@
     .filter(([, , firstSamples, , stepSamples]) => firstSamples + stepSamples > MIN_PACE_SAMPLES);
 }
 
+/** Chooses the members to name; in a fleet larger than the list, others each time. */
+function chooseMembers({ peers, random }: GatewayState): string[] {
+  const addresses = [...peers.values()].map(({ address }) => address);
+  if (addresses.length <= MAX_MEMBERS) return addresses;
+  const first = randomInteger(random, addresses.length);
+  return [...addresses.slice(first), ...addresses.slice(0, first)].slice(0, MAX_MEMBERS);
+}
+
 function collectCrashes({ suspects }: GatewayState): GossipMessage['crashes'] {
   return takeCrashReports(suspects).map((crash) => [
     crash.fingerprint,
@@ -118,7 +127,7 @@
   sender: GossipSender,
   now: number,
 ): GossipMessage {
-  const { vmId, isLeaving, routing, directory, scheduling, suspects, peers } = state;
+  const { vmId, isLeaving, routing, directory, scheduling, suspects } = state;
   return {
     vmId,
     address: sender.address,
@@ -131,7 +140,7 @@
     borders: [...scheduling.borders],
     demand: [...scheduling.demand.keys()].map((id) => [id, ...ownDemand(scheduling, id, now)]),
     reads: sender.reads.map(({ segmentId, endpointId }) => [segmentId, endpointId]),
-    members: [...peers.values()].map(({ address }) => address).slice(0, MAX_MEMBERS),
+    members: chooseMembers(state),
     crashes: collectCrashes(state),
     refused: takeRefusalReports(suspects, now).map(({ fingerprint, at }) => [fingerprint, at]),
     answered: takeAnswerReports(suspects).map(({ fingerprint, at }) => [fingerprint, at]),
