Move what connects a request with crashes out of the exchange

CrashGuard holds the request's fingerprint and asks for the verdict; the exchange calls it. New in it: an attempt that its caller left after a second without any byte of an answer is followed by a probe, since a caller of a silent endpoint leaves before the deadline, and then only the store would show the end. A full list ranks a request that this VM refuses like one that a peer refuses.

--- a/packages/core/src/suspects/commands.ts
+++ b/packages/core/src/suspects/commands.ts
@@ -1,6 +1,6 @@
 import type { PoolId } from '../types/index.js';
 import type { RequestTime } from './crashReports.js';
-import { CRASH_TTL_MS, latestCrashAt, type CrashReport } from './queries.js';
+import { CRASH_TTL_MS, isConfirmedCause, latestCrashAt, type CrashReport } from './queries.js';
 import type { Crash, CrashHistory, Isolation, SuspectState } from './state.js';
 
 /** Most fingerprints kept. */
@@ -41,7 +41,7 @@
 function evictOne(histories: Map<string, CrashHistory>): void {
   let least: { fingerprint: string; rank: number; at: number } | null = null;
   for (const [fingerprint, history] of histories) {
-    const rank = history.refusedAt === null ? history.crashes.length : MAX_CRASHES_PER_REQUEST;
+    const rank = isConfirmedCause(history) ? MAX_CRASHES_PER_REQUEST : history.crashes.length;
     const at = latestCrashAt(history);
     if (least === null || rank < least.rank || (rank === least.rank && at < least.at)) {
       least = { fingerprint, rank, at };
--- a/packages/router/__tests__/gateway/crashingRequests.spec.ts
+++ b/packages/router/__tests__/gateway/crashingRequests.spec.ts
@@ -68,7 +68,10 @@
     });
 
     for (let group = 0; group < SEED_GROUPS; group += 1) {
-      const seeds = Array.from({ length: SEEDS_AT_ONCE }, (_, index) => group * SEEDS_AT_ONCE + index + 1);
+      const seeds = Array.from(
+        { length: SEEDS_AT_ONCE },
+        (_, index) => group * SEEDS_AT_ONCE + index + 1,
+      );
       itSerial(`in mixes of these (seeds ${seeds.join(', ')})`, async (t) => {
         const plays = seeds.map((seed) => playCrashScenario(drawCrashScenario(seed)));
         (await Promise.all(plays)).forEach(({ lateSends, refusedBystanders }, index) => {
--- /dev/null
+++ b/packages/router/src/gateway/crashGuard.ts
@@ -0,0 +1,105 @@
+import type { IncomingMessage } from 'node:http';
+
+import {
+  classifyRequest,
+  clearCrashes,
+  countCrashes,
+  digestText,
+  hasRecordedCrashes,
+} from '@filbertlatch/core';
+
+import { now } from '../clock.js';
+import type { EndpointAttempt } from './endpointAttempt.js';
+import type { GatewayContext } from './gatewayContext.js';
+import type { LogFields } from './gatewayLog.js';
+
+/** Time without any byte of an answer after which an attempt that its caller left is looked into. */
+const MIN_SILENCE_MS = 1000;
+
+/** Connects one request with the crashes of the endpoints that ran it. */
+export class CrashGuard {
+  readonly #context: GatewayContext;
+
+  readonly #accountId: string | null;
+
+  readonly #request: IncomingMessage;
+
+  readonly #body: Buffer | null;
+
+  #fingerprint: string | null = null;
+
+  constructor(
+    context: GatewayContext,
+    accountId: string | null,
+    request: IncomingMessage,
+    body: Buffer | null,
+  ) {
+    this.#context = context;
+    this.#accountId = accountId;
+    this.#request = request;
+    this.#body = body;
+  }
+
+  /** True when the request has crashed so many endpoints that no other may run it. */
+  isRefused(): boolean {
+    const { suspects } = this.#context.state;
+    // Hot path: without recorded crashes no fingerprint is needed.
+    if (!hasRecordedCrashes(suspects)) return false;
+    return classifyRequest(suspects, this.#computeFingerprint(), now()) === 'refused';
+  }
+
+  /** Records an attempt whose connection broke. */
+  recordBroken(attempt: EndpointAttempt): void {
+    this.#recordLost(attempt, true);
+    this.#context.probes.probe(attempt.endpoint.id);
+  }
+
+  /** Records an attempt that is given up without a complete answer. */
+  recordUnanswered(attempt: EndpointAttempt): void {
+    this.#recordLost(attempt, false);
+    this.#context.probes.probe(attempt.endpoint.id);
+  }
+
+  /** Records an attempt without a complete answer whose caller has left. */
+  recordAbandoned(attempt: EndpointAttempt): void {
+    this.#recordLost(attempt, false);
+    const isSilent = !attempt.hasAnswered && now() - attempt.sentAt >= MIN_SILENCE_MS;
+    if (isSilent) this.#context.probes.probe(attempt.endpoint.id);
+  }
+
+  /** Removes the request's crashes after a complete answer: another request caused them. */
+  clear(): void {
+    const { suspects } = this.#context.state;
+    const mayHaveLostAttempts = this.#fingerprint !== null;
+    if (!mayHaveLostAttempts && !hasRecordedCrashes(suspects)) return;
+    clearCrashes(suspects, this.#computeFingerprint(), now());
+  }
+
+  /** Returns what this VM knows of the request's crashes, for the log; empty without any. */
+  describe(): LogFields {
+    const { suspects } = this.#context.state;
+    if (!hasRecordedCrashes(suspects)) return {};
+    const fingerprint = this.#computeFingerprint();
+    const { crashes, endpoints } = countCrashes(suspects, fingerprint, now());
+    return crashes === 0 ? {} : { fingerprint, crashes, crashedEndpoints: endpoints };
+  }
+
+  #recordLost({ endpoint, sentAt }: EndpointAttempt, isBroken: boolean): void {
+    this.#context.crashes.recordLostAttempt(endpoint.id, {
+      fingerprint: this.#computeFingerprint(),
+      startedAt: sentAt,
+      at: now(),
+      isPresumedCrash: isBroken,
+    });
+  }
+
+  /** Hash of the request's content; computed once, since it covers the whole body. */
+  #computeFingerprint(): string {
+    if (this.#fingerprint === null) {
+      const { method, url } = this.#request;
+      const body = this.#body?.toString('latin1') ?? '';
+      this.#fingerprint = digestText(`${this.#accountId}\n${method}\n${url}\n${body}`);
+    }
+    return this.#fingerprint;
+  }
+}
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -1,12 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import {
-  digestText,
-  countCrashes,
   creditRequest,
-  hasRecordedCrashes,
-  classifyRequest,
-  clearCrashes,
   listReadyEndpoints,
   listUsableEndpoints,
   placeJob,
@@ -17,6 +12,7 @@
 
 import { now } from '../clock.js';
 import type { AdmittedRequest } from './admitRequest.js';
+import { CrashGuard } from './crashGuard.js';
 import type { AttemptFailure } from './endpointRequest.js';
 import { beginForwardedStream, sendErrorAnswer, forwardAnswer } from './callerAnswer.js';
 import { EventSplitter } from './eventSplitter.js';
@@ -69,6 +65,8 @@
 
   readonly #arrivedAt: number;
 
+  readonly #crashGuard: CrashGuard;
+
   /** Holds back incomplete events; null unless the route's streams can be resumed. */
   readonly #eventSplitter: EventSplitter | null;
 
@@ -100,8 +98,6 @@
 
   #placement: Placement | null = null;
 
-  #contentHash: string | null = null;
-
   constructor(
     context: GatewayContext,
     admitted: AdmittedRequest,
@@ -116,6 +112,7 @@
     this.#response = response;
     this.#body = body;
     this.#arrivedAt = arrivedAt;
+    this.#crashGuard = new CrashGuard(context, admitted.accountId, request, body);
     const { repetition, isResumable } = admitted.route;
     this.#eventSplitter = repetition === 'streaming' && isResumable ? new EventSplitter() : null;
   }
@@ -130,34 +127,6 @@
     this.#send();
   }
 
-  /** True when the request has crashed so many endpoints that no other may run it. */
-  #isRefused(): boolean {
-    const { suspects } = this.#context.state;
-    // Hot path: without recorded crashes no fingerprint is needed.
-    if (!hasRecordedCrashes(suspects)) return false;
-    return classifyRequest(suspects, this.#fingerprint(), now()) === 'refused';
-  }
-
-  /** Hash of the request's content; computed once, since it covers the whole body. */
-  #fingerprint(): string {
-    if (this.#contentHash === null) {
-      const { accountId } = this.#admitted;
-      const { method, url } = this.#request;
-      const body = this.#body?.toString('latin1') ?? '';
-      this.#contentHash = digestText(`${accountId}\n${method}\n${url}\n${body}`);
-    }
-    return this.#contentHash;
-  }
-
-  /** Returns what this VM knows of the request's crashes, for the log; empty without any. */
-  #describeCrashes(): object {
-    const { suspects } = this.#context.state;
-    if (!hasRecordedCrashes(suspects)) return {};
-    const fingerprint = this.#fingerprint();
-    const { crashes, endpoints } = countCrashes(suspects, fingerprint, now());
-    return crashes === 0 ? {} : { fingerprint, crashes, crashedEndpoints: endpoints };
-  }
-
   #listCandidates(): RegisteredEndpoint[] {
     const { state } = this.#context;
     const serving = listReadyEndpoints(state.directory, this.#admitted.job.serviceId);
@@ -168,7 +137,7 @@
 
   #send(): void {
     if (this.#isFinished) return;
-    if (this.#isRefused()) {
+    if (this.#crashGuard.isRefused()) {
       this.#failRequest('crashes_endpoints', REFUSED_STATUS);
       return;
     }
@@ -239,11 +208,9 @@
 
   #replaceStuckAttempt(attempt: EndpointAttempt): void {
     if (attempt !== this.#attempt || this.#isFinished || !this.#tryTakeRetry()) return;
-    const { connections, probes } = this.#context;
-    this.#recordLost(attempt, false);
+    this.#crashGuard.recordUnanswered(attempt);
     attempt.cancel('stuck');
-    connections.renew(attempt.endpoint.id);
-    probes.probe(attempt.endpoint.id);
+    this.#context.connections.renew(attempt.endpoint.id);
     this.#mayHaveRun = true;
     this.#eventSplitter?.dropPartial();
     this.#send();
@@ -288,7 +255,7 @@
       this.#handleFailure({ verdict: 'may-have-run', cause: 'broken', message });
       return;
     }
-    this.#clearCrashes();
+    this.#crashGuard.clear();
     this.#beginStream(head);
     this.#response.end();
     this.#finish('served');
@@ -305,7 +272,7 @@
       this.#failRequest('endpoint_failed');
       return;
     }
-    if (status < FIRST_REDIRECT_STATUS) this.#clearCrashes();
+    if (status < FIRST_REDIRECT_STATUS) this.#crashGuard.clear();
     this.#recordFirstAnswer();
     forwardAnswer(this.#response, this.#context.state, status, headers, body);
     this.#finish(status < FIRST_CLIENT_ERROR_STATUS ? 'served' : 'failed');
@@ -313,34 +280,13 @@
 
   #handleFailure({ cause }: AttemptFailure): void {
     const attempt = this.#attempt!;
-    if (cause === 'broken') {
-      this.#recordLost(attempt, true);
-      this.#context.probes.probe(attempt.endpoint.id);
-    }
+    if (cause === 'broken') this.#crashGuard.recordBroken(attempt);
     this.#mayHaveRun = true;
     this.#eventSplitter?.dropPartial();
     if (this.#tryTakeRetry()) this.#send();
     else this.#failRequest('endpoint_failed');
   }
 
-  /** Removes the request's crashes after a complete answer: it is not what caused them. */
-  #clearCrashes(): void {
-    const { suspects } = this.#context.state;
-    const hasLostAttempts = this.#contentHash !== null;
-    if (!hasLostAttempts && !hasRecordedCrashes(suspects)) return;
-    clearCrashes(suspects, this.#fingerprint(), now());
-  }
-
-  /** Records an attempt without a complete answer: its endpoint may have crashed under it. */
-  #recordLost({ endpoint, sentAt }: EndpointAttempt, isBroken: boolean): void {
-    this.#context.crashes.recordLostAttempt(endpoint.id, {
-      fingerprint: this.#fingerprint(),
-      startedAt: sentAt,
-      at: now(),
-      isPresumedCrash: isBroken,
-    });
-  }
-
   /**
    * Takes a retry from the retry budget; false when the request may not run again or a limit is
    * reached.
@@ -389,10 +335,7 @@
     if (this.#isFinished) return;
     const attempt = this.#attempt;
     if (attempt !== null) {
-      if (!attempt.isOver) {
-        this.#recordLost(attempt, false);
-        this.#context.probes.probe(attempt.endpoint.id);
-      }
+      if (!attempt.isOver) this.#crashGuard.recordUnanswered(attempt);
       attempt.cancel('timed-out');
       this.#mayHaveRun = true;
     }
@@ -404,7 +347,7 @@
   #handleCallerLeft(): void {
     if (this.#isFinished) return;
     const { isRepeatable, route } = this.#admitted;
-    if (this.#attempt?.isOver === false) this.#recordLost(this.#attempt, false);
+    if (this.#attempt?.isOver === false) this.#crashGuard.recordAbandoned(this.#attempt);
     // A request that must not run twice may complete: its effect is what the caller asked for.
     if (isRepeatable || route.repetition === 'streaming') this.#attempt?.cancel('abandoned');
     this.#finish('abandoned');
@@ -428,7 +371,7 @@
       placement: this.#placement?.kind,
       predictedMs: Math.round(this.#placement?.predictedMs ?? 0),
       tried: [...this.#triedEndpointIds],
-      ...this.#describeCrashes(),
+      ...this.#crashGuard.describe(),
       firstMs:
         this.#firstAnswerAt === null ? null : Math.round(this.#firstAnswerAt - this.#arrivedAt),
       longestPauseMs: Math.round(this.#longestPauseMs),
