Give gateway specs ports that no outgoing connection takes

A test gateway or endpoint that restarts binds a port that was free for a moment; the system could give it to an outgoing connection meanwhile (EADDRINUSE, KNOWN-RED). Ports now come from below that range, each once in a process. The fleet of crashing endpoints is split by concept; no check changes.

--- /dev/null
+++ b/packages/router/__tests__/gateway/changingStore.ts
@@ -0,0 +1,107 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import type { Configuration, RegisteredEndpoint } from '@filbertlatch/core';
+
+import type {
+  PublicationBatch,
+  PublicationPart,
+  PublicationSource,
+} from '../../src/gateway/index.js';
+
+/** How long the store holds back changes when it falls silent. */
+const STORE_SILENCE_MS = 2500;
+
+/** A store whose entries the test writes. */
+export class ChangingStore {
+  #revision = 10;
+
+  #changes: { id: string; endpoint: RegisteredEndpoint | null; revision: number }[] = [];
+
+  readonly #endpoints = new Map<string, RegisteredEndpoint>();
+
+  readonly #waiting = new Set<() => void>();
+
+  #isSilent = false;
+
+  readonly #configuration: Configuration;
+
+  constructor(configuration: Configuration) {
+    this.#configuration = configuration;
+  }
+
+  put(endpoint: RegisteredEndpoint): void {
+    this.#endpoints.set(endpoint.id, endpoint);
+    this.#change(endpoint.id, endpoint);
+  }
+
+  remove(id: string): void {
+    if (this.#endpoints.delete(id)) this.#change(id, null);
+  }
+
+  /** Holds back changes for `STORE_SILENCE_MS`. */
+  async fallSilent(): Promise<void> {
+    this.#isSilent = true;
+    await sleep(STORE_SILENCE_MS);
+    this.#isSilent = false;
+    this.#wakeWatches();
+  }
+
+  createSource(): PublicationSource {
+    return {
+      read: (part) => Promise.resolve(this.#readAll(part)),
+      watch: (part, after, signal) => this.#watch(part, after, signal),
+      decodeConfiguration: () => this.#configuration,
+      decodeEndpoint: (_id, text) => JSON.parse(text) as RegisteredEndpoint,
+    };
+  }
+
+  #readAll(part: PublicationPart): PublicationBatch {
+    const entries =
+      part === 'configuration'
+        ? [{ id: '', text: 'published' }]
+        : [...this.#endpoints].map(([id, entry]) => ({ id, text: JSON.stringify(entry) }));
+    return { entries, revision: this.#revision };
+  }
+
+  async #watch(
+    part: PublicationPart,
+    after: number,
+    signal: AbortSignal,
+  ): Promise<PublicationBatch> {
+    const list = () =>
+      part === 'configuration' || this.#isSilent
+        ? []
+        : this.#changes.filter(({ revision }) => revision > after);
+    while (list().length === 0) {
+      await this.#waitForChange(signal);
+    }
+    const entries = list().map(({ id, endpoint }) => ({
+      id,
+      text: endpoint === null ? null : JSON.stringify(endpoint),
+    }));
+    return { entries, revision: this.#revision };
+  }
+
+  #waitForChange(signal: AbortSignal): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const fail = () => reject(new Error('aborted'));
+      signal.addEventListener('abort', fail);
+      this.#waiting.add(() => {
+        signal.removeEventListener('abort', fail);
+        resolve();
+      });
+    });
+  }
+
+  #change(id: string, endpoint: RegisteredEndpoint | null): void {
+    this.#revision += 1;
+    this.#changes.push({ id, endpoint, revision: this.#revision });
+    this.#wakeWatches();
+  }
+
+  #wakeWatches(): void {
+    const waiting = [...this.#waiting];
+    this.#waiting.clear();
+    waiting.forEach((wake) => wake());
+  }
+}
--- a/packages/router/__tests__/gateway/crashFleet.ts
+++ b/packages/router/__tests__/gateway/crashFleet.ts
@@ -1,23 +1,16 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
-import { once } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import {
-  createRandom,
-  randomInteger,
-  type Configuration,
-  type Random,
-  type RegisteredEndpoint,
-} from '@filbertlatch/core';
+import { createRandom, randomInteger, type Configuration, type Random } from '@filbertlatch/core';
 
+import { createGateway, type Gateway } from '../../src/gateway/index.js';
+import { ChangingStore } from './changingStore.js';
 import {
-  createGateway,
-  type Gateway,
-  type PublicationBatch,
-  type PublicationPart,
-  type PublicationSource,
-} from '../../src/gateway/index.js';
+  COUNTED_SEND,
+  CRASHING_BODY,
+  CrashingEndpoint,
+  type CrashRecord,
+} from './crashingEndpoint.js';
+import { drawBetween, type CrashScenario } from './crashScenario.js';
 import { call, createRoute, findFreeAddress, testDialect, waitUntil } from './fixtures.js';
 
 /** Time after the third crash from which the VMs must know of it. */
@@ -26,57 +19,12 @@
 /** Sends that a crashing request is allowed after that time. */
 export const MAX_LATE_SENDS = 3;
 
-/** Time after which the store removes the entry of an endpoint that is down. */
-const LEASE_MS = 900;
-
 /** Crashes after which the VMs must stop sending a request. */
 const CRASHES_TO_STOP = 3;
 
 /** Time between the restarts of two VMs. */
 const RESTART_INTERVAL_MS = 1500;
 
-const STORE_SILENCE_MS = 2500;
-
-const RUN_MS = 15;
-const CRASHING_BODY = 'crash';
-const COUNTED_SEND = 'counted';
-
-function drawBetween(random: Random, [least, most]: readonly [number, number]): number {
-  return least + randomInteger(random, most - least + 1);
-}
-
-/** One scenario of crashes, restarts and resends. */
-export interface CrashScenario {
-  readonly seed: number;
-  readonly vms: number;
-  readonly endpoints: number;
-  /** How the endpoint ends: its connections are reset, or nothing answers any more. */
-  readonly end: 'reset' | 'silent';
-  /** Shortest and longest time until the endpoint is back, in milliseconds. */
-  readonly downMs: readonly [number, number];
-  /** Whether an endpoint restarts under its id or registers under another. */
-  readonly identity: 'kept' | 'new';
-  readonly crashingRequests: number;
-  /** Time between two sends of one request, in milliseconds. */
-  readonly resendMs: readonly [number, number];
-  readonly repetition: 'idempotent' | 'non-idempotent';
-  /** How VMs are restarted. */
-  readonly restart: 'none' | 'in-turn' | 'together';
-  /** Time of the first restart, in milliseconds. */
-  readonly restartAtMs: number;
-  /** Other requests in flight at each crash. */
-  readonly bystanders: number;
-  /** Time at which the store stops to tell of changes for `STORE_SILENCE_MS`; null for never. */
-  readonly storeSilentAtMs: number | null;
-  readonly lengthMs: number;
-}
-
-/** What the endpoints saw of one request that crashes them. */
-export interface CrashRecord {
-  readonly arrivals: number[];
-  readonly crashes: number[];
-}
-
 /** What a scenario showed. */
 export interface CrashOutcome {
   readonly records: ReadonlyMap<string, CrashRecord>;
@@ -90,240 +38,6 @@
   readonly servedBystanders: number;
 }
 
-/** A store whose entries the test writes. */
-class TestStore {
-  #revision = 10;
-
-  #changes: { id: string; endpoint: RegisteredEndpoint | null; revision: number }[] = [];
-
-  readonly #endpoints = new Map<string, RegisteredEndpoint>();
-
-  readonly #waiting = new Set<() => void>();
-
-  #isSilent = false;
-
-  readonly #configuration: Configuration;
-
-  constructor(configuration: Configuration) {
-    this.#configuration = configuration;
-  }
-
-  put(endpoint: RegisteredEndpoint): void {
-    this.#endpoints.set(endpoint.id, endpoint);
-    this.#change(endpoint.id, endpoint);
-  }
-
-  remove(id: string): void {
-    if (this.#endpoints.delete(id)) this.#change(id, null);
-  }
-
-  /** Holds back changes for `STORE_SILENCE_MS`. */
-  async fallSilent(): Promise<void> {
-    this.#isSilent = true;
-    await sleep(STORE_SILENCE_MS);
-    this.#isSilent = false;
-    this.#wakeWatches();
-  }
-
-  createSource(): PublicationSource {
-    return {
-      read: (part) => Promise.resolve(this.#readAll(part)),
-      watch: (part, after, signal) => this.#watch(part, after, signal),
-      decodeConfiguration: () => this.#configuration,
-      decodeEndpoint: (_id, text) => JSON.parse(text) as RegisteredEndpoint,
-    };
-  }
-
-  #readAll(part: PublicationPart): PublicationBatch {
-    const entries =
-      part === 'configuration'
-        ? [{ id: '', text: 'published' }]
-        : [...this.#endpoints].map(([id, entry]) => ({ id, text: JSON.stringify(entry) }));
-    return { entries, revision: this.#revision };
-  }
-
-  async #watch(
-    part: PublicationPart,
-    after: number,
-    signal: AbortSignal,
-  ): Promise<PublicationBatch> {
-    const list = () =>
-      part === 'configuration' || this.#isSilent
-        ? []
-        : this.#changes.filter(({ revision }) => revision > after);
-    while (list().length === 0) {
-      await this.#waitForChange(signal);
-    }
-    const entries = list().map(({ id, endpoint }) => ({
-      id,
-      text: endpoint === null ? null : JSON.stringify(endpoint),
-    }));
-    return { entries, revision: this.#revision };
-  }
-
-  #waitForChange(signal: AbortSignal): Promise<void> {
-    return new Promise((resolve, reject) => {
-      const fail = () => reject(new Error('aborted'));
-      signal.addEventListener('abort', fail);
-      this.#waiting.add(() => {
-        signal.removeEventListener('abort', fail);
-        resolve();
-      });
-    });
-  }
-
-  #change(id: string, endpoint: RegisteredEndpoint | null): void {
-    this.#revision += 1;
-    this.#changes.push({ id, endpoint, revision: this.#revision });
-    this.#wakeWatches();
-  }
-
-  #wakeWatches(): void {
-    const waiting = [...this.#waiting];
-    this.#waiting.clear();
-    waiting.forEach((wake) => wake());
-  }
-}
-
-/** An endpoint that ends under a crashing request, with all that runs there, and is back later. */
-class CrashingEndpoint {
-  readonly #scenario: CrashScenario;
-
-  readonly #store: TestStore;
-
-  readonly #random: Random;
-
-  readonly #records: Map<string, CrashRecord>;
-
-  readonly #sockets = new Set<Socket>();
-
-  readonly #name: string;
-
-  #lifetime = 0;
-
-  #port = 0;
-
-  #server: Server | null = null;
-
-  /** True from the end of a silent endpoint to its restart: it accepts and answers nothing. */
-  #isMute = false;
-
-  #isStopped = false;
-
-  constructor(
-    name: string,
-    scenario: CrashScenario,
-    store: TestStore,
-    random: Random,
-    records: Map<string, CrashRecord>,
-  ) {
-    this.#name = name;
-    this.#scenario = scenario;
-    this.#store = store;
-    this.#random = random;
-    this.#records = records;
-  }
-
-  get #id(): string {
-    return this.#scenario.identity === 'kept' ? this.#name : `${this.#name}-${this.#lifetime}`;
-  }
-
-  async start(): Promise<void> {
-    this.#isMute = false;
-    const server = createServer((request, response) => this.#handle(request, response));
-    server.on('connection', (socket) => {
-      this.#sockets.add(socket);
-      socket.on('close', () => this.#sockets.delete(socket));
-    });
-    server.listen(this.#port, '127.0.0.1');
-    await once(server, 'listening');
-    this.#server = server;
-    this.#port = (server.address() as AddressInfo).port;
-    this.#register();
-  }
-
-  /** Begins a lifetime: the store and the answers tell of it from now on. */
-  #register(): void {
-    this.#lifetime += 1;
-    this.#store.put({
-      id: this.#id,
-      serviceId: 'desk',
-      address: `127.0.0.1:${this.#port}`,
-      zone: 'zone-a',
-      slots: 64,
-      state: 'ready',
-      startedAt: this.#lifetime,
-    });
-  }
-
-  stop(): void {
-    this.#isStopped = true;
-    this.#close();
-  }
-
-  #close(): void {
-    this.#server?.close();
-    this.#server = null;
-    this.#sockets.forEach((socket) => socket.resetAndDestroy());
-  }
-
-  #handle(request: IncomingMessage, response: ServerResponse): void {
-    response.on('error', () => {});
-    if (this.#isMute) return;
-    if (request.url === '/health') {
-      response.setHeader('x-instance', this.#id);
-      response.end();
-    } else if (request.headers['x-endpoint'] !== this.#id) {
-      response.writeHead(421, { 'x-not-run': '1', 'x-instance': this.#id }).end();
-    } else {
-      void this.#run(request, response);
-    }
-  }
-
-  async #run(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const lifetime = this.#lifetime;
-    let body = '';
-    request.on('data', (chunk: Buffer) => {
-      body += chunk.toString();
-    });
-    request.on('error', () => {});
-    const [kind, name = ''] = String(request.headers['x-request']).split('/');
-    const record = this.#records.get(name);
-    if (kind === COUNTED_SEND) record?.arrivals.push(performance.now());
-    await sleep(RUN_MS);
-    if (lifetime !== this.#lifetime || this.#isMute || this.#server === null) return;
-    if (body.startsWith(CRASHING_BODY)) {
-      record?.crashes.push(performance.now());
-      void this.#crash();
-    } else {
-      response.writeHead(200, { 'x-request': request.headers['x-request'], 'x-mac': 'mac' });
-      response.end('answer');
-    }
-  }
-
-  async #crash(): Promise<void> {
-    const { downMs, end } = this.#scenario;
-    const id = this.#id;
-    const lifetime = this.#lifetime;
-    const isGone = () => this.#lifetime === lifetime || this.#id !== id;
-    setTimeout(() => {
-      if (isGone()) this.#store.remove(id);
-    }, LEASE_MS);
-    const delayMs = drawBetween(this.#random, downMs);
-    if (delayMs === 0) {
-      // Another process accepts at once: no connection is ever refused.
-      this.#sockets.forEach((socket) => socket.resetAndDestroy());
-      this.#register();
-      return;
-    }
-    if (end === 'reset') this.#close();
-    else this.#isMute = true;
-    await sleep(delayMs);
-    if (end === 'silent') this.#close();
-    if (!this.#isStopped) await this.start();
-  }
-}
-
 function createConfiguration({ repetition }: CrashScenario): Configuration {
   const attempts = repetition === 'idempotent' ? 2 : 1;
   return {
@@ -350,7 +64,7 @@
 
   readonly #seeds: readonly string[];
 
-  readonly #store: TestStore;
+  readonly #store: ChangingStore;
 
   #gateway: Gateway | null = null;
 
@@ -358,7 +72,7 @@
     id: string,
     listen: { callers: string; ready: string; control: string },
     seeds: readonly string[],
-    store: TestStore,
+    store: ChangingStore,
   ) {
     this.#id = id;
     this.#listen = listen;
@@ -400,7 +114,7 @@
   }
 }
 
-async function createVms({ vms }: CrashScenario, store: TestStore): Promise<RestartableVm[]> {
+async function createVms({ vms }: CrashScenario, store: ChangingStore): Promise<RestartableVm[]> {
   const listens = await Promise.all(
     Array.from({ length: vms }, async () => {
       const [callers, ready, control] = await Promise.all([
@@ -434,7 +148,7 @@
 
   readonly #records = new Map<string, CrashRecord>();
 
-  readonly #store: TestStore;
+  readonly #store: ChangingStore;
 
   readonly #endpoints: readonly CrashingEndpoint[];
 
@@ -449,7 +163,7 @@
   constructor(scenario: CrashScenario) {
     this.#scenario = scenario;
     this.#random = createRandom(scenario.seed);
-    this.#store = new TestStore(createConfiguration(scenario));
+    this.#store = new ChangingStore(createConfiguration(scenario));
     this.#endpoints = Array.from(
       { length: scenario.endpoints },
       (_, index) =>
@@ -556,44 +270,6 @@
   }
 }
 
-function choose<T>(random: Random, choices: readonly T[]): T {
-  return choices[randomInteger(random, choices.length)]!;
-}
-
-/** Draws a mix of all that scenarios vary; the same seed gives the same mix. */
-export function drawCrashScenario(seed: number): CrashScenario {
-  const random = createRandom(seed);
-  const end = choose(random, ['reset', 'silent'] as const);
-  const downMs = [
-    [0, 0],
-    [20, 80],
-    [300, 600],
-    [1500, 2500],
-  ] as const;
-  const resendMs = [
-    [100, 200],
-    [300, 600],
-    [800, 1500],
-  ] as const;
-  return {
-    seed,
-    vms: drawBetween(random, [2, 4]),
-    endpoints: drawBetween(random, [1, 5]),
-    end,
-    // A silent endpoint is silent for long enough that a caller notices.
-    downMs: choose(random, end === 'silent' ? downMs.slice(2) : downMs),
-    identity: choose(random, ['kept', 'new'] as const),
-    crashingRequests: drawBetween(random, [1, 4]),
-    resendMs: choose(random, resendMs),
-    repetition: choose(random, ['idempotent', 'non-idempotent'] as const),
-    restart: choose(random, ['none', 'in-turn', 'together'] as const),
-    restartAtMs: drawBetween(random, [4000, 7000]),
-    bystanders: drawBetween(random, [2, 6]),
-    storeSilentAtMs: choose(random, [null, drawBetween(random, [0, 6000])]),
-    lengthMs: 15_000,
-  };
-}
-
 /** Plays a scenario and returns what its endpoints and callers saw. */
 export async function playCrashScenario(scenario: CrashScenario): Promise<CrashOutcome> {
   return new CrashFleet(scenario).play();
--- a/packages/router/__tests__/gateway/crashingRequests.spec.ts
+++ b/packages/router/__tests__/gateway/crashingRequests.spec.ts
@@ -1,11 +1,7 @@
 import { describe, it, itSerial } from '@filbertlatch/core/testing';
 
-import {
-  drawCrashScenario,
-  MAX_LATE_SENDS,
-  playCrashScenario,
-  type CrashScenario,
-} from './crashFleet.js';
+import { MAX_LATE_SENDS, playCrashScenario } from './crashFleet.js';
+import { drawCrashScenario, type CrashScenario } from './crashScenario.js';
 
 /** Groups of drawn scenarios to play; more by hand, see docs/incidents. */
 const SEED_GROUPS = Number(process.env.CRASH_SEED_GROUPS ?? 1);
--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -165,13 +165,35 @@
   };
 }
 
-/** Returns a loopback address whose port was free a moment ago. */
-export async function findFreeAddress(): Promise<string> {
+/**
+ * Ports below those that the system gives to outgoing connections, one of which could take a port
+ * that is free for a moment.
+ */
+const FIRST_PORT = 20_000;
+const PORT_COUNT = 12_000;
+
+let nextPort = Math.floor(Math.random() * PORT_COUNT);
+
+async function isFree(port: number): Promise<boolean> {
   const server = createServer();
-  const address = await listenOn(server);
+  server.listen(port, '127.0.0.1');
+  try {
+    await once(server, 'listening');
+  } catch {
+    return false;
+  }
   server.close();
   await once(server, 'close');
-  return address;
+  return true;
+}
+
+/** Returns a loopback address that no other test of this process gets and that is free now. */
+export async function findFreeAddress(): Promise<string> {
+  for (;;) {
+    nextPort = (nextPort + 1) % PORT_COUNT;
+    const port = FIRST_PORT + nextPort;
+    if (await isFree(port)) return `127.0.0.1:${port}`;
+  }
 }
 
 /** A started gateway and its addresses. */
