--- a/packages/router/__tests__/gateway/crashFleet.ts
+++ b/packages/router/__tests__/gateway/crashFleet.ts
@@ -201,6 +201,7 @@
   async #resend(name: string): Promise<void> {
     const { resendMs } = this.#scenario;
     this.#records.set(name, { arrivals: [], crashes: [] });
+    await sleep(randomInteger(this.#random, resendMs[1]));
     for (let sends = 0; !this.#isOver; sends += 1) {
       const vm = this.#chooseVm();
       const kind = this.#isCounted(vm) ? COUNTED_SEND : 'uncounted';
--- a/packages/router/__tests__/gateway/crashingRequests.spec.ts
+++ b/packages/router/__tests__/gateway/crashingRequests.spec.ts
@@ -43,10 +43,10 @@
     endpoints: 8,
     crashingRequests: 24,
     downMs: [20, 60],
-    resendMs: [300, 500],
+    resendMs: [1500, 2500],
     restart: 'in-turn',
-    restartAtMs: 8000,
-    lengthMs: 15_000,
+    restartAtMs: 9000,
+    lengthMs: 17_000,
   },
   'crashes before all VMs restart together': { restart: 'together', lengthMs: 12_000 },
 };
