Do not take an endpoint that is too busy for a health check for one that ended

What callers would see: a request that three times got no answer from an overloaded endpoint is refused for ten minutes, though nothing crashed.

Cause: with the fix for silent endpoints, a probe that times out shows an end; an endpoint whose queue is full does not answer a probe within a second either.

Evidence: the new test of gateway.spec, with an endpoint that goes on answering a stream but neither probes nor other requests, got 500 instead of 504.

Change: a probe that times out is no sign when bytes of any answer came from the endpoint since the probe began. A refused or reset probe stays one.

--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -128,19 +128,19 @@
   close(): void;
 }
 
-/**
- * Starts an endpoint; health checks always succeed, under `healthId`, and are not recorded.
- */
+/** Starts an endpoint; health checks succeed unless the test answers them, and are not recorded. */
 export async function startEndpoint(
   id: string,
   answer: RequestListener,
-  healthId = id,
+  answerHealth: RequestListener = (_request, response) => {
+    response.setHeader('x-instance', id);
+    response.end();
+  },
 ): Promise<TestEndpoint> {
   const requests: IncomingMessage[] = [];
   const server = createServer((request, response) => {
     if (request.url === '/health') {
-      response.setHeader('x-instance', healthId);
-      response.end();
+      answerHealth(request, response);
       return;
     }
     requests.push(request);
--- a/packages/router/__tests__/gateway/gateway.spec.ts
+++ b/packages/router/__tests__/gateway/gateway.spec.ts
@@ -162,16 +162,11 @@
     });
   });
 
-  describe('a request that is in flight at crashes of others', () => {
-    it('is not refused while complete answers come between them', async (t) => {
-      let sends = 0;
-      const answer: Answer = (request, response) => {
-        sends += 1;
-        if (sends % 2 === 1) request.socket.destroy();
-        else answerWhole(request, response);
-      };
-      // The other id in its health checks shows that the endpoint has ended.
-      const endpoint = await startEndpoint('e0', answer, 'e1');
+  describe('a request that an endpoint did not answer', () => {
+    async function withEndpoint(
+      endpoint: TestEndpoint,
+      use: (gateway: TestGateway, countCrashes: () => Promise<number>) => Promise<void>,
+    ) {
       const gateway = await startGateway(createSource(testConfiguration, [endpoint.endpoint]));
       const countCrashes = async () => {
         const { body } = await call(gateway.control, '/metrics');
@@ -179,15 +174,54 @@
       };
       try {
         await waitUntil(async () => (await call(gateway.ready, '/ready')).status === 200);
+        await use(gateway, countCrashes);
+      } finally {
+        gateway.gateway.stop();
+        endpoint.close();
+      }
+    }
+
+    it('is not refused for crashes of others while complete answers come between them', async (t) => {
+      let sends = 0;
+      const answer: Answer = (request, response) => {
+        sends += 1;
+        if (sends % 2 === 1) request.socket.destroy();
+        else answerWhole(request, response);
+      };
+      // The other id in its health checks shows that the endpoint has ended.
+      const endpoint = await startEndpoint('e0', answer, (_request, response) => {
+        response.setHeader('x-instance', 'e1');
+        response.end();
+      });
+      await withEndpoint(endpoint, async (gateway, countCrashes) => {
         for (let crash = 0; crash < 4; crash += 1) {
           t.is((await call(gateway.callers, '/plain/')).status, 502);
           await waitUntil(async () => (await countCrashes()) > 0);
           t.is((await call(gateway.callers, '/plain/')).status, 201);
         }
-      } finally {
-        gateway.gateway.stop();
+      });
+    });
+
+    it('is not refused when the endpoint is too busy for a health check but answers others', async (t) => {
+      const answer: Answer = (request, response) => {
+        if (!request.url!.startsWith('/stream/')) return;
+        beginEvents(request, response);
+        const timer = setInterval(() => response.write(formatEvent(1)), 50);
+        response.on('close', () => clearInterval(timer));
+      };
+      const endpoint = await startEndpoint('e0', answer, () => {});
+      await withEndpoint(endpoint, async (gateway, countCrashes) => {
+        const stream = call(gateway.callers, '/stream/');
+        for (let send = 0; send < 8; send += 1) {
+          const answered = await call(gateway.callers, '/plain/', {
+            headers: { 'x-remaining': '300' },
+          });
+          t.is(answered.status, 504);
+        }
+        t.is(await countCrashes(), 0);
         endpoint.close();
-      }
+        t.false((await stream).isComplete);
+      });
     });
   });
 
--- a/packages/router/src/gateway/connectionTable.ts
+++ b/packages/router/src/gateway/connectionTable.ts
@@ -46,6 +46,11 @@
     this.#entries.get(endpointId)?.connections.renew();
   }
 
+  /** Returns the time of an endpoint's latest bytes; epoch milliseconds, 0 without any. */
+  lastHeardAt(endpointId: string): number {
+    return this.#entries.get(endpointId)?.connections.heardAt ?? 0;
+  }
+
   /** Closes the connections to endpoints that are no longer registered. */
   closeRemoved(isRegistered: (endpointId: string) => boolean): void {
     this.#entries.forEach(({ connections }, id) => {
--- a/packages/router/src/gateway/endpointConnections.ts
+++ b/packages/router/src/gateway/endpointConnections.ts
@@ -2,6 +2,8 @@
 
 import { buildConnector, Pool } from 'undici';
 
+import { now } from '../clock.js';
+
 /** Time-out for opening a connection; within a data centre it opens within milliseconds. */
 const CONNECT_TIMEOUT_MS = 700;
 
@@ -27,6 +29,8 @@
 
   #isResetting = false;
 
+  #heardAt = 0;
+
   constructor(address: string, connections: number) {
     this.#origin = `http://${address}`;
     this.#maxConnections = connections;
@@ -38,6 +42,16 @@
     return this.#pool;
   }
 
+  /** Time of the latest bytes of an answer; epoch milliseconds, 0 before the first. */
+  get heardAt(): number {
+    return this.#heardAt;
+  }
+
+  /** Records that bytes of an answer have arrived. */
+  markHeard(): void {
+    this.#heardAt = now();
+  }
+
   /** True from the reset of a connection until the next tick. */
   get isResetting(): boolean {
     return this.#isResetting;
--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -68,11 +68,15 @@
       },
       onHeaders: (status, rawHeaders, resume) => {
         this.#resume = resume;
+        this.#connections.markHeard();
         if (status < 200) return true;
         this.#observer.head(status, decodeHeaders(rawHeaders));
         return true;
       },
-      onData: (chunk) => this.#isOver || this.#observer.body(chunk),
+      onData: (chunk) => {
+        this.#connections.markHeard();
+        return this.#isOver || this.#observer.body(chunk);
+      },
       onComplete: () => this.#complete(),
       onError: (error) => this.#fail(error),
     });
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -82,7 +82,7 @@
   const log = new GatewayLog(createLog(settings.vm.id, settings.logLevel, []));
   const connections = new ConnectionTable();
   const crashes = new CrashRecorder(state, log);
-  const probes = new ProbeTask(state, dialect, crashes, log);
+  const probes = new ProbeTask(state, dialect, connections, crashes, log);
   const publication = new PublicationTask(state, source, crashes, log);
   const peers = new PeerTask(settings, state, publication, log);
   publication.onUpdate(() => peers.gossip());
--- a/packages/router/src/gateway/probeTask.ts
+++ b/packages/router/src/gateway/probeTask.ts
@@ -7,6 +7,7 @@
 import { Client } from 'undici';
 
 import { now } from '../clock.js';
+import type { ConnectionTable } from './connectionTable.js';
 import type { CrashRecorder } from './crashRecorder.js';
 import type { Dialect } from './dialect.js';
 import type { GatewayLog } from './gatewayLog.js';
@@ -35,15 +36,24 @@
 
   readonly #dialect: Dialect;
 
+  readonly #connections: ConnectionTable;
+
   readonly #crashes: CrashRecorder;
 
   readonly #log: GatewayLog;
 
   readonly #progress = new Map<string, ProbeProgress>();
 
-  constructor(state: GatewayState, dialect: Dialect, crashes: CrashRecorder, log: GatewayLog) {
+  constructor(
+    state: GatewayState,
+    dialect: Dialect,
+    connections: ConnectionTable,
+    crashes: CrashRecorder,
+    log: GatewayLog,
+  ) {
     this.#state = state;
     this.#dialect = dialect;
+    this.#connections = connections;
     this.#crashes = crashes;
     this.#log = log;
   }
@@ -107,15 +117,23 @@
       const { endpointId: answeringId } = this.#dialect.parseAnswer(statusCode, rawHeaders);
       this.#recordAnswer(endpoint.id, answeringId, statusCode, startedAt);
     } catch (error) {
-      recordProbeResult(this.#state.health, endpoint.id, false, now());
-      this.#crashes.recordEndpointEnd(endpoint.id, 'unreachable');
-      const fields = { endpointId: endpoint.id, error: String(error) };
-      this.#log.change('endpoint_unreachable', fields);
+      this.#recordFailure(endpoint.id, startedAt, error);
     } finally {
       void client.destroy();
     }
   }
 
+  #recordFailure(endpointId: string, startedAt: number, error: unknown): void {
+    const { health, suspects } = this.#state;
+    recordProbeResult(health, endpointId, false, now());
+    // An endpoint whose queue is full may answer requests, but no health check in time.
+    const hasTimedOut = error instanceof Error && error.name === 'TimeoutError';
+    const isBusy = hasTimedOut && this.#connections.lastHeardAt(endpointId) > startedAt;
+    if (isBusy) recordEndpointAlive(suspects, endpointId, startedAt);
+    else this.#crashes.recordEndpointEnd(endpointId, 'unreachable');
+    this.#log.change('endpoint_unreachable', { endpointId, isBusy, error: String(error) });
+  }
+
   #recordAnswer(
     endpointId: string,
     answeringId: string | null,
