Test the probe after the caller of a silent endpoint has left

Without the probe the new test ends with 'the condition did not hold within 500 tries': no crash is recorded.

--- a/packages/router/__tests__/gateway/gateway.spec.ts
+++ b/packages/router/__tests__/gateway/gateway.spec.ts
@@ -202,6 +202,27 @@
       });
     });
 
+    it('counts as a crash of a silent endpoint when its caller leaves before the deadline', async (t) => {
+      const endpoint = await startEndpoint(
+        'e0',
+        () => {},
+        () => {},
+      );
+      await withEndpoint(endpoint, async (gateway, countCrashes) => {
+        const [host, port] = gateway.callers.split(':');
+        const { connect } = await import('node:net');
+        const socket = connect(Number(port), host);
+        socket.write('GET /safe/ HTTP/1.1\r\nHost: desk.example\r\nX-Key: right-key\r\n\r\n');
+        await waitUntil(() => endpoint.requests.length > 0);
+        await new Promise((resolve) => {
+          setTimeout(resolve, 1200);
+        });
+        socket.destroy();
+        await waitUntil(async () => (await countCrashes()) === 1);
+        t.is(await countCrashes(), 1);
+      });
+    });
+
     it('is not refused when the endpoint is too busy for a health check but answers others', async (t) => {
       const answer: Answer = (request, response) => {
         if (!request.url!.startsWith('/stream/')) return;
