Take in crash reports from peers after this VM was suspended

What callers see: a request that crashes its endpoints is sent on by one VM after all others refuse it (BUDGET), for as long as that VM's process lives.

Cause: crash, refusal and answer reports carry the reporter's time, and a report from more than 5 s in the future is ignored. The clock of a process is the steady clock, which does not count the time in which a machine is suspended. A VM that was suspended for more than 5 s in all is behind its peers by that time, takes every report of theirs for one from the future, and counts its own crashes only.

Why the fix works: the bound keeps a wrong clock from making entries that never expire; crashes count for ten minutes, so a lead of up to ten minutes keeps an entry for twenty at the most.

Result: the three cases pass; a report that is further ahead is still ignored.

--- a/packages/core/__tests__/crashReports.spec.ts
+++ b/packages/core/__tests__/crashReports.spec.ts
@@ -90,6 +90,25 @@
   });
 });
 
+describe('reports of crashes to a VM whose clock is behind, since it was suspended', () => {
+  [6000, 60_000, 590_000].forEach((lagMs) => {
+    it(`are taken in (${lagMs / 1000} s)`, (t) => {
+      const now = 1_000_000;
+      const state = createSuspectState();
+      recordPeerCrashes(state, createReports('crashing', 3, now), now - lagMs);
+      recordPeerRefusals(state, [{ fingerprint: 'refused', at: now }], now - lagMs);
+      t.is(classifyRequest(state, 'crashing', now - lagMs), 'refused');
+      t.is(classifyRequest(state, 'refused', now - lagMs), 'refused');
+    });
+  });
+
+  it('are ignored from a peer whose clock is ahead by more than crashes count', (t) => {
+    const state = createSuspectState();
+    recordPeerCrashes(state, createReports('crashing', 3, 2_000_000), 1_000_000);
+    t.is(classifyRequest(state, 'crashing', 1_000_000), 'innocent');
+  });
+});
+
 describe('a full list of crashes', () => {
   it('keeps a refused request when many others crash once', (t) => {
     const state = createSuspectState();
--- a/packages/core/src/suspects/commands.ts
+++ b/packages/core/src/suspects/commands.ts
@@ -9,8 +9,11 @@
 /** How long an answer is reported: all peers have heard of it by then. */
 const ANSWER_TTL_MS = 30_000;
 
-/** Largest lead of a peer's clock; a crash reported further in the future is ignored. */
-const MAX_CLOCK_SKEW_MS = 5000;
+/**
+ * Largest lead of a peer's clock; a crash reported further in the future is ignored. The clock of a
+ * VM stands still while it is suspended.
+ */
+const MAX_CLOCK_SKEW_MS = CRASH_TTL_MS;
 
 /** Most crashes kept of one request; more add nothing to the verdict. */
 const MAX_CRASHES_PER_REQUEST = 8;
