Play crashing requests in large, disturbed fleets

Fleets of eight VMs and six to eleven endpoints; an endpoint is back after 1.2 to 2.5 s under a new id at its old address; accounts change meanwhile; up to sixty other requests run at each crash. In four scenarios and one group of drawn ones VMs are cut off from their peers in turn, lose up to half of the messages between them, or restart half by half. As in the rule, sends of a VM that is cut off, or within 3 s after its cut or its start with half of the fleet, do not count.

--- a/packages/router/__tests__/gateway/changingStore.ts
+++ b/packages/router/__tests__/gateway/changingStore.ts
@@ -23,7 +23,9 @@
 
   #isSilent = false;
 
-  readonly #configuration: Configuration;
+  #configuration: Configuration;
+
+  #configurationRevision = 10;
 
   constructor(configuration: Configuration) {
     this.#configuration = configuration;
@@ -38,6 +40,14 @@
     if (this.#endpoints.delete(id)) this.#change(id, null);
   }
 
+  /** Publishes a new version of the configuration. */
+  publish(configuration: Configuration): void {
+    this.#configuration = configuration;
+    this.#revision += 1;
+    this.#configurationRevision = this.#revision;
+    this.#wakeWatches();
+  }
+
   /** Holds back changes for `STORE_SILENCE_MS`. */
   async fallSilent(): Promise<void> {
     this.#isSilent = true;
@@ -68,10 +78,14 @@
     after: number,
     signal: AbortSignal,
   ): Promise<PublicationBatch> {
+    if (part === 'configuration') {
+      while (this.#isSilent || this.#configurationRevision <= after) {
+        await this.#waitForChange(signal);
+      }
+      return this.#readAll(part);
+    }
     const list = () =>
-      part === 'configuration' || this.#isSilent
-        ? []
-        : this.#changes.filter(({ revision }) => revision > after);
+      this.#isSilent ? [] : this.#changes.filter(({ revision }) => revision > after);
     while (list().length === 0) {
       await this.#waitForChange(signal);
     }
--- a/packages/router/__tests__/gateway/crashFleet.ts
+++ b/packages/router/__tests__/gateway/crashFleet.ts
@@ -11,6 +11,7 @@
   type CrashRecord,
 } from './crashingEndpoint.js';
 import { drawBetween, type CrashScenario } from './crashScenario.js';
+import { PeerNetwork } from './peerNetwork.js';
 import { call, createRoute, findFreeAddress, testDialect, waitUntil } from './fixtures.js';
 
 /** Time after the third crash from which the VMs must know of it. */
@@ -25,6 +26,9 @@
 /** Time between the restarts of two VMs. */
 const RESTART_INTERVAL_MS = 1500;
 
+/** Time between the restarts of two halves of the VMs; above `SETTLE_MS`, so that sends count. */
+const HALF_RESTART_INTERVAL_MS = 4000;
+
 /** What a scenario showed. */
 export interface CrashOutcome {
   readonly records: ReadonlyMap<string, CrashRecord>;
@@ -38,10 +42,10 @@
   readonly servedBystanders: number;
 }
 
-function createConfiguration({ repetition }: CrashScenario): Configuration {
+function createConfiguration({ repetition }: CrashScenario, version = 4): Configuration {
   const attempts = repetition === 'idempotent' ? 2 : 1;
   return {
-    version: 4,
+    version,
     routes: [createRoute({ repetition, attempts, timeoutMs: 1500, targetMs: 100 })],
     services: new Map([
       ['desk', { id: 'desk', healthPath: '/health', maxConnections: 400, engine: null }],
@@ -52,7 +56,10 @@
       headerTimeoutMs: 3000,
       idleTimeoutMs: 15_000,
     },
-    accounts: new Map([['right-key', { id: 'station', priority: 0 }]]),
+    accounts: new Map([
+      ['right-key', { id: 'station', priority: 0 }],
+      [`key-${version}`, { id: version % 2 === 0 ? 'station' : 'studio', priority: 0 }],
+    ]),
   };
 }
 
@@ -83,10 +90,19 @@
   /** Time of the latest start. */
   startedAt = 0;
 
+  /** Time at which it last rejoined its peers. */
+  disturbedAt = Number.NEGATIVE_INFINITY;
+
+  isCutOff = false;
+
   get callers(): string {
     return this.#listen.callers;
   }
 
+  get control(): string {
+    return this.#listen.control;
+  }
+
   async start(): Promise<void> {
     const settings = {
       vm: { id: this.#id, zone: 'zone-a' },
@@ -152,6 +168,8 @@
 
   readonly #endpoints: readonly CrashingEndpoint[];
 
+  readonly #network: PeerNetwork;
+
   #vms: RestartableVm[] = [];
 
   #isOver = false;
@@ -164,6 +182,7 @@
     this.#scenario = scenario;
     this.#random = createRandom(scenario.seed);
     this.#store = new ChangingStore(createConfiguration(scenario));
+    this.#network = new PeerNetwork(createRandom(scenario.seed), scenario.peerLoss);
     this.#endpoints = Array.from(
       { length: scenario.endpoints },
       (_, index) =>
@@ -175,6 +194,7 @@
     const { crashingRequests, bystanders, lengthMs } = this.#scenario;
     await Promise.all(this.#endpoints.map((endpoint) => endpoint.start()));
     this.#vms = await createVms(this.#scenario, this.#store);
+    this.#network.start(this.#vms.map(({ control }) => control));
     await Promise.all(this.#vms.map((vm) => vm.start()));
     try {
       const callers = [
@@ -182,11 +202,14 @@
         ...Array.from({ length: bystanders }, (_, index) => this.#sendOthers(index)),
         this.#restartVms(),
         this.#silenceStore(),
+        this.#changeAccounts(),
+        this.#cutOffVms(),
       ];
       await sleep(lengthMs);
       this.#isOver = true;
       await Promise.all(callers);
     } finally {
+      this.#network.stop();
       this.#vms.forEach((vm) => vm.stop());
       this.#endpoints.forEach((endpoint) => endpoint.stop());
     }
@@ -211,9 +234,15 @@
     }
   }
 
-  /** When all VMs start anew at once, none can know; sends of the first seconds do not count then. */
+  /**
+   * When many VMs start anew at once, or one is cut off from its peers, they can't know; sends until
+   * some seconds later do not count then.
+   */
   #isCounted(vm: RestartableVm): boolean {
-    return this.#scenario.restart !== 'together' || performance.now() - vm.startedAt > SETTLE_MS;
+    if (vm.isCutOff || performance.now() - vm.disturbedAt <= SETTLE_MS) return false;
+    const { restart } = this.#scenario;
+    const excusesStart = restart === 'together' || restart === 'half';
+    return !excusesStart || performance.now() - vm.startedAt > SETTLE_MS;
   }
 
   async #sendOthers(caller: number): Promise<void> {
@@ -244,6 +273,10 @@
       await Promise.all(this.#vms.map((vm) => vm.restart()));
       return;
     }
+    if (restart === 'half') {
+      await this.#restartHalves();
+      return;
+    }
     for (const vm of this.#vms) {
       if (this.#isOver) return;
       await vm.restart();
@@ -251,6 +284,37 @@
     }
   }
 
+  async #restartHalves(): Promise<void> {
+    for (let round = 0; !this.#isOver; round += 1) {
+      const half = this.#vms.filter((_, index) => index % 2 === round % 2);
+      await Promise.all(half.map((vm) => vm.restart()));
+      await sleep(HALF_RESTART_INTERVAL_MS);
+    }
+  }
+
+  async #changeAccounts(): Promise<void> {
+    const { accountChangeMs } = this.#scenario;
+    if (accountChangeMs === null) return;
+    for (let version = 5; !this.#isOver; version += 1) {
+      await sleep(accountChangeMs);
+      this.#store.publish(createConfiguration(this.#scenario, version));
+    }
+  }
+
+  async #cutOffVms(): Promise<void> {
+    const { cutOffMs } = this.#scenario;
+    if (cutOffMs === null) return;
+    while (!this.#isOver) {
+      const vm = this.#chooseVm();
+      vm.isCutOff = true;
+      this.#network.cutOff(vm.control);
+      await sleep(cutOffMs);
+      this.#network.rejoin(vm.control);
+      vm.isCutOff = false;
+      vm.disturbedAt = performance.now();
+    }
+  }
+
   #listSettled(): CrashRecord[] {
     return [...this.#records.values()].filter(({ crashes }) => crashes.length >= CRASHES_TO_STOP);
   }
--- a/packages/router/__tests__/gateway/crashScenario.ts
+++ b/packages/router/__tests__/gateway/crashScenario.ts
@@ -15,14 +15,22 @@
   /** Time between two sends of one request, in milliseconds. */
   readonly resendMs: readonly [number, number];
   readonly repetition: 'idempotent' | 'non-idempotent';
-  /** How VMs are restarted. */
-  readonly restart: 'none' | 'in-turn' | 'together';
+  /** How VMs are restarted; `half` restarts one half and then the other, again and again. */
+  readonly restart: 'none' | 'in-turn' | 'together' | 'half';
   /** Time of the first restart, in milliseconds. */
   readonly restartAtMs: number;
   /** Other requests in flight at each crash. */
   readonly bystanders: number;
+  /** Shortest and longest time that another request runs, in milliseconds. */
+  readonly bystanderRunMs: readonly [number, number];
   /** Time at which the store stops to tell of changes for `STORE_SILENCE_MS`; null for never. */
   readonly storeSilentAtMs: number | null;
+  /** Time between two changes of the accounts in the configuration; null for none. */
+  readonly accountChangeMs: number | null;
+  /** Probability that a message between VMs is lost. */
+  readonly peerLoss: number;
+  /** Time for which one VM after the other is cut off from its peers; null for never. */
+  readonly cutOffMs: number | null;
   readonly lengthMs: number;
 }
 
@@ -64,7 +72,44 @@
     restart: choose(random, ['none', 'in-turn', 'together'] as const),
     restartAtMs: drawBetween(random, [4000, 7000]),
     bystanders: drawBetween(random, [2, 6]),
+    bystanderRunMs: [15, 15],
     storeSilentAtMs: choose(random, [null, drawBetween(random, [0, 6000])]),
+    accountChangeMs: null,
+    peerLoss: 0,
+    cutOffMs: null,
     lengthMs: 15_000,
   };
 }
+
+/** Draws a large fleet whose VMs restart, are cut off or lose messages while accounts change. */
+export function drawDisturbedScenario(seed: number): CrashScenario {
+  const random = createRandom(seed);
+  const disturbance = choose(random, ['none', 'half', 'cut-off', 'loss', 'all'] as const);
+  const hasAll = disturbance === 'all';
+  return {
+    seed,
+    vms: 8,
+    endpoints: drawBetween(random, [6, 11]),
+    end: choose(random, ['reset', 'silent'] as const),
+    downMs: [1200, 2500],
+    identity: 'new',
+    crashingRequests: drawBetween(random, [1, 3]),
+    resendMs: choose(random, [
+      [150, 300],
+      [500, 900],
+    ] as const),
+    repetition: choose(random, ['idempotent', 'non-idempotent'] as const),
+    restart: hasAll || disturbance === 'half' ? 'half' : 'none',
+    restartAtMs: drawBetween(random, [3000, 6000]),
+    bystanders: choose(random, [6, 60]),
+    bystanderRunMs: choose(random, [
+      [15, 15],
+      [100, 600],
+    ] as const),
+    storeSilentAtMs: choose(random, [null, drawBetween(random, [0, 6000])]),
+    accountChangeMs: drawBetween(random, [1000, 4000]),
+    peerLoss: hasAll || disturbance === 'loss' ? choose(random, [0.1, 0.3, 0.5]) : 0,
+    cutOffMs: hasAll || disturbance === 'cut-off' ? drawBetween(random, [500, 3000]) : null,
+    lengthMs: 20_000,
+  };
+}
--- a/packages/router/__tests__/gateway/crashingEndpoint.ts
+++ b/packages/router/__tests__/gateway/crashingEndpoint.ts
@@ -132,7 +132,8 @@
     const [kind, name = ''] = String(request.headers['x-request']).split('/');
     const record = this.#records.get(name);
     if (kind === COUNTED_SEND) record?.arrivals.push(performance.now());
-    await sleep(RUN_MS);
+    const isBystander = record === undefined;
+    await sleep(isBystander ? drawBetween(this.#random, this.#scenario.bystanderRunMs) : RUN_MS);
     if (lifetime !== this.#lifetime || this.#isMute || this.#server === null) return;
     if (body.startsWith(CRASHING_BODY)) {
       record?.crashes.push(performance.now());
--- a/packages/router/__tests__/gateway/crashingRequests.spec.ts
+++ b/packages/router/__tests__/gateway/crashingRequests.spec.ts
@@ -1,7 +1,7 @@
 import { describe, it, itSerial } from '@filbertlatch/core/testing';
 
 import { MAX_LATE_SENDS, playCrashScenario } from './crashFleet.js';
-import { drawCrashScenario, type CrashScenario } from './crashScenario.js';
+import { drawCrashScenario, drawDisturbedScenario, type CrashScenario } from './crashScenario.js';
 
 /** Groups of drawn scenarios to play; one in CI, ten or more by hand. */
 const SEED_GROUPS = Number(process.env.CRASH_SEED_GROUPS ?? 1);
@@ -20,10 +20,26 @@
   restart: 'none',
   restartAtMs: 6000,
   bystanders: 4,
+  bystanderRunMs: [15, 15],
   storeSilentAtMs: null,
+  accountChangeMs: null,
+  peerLoss: 0,
+  cutOffMs: null,
   lengthMs: 9000,
 };
 
+const manyVms: Partial<CrashScenario> = {
+  vms: 8,
+  endpoints: 8,
+  downMs: [1200, 2500],
+  identity: 'new',
+  repetition: 'non-idempotent',
+  bystanders: 60,
+  bystanderRunMs: [100, 600],
+  accountChangeMs: 2000,
+  lengthMs: 14_000,
+};
+
 const scenarios: Readonly<Record<string, Partial<CrashScenario>>> = {
   'restarts under its id, in a service of one endpoint': { endpoints: 1 },
   'restarts under its id, in a service of two endpoints': {
@@ -49,6 +65,19 @@
     lengthMs: 17_000,
   },
   'crashes before all VMs restart together': { restart: 'together', lengthMs: 12_000 },
+  'is one of many, each back under another id, while accounts change': manyVms,
+  'crashes while VMs are cut off from their peers in turn': { ...manyVms, cutOffMs: 2000 },
+  'crashes while VMs lose half of the messages between them': { ...manyVms, peerLoss: 0.5 },
+  'crashes while one half of many VMs restarts and then the other': {
+    ...manyVms,
+    restart: 'half',
+    restartAtMs: 3000,
+  },
+};
+
+const drawnGroups: Readonly<Record<string, (seed: number) => CrashScenario>> = {
+  'in mixes of these': drawCrashScenario,
+  'in large fleets that are disturbed while accounts change': drawDisturbedScenario,
 };
 
 describe('a request that crashes the endpoint that runs it and is resent to any VM', () => {
@@ -68,14 +97,15 @@
         { length: SEEDS_AT_ONCE },
         (_, index) => group * SEEDS_AT_ONCE + index + 1,
       );
-      itSerial(`in mixes of these (seeds ${seeds.join(', ')})`, async (t) => {
-        const plays = seeds.map((seed) => playCrashScenario(drawCrashScenario(seed)));
-        const outcomes = await Promise.all(plays);
-        t.true(outcomes.some(({ settled }) => settled > 0));
-        outcomes.forEach(({ lateSends, refusedBystanders }, index) => {
-          const title = `seed ${seeds[index]}: ${lateSends} late sends`;
-          t.true(lateSends <= MAX_LATE_SENDS, title);
-          t.is(refusedBystanders, 0, title);
+      Object.entries(drawnGroups).forEach(([title, draw]) => {
+        itSerial(`${title} (seeds ${seeds.join(', ')})`, async (t) => {
+          const outcomes = await Promise.all(seeds.map((seed) => playCrashScenario(draw(seed))));
+          t.true(outcomes.some(({ settled }) => settled > 0));
+          outcomes.forEach(({ lateSends, refusedBystanders }, index) => {
+            const seedTitle = `seed ${seeds[index]}: ${lateSends} late sends`;
+            t.true(lateSends <= MAX_LATE_SENDS, seedTitle);
+            t.is(refusedBystanders, 0, seedTitle);
+          });
         });
       });
     }
