Show which request limits of endpoints a VM knows and what it sends there

A VM now reads the limit in answers and answers to health checks, and shows in /state the limit of each endpoint, whom the endpoint told and how long ago, and its own sends; request_ended carries the limit that the VM knew when it sent. Values that are no decimal number are ignored with a log line. Bounded by the endpoints in the directory; no decision uses it yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * from './orders/index.js';
 export * from './placement/index.js';
 export * from './prediction/index.js';
+export * from './requestLimits/index.js';
 export * from './retries/index.js';
 export * from './routing/index.js';
 export * from './scheduling/index.js';
--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -16,10 +16,17 @@
   findHeader,
   type Dialect,
   type Gateway,
+  type NamedLimit,
   type PublicationSource,
   type PublicationBatch,
 } from '../../src/gateway/index.js';
 
+function parseTestLimit(text: string | null): NamedLimit | null {
+  if (text === null) return null;
+  const perSecond = Number(text);
+  return Number.isNaN(perSecond) ? { kind: 'malformed', text } : { kind: 'limit', perSecond };
+}
+
 /** Dialect with headers of its own for tests. */
 export const testDialect: Dialect = {
   parseRequest: (headers) => ({
@@ -41,6 +48,7 @@
     isSigned: findHeader(headers, 'x-mac') !== null,
     endpointId: findHeader(headers, 'x-instance'),
     load: null,
+    limit: parseTestLimit(findHeader(headers, 'x-limit')),
   }),
 };
 
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -31,6 +31,15 @@
   readonly slots: number;
 }
 
+/** Limit that an endpoint names in an answer, or a value that cannot be read as one. */
+export type NamedLimit =
+  | {
+      readonly kind: 'limit';
+      /** Requests a second that the endpoint takes from all VMs together. */
+      readonly perSecond: number;
+    }
+  | { readonly kind: 'malformed'; readonly text: string };
+
 /** Metadata of an answer, read from the endpoint's status and headers. */
 export interface AnswerMetadata {
   /** Id of the request that is answered. */
@@ -42,6 +51,8 @@
   /** Id that the endpoint gives for itself. */
   readonly endpointId: string | null;
   readonly load: ReportedLoad | null;
+  /** Null when the answer names no limit. */
+  readonly limit: NamedLimit | null;
 }
 
 /** Translates between HTTP headers and the metadata that the gateway uses. */
--- a/packages/router/src/gateway/dumpGateway.ts
+++ b/packages/router/src/gateway/dumpGateway.ts
@@ -1,5 +1,6 @@
 import {
   configurationVersion,
+  describeRequestLimit,
   kindOfRoute,
   getHealthPhase,
   totalDemand,
@@ -37,6 +38,7 @@
       ...endpoint,
       isMissing: directory.lapsed.has(endpoint.id),
       health: getHealthPhase(health, endpoint.id),
+      limit: describeRequestLimit(state.requestLimits, endpoint.id, now),
       load: totalLoad(scheduling, endpoint.id, now),
       own: scheduling.work.get(endpoint.id) ?? null,
     })),
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -1,4 +1,5 @@
 import {
+  getRequestLimit,
   recordFirstEvent,
   recordEnd,
   hasLostAttempts,
@@ -68,6 +69,9 @@
   /** Epoch milliseconds. */
   readonly sentAt = now();
 
+  /** Limit of the endpoint that this VM knew when it sent the request; null without one. */
+  readonly requestLimit: number | null;
+
   readonly #context: GatewayContext;
 
   readonly #admitted: AdmittedRequest;
@@ -102,7 +106,9 @@
     this.#observer = observer;
     this.endpoint = endpoint;
     this.predictedMs = predictedMs;
-    const { connections, countFleetVms, state } = context;
+    const { connections, countFleetVms, limits, state } = context;
+    this.requestLimit = getRequestLimit(state.requestLimits, endpoint.id);
+    limits.recordSend(endpoint.id);
     const { maxConnections } = admitted.service;
     this.#request = new EndpointRequest(
       connections.getConnections(endpoint, maxConnections, countFleetVms()),
@@ -164,6 +170,12 @@
     const isForged = isSuccess && (!metadata.isSigned || metadata.requestId === null);
     if (isForeign) this.#reject('answer carries the id of another request');
     else if (isForged) this.#reject('successful answer lacks a signature or request id');
+    else this.#recordLimit(metadata);
+  }
+
+  #recordLimit(metadata: AnswerMetadata): void {
+    const answered = { endpointId: this.endpoint.id, sentAt: this.sentAt };
+    this.#context.limits.recordAnswer(answered, this.#rawHead.status, metadata);
   }
 
   #reject(message: string): void {
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -371,6 +371,7 @@
       placement: this.#placement?.kind,
       predictedMs: Math.round(this.#placement?.predictedMs ?? 0),
       tried: [...this.#triedEndpointIds],
+      requestLimit: this.#attempt?.requestLimit ?? undefined,
       ...this.#crashGuard.describe(),
       firstMs:
         this.#firstAnswerAt === null ? null : Math.round(this.#firstAnswerAt - this.#arrivedAt),
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -4,10 +4,12 @@
 import {
   configurationVersion,
   countKnownCrashes,
+  countLimitedEndpoints,
   createRandom,
   MAX_REPORTED_CRASHES,
   removeExpiredCrashes,
   removeExpiredTraces,
+  removeRequestLimits,
   dropStaleWork,
   hashText,
 } from '@filbertlatch/core';
@@ -22,6 +24,7 @@
 import type { GatewayContext } from './gatewayContext.js';
 import { GatewayLog } from './gatewayLog.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
+import { LimitRecorder } from './limitRecorder.js';
 import { countFleetVms, createGatewayState, isServing } from './gatewayState.js';
 import { dumpGateway, type GatewayDump } from './dumpGateway.js';
 import { createLazyControlApi } from './lazyControlApi.js';
@@ -82,18 +85,20 @@
   const log = new GatewayLog(createLog(settings.vm.id, settings.logLevel, []));
   const connections = new ConnectionTable();
   const crashes = new CrashRecorder(state, log);
-  const probes = new ProbeTask(state, dialect, connections, crashes, log);
-  const publication = new PublicationTask(state, source, crashes, log);
-  const peers = new PeerTask(settings, state, publication, log);
-  publication.onUpdate(() => peers.gossip());
-  let currentSettings = settings;
   const metrics = new GatewayMetrics({
     configurationVersion: () => configurationVersion(state.routing),
     endpoints: () => state.directory.endpoints.size,
     peers: () => state.peers.size,
     knownCrashes: () => countKnownCrashes(state.suspects),
     unreportedCrashes: () => Math.max(0, countKnownCrashes(state.suspects) - MAX_REPORTED_CRASHES),
+    limitedEndpoints: () => countLimitedEndpoints(state.requestLimits),
   });
+  const limits = new LimitRecorder(state, metrics, log);
+  const probes = new ProbeTask(state, dialect, connections, crashes, limits, log);
+  const publication = new PublicationTask(state, source, crashes, log);
+  const peers = new PeerTask(settings, state, publication, log);
+  publication.onUpdate(() => peers.gossip());
+  let currentSettings = settings;
   const countVms = () => countFleetVms(state, currentSettings.seeds.length, now());
   const context: GatewayContext = {
     state,
@@ -103,6 +108,7 @@
     metrics,
     probes,
     crashes,
+    limits,
     countFleetVms: countVms,
   };
   const callerServer = new CallerServer(context);
@@ -140,6 +146,7 @@
     dropStaleWork(state.scheduling, isRegistered, instant - PEER_LOAD_EXPIRY_MS, instant);
     removeExpiredCrashes(state.suspects, instant);
     removeExpiredTraces(state.suspects, instant);
+    removeRequestLimits(state.requestLimits, isRegistered);
   };
 
   const callers = splitAddress(settings.listen.callers);
--- a/packages/router/src/gateway/gatewayContext.ts
+++ b/packages/router/src/gateway/gatewayContext.ts
@@ -4,6 +4,7 @@
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { GatewayState } from './gatewayState.js';
+import type { LimitRecorder } from './limitRecorder.js';
 import type { ProbeTask } from './probeTask.js';
 
 /** State and services that the exchanges of a gateway share. */
@@ -15,6 +16,7 @@
   readonly metrics: GatewayMetrics;
   readonly probes: ProbeTask;
   readonly crashes: CrashRecorder;
+  readonly limits: LimitRecorder;
   /** Number of VMs that share the limits of the fleet. */
   readonly countFleetVms: () => number;
 }
--- a/packages/router/src/gateway/gatewayMetrics.ts
+++ b/packages/router/src/gateway/gatewayMetrics.ts
@@ -11,6 +11,7 @@
   readonly peers: () => number;
   readonly knownCrashes: () => number;
   readonly unreportedCrashes: () => number;
+  readonly limitedEndpoints: () => number;
 }
 
 /** Counters and latency histograms of one gateway. */
@@ -31,6 +32,12 @@
     registers: [this.#registry],
   });
 
+  readonly #limitedSends = new Counter({
+    name: `${METRIC_PREFIX}limited_sends_total`,
+    help: 'Requests and health checks sent to endpoints that have named a limit.',
+    registers: [this.#registry],
+  });
+
   readonly #firstAnswer = new Histogram({
     name: `${METRIC_PREFIX}first_answer_seconds`,
     help: 'From arrival to the answer, or to the first event of a stream.',
@@ -53,6 +60,14 @@
       'Known crashes beyond those that one message to peers holds.',
       () => gauges.unreportedCrashes(),
     );
+    this.#gauge('limited_endpoints', 'Endpoints that have named a limit on requests.', () =>
+      gauges.limitedEndpoints(),
+    );
+  }
+
+  /** Counts a request or health check that is sent to an endpoint with a limit. */
+  countLimitedSend(): void {
+    this.#limitedSends.inc();
   }
 
   /** Counts a completed request. */
--- a/packages/router/src/gateway/gatewayState.ts
+++ b/packages/router/src/gateway/gatewayState.ts
@@ -1,6 +1,7 @@
 import {
   createDirectoryState,
   createHealthState,
+  createRequestLimitState,
   createRetryBudget,
   createRoutingState,
   createSchedulingState,
@@ -8,6 +9,7 @@
   type DirectoryState,
   type HealthState,
   type Random,
+  type RequestLimitState,
   type RetryBudget,
   type RoutingState,
   type SchedulingState,
@@ -43,6 +45,7 @@
   readonly health: HealthState;
   readonly retryBudget: RetryBudget;
   readonly suspects: SuspectState;
+  readonly requestLimits: RequestLimitState;
   /** The other VMs of the fleet, by VM id. */
   readonly peers: Map<string, Peer>;
   /** The current configuration as published, for peers that cannot reach the store. */
@@ -70,6 +73,7 @@
     health: createHealthState(),
     retryBudget: createRetryBudget(bounds),
     suspects: createSuspectState(),
+    requestLimits: createRequestLimitState(settings.vm.id),
     peers: new Map(),
     configurationText: null,
     isLeaving: false,
--- a/packages/router/src/gateway/index.ts
+++ b/packages/router/src/gateway/index.ts
@@ -3,6 +3,7 @@
   AnswerMetadata,
   Dialect,
   ForwardedMetadata,
+  NamedLimit,
   RequestMetadata,
   ReportedLoad,
 } from './dialect.js';
--- a/packages/router/src/gateway/probeTask.ts
+++ b/packages/router/src/gateway/probeTask.ts
@@ -9,9 +9,10 @@
 import { now } from '../clock.js';
 import type { ConnectionTable } from './connectionTable.js';
 import type { CrashRecorder } from './crashRecorder.js';
-import type { Dialect } from './dialect.js';
+import type { AnswerMetadata, Dialect } from './dialect.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
+import type { LimitRecorder } from './limitRecorder.js';
 
 /** Time-out of a health check; a healthy endpoint answers within it even when its queue is full. */
 const PROBE_TIMEOUT_MS = 1000;
@@ -40,6 +41,8 @@
 
   readonly #crashes: CrashRecorder;
 
+  readonly #limits: LimitRecorder;
+
   readonly #log: GatewayLog;
 
   readonly #progress = new Map<string, ProbeProgress>();
@@ -49,12 +52,14 @@
     dialect: Dialect,
     connections: ConnectionTable,
     crashes: CrashRecorder,
+    limits: LimitRecorder,
     log: GatewayLog,
   ) {
     this.#state = state;
     this.#dialect = dialect;
     this.#connections = connections;
     this.#crashes = crashes;
+    this.#limits = limits;
     this.#log = log;
   }
 
@@ -108,14 +113,15 @@
     const path = routing.configuration?.services.get(endpoint.serviceId)?.healthPath ?? '/';
     const client = new Client(`http://${endpoint.address}`);
     const startedAt = now();
+    this.#limits.recordSend(endpoint.id);
     try {
       const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
       const options = { method: 'GET', path, signal, responseHeaders: 'raw' } as const;
       const { statusCode, headers, body } = await client.request(options);
       await body.dump();
       const rawHeaders = headers as unknown as readonly string[];
-      const { endpointId: answeringId } = this.#dialect.parseAnswer(statusCode, rawHeaders);
-      this.#recordAnswer(endpoint.id, answeringId, statusCode, startedAt);
+      const answer = this.#dialect.parseAnswer(statusCode, rawHeaders);
+      this.#recordAnswer(endpoint.id, answer, statusCode, startedAt);
     } catch (error) {
       this.#recordFailure(endpoint.id, startedAt, error);
     } finally {
@@ -136,15 +142,20 @@
 
   #recordAnswer(
     endpointId: string,
-    answeringId: string | null,
+    answer: AnswerMetadata,
     statusCode: number,
     startedAt: number,
   ): void {
     const { health, suspects } = this.#state;
+    const { endpointId: answeringId } = answer;
     const isReplaced = answeringId !== null && answeringId !== endpointId;
     recordProbeResult(health, endpointId, statusCode === OK_STATUS && !isReplaced, now());
     this.#log.change('endpoint_probed', { endpointId, statusCode, answeringId });
-    if (isReplaced) this.#crashes.recordEndpointEnd(endpointId, 'replaced');
-    else recordEndpointAlive(suspects, endpointId, startedAt);
+    if (isReplaced) {
+      this.#crashes.recordEndpointEnd(endpointId, 'replaced');
+      return;
+    }
+    recordEndpointAlive(suspects, endpointId, startedAt);
+    this.#limits.recordHealthAnswer({ endpointId, sentAt: startedAt }, answer);
   }
 }
--- a/packages/router/src/gateway/publicationTask.ts
+++ b/packages/router/src/gateway/publicationTask.ts
@@ -7,6 +7,7 @@
   configurationVersion,
   removeLapsed,
   resetEndpointHealth,
+  resetRequestLimit,
   resetEndpointWork,
   markStoreLost,
   advanceRevision,
@@ -268,6 +269,7 @@
     endpointIds.forEach((endpointId) => {
       resetEndpointWork(this.#state.scheduling, endpointId);
       resetEndpointHealth(this.#state.health, endpointId);
+      resetRequestLimit(this.#state.requestLimits, endpointId);
       this.#crashes.recordEndpointEnd(endpointId, 'restarted');
       this.#log.change('endpoint_restarted', { endpointId });
     });
