--- a/packages/router/__tests__/gateway/crashFleet.ts
+++ b/packages/router/__tests__/gateway/crashFleet.ts
@@ -2,7 +2,6 @@
 
 import { createRandom, randomInteger, type Configuration, type Random } from '@filbertlatch/core';
 
-import { createGateway, type Gateway } from '../../src/gateway/index.js';
 import { ChangingStore } from './changingStore.js';
 import {
   COUNTED_SEND,
@@ -12,7 +11,8 @@
 } from './crashingEndpoint.js';
 import { drawBetween, type CrashScenario } from './crashScenario.js';
 import { PeerNetwork } from './peerNetwork.js';
-import { call, createRoute, findFreeAddress, testDialect, waitUntil } from './fixtures.js';
+import { call, createRoute } from './fixtures.js';
+import { createVms, type RestartableVm } from './restartableVm.js';
 
 /** Time after the third crash from which the VMs must know of it. */
 const SETTLE_MS = 3000;
@@ -63,88 +63,6 @@
   };
 }
 
-/** A VM that can be restarted; a restarted one knows nothing. */
-class RestartableVm {
-  readonly #id: string;
-
-  readonly #listen: { callers: string; ready: string; control: string };
-
-  readonly #seeds: readonly string[];
-
-  readonly #store: ChangingStore;
-
-  #gateway: Gateway | null = null;
-
-  constructor(
-    id: string,
-    listen: { callers: string; ready: string; control: string },
-    seeds: readonly string[],
-    store: ChangingStore,
-  ) {
-    this.#id = id;
-    this.#listen = listen;
-    this.#seeds = seeds;
-    this.#store = store;
-  }
-
-  /** Time of the latest start. */
-  startedAt = 0;
-
-  /** Time at which it last rejoined its peers. */
-  disturbedAt = Number.NEGATIVE_INFINITY;
-
-  isCutOff = false;
-
-  get callers(): string {
-    return this.#listen.callers;
-  }
-
-  get control(): string {
-    return this.#listen.control;
-  }
-
-  async start(): Promise<void> {
-    const settings = {
-      vm: { id: this.#id, zone: 'zone-a' },
-      listen: this.#listen,
-      seeds: [...this.#seeds],
-      platform: { address: '127.0.0.1:1' },
-      graceSeconds: 3.5,
-      repeats: { ratio: 0.2, slack: 500, windowSeconds: 10 },
-      logLevel: 'error' as const,
-    };
-    this.startedAt = performance.now();
-    this.#gateway = await createGateway(settings, this.#store.createSource(), testDialect);
-    await waitUntil(async () => (await call(this.#listen.ready, '/')).status === 200);
-  }
-
-  async restart(): Promise<void> {
-    this.stop();
-    await sleep(100);
-    await this.start();
-  }
-
-  stop(): void {
-    this.#gateway?.stop();
-    this.#gateway = null;
-  }
-}
-
-async function createVms({ vms }: CrashScenario, store: ChangingStore): Promise<RestartableVm[]> {
-  const listens = await Promise.all(
-    Array.from({ length: vms }, async () => {
-      const [callers, ready, control] = await Promise.all([
-        findFreeAddress(),
-        findFreeAddress(),
-        findFreeAddress(),
-      ]);
-      return { callers, ready, control };
-    }),
-  );
-  const seeds = listens.slice(0, 3).map(({ control }) => control);
-  return listens.map((listen, index) => new RestartableVm(`vm-${index}`, listen, seeds, store));
-}
-
 /** Sends a request to a VM; returns the status of the answer, or null without one. */
 async function sendTo(
   vm: RestartableVm,
@@ -193,7 +111,7 @@
   async play(): Promise<CrashOutcome> {
     const { crashingRequests, bystanders, lengthMs } = this.#scenario;
     await Promise.all(this.#endpoints.map((endpoint) => endpoint.start()));
-    this.#vms = await createVms(this.#scenario, this.#store);
+    this.#vms = await createVms(this.#scenario.vms, this.#store);
     this.#network.start(this.#vms.map(({ control }) => control));
     await Promise.all(this.#vms.map((vm) => vm.start()));
     try {
