--- a/packages/router/src/gateway/limitRecorder.ts
+++ b/packages/router/src/gateway/limitRecorder.ts
@@ -18,6 +18,9 @@
 /** Status of an endpoint that is not the expected one. */
 const MISDIRECTED_STATUS = 421;
 
+/** Most characters of a malformed limit in the log. */
+const MAX_LOGGED_LENGTH = 64;
+
 /** Records the limits that endpoints name and what is sent to them, and logs changes. */
 export class LimitRecorder {
   readonly #state: GatewayState;
@@ -63,7 +66,8 @@
   #recordNamed(answered: AnsweredRequest, limit: NonNullable<AnswerMetadata['limit']>): void {
     const { endpointId } = answered;
     if (limit.kind === 'malformed') {
-      this.#log.decision('request_limit_unreadable', { endpointId, value: limit.text });
+      const value = limit.text.slice(0, MAX_LOGGED_LENGTH);
+      this.#log.decision('request_limit_unreadable', { endpointId, value });
       return;
     }
     const { requestLimits, vmId } = this.#state;
