Keep the arrivals expected of a large fleet up to date

In a fleet of hundreds a message reaches sixteen peers, so some peer is silent for five seconds nearly all the time, and the expected arrivals stayed at those of the first second. They are updated now while at most a third is silent. Updating credits is one command; refuseWhenLimited says when it refuses.

--- a/packages/core/src/requestLimits/commands.ts
+++ b/packages/core/src/requestLimits/commands.ts
@@ -1,6 +1,6 @@
 import { addToRate, createDecayingRate, hashText } from '../shared/index.js';
-import { currentCredits } from './credits.js';
 import { createRequestLimit, type RequestLimit, type RequestLimitState } from './state.js';
+import { updateCredits } from './updateCredits.js';
 
 /** Number of values that `hashText` can return. */
 const HASH_RANGE = 2 ** 32;
@@ -46,7 +46,7 @@
 }
 
 function changeLimit(limit: RequestLimit, { perSecond }: LimitStatement, now: number): void {
-  Object.assign(limit, currentCredits(limit, now), { creditedAt: now });
+  updateCredits(limit, now);
   limit.perSecond = perSecond;
   limit.changedAt = now;
 }
@@ -108,7 +108,7 @@
 export function recordLimitedSend(state: RequestLimitState, endpointId: string, now: number): void {
   const limit = state.limits.get(endpointId);
   if (limit === undefined || limit.perSecond === null) return;
-  Object.assign(limit, currentCredits(limit, now), { creditedAt: now });
+  updateCredits(limit, now);
   limit.shareCredit -= 1;
   limit.fleetCredit -= 1;
   limit.unreportedSends += 1;
--- a/packages/core/src/requestLimits/divideLimits.ts
+++ b/packages/core/src/requestLimits/divideLimits.ts
@@ -1,6 +1,7 @@
 import { ratePerMs } from '../shared/index.js';
-import { allowedPerSecond, currentCredits } from './credits.js';
+import { allowedPerSecond } from './credits.js';
 import type { PeerArrivals, RequestLimitState } from './state.js';
+import { updateCredits } from './updateCredits.js';
 
 const MS_PER_SECOND = 1000;
 
@@ -68,17 +69,21 @@
   return { own, heard, silent };
 }
 
+function areManySilent({ own, heard, silent }: FleetArrivals): boolean {
+  return silent > (own + heard + silent) * MAX_DROPPED_FRACTION;
+}
+
 function updateExpected(
   { expectedArrivals }: RequestLimitState,
   serviceId: string,
-  { own, heard, silent }: FleetArrivals,
+  arrivals: FleetArrivals,
   now: number,
 ): number {
-  const all = own + heard + silent;
+  const all = arrivals.own + arrivals.heard + arrivals.silent;
   const expected = expectedArrivals.get(serviceId) ?? { perSecond: all, updatedAt: now };
   const weight = 1 - Math.exp((expected.updatedAt - now) / EXPECTED_TIME_CONSTANT_MS);
   const decayed = expected.perSecond + weight * (all - expected.perSecond);
-  if (silent === 0) expected.perSecond = Math.max(all, decayed);
+  if (!areManySilent(arrivals)) expected.perSecond = Math.max(all, decayed);
   expected.updatedAt = now;
   expectedArrivals.set(serviceId, expected);
   return expected.perSecond;
@@ -89,9 +94,9 @@
  * others, those of a VM that is only cut off from its peers do not: what is missing of the expected
  * arrivals still reaches silent peers.
  */
-function countSilent({ own, heard, silent }: FleetArrivals, expected: number): number {
-  if (silent <= (own + heard + silent) * MAX_DROPPED_FRACTION) return 0;
-  return Math.min(silent, Math.max(0, expected - own - heard));
+function countSilent(arrivals: FleetArrivals, expected: number): number {
+  if (!areManySilent(arrivals)) return 0;
+  return Math.min(arrivals.silent, Math.max(0, expected - arrivals.own - arrivals.heard));
 }
 
 /** Updates this VM's fraction of the limits of a service's endpoints, in proportion to arrivals. */
@@ -122,7 +127,7 @@
     if (serviceId === undefined || limit.perSecond === null) return;
     const fraction = fractions.get(serviceId) ?? divideService(state, serviceId, minVms, now);
     fractions.set(serviceId, fraction);
-    Object.assign(limit, currentCredits(limit, now), { creditedAt: now });
+    updateCredits(limit, now);
     limit.sharePerSecond = allowedPerSecond(limit) * fraction;
   });
 }
--- a/packages/core/src/requestLimits/limitReports.ts
+++ b/packages/core/src/requestLimits/limitReports.ts
@@ -1,7 +1,7 @@
 import { applyLimitStatement } from './commands.js';
-import { currentCredits } from './credits.js';
 import { ownArrivals } from './divideLimits.js';
 import type { PeerArrivals, RequestLimitState } from './state.js';
+import { updateCredits } from './updateCredits.js';
 
 /** Most limits, and most endpoints with sends, in one message. */
 const MAX_REPORTED_LIMITS = 64;
@@ -127,7 +127,7 @@
   reports.forEach(({ endpointId, sends }) => {
     const limit = limits.get(endpointId);
     if (limit === undefined || limit.perSecond === null) return;
-    Object.assign(limit, currentCredits(limit, now), { creditedAt: now });
+    updateCredits(limit, now);
     limit.fleetCredit = Math.max(MIN_FLEET_CREDIT, limit.fleetCredit - sends);
   });
 }
--- a/packages/core/src/requestLimits/state.ts
+++ b/packages/core/src/requestLimits/state.ts
@@ -52,7 +52,7 @@
   readonly arrivals: Map<string, Map<number, DecayingRate>>;
   /** By VM id. */
   readonly peers: Map<string, PeerArrivals>;
-  /** By service id; from the times at which no peer was silent. */
+  /** By service id; from the times at which few peers were silent. */
   readonly expectedArrivals: Map<string, ExpectedArrivals>;
 }
 
--- a/packages/core/src/scheduling/placeJob.ts
+++ b/packages/core/src/scheduling/placeJob.ts
@@ -279,7 +279,7 @@
 }
 
 /** Refuses a request while the limits of all endpoints are used up; null while one is not. */
-function refuseLimited(
+function refuseWhenLimited(
   { endpoints, permits, random }: PlacementContext,
   job: Job,
 ): Placement | null {
@@ -298,7 +298,7 @@
     );
     return { kind: 'refuse', reason: 'no-endpoint', predictedMs: 0, retryAfterMs };
   }
-  const refusal = refuseLimited(context, job);
+  const refusal = refuseWhenLimited(context, job);
   if (refusal !== null) return refusal;
   if (job.size === null) return placePlain(context, job);
   return kindOfRoute(context.state, job) === 'prefill'
