Tell engines apart the routes of every account by priority

Cause: the rank of a request is its account's priority times ten plus its route's, and engines take 0 to 9. Ranks from 10 on, all those of accounts with priority 1 and more, went out as 9, so an engine could not know which of them is less urgent, and preempts the newest.

Why it works: the ranks that a configuration allows for requests to engines are numbered in order, so ten of them are told apart, and more keep their order.

--- a/packages/core/__tests__/gateway/routing.spec.ts
+++ b/packages/core/__tests__/gateway/routing.spec.ts
@@ -3,6 +3,7 @@
   chooseService,
   configurationVersion,
   createRoutingState,
+  enginePriorityOfRank,
   findAccountByKey,
   findRoute,
 } from '../../src/index.js';
@@ -83,3 +84,31 @@
     });
   });
 });
+
+describe('the priority that engines get for a rank', () => {
+  const prioritiesOf = (ranks: readonly number[]) => {
+    const state = { ...createRoutingState(), engineRanks: ranks };
+    return ranks.map((rank) => enginePriorityOfRank(state, rank));
+  };
+
+  it('tells up to ten ranks apart', (t) => {
+    t.deepEqual(prioritiesOf([0, 1, 10, 11, 12, 20]), [0, 1, 2, 3, 4, 5]);
+    t.is(new Set(prioritiesOf([0, 1, 2, 10, 11, 12, 20, 21, 22, 30])).size, 10);
+  });
+
+  it('keeps the order of more ranks, from 0 to 9', (t) => {
+    const sent = prioritiesOf(Array.from({ length: 37 }, (_, index) => index * 3));
+    t.deepEqual(
+      sent,
+      [...sent].sort((a, b) => a - b),
+    );
+    t.is(sent[0], 0);
+    t.is(sent.at(-1), 9);
+  });
+
+  it('keeps the order for a rank of an earlier configuration', (t) => {
+    const state = { ...createRoutingState(), engineRanks: [0, 10, 20] };
+    t.is(enginePriorityOfRank(state, 5), 1);
+    t.is(enginePriorityOfRank(state, 30), 3);
+  });
+});
--- a/packages/core/src/routing/commands.ts
+++ b/packages/core/src/routing/commands.ts
@@ -1,3 +1,4 @@
+import { listEngineRanks } from './ranks.js';
 import type { Configuration, Route, RoutingState } from './state.js';
 
 function indexRoutes(routes: readonly Route[]): Map<string, Map<string, Route>> {
@@ -16,5 +17,6 @@
   if (configuration.version <= (state.configuration?.version ?? -1)) return false;
   state.configuration = configuration;
   state.routes = indexRoutes(configuration.routes);
+  state.engineRanks = listEngineRanks(configuration);
   return true;
 }
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -6,6 +6,7 @@
   findRoute,
   isRepeatable,
 } from './queries.js';
+export { enginePriorityOfRank, listEngineRanks, rankOfRequest } from './ranks.js';
 export {
   createRoutingState,
   type CallerLimits,
--- a/packages/core/src/routing/state.ts
+++ b/packages/core/src/routing/state.ts
@@ -82,9 +82,11 @@
 export interface RoutingState {
   configuration: Configuration | null;
   routes: ReadonlyMap<string, ReadonlyMap<string, Route>>;
+  /** Ranks that requests to engines can have, most urgent first. */
+  engineRanks: readonly number[];
 }
 
 /** Creates the routing state of a VM that knows no configuration yet. */
 export function createRoutingState(): RoutingState {
-  return { configuration: null, routes: new Map() };
+  return { configuration: null, routes: new Map(), engineRanks: [] };
 }
--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -213,7 +213,10 @@
 }
 
 /** Starts a gateway on free loopback ports. */
-export async function startGateway(source: PublicationSource): Promise<TestGateway> {
+export async function startGateway(
+  source: PublicationSource,
+  dialect: Dialect = testDialect,
+): Promise<TestGateway> {
   const [callers, ready, control] = await Promise.all([
     findFreeAddress(),
     findFreeAddress(),
@@ -228,7 +231,7 @@
     repeats: { ratio: 0.2, slack: 50, windowSeconds: 10 },
     logLevel: 'error' as const,
   };
-  const gateway = await createGateway(settings, source, testDialect);
+  const gateway = await createGateway(settings, source, dialect);
   return { gateway, callers, ready, control };
 }
 
--- a/packages/router/src/gateway/admitRequest.ts
+++ b/packages/router/src/gateway/admitRequest.ts
@@ -5,6 +5,7 @@
   findAccountByKey,
   findRoute,
   isRepeatable,
+  rankOfRequest,
   recordArrival,
   recordServiceArrival,
   type Job,
@@ -58,9 +59,6 @@
 /** A caller with less than this fraction of the route's time-out left has probably tried before. */
 const RETRIED_TIME_FRACTION = 0.94;
 
-/** Factor of an account's priority, so that it takes precedence over every route priority. */
-const ROUTE_PRIORITY_LEVELS = 10;
-
 function reject(
   status: number,
   reason: string,
@@ -109,7 +107,7 @@
     id: requestId,
     routeId: route.id,
     serviceId: service.id,
-    priority: (account?.priority ?? 0) * ROUTE_PRIORITY_LEVELS + route.priority,
+    priority: rankOfRequest(account, route),
     size: service.engine === null ? null : metadata.size,
     kvTokens: service.engine?.kvTokens ?? null,
     tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -3,6 +3,7 @@
 import {
   createRequestPermits,
   creditRequest,
+  enginePriorityOfRank,
   listReadyEndpoints,
   listUsableEndpoints,
   placeJob,
@@ -40,9 +41,6 @@
 /** Retry delay told to a caller whose request was not run by any endpoint. */
 const FAILURE_RETRY_AFTER_MS = 250;
 
-/** Least urgent priority that an engine accepts; 0 is the most urgent. */
-const LOWEST_PRIORITY = 9;
-
 /** Status of a request that crashes endpoints; no promise that it has not run. */
 const REFUSED_STATUS = 500;
 
@@ -188,11 +186,12 @@
 
   #formatHeaders(endpoint: RegisteredEndpoint, remainingMs: number): string[] {
     const { accountId, job } = this.#admitted;
+    const { routing } = this.#context.state;
     return this.#context.dialect.formatRequest(dropHopByHopHeaders(this.#request.rawHeaders), {
       endpointId: endpoint.id,
       remainingMs,
       accountId,
-      priority: job.size === null ? null : Math.min(LOWEST_PRIORITY, job.priority),
+      priority: job.size === null ? null : enginePriorityOfRank(routing, job.priority),
       lastEventId: this.#eventSplitter?.lastEventId ?? null,
     });
   }
