--- a/packages/core/__tests__/gateway/limitFleet.ts
+++ b/packages/core/__tests__/gateway/limitFleet.ts
@@ -21,6 +21,12 @@
 const STEP_MS = 10;
 const GOSSIP_MS = 100;
 
+/** Interval between the windows in which arrivals are counted. */
+const WINDOW_STEP_MS = 50;
+
+/** Least number of VMs that each VM expects, as with three seeds. */
+const MIN_VMS = 3;
+
 /** Most peers that one gossip round reaches. */
 const FANOUT = 16;
 
@@ -112,92 +118,141 @@
   return Math.max(0, chosen);
 }
 
-interface Play {
-  readonly arrivals: readonly Arrival[];
-  /** What the endpoint named last at each step; null for no limit. */
-  readonly namedLimits: readonly (number | null)[];
+interface Answer {
+  readonly dueAt: number;
+  readonly sentAt: number;
+  readonly vm: number;
+  readonly limit: number | null;
+}
+
+function createVm(vm: number): Vm {
+  return { state: createRequestLimitState(`vm-${vm}`), toldAt: null };
 }
 
 /** Plays a fleet all of whose requests go to the endpoint when its limit permits it. */
-function playRequests(fleet: LimitedFleet): Play {
-  const random = createRandom(fleet.seed);
-  const createVm = (vm: number): Vm => ({
-    state: createRequestLimitState(`vm-${vm}`),
-    toldAt: null,
-  });
-  const vms = Array.from({ length: fleet.vms }, (_, vm) => createVm(vm));
-  const arrivals: Arrival[] = [];
-  const namedLimits: (number | null)[] = [];
-  const answers: { dueAt: number; sentAt: number; vm: number; limit: number | null }[] = [];
-  for (let at = 0; at < fleet.lengthMs; at += STEP_MS) {
-    const instant = at;
-    vms.forEach((_, vm) => {
-      if (fleet.restartsAt?.(vm, instant) === true) vms[vm] = createVm(vm);
+class LimitedFleetPlay {
+  readonly arrivals: Arrival[] = [];
+
+  /** What the endpoint named last at each step; null for no limit. */
+  readonly namedLimits: (number | null)[] = [];
+
+  readonly #fleet: LimitedFleet;
+
+  readonly #random: Random;
+
+  readonly #vms: Vm[];
+
+  readonly #answers: Answer[] = [];
+
+  constructor(fleet: LimitedFleet) {
+    this.#fleet = fleet;
+    this.#random = createRandom(fleet.seed);
+    this.#vms = Array.from({ length: fleet.vms }, (_, vm) => createVm(vm));
+  }
+
+  play(): void {
+    for (let at = 0; at < this.#fleet.lengthMs; at += STEP_MS) {
+      this.#restartVms(at);
+      this.#deliverAnswers(at);
+      if (at % GOSSIP_MS === 0) this.#gossip(at);
+      this.#sendRequests(at);
+    }
+  }
+
+  #restartVms(at: number): void {
+    this.#vms.forEach((_, vm) => {
+      if (this.#fleet.restartsAt?.(vm, at) === true) this.#vms[vm] = createVm(vm);
     });
-    while (answers[0] !== undefined && answers[0].dueAt <= at) {
-      const { sentAt, vm, limit } = answers.shift()!;
+  }
+
+  #deliverAnswers(at: number): void {
+    let named = this.namedLimits.at(-1) ?? null;
+    while (this.#answers[0] !== undefined && this.#answers[0].dueAt <= at) {
+      const { sentAt, vm, limit } = this.#answers.shift()!;
       const answered = { endpointId: ENDPOINT, sentAt };
-      const { state } = vms[vm]!;
+      const { state } = this.#vms[vm]!;
       if (limit === null) recordUnlimitedAnswer(state, answered, at);
       else recordNamedLimit(state, answered, limit, at);
-      if (limit !== null) vms[vm]!.toldAt ??= at;
-      namedLimits[at / STEP_MS] = limit;
-    }
-    namedLimits[at / STEP_MS] ??= namedLimits[at / STEP_MS - 1] ?? null;
-    if (at % GOSSIP_MS === 0) {
-      exchangeMessages(fleet, vms, at, random);
-      vms.forEach(({ state }) => divideRequestLimits(state, () => SERVICE, 3, instant));
-    }
-    const expected = (fleet.requestsPerSecond(at) * STEP_MS) / MS_PER_SECOND;
-    let requests = Math.floor(expected) + (random.next() < expected % 1 ? 1 : 0);
-    for (; requests > 0; requests -= 1) {
-      const vm = chooseVm(fleet, at, random);
-      const { state, toldAt } = vms[vm]!;
-      recordServiceArrival(state, SERVICE, 0, at);
-      const permits = createRequestPermits(state, { serviceId: SERVICE, priority: 0 }, at);
-      if (permits.isPermitted(ENDPOINT)) {
-        recordLimitedSend(state, ENDPOINT, at);
-        answers.push({ dueAt: at + ANSWER_MS, sentAt: at, vm, limit: fleet.limitAt(at) });
-        const isTold = toldAt !== null && at - toldAt >= TOLD_MS;
-        arrivals.push({ at, isCounted: isTold && fleet.isExcused?.(vm, at) !== true });
-      }
+      if (limit !== null) this.#vms[vm]!.toldAt ??= at;
+      named = limit;
     }
+    this.namedLimits.push(named);
+  }
+
+  #gossip(at: number): void {
+    exchangeMessages(this.#fleet, this.#vms, at, this.#random);
+    this.#vms.forEach(({ state }) => divideRequestLimits(state, () => SERVICE, MIN_VMS, at));
+  }
+
+  #sendRequests(at: number): void {
+    const expected = (this.#fleet.requestsPerSecond(at) * STEP_MS) / MS_PER_SECOND;
+    const hasOneMore = this.#random.next() < expected % 1;
+    const requests = Math.floor(expected) + (hasOneMore ? 1 : 0);
+    for (let sent = 0; sent < requests; sent += 1) this.#sendRequest(at);
+  }
+
+  #sendRequest(at: number): void {
+    const vm = chooseVm(this.#fleet, at, this.#random);
+    const { state, toldAt } = this.#vms[vm]!;
+    recordServiceArrival(state, SERVICE, 0, at);
+    const permits = createRequestPermits(state, { serviceId: SERVICE, priority: 0 }, at);
+    if (!permits.isPermitted(ENDPOINT)) return;
+    recordLimitedSend(state, ENDPOINT, at);
+    const limit = this.#fleet.limitAt(at);
+    this.#answers.push({ dueAt: at + ANSWER_MS, sentAt: at, vm, limit });
+    const isTold = toldAt !== null && at - toldAt >= TOLD_MS;
+    this.arrivals.push({ at, isCounted: isTold && this.#fleet.isExcused?.(vm, at) !== true });
   }
-  return { arrivals, namedLimits };
 }
 
-/** Plays a fleet and measures what reached its endpoint. */
-export function playLimitedFleet(fleet: LimitedFleet): LimitedFleetOutcome {
-  const { arrivals, namedLimits } = playRequests(fleet);
-  let beganAt = 0;
-  while (fleet.limitAt(beganAt) === null) beganAt += STEP_MS;
-  const lagged = (at: number) =>
-    Math.max(
-      ...[0, TOLD_MS / 2, TOLD_MS].map(
-        (lag) => fleet.limitAt(at - lag) ?? Number.POSITIVE_INFINITY,
-      ),
-    );
+/** Returns the limit that binds at a time: the highest that was named in the last half second. */
+function findBindingLimit({ limitAt }: LimitedFleet, at: number): number {
+  const lags = [0, TOLD_MS / 2, TOLD_MS];
+  return Math.max(...lags.map((lag) => limitAt(at - lag) ?? Number.POSITIVE_INFINITY));
+}
+
+function measureExcess(
+  fleet: LimitedFleet,
+  { arrivals }: LimitedFleetPlay,
+  settledAt: number,
+): number {
   let excess = Number.NEGATIVE_INFINITY;
-  for (let from = beganAt + SETTLE_MS; from + WINDOW_MS <= fleet.lengthMs; from += 50) {
-    const start = from;
-    const isIn = ({ at, isCounted }: Arrival) => isCounted && at >= start && at < start + WINDOW_MS;
-    const got = arrivals.filter(isIn).length;
+  for (let from = settledAt; from + WINDOW_MS <= fleet.lengthMs; from += WINDOW_STEP_MS) {
+    const isIn = ({ at, isCounted }: Arrival) => isCounted && at >= from && at < from + WINDOW_MS;
     let allowed = LIMIT_SLACK;
-    for (let at = from; at < from + WINDOW_MS; at += 50) {
-      allowed += (LIMIT_FACTOR * lagged(at) * 50) / MS_PER_SECOND;
+    for (let at = from; at < from + WINDOW_MS; at += WINDOW_STEP_MS) {
+      const limit = findBindingLimit(fleet, at);
+      allowed += (LIMIT_FACTOR * limit * WINDOW_STEP_MS) / MS_PER_SECOND;
     }
-    excess = Math.max(excess, got - allowed);
+    excess = Math.max(excess, arrivals.filter(isIn).length - allowed);
   }
+  return excess;
+}
+
+function measureUse(
+  { limitAt, lengthMs }: LimitedFleet,
+  { arrivals, namedLimits }: LimitedFleetPlay,
+  settledAt: number,
+): number {
   let allowed = 0;
-  for (let at = beganAt + SETTLE_MS; at < fleet.lengthMs; at += STEP_MS) {
-    const named = Math.min(
-      fleet.limitAt(at) ?? Number.POSITIVE_INFINITY,
-      namedLimits[at / STEP_MS] ?? Number.POSITIVE_INFINITY,
-    );
+  for (let at = settledAt; at < lengthMs; at += STEP_MS) {
+    const limits = [limitAt(at), namedLimits[at / STEP_MS] ?? null];
+    const named = Math.min(...limits.map((limit) => limit ?? Number.POSITIVE_INFINITY));
     if (Number.isFinite(named)) allowed += (named * STEP_MS) / MS_PER_SECOND;
   }
-  const used = arrivals.filter(
-    ({ at }) => at >= beganAt + SETTLE_MS && fleet.limitAt(at) !== null,
-  ).length;
-  return { excess, use: allowed === 0 ? 1 : used / allowed };
+  const used = arrivals.filter(({ at }) => at >= settledAt && limitAt(at) !== null).length;
+  return allowed === 0 ? 1 : used / allowed;
+}
+
+/** Plays a fleet and measures what reached its endpoint. */
+export function playLimitedFleet(fleet: LimitedFleet): LimitedFleetOutcome {
+  const play = new LimitedFleetPlay(fleet);
+  play.play();
+  let beganAt = 0;
+  while (fleet.limitAt(beganAt) === null) beganAt += STEP_MS;
+  const settledAt = beganAt + SETTLE_MS;
+  return {
+    excess: measureExcess(fleet, play, settledAt),
+    use: measureUse(fleet, play, settledAt),
+  };
 }
