--- a/packages/router/__tests__/gateway/limitFleet.ts
+++ b/packages/router/__tests__/gateway/limitFleet.ts
@@ -5,6 +5,7 @@
 import { ChangingStore } from './changingStore.js';
 import { call, createRoute } from './fixtures.js';
 import { LimitedEndpoint, UNKNOWN_VM, type Arrival } from './limitedEndpoint.js';
+import { measureExcess, measureUse, type Span } from './limitMeasures.js';
 import type { LimitScenario } from './limitScenario.js';
 import { PeerNetwork } from './peerNetwork.js';
 import { createVms, type RestartableVm } from './restartableVm.js';
@@ -12,18 +13,9 @@
 /** Time after an endpoint first named a limit from which the limit is kept. */
 const SETTLE_MS = 3000;
 
-/** Window in which arrivals are counted. */
-const WINDOW_MS = 4000;
-
-/** Arrivals allowed in a window: so many times what the limit allows, and some more. */
-const LIMIT_FACTOR = 1.5;
-const LIMIT_SLACK = 5;
-
 /** Time after which a VM that was told must keep the limit. */
 const TOLD_MS = 500;
 
-const STEP_MS = 50;
-
 const DISTURBANCE_INTERVAL_MS = 4000;
 
 const MS_PER_SECOND = 1000;
@@ -45,10 +37,8 @@
   readonly served: number;
 }
 
-interface Span {
+interface ExcusedSpan extends Span {
   readonly vmId: string;
-  readonly from: number;
-  until: number;
 }
 
 const configuration: Configuration = {
@@ -75,15 +65,6 @@
   accounts: new Map([['right-key', { id: 'station', priority: 0 }]]),
 };
 
-/** Returns the limit that binds at a time: the highest that was named in the last half second. */
-function findBindingLimit(endpoint: LimitedEndpoint, at: number): number {
-  const limits: number[] = [];
-  for (let told = at - TOLD_MS; told <= at; told += STEP_MS) {
-    limits.push(endpoint.limitAt(told) ?? Number.POSITIVE_INFINITY);
-  }
-  return Math.max(...limits);
-}
-
 /** Plays a scenario with gateways, endpoints and callers on loopback. */
 class LimitFleet {
   readonly #scenario: LimitScenario;
@@ -97,7 +78,7 @@
   readonly #network: PeerNetwork;
 
   /** Times in which a VM is excused: restarts and cuts, and some seconds after them. */
-  readonly #excused: Span[] = [];
+  readonly #excused: ExcusedSpan[] = [];
 
   readonly #refusedIds = new Set<string>();
 
@@ -237,44 +218,14 @@
     return toldAt !== null && at - toldAt >= TOLD_MS && !this.#isExcused(arrival);
   }
 
-  #measureExcess(endpoint: LimitedEndpoint, beganAt: number, endedAt: number): number {
-    const counted = endpoint.arrivals.filter((arrival) => this.#isCounted(arrival));
-    const [first] = this.#scenario.limits;
-    let excess = Number.NEGATIVE_INFINITY;
-    const settledAt = beganAt + first!.atMs + SETTLE_MS;
-    for (let from = settledAt; from + WINDOW_MS <= endedAt; from += STEP_MS) {
-      const arrivals = counted.filter(({ at }) => at >= from && at < from + WINDOW_MS).length;
-      let allowed = LIMIT_SLACK;
-      for (let at = from; at < from + WINDOW_MS; at += STEP_MS) {
-        allowed += LIMIT_FACTOR * findBindingLimit(endpoint, at) * (STEP_MS / MS_PER_SECOND);
-      }
-      excess = Math.max(excess, arrivals - allowed);
-    }
-    return excess;
-  }
-
-  /** Arrivals from the time at which the limit binds, divided by what the limit allows. */
-  #measureUse(endpoint: LimitedEndpoint, beganAt: number, endedAt: number): number {
-    let allowed = 0;
-    let arrivals = 0;
-    const from = beganAt + this.#scenario.limits[0]!.atMs + SETTLE_MS;
-    for (let at = from; at < endedAt; at += STEP_MS) {
-      const limit = endpoint.limitAt(at);
-      if (limit !== null) {
-        allowed += limit * (STEP_MS / MS_PER_SECOND);
-        const isIn = (arrival: Arrival) => arrival.at >= at && arrival.at < at + STEP_MS;
-        arrivals += endpoint.arrivals.filter(isIn).length;
-      }
-    }
-    return allowed === 0 ? 1 : arrivals / allowed;
-  }
-
   #createOutcome(beganAt: number, endedAt: number): LimitOutcome {
     const limited = this.#endpoints.slice(0, this.#scenario.limited);
+    const span = { from: beganAt + this.#scenario.limits[0]!.atMs + SETTLE_MS, until: endedAt };
+    const isCounted = (arrival: Arrival) => this.#isCounted(arrival);
     const hasRun = (id: string) => this.#endpoints.some(({ ranIds }) => ranIds.has(id));
     return {
-      excess: Math.max(...limited.map((e) => this.#measureExcess(e, beganAt, endedAt))),
-      use: Math.min(...limited.map((e) => this.#measureUse(e, beganAt, endedAt))),
+      excess: Math.max(...limited.map((endpoint) => measureExcess(endpoint, isCounted, span))),
+      use: Math.min(...limited.map((endpoint) => measureUse(endpoint, span))),
       untrueRefusals: [...this.#refusedIds].filter(hasRun).length,
       slowestRefusalMs: this.#slowestRefusalMs,
       refused: this.#refusedIds.size,
