Give each process of gateway specs a block of ports of its own

Fix: a process listens on the first port of a block of 1,000 to its end, and takes ports from that block only.

--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -178,28 +178,56 @@
  * that is free for a moment.
  */
 const FIRST_PORT = 20_000;
-const PORT_COUNT = 12_000;
 
-let nextPort = Math.floor(Math.random() * PORT_COUNT);
+/** Ports of one process; another process could take a port whose server is down for a moment. */
+const PORTS_PER_BLOCK = 1000;
+const BLOCK_COUNT = 12;
 
-async function isFree(port: number): Promise<boolean> {
+/** Listens on a port; null when it is in use. */
+async function listenOnPort(port: number): Promise<Server | null> {
   const server = createServer();
   server.listen(port, '127.0.0.1');
   try {
     await once(server, 'listening');
+    return server;
   } catch {
-    return false;
+    return null;
+  }
+}
+
+/** Takes a block of ports until the end of the process, by listening on its first port. */
+async function takePortBlock(): Promise<number> {
+  const firstBlock = Math.floor(Math.random() * BLOCK_COUNT);
+  for (let step = 0; step < BLOCK_COUNT; step += 1) {
+    const block = (firstBlock + step) % BLOCK_COUNT;
+    const guard = await listenOnPort(FIRST_PORT + block * PORTS_PER_BLOCK);
+    if (guard !== null) {
+      guard.unref();
+      return FIRST_PORT + block * PORTS_PER_BLOCK;
+    }
   }
+  throw new Error('no block of ports is free');
+}
+
+let portBlock: Promise<number> | null = null;
+
+let portsTaken = 0;
+
+async function isFree(port: number): Promise<boolean> {
+  const server = await listenOnPort(port);
+  if (server === null) return false;
   server.close();
   await once(server, 'close');
   return true;
 }
 
-/** Returns a loopback address that no other test of this process gets and that is free now. */
+/** Returns a loopback address that no other test gets soon and that is free now. */
 export async function findFreeAddress(): Promise<string> {
+  portBlock ??= takePortBlock();
+  const firstPort = await portBlock;
   for (;;) {
-    nextPort = (nextPort + 1) % PORT_COUNT;
-    const port = FIRST_PORT + nextPort;
+    portsTaken += 1;
+    const port = firstPort + 1 + (portsTaken % (PORTS_PER_BLOCK - 1));
     if (await isFree(port)) return `127.0.0.1:${port}`;
   }
 }
