Show which segments of prompts were in flight at crashes, and what speaks for them

Each VM now records the crashes of endpoints against the shared segments of the requests that they had not begun to answer, and the answers on each. crash_recorded and request_ended name them with the crashes since the latest answer, how many the VM saw itself and the age of that answer; /state lists the segments with two crashes or more, /metrics counts them. 2,000 segments with crashes and 4,096 with answers at most, 8 in a line. Nothing is refused for it yet and nothing told to peers.

--- a/packages/core/__tests__/lostAttempts.spec.ts
+++ b/packages/core/__tests__/lostAttempts.spec.ts
@@ -17,7 +17,14 @@
 const FINGERPRINT = 'f';
 
 function lose(state: SuspectState, startedAt: number, at: number, isPresumedCrash = false) {
-  const attempt = { fingerprint: FINGERPRINT, startedAt, at, isPresumedCrash };
+  const attempt = {
+    fingerprint: FINGERPRINT,
+    startedAt,
+    at,
+    isPresumedCrash,
+    segmentIds: [],
+    serviceId: 'desk',
+  };
   return recordLostAttempt(state, 'e1', attempt);
 }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,6 +12,7 @@
 export * from './retries/index.js';
 export * from './routing/index.js';
 export * from './scheduling/index.js';
+export * from './segmentSuspects/index.js';
 export * from './shared/index.js';
 export * from './suspects/index.js';
 export * from './table/index.js';
--- a/packages/core/src/scheduling/index.ts
+++ b/packages/core/src/scheduling/index.ts
@@ -12,6 +12,7 @@
   type PlannedWork,
   type SentWork,
 } from './commands.js';
+export { sharedSegments } from './costs.js';
 export { divideEngines, type EngineDivision } from './divideEngines.js';
 export type { GenerationSize, Job, PromptSegment } from './job.js';
 export { ownPaceSums, meanFirstEventPace, meanStepPace } from './pace.js';
--- a/packages/core/src/suspects/index.ts
+++ b/packages/core/src/suspects/index.ts
@@ -13,6 +13,7 @@
   recordEndpointEnd,
   recordLostAttempt,
   removeExpiredTraces,
+  type EndedAttempt,
 } from './lostAttempts.js';
 export {
   MAX_REPORTED_CRASHES,
--- a/packages/core/src/suspects/lostAttempts.ts
+++ b/packages/core/src/suspects/lostAttempts.ts
@@ -23,11 +23,17 @@
   return trace;
 }
 
+/** A crash of an endpoint, with what else is known of the attempt that it ended. */
+export interface EndedAttempt extends CrashReport {
+  readonly segmentIds: readonly string[];
+  readonly serviceId: string;
+}
+
 function createReport(
   endpointId: string,
-  { fingerprint, startedAt, at }: LostAttempt,
-): CrashReport {
-  return { fingerprint, endpointId, startedAt, at, isAlone: false };
+  { fingerprint, startedAt, at, segmentIds, serviceId }: LostAttempt,
+): EndedAttempt {
+  return { fingerprint, endpointId, startedAt, at, segmentIds, serviceId, isAlone: false };
 }
 
 /**
@@ -38,7 +44,7 @@
   state: SuspectState,
   endpointId: string,
   attempt: LostAttempt,
-): CrashReport | null {
+): EndedAttempt | null {
   const { lostAttempts, endedAt } = getOrCreateTrace(state, endpointId);
   if (endedAt !== null && endedAt >= attempt.startedAt) {
     const report = createReport(endpointId, attempt);
@@ -58,7 +64,7 @@
   state: SuspectState,
   endpointId: string,
   now: number,
-): CrashReport[] {
+): EndedAttempt[] {
   const trace = getOrCreateTrace(state, endpointId);
   trace.endedAt = now;
   const reports = trace.lostAttempts
--- a/packages/core/src/suspects/state.ts
+++ b/packages/core/src/suspects/state.ts
@@ -31,6 +31,9 @@
   readonly at: number;
   /** True when its connection broke and no health check has succeeded since. */
   isPresumedCrash: boolean;
+  /** Shared segments of the prompt; empty when the endpoint had begun to answer and lived on. */
+  readonly segmentIds: readonly string[];
+  readonly serviceId: string;
 }
 
 /** What points to a crash of one endpoint. */
--- a/packages/router/__tests__/gateway/limitRecorder.spec.ts
+++ b/packages/router/__tests__/gateway/limitRecorder.spec.ts
@@ -28,6 +28,9 @@
     knownCrashes: zero,
     unreportedCrashes: zero,
     limitedEndpoints: zero,
+    recordedSegments: zero,
+    suspectedSegments: zero,
+    refusedSegments: zero,
   });
   const lines: string[] = [];
   const logger = { info: (event: string) => lines.push(event) } as unknown as Logger;
--- a/packages/router/src/gateway/crashGuard.ts
+++ b/packages/router/src/gateway/crashGuard.ts
@@ -4,11 +4,16 @@
   classifyRequest,
   clearCrashes,
   countCrashes,
+  describeSegment,
   digestText,
   hasRecordedCrashes,
+  hasSegmentEvidence,
+  recordSegmentAnswer,
+  sharedSegments,
 } from '@filbertlatch/core';
 
 import { now } from '../clock.js';
+import type { AdmittedRequest } from './admitRequest.js';
 import type { EndpointAttempt } from './endpointAttempt.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { LogFields } from './gatewayLog.js';
@@ -16,12 +21,20 @@
 /** Time without any byte of an answer after which an attempt that its caller left is looked into. */
 const MIN_SILENCE_MS = 1000;
 
+/** Most segments named in a line of the log. */
+const MAX_LOGGED_SEGMENTS = 8;
+
 /** Connects one request with the crashes of the endpoints that ran it. */
 export class CrashGuard {
   readonly #context: GatewayContext;
 
   readonly #accountId: string | null;
 
+  readonly #serviceId: string;
+
+  /** Shared segments of the prompt; empty for a request to a plain service. */
+  readonly #segmentIds: readonly string[];
+
   readonly #request: IncomingMessage;
 
   readonly #body: Buffer | null;
@@ -30,12 +43,14 @@
 
   constructor(
     context: GatewayContext,
-    accountId: string | null,
+    { accountId, job }: AdmittedRequest,
     request: IncomingMessage,
     body: Buffer | null,
   ) {
     this.#context = context;
     this.#accountId = accountId;
+    this.#serviceId = job.serviceId;
+    this.#segmentIds = job.size === null ? [] : sharedSegments(job.size).map(({ id }) => id);
     this.#request = request;
     this.#body = body;
   }
@@ -67,8 +82,15 @@
     if (isSilent) this.#context.probes.probe(attempt.endpoint.id);
   }
 
+  /** Records that the endpoint has lived on after it began to answer. */
+  recordAnswer(): void {
+    const { segmentSuspects } = this.#context.state;
+    recordSegmentAnswer(segmentSuspects, this.#serviceId, this.#segmentIds, now());
+  }
+
   /** Removes the request's crashes after a complete answer: another request caused them. */
   clear(): void {
+    this.recordAnswer();
     const { suspects } = this.#context.state;
     const mayHaveLostAttempts = this.#fingerprint !== null;
     if (!mayHaveLostAttempts && !hasRecordedCrashes(suspects)) return;
@@ -78,18 +100,32 @@
   /** Returns what this VM knows of the request's crashes, for the log; empty without any. */
   describe(): LogFields {
     const { suspects } = this.#context.state;
-    if (!hasRecordedCrashes(suspects)) return {};
+    const segments = this.#describeSegments();
+    if (!hasRecordedCrashes(suspects)) return segments;
     const fingerprint = this.#computeFingerprint();
     const { crashes, endpoints } = countCrashes(suspects, fingerprint, now());
-    return crashes === 0 ? {} : { fingerprint, crashes, crashedEndpoints: endpoints };
+    if (crashes === 0) return segments;
+    return { ...segments, fingerprint, crashes, crashedEndpoints: endpoints };
+  }
+
+  #describeSegments(): LogFields {
+    const { segmentSuspects } = this.#context.state;
+    if (!hasSegmentEvidence(segmentSuspects, this.#segmentIds)) return {};
+    const segments = this.#segmentIds
+      .filter((id) => hasSegmentEvidence(segmentSuspects, [id]))
+      .slice(0, MAX_LOGGED_SEGMENTS)
+      .map((id) => describeSegment(segmentSuspects, this.#serviceId, id, now()));
+    return { segments };
   }
 
-  #recordLost({ endpoint, sentAt }: EndpointAttempt, isBroken: boolean): void {
-    this.#context.crashes.recordLostAttempt(endpoint.id, {
+  #recordLost(attempt: EndpointAttempt, isBroken: boolean): void {
+    this.#context.crashes.recordLostAttempt(attempt.endpoint.id, {
       fingerprint: this.#computeFingerprint(),
-      startedAt: sentAt,
+      startedAt: attempt.sentAt,
       at: now(),
       isPresumedCrash: isBroken,
+      segmentIds: attempt.hasLivedOn ? [] : this.#segmentIds,
+      serviceId: this.#serviceId,
     });
   }
 
--- a/packages/router/src/gateway/crashRecorder.ts
+++ b/packages/router/src/gateway/crashRecorder.ts
@@ -1,8 +1,10 @@
 import {
   countCrashes,
+  describeSegment,
   recordEndpointEnd,
   recordLostAttempt,
-  type CrashReport,
+  recordSegmentCrash,
+  type EndedAttempt,
   type LostAttempt,
 } from '@filbertlatch/core';
 
@@ -10,6 +12,9 @@
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
 
+/** Most segments named in a line of the log. */
+const MAX_LOGGED_SEGMENTS = 8;
+
 /** Records which requests ran on endpoints that ended, and logs it. */
 export class CrashRecorder {
   readonly #state: GatewayState;
@@ -24,20 +29,28 @@
   /** Records an attempt that ended without a complete answer. */
   recordLostAttempt(endpointId: string, attempt: LostAttempt): void {
     const { fingerprint, isPresumedCrash } = attempt;
-    this.#log.decision('attempt_lost', { fingerprint, endpointId, isBroken: isPresumedCrash });
+    const segments = attempt.segmentIds.slice(0, MAX_LOGGED_SEGMENTS);
+    const fields = { fingerprint, endpointId, isBroken: isPresumedCrash, segments };
+    this.#log.decision('attempt_lost', fields);
     const crash = recordLostAttempt(this.#state.suspects, endpointId, attempt);
-    if (crash !== null) this.#logCrash(crash, 'found_before');
+    if (crash !== null) this.#recordCrash(crash, 'found_before');
   }
 
   /** Records that an endpoint has ended; `sign` is what showed it, for the log. */
   recordEndpointEnd(endpointId: string, sign: string): void {
     recordEndpointEnd(this.#state.suspects, endpointId, now()).forEach((crash) => {
-      this.#logCrash(crash, sign);
+      this.#recordCrash(crash, sign);
     });
   }
 
-  #logCrash({ fingerprint, endpointId }: CrashReport, sign: string): void {
-    const known = countCrashes(this.#state.suspects, fingerprint, now());
-    this.#log.decision('crash_recorded', { fingerprint, endpointId, sign, ...known });
+  #recordCrash({ fingerprint, segmentIds, ...crash }: EndedAttempt, sign: string): void {
+    const { endpointId, serviceId, startedAt, at } = crash;
+    const { suspects, segmentSuspects } = this.#state;
+    recordSegmentCrash(segmentSuspects, segmentIds, { endpointId, serviceId, startedAt, at });
+    const segments = segmentIds
+      .slice(0, MAX_LOGGED_SEGMENTS)
+      .map((segmentId) => describeSegment(segmentSuspects, serviceId, segmentId, now()));
+    const known = countCrashes(suspects, fingerprint, now());
+    this.#log.decision('crash_recorded', { fingerprint, endpointId, sign, ...known, segments });
   }
 }
--- a/packages/router/src/gateway/dumpGateway.ts
+++ b/packages/router/src/gateway/dumpGateway.ts
@@ -1,6 +1,7 @@
 import {
   configurationVersion,
   describeRequestLimit,
+  describeSegments,
   kindOfRoute,
   getHealthPhase,
   totalDemand,
@@ -42,6 +43,7 @@
       load: totalLoad(scheduling, endpoint.id, now),
       own: scheduling.work.get(endpoint.id) ?? null,
     })),
+    segmentSuspects: describeSegments(state.segmentSuspects, now),
     peers: [...peers].map(([id, peer]) => ({ id, ...peer, ageMs: Math.round(now - peer.heardAt) })),
   };
 }
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -28,6 +28,9 @@
 const FIRST_REDIRECT_STATUS = 300;
 const FIRST_SERVER_ERROR_STATUS = 500;
 
+/** An endpoint that still answers this long after the first bytes of a stream lives on. */
+const LIVED_ON_MS = 500;
+
 /** Endpoint of an attempt and its expected cost. */
 export interface AttemptPlan {
   readonly endpoint: RegisteredEndpoint;
@@ -43,10 +46,12 @@
   readonly headers: readonly string[];
 }
 
-/** Receives the events of an attempt; each event except `streamed` is the last one. */
+/** Receives the events of an attempt; each event but `streamed` and `livedOn` is the last one. */
 export interface AttemptObserver {
   /** Receives bytes of a stream; returns false to pause until `EndpointAttempt.resume`. */
   streamed(head: RawAnswerHead, bytes: Buffer): boolean;
+  /** The endpoint still sends the stream some time after it began: it has not crashed. */
+  livedOn(): void;
   /** The stream ended without an error; its last event may be incomplete. */
   streamEnded(head: RawAnswerHead): void;
   /** A complete answer that is not a stream arrived. */
@@ -95,6 +100,11 @@
 
   #isSettled = false;
 
+  /** Time of the first bytes of a stream; epoch milliseconds. */
+  #streamingSince: number | null = null;
+
+  #hasLivedOn = false;
+
   constructor(
     context: GatewayContext,
     admitted: AdmittedRequest,
@@ -136,6 +146,11 @@
     return this.#metadata !== null;
   }
 
+  /** True when the endpoint has lived on after it began to answer. */
+  get hasLivedOn(): boolean {
+    return this.#hasLivedOn;
+  }
+
   /** Sends the request. */
   send(outgoing: OutgoingRequest): void {
     this.#request.start(outgoing);
@@ -197,6 +212,12 @@
   }
 
   #markStreaming(): void {
+    const instant = now();
+    this.#streamingSince ??= instant;
+    if (!this.#hasLivedOn && instant - this.#streamingSince >= LIVED_ON_MS) {
+      this.#hasLivedOn = true;
+      this.#observer.livedOn();
+    }
     if (this.#work.phase !== 'waiting') return;
     recordFirstEvent(this.#context.state.scheduling, this.#work, now());
   }
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -112,7 +112,7 @@
     this.#response = response;
     this.#body = body;
     this.#arrivedAt = arrivedAt;
-    this.#crashGuard = new CrashGuard(context, admitted.accountId, request, body);
+    this.#crashGuard = new CrashGuard(context, admitted, request, body);
     const { repetition, isResumable } = admitted.route;
     this.#eventSplitter = repetition === 'streaming' && isResumable ? new EventSplitter() : null;
   }
@@ -167,6 +167,7 @@
   #startAttempt(plan: AttemptPlan, remainingMs: number): void {
     const attempt = new EndpointAttempt(this.#context, this.#admitted, plan, {
       streamed: (head, bytes) => this.#forwardChunk(head, bytes),
+      livedOn: () => this.#crashGuard.recordAnswer(),
       streamEnded: (head) => this.#completeStream(head),
       answered: (head, body) => this.#completeAnswer(head, body),
       notRun: () => this.#handleNotRun(),
@@ -224,10 +225,10 @@
 
   #forwardChunk(head: RawAnswerHead, chunk: Buffer): boolean {
     const bytes = this.#eventSplitter === null ? chunk : this.#eventSplitter.push(chunk);
+    const attempt = this.#attempt!;
     if (bytes.length === 0) return true;
     this.#recordFirstAnswer();
     this.#recordPause();
-    const attempt = this.#attempt!;
     if (this.#eventSplitter !== null) this.#restartStuckTimer(attempt);
     this.#beginStream(head);
     if (this.#response.write(bytes)) return true;
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -5,9 +5,11 @@
   configurationVersion,
   countKnownCrashes,
   countLimitedEndpoints,
+  countSegments,
   createRandom,
   MAX_REPORTED_CRASHES,
   removeExpiredCrashes,
+  removeExpiredSegments,
   removeExpiredTraces,
   divideRequestLimits,
   removeStaleLimits,
@@ -93,6 +95,9 @@
     knownCrashes: () => countKnownCrashes(state.suspects),
     unreportedCrashes: () => Math.max(0, countKnownCrashes(state.suspects) - MAX_REPORTED_CRASHES),
     limitedEndpoints: () => countLimitedEndpoints(state.requestLimits),
+    recordedSegments: () => countSegments(state.segmentSuspects, now()).recorded,
+    suspectedSegments: () => countSegments(state.segmentSuspects, now()).suspected,
+    refusedSegments: () => countSegments(state.segmentSuspects, now()).refused,
   });
   const limits = new LimitRecorder(state, metrics, log);
   const probes = new ProbeTask(state, dialect, connections, crashes, limits, log);
@@ -149,6 +154,7 @@
     dropStaleWork(state.scheduling, isRegistered, instant - PEER_LOAD_EXPIRY_MS, instant);
     removeExpiredCrashes(state.suspects, instant);
     removeExpiredTraces(state.suspects, instant);
+    removeExpiredSegments(state.segmentSuspects, instant);
     removeStaleLimits(state.requestLimits, isRegistered, instant);
   };
 
--- a/packages/router/src/gateway/gatewayMetrics.ts
+++ b/packages/router/src/gateway/gatewayMetrics.ts
@@ -12,6 +12,9 @@
   readonly knownCrashes: () => number;
   readonly unreportedCrashes: () => number;
   readonly limitedEndpoints: () => number;
+  readonly recordedSegments: () => number;
+  readonly suspectedSegments: () => number;
+  readonly refusedSegments: () => number;
 }
 
 /** Counters and latency histograms of one gateway. */
@@ -63,6 +66,15 @@
     this.#gauge('limited_endpoints', 'Endpoints that have named a limit on requests.', () =>
       gauges.limitedEndpoints(),
     );
+    this.#gauge('recorded_segments', 'Prompt segments that crashes are recorded against.', () =>
+      gauges.recordedSegments(),
+    );
+    this.#gauge('suspected_segments', 'Prompt segments with two recorded crashes or more.', () =>
+      gauges.suspectedSegments(),
+    );
+    this.#gauge('refused_segments', 'Prompt segments that are refused after a failed trial.', () =>
+      gauges.refusedSegments(),
+    );
   }
 
   /** Counts a request or health check that is sent to an endpoint with a limit. */
--- a/packages/router/src/gateway/gatewayState.ts
+++ b/packages/router/src/gateway/gatewayState.ts
@@ -5,6 +5,7 @@
   createRetryBudget,
   createRoutingState,
   createSchedulingState,
+  createSegmentSuspectState,
   createSuspectState,
   type DirectoryState,
   type HealthState,
@@ -13,6 +14,7 @@
   type RetryBudget,
   type RoutingState,
   type SchedulingState,
+  type SegmentSuspectState,
   type SuspectState,
 } from '@filbertlatch/core';
 
@@ -45,6 +47,7 @@
   readonly health: HealthState;
   readonly retryBudget: RetryBudget;
   readonly suspects: SuspectState;
+  readonly segmentSuspects: SegmentSuspectState;
   readonly requestLimits: RequestLimitState;
   /** The other VMs of the fleet, by VM id. */
   readonly peers: Map<string, Peer>;
@@ -73,6 +76,7 @@
     health: createHealthState(),
     retryBudget: createRetryBudget(bounds),
     suspects: createSuspectState(),
+    segmentSuspects: createSegmentSuspectState(),
     requestLimits: createRequestLimitState(settings.vm.id),
     peers: new Map(),
     configurationText: null,
