--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -8,7 +8,7 @@
 } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
-import type { Configuration, RegisteredEndpoint, Route } from '@filbertlatch/core';
+import type { Configuration, GenerationSize, RegisteredEndpoint, Route } from '@filbertlatch/core';
 
 import {
   createGateway,
@@ -21,19 +21,30 @@
   type PublicationBatch,
 } from '../../src/gateway/index.js';
 
+const TOKENS_PER_SEGMENT = 200;
+const OUTPUT_TOKENS = 30;
+
 function parseTestLimit(text: string | null): NamedLimit | null {
   if (text === null) return null;
   const perSecond = Number(text);
   return Number.isNaN(perSecond) ? { kind: 'malformed', text } : { kind: 'limit', perSecond };
 }
 
+/** Reads a prompt of segments with as many tokens each; null without segments. */
+function parseTestSize(text: string | undefined): GenerationSize | null {
+  if (text === undefined) return null;
+  const segments = text.split(',').map((id) => ({ id, tokens: TOKENS_PER_SEGMENT }));
+  const promptTokens = segments.length * TOKENS_PER_SEGMENT;
+  return { promptTokens, outputTokens: OUTPUT_TOKENS, segments };
+}
+
 /** Dialect with headers of its own for tests. */
 export const testDialect: Dialect = {
   parseRequest: (headers) => ({
     requestId: (headers['x-request'] as string | undefined) ?? null,
     remainingMs: Number(headers['x-remaining'] ?? 5000),
     key: (headers['x-key'] as string | undefined) ?? null,
-    size: null,
+    size: parseTestSize(headers['x-segments'] as string | undefined),
   }),
   formatRequest: (headers, forwarded) => [
     ...dropHeaders(headers, (name) => name === 'x-key' || name === 'x-remaining'),
--- /dev/null
+++ b/packages/router/__tests__/gateway/restartingEndpoint.ts
@@ -0,0 +1,136 @@
+import { once } from 'node:events';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import type { ChangingStore } from './changingStore.js';
+import { findFreeAddress } from './fixtures.js';
+
+/** Time after which the store removes the entry of an endpoint that is down. */
+const LEASE_MS = 900;
+
+/** How endpoints end and come back. */
+export interface EndpointLifetime {
+  /** How the endpoint ends: its connections are reset, or nothing answers any more. */
+  readonly end: 'reset' | 'silent';
+  /** Whether an endpoint restarts under its id or registers under another. */
+  readonly identity: 'kept' | 'new';
+}
+
+/** An endpoint that ends, with all that runs there, and is back later. */
+export abstract class RestartingEndpoint {
+  readonly #name: string;
+
+  readonly #life: EndpointLifetime;
+
+  readonly #store: ChangingStore;
+
+  readonly #sockets = new Set<Socket>();
+
+  #lifetime = 0;
+
+  #address: string | null = null;
+
+  #server: Server | null = null;
+
+  /** True from the end of a silent endpoint to its restart: it accepts and answers nothing. */
+  #isMute = false;
+
+  #isStopped = false;
+
+  constructor(name: string, life: EndpointLifetime, store: ChangingStore) {
+    this.#name = name;
+    this.#life = life;
+    this.#store = store;
+  }
+
+  /** Number of the present lifetime. */
+  protected get lifetime(): number {
+    return this.#lifetime;
+  }
+
+  /** True from an end to the restart. */
+  get isDown(): boolean {
+    return this.#isMute || this.#server === null;
+  }
+
+  protected abstract run(request: IncomingMessage, response: ServerResponse): Promise<void>;
+
+  get #id(): string {
+    return this.#life.identity === 'kept' ? this.#name : `${this.#name}-${this.#lifetime}`;
+  }
+
+  async start(): Promise<void> {
+    this.#isMute = false;
+    const server = createServer((request, response) => this.#handle(request, response));
+    server.on('connection', (socket) => {
+      this.#sockets.add(socket);
+      socket.on('close', () => this.#sockets.delete(socket));
+    });
+    this.#address ??= await findFreeAddress();
+    const [host, port] = this.#address.split(':');
+    server.listen(Number(port), host);
+    await once(server, 'listening');
+    this.#server = server;
+    this.#register();
+  }
+
+  /** Begins a lifetime: the store and the answers tell of it from now on. */
+  #register(): void {
+    this.#lifetime += 1;
+    this.#store.put({
+      id: this.#id,
+      serviceId: 'desk',
+      address: this.#address!,
+      zone: 'zone-a',
+      slots: 64,
+      state: 'ready',
+      startedAt: this.#lifetime,
+    });
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    this.#close();
+  }
+
+  #close(): void {
+    this.#server?.close();
+    this.#server = null;
+    this.#sockets.forEach((socket) => socket.resetAndDestroy());
+  }
+
+  #handle(request: IncomingMessage, response: ServerResponse): void {
+    response.on('error', () => {});
+    if (this.#isMute) return;
+    if (request.url === '/health') {
+      response.setHeader('x-instance', this.#id);
+      response.end();
+    } else if (request.headers['x-endpoint'] !== this.#id) {
+      response.writeHead(421, { 'x-not-run': '1', 'x-instance': this.#id }).end();
+    } else {
+      void this.run(request, response);
+    }
+  }
+
+  /** Ends the endpoint; it is back after a time, or at once for 0. */
+  async crash(downMs: number): Promise<void> {
+    const id = this.#id;
+    const lifetime = this.#lifetime;
+    const isGone = () => this.#lifetime === lifetime || this.#id !== id;
+    setTimeout(() => {
+      if (isGone()) this.#store.remove(id);
+    }, LEASE_MS);
+    if (downMs === 0) {
+      // Another process accepts at once: no connection is ever refused.
+      this.#sockets.forEach((socket) => socket.resetAndDestroy());
+      this.#register();
+      return;
+    }
+    if (this.#life.end === 'reset') this.#close();
+    else this.#isMute = true;
+    await sleep(downMs);
+    if (this.#life.end === 'silent') this.#close();
+    if (!this.#isStopped) await this.start();
+  }
+}
