Look into attempts whose endpoint has been silent for a second

An endpoint that falls silent under a segment breaks no connection: its requests ended at their deadlines, up to 5 s later, and only then was the crash recorded, later than the VMs must know of it. An attempt with segments whose endpoint has sent this VM nothing for a second is now recorded and the endpoint probed; one that is only slow is asked less and less often, and the attempt goes on.

--- a/packages/router/__tests__/gateway/crashingSegments.spec.ts
+++ b/packages/router/__tests__/gateway/crashingSegments.spec.ts
@@ -37,6 +37,7 @@
   middle: 'shared',
   firstEventMs: [20, 60],
   isResumable: false,
+  timeoutMs: 3000,
   resends: true,
   restart: 'none',
   restartAtMs: 7000,
@@ -74,6 +75,14 @@
     isResumable: true,
   },
   'of two, beside segments that are always new': { place: 'first', segments: 2, middle: 'new' },
+  'and the endpoint falls silent for longer than callers wait': {
+    end: 'silent',
+    downMs: [6000, 7000],
+    leaseMs: 5000,
+    timeoutMs: 6000,
+    endpoints: 14,
+    lengthMs: 24_000,
+  },
   'in two requests in five seconds': {
     crashingEveryMs: [2400, 2600],
     resends: false,
--- a/packages/router/__tests__/gateway/restartingEndpoint.ts
+++ b/packages/router/__tests__/gateway/restartingEndpoint.ts
@@ -6,8 +6,7 @@
 import type { ChangingStore } from './changingStore.js';
 import { findFreeAddress } from './fixtures.js';
 
-/** Time after which the store removes the entry of an endpoint that is down. */
-const LEASE_MS = 900;
+const DEFAULT_LEASE_MS = 900;
 
 /** How endpoints end and come back. */
 export interface EndpointLifetime {
@@ -15,6 +14,8 @@
   readonly end: 'reset' | 'silent';
   /** Whether an endpoint restarts under its id or registers under another. */
   readonly identity: 'kept' | 'new';
+  /** Time after which the store removes the entry of an endpoint that is down; 900 ms unless set. */
+  readonly leaseMs?: number;
 }
 
 /** An endpoint that ends, with all that runs there, and is back later. */
@@ -120,7 +121,7 @@
     const isGone = () => this.#lifetime === lifetime || this.#id !== id;
     setTimeout(() => {
       if (isGone()) this.#store.remove(id);
-    }, LEASE_MS);
+    }, this.#life.leaseMs ?? DEFAULT_LEASE_MS);
     if (downMs === 0) {
       // Another process accepts at once: no connection is ever refused.
       this.#sockets.forEach((socket) => socket.resetAndDestroy());
--- a/packages/router/__tests__/gateway/segmentFleet.ts
+++ b/packages/router/__tests__/gateway/segmentFleet.ts
@@ -20,8 +20,6 @@
 /** Time before the first request with a crashing segment. */
 const CALM_MS = 2500;
 
-const REQUEST_TIMEOUT_MS = 3000;
-
 /** Distinct segments of sound prompts, for each place. */
 const SHARED_SEGMENTS = 12;
 
@@ -59,8 +57,8 @@
   outcome: 'served' | 'refused' | 'failed';
 }
 
-function createConfiguration({ isResumable }: SegmentScenario): Configuration {
-  const latency = { timeoutMs: REQUEST_TIMEOUT_MS, targetMs: 1000, gapTargetMs: 400 };
+function createConfiguration({ isResumable, timeoutMs }: SegmentScenario): Configuration {
+  const latency = { timeoutMs, targetMs: 1000, gapTargetMs: 400 };
   const repetition = {
     repetition: 'streaming',
     isResumable,
@@ -92,7 +90,6 @@
   const headers = {
     'x-request': name,
     'x-segments': prompt.join(','),
-    'x-remaining': String(REQUEST_TIMEOUT_MS),
   };
   const options = { method: 'POST', headers, body: name };
   const answer = await call(vm.callers, '/plain/1', options).catch(() => null);
--- a/packages/router/__tests__/gateway/segmentScenario.ts
+++ b/packages/router/__tests__/gateway/segmentScenario.ts
@@ -34,6 +34,8 @@
   /** Time from the arrival at an endpoint to its first event, in milliseconds. */
   readonly firstEventMs: Range;
   readonly isResumable: boolean;
+  /** Time for which a caller waits, in milliseconds. */
+  readonly timeoutMs: number;
   /** Whether a caller sends a request again, under another id, when it gets no answer. */
   readonly resends: boolean;
   /** How VMs are restarted. */
@@ -88,6 +90,7 @@
       [100, 400],
     ] as const),
     isResumable: choose(random, [true, false]),
+    timeoutMs: choose(random, [3000, 6000]),
     resends: choose(random, [true, false]),
     restart: choose(random, ['none', 'none', 'in-turn', 'together'] as const),
     restartAtMs: drawBetween(random, [6000, 9000]),
--- a/packages/router/src/gateway/crashGuard.ts
+++ b/packages/router/src/gateway/crashGuard.ts
@@ -17,6 +17,9 @@
 /** Time without any byte of an answer after which an attempt that its caller left is looked into. */
 const MIN_SILENCE_MS = 1000;
 
+/** Time without any byte from an endpoint after which an attempt there is looked into. */
+const SILENCE_MS = 1000;
+
 /** Connects one request with the crashes of the endpoints that ran it. */
 export class CrashGuard {
   readonly #context: GatewayContext;
@@ -31,6 +34,8 @@
 
   #fingerprint: string | null = null;
 
+  #silenceTimer: NodeJS.Timeout | null = null;
+
   constructor(
     context: GatewayContext,
     segments: SegmentGuard,
@@ -73,6 +78,21 @@
     if (isSilent || isTrial) this.#context.probes.probe(attempt.endpoint.id);
   }
 
+  /**
+   * Watches an attempt whose prompt has segments: a crash that breaks no connection must be found
+   * before the deadline of the request.
+   */
+  watch(attempt: EndpointAttempt): void {
+    this.unwatch();
+    if (this.#segments.segmentIds.length === 0) return;
+    this.#silenceTimer = setTimeout(() => this.#checkSilence(attempt, SILENCE_MS), SILENCE_MS);
+  }
+
+  /** Ends the watch. */
+  unwatch(): void {
+    if (this.#silenceTimer !== null) clearTimeout(this.#silenceTimer);
+  }
+
   /** Removes the request's crashes after a complete answer: another request caused them. */
   clear(): void {
     this.#segments.recordAnswer();
@@ -93,6 +113,22 @@
     return { ...segments, fingerprint, crashes, crashedEndpoints: endpoints };
   }
 
+  #checkSilence(attempt: EndpointAttempt, limitMs: number): void {
+    if (attempt.isOver) return;
+    const { connections, probes } = this.#context;
+    const { id } = attempt.endpoint;
+    const silentMs = now() - Math.max(attempt.heardAt, connections.lastHeardAt(id));
+    const isSilent = silentMs >= limitMs;
+    if (isSilent) {
+      this.#recordLost(attempt, false);
+      probes.probe(id);
+    }
+    // An endpoint that is only slow is asked less and less often.
+    const nextLimitMs = isSilent ? 2 * limitMs : SILENCE_MS;
+    const waitMs = Math.max(SILENCE_MS / 2, nextLimitMs - silentMs);
+    this.#silenceTimer = setTimeout(() => this.#checkSilence(attempt, nextLimitMs), waitMs);
+  }
+
   #recordLost(attempt: EndpointAttempt, isBroken: boolean): void {
     this.#context.crashes.recordLostAttempt(attempt.endpoint.id, {
       fingerprint: this.#computeFingerprint(),
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -105,6 +105,8 @@
 
   #hasLivedOn = false;
 
+  #heardAt = this.sentAt;
+
   constructor(
     context: GatewayContext,
     admitted: AdmittedRequest,
@@ -146,6 +148,11 @@
     return this.#metadata !== null;
   }
 
+  /** Time of its latest bytes, or of the send before the first; epoch milliseconds. */
+  get heardAt(): number {
+    return this.#heardAt;
+  }
+
   /** True when the endpoint has lived on after it began to answer. */
   get hasLivedOn(): boolean {
     return this.#hasLivedOn;
@@ -176,6 +183,7 @@
 
   #handleHead(status: number, headers: string[]): void {
     const { dialect } = this.#context;
+    this.#heardAt = now();
     this.#rawHead = { status, headers };
     const metadata = dialect.parseAnswer(status, headers);
     this.#metadata = metadata;
@@ -212,9 +220,9 @@
   }
 
   #markStreaming(): void {
-    const instant = now();
-    this.#streamingSince ??= instant;
-    if (!this.#hasLivedOn && instant - this.#streamingSince >= LIVED_ON_MS) {
+    this.#heardAt = now();
+    this.#streamingSince ??= this.#heardAt;
+    if (!this.#hasLivedOn && this.#heardAt - this.#streamingSince >= LIVED_ON_MS) {
       this.#hasLivedOn = true;
       this.#observer.livedOn();
     }
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -202,6 +202,7 @@
     this.#attemptCount += 1;
     this.#triedEndpointIds.add(attempt.endpoint.id);
     this.#restartStuckTimer(attempt);
+    this.#crashGuard.watch(attempt);
     attempt.send({
       method: this.#request.method ?? 'GET',
       path: this.#request.url ?? '/',
@@ -393,6 +394,7 @@
     this.#isFinished = true;
     if (this.#deadlineTimer !== null) clearTimeout(this.#deadlineTimer);
     if (this.#stuckTimer !== null) clearTimeout(this.#stuckTimer);
+    this.#crashGuard.unwatch();
     this.#segmentGuard.release();
     const { metrics, log, state } = this.#context;
     const { route, job, isReturning } = this.#admitted;
