Break off streams that end inside an event

A stream without a length or chunks ends with its connection. When it ended inside an event, or before the first, the caller of a route whose streams cannot be resumed got a complete answer: only the splitter of resumable streams knew where events end. The last bytes of each event stream are now kept, and one that does not end with an event is a broken attempt, whatever delimits it; without a length or chunks one without any event too.

--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -18,12 +18,15 @@
 import type { AdmittedRequest } from './admitRequest.js';
 import { EndpointRequest, type OutgoingRequest, type AttemptFailure } from './endpointRequest.js';
 import type { AnswerMetadata } from './dialect.js';
+import { EventBoundary } from './eventBoundary.js';
 import type { GatewayContext } from './gatewayContext.js';
-import { findHeader } from './headers.js';
+import { findHeader, isFramed } from './headers.js';
 
 /** Maximum size of an answer that is buffered until it is complete. */
 const MAX_ANSWER_BYTES = 16_777_216;
 
+const EVENT_STREAM = 'text/event-stream';
+
 const OK_STATUS = 200;
 const FIRST_REDIRECT_STATUS = 300;
 const FIRST_SERVER_ERROR_STATUS = 500;
@@ -52,7 +55,7 @@
   streamed(head: RawAnswerHead, bytes: Buffer): boolean;
   /** The endpoint still sends the stream some time after it began: it has not crashed. */
   livedOn(): void;
-  /** The stream ended without an error; its last event may be incomplete. */
+  /** The stream ended after a complete event. */
   streamEnded(head: RawAnswerHead): void;
   /** A complete answer that is not a stream arrived. */
   answered(head: RawAnswerHead, body: Buffer): void;
@@ -94,6 +97,8 @@
   /** Chunks received of a stream; almost always one event each. */
   #streamChunks = 0;
 
+  readonly #eventBoundary = new EventBoundary();
+
   #rawHead: RawAnswerHead = { status: 0, headers: [] };
 
   #metadata: AnswerMetadata | null = null;
@@ -181,6 +186,16 @@
     return this.#admitted.route.repetition === 'streaming' && this.#rawHead.status === OK_STATUS;
   }
 
+  /** Says whether a stream that ended without an error lacks a part. */
+  #isBrokenOff(): boolean {
+    const { headers } = this.#rawHead;
+    const contentType = findHeader(headers, 'content-type') ?? EVENT_STREAM;
+    if (!contentType.toLowerCase().startsWith(EVENT_STREAM)) return false;
+    if (!this.#eventBoundary.isEmpty) return !this.#eventBoundary.isAtEventEnd;
+    // Without a length or chunks nothing but an event tells an answer from a crash.
+    return !isFramed(headers);
+  }
+
   #handleHead(status: number, headers: string[]): void {
     const { dialect } = this.#context;
     this.#heardAt = now();
@@ -211,6 +226,7 @@
     if (this.#isStream()) {
       this.#markStreaming();
       this.#streamChunks += 1;
+      this.#eventBoundary.push(chunk);
       return this.#observer.streamed(this.#rawHead, chunk);
     }
     this.#receivedBytes += chunk.length;
@@ -232,7 +248,10 @@
 
   #handleEnd(): void {
     if (this.#isSettled) return;
-    if (this.#isStream()) {
+    if (this.#isStream() && this.#isBrokenOff()) {
+      const message = 'stream ended inside an event';
+      this.#fail({ verdict: 'may-have-run', cause: 'broken', message });
+    } else if (this.#isStream()) {
       this.#countSuccess();
       this.#observeStream();
       this.#end('served');
--- a/packages/router/src/gateway/eventSplitter.ts
+++ b/packages/router/src/gateway/eventSplitter.ts
@@ -36,11 +36,6 @@
     return this.#lastEventId;
   }
 
-  /** True when no incomplete event is buffered. */
-  get isAtEventEnd(): boolean {
-    return this.#pending.length === 0;
-  }
-
   /** Adds bytes and returns all complete events; throws RangeError beyond the size limit. */
   push(chunk: Buffer): Buffer {
     this.#pending = this.#pending.length === 0 ? chunk : Buffer.concat([this.#pending, chunk]);
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -283,11 +283,6 @@
   }
 
   #completeStream(head: RawAnswerHead): void {
-    if (this.#eventSplitter !== null && !this.#eventSplitter.isAtEventEnd) {
-      const message = 'stream ended inside an event';
-      this.#handleFailure({ verdict: 'may-have-run', cause: 'broken', message });
-      return;
-    }
     this.#crashGuard.clear();
     this.#beginStream(head);
     this.#response.end();
--- a/packages/router/src/gateway/headers.ts
+++ b/packages/router/src/gateway/headers.ts
@@ -45,3 +45,9 @@
     (name) => HOP_BY_HOP_HEADERS.has(name) || namedByConnection.has(name),
   );
 }
+
+/** Says whether a length or chunks delimit the body of an answer, not the end of its connection. */
+export function isFramed(headers: readonly string[]): boolean {
+  const lengths = ['content-length', 'transfer-encoding'];
+  return lengths.some((name) => findHeader(headers, name) !== null);
+}
