Trust an unframed answer once its endpoint is heard again; try suspects by themselves first

Two faults in how a segment is found, fixed together since both change what an attempt on trial carries.

An endpoint that crashes after an event and whose connections are just closed makes a stream without length or chunks look complete: its segment counted as answered and was never suspected. Such an answer now speaks for its segments once the endpoint has sent something later, or answers a probe if some of them were not answered in the last ten seconds; until then a sign of its end makes it a crash.

Trials are now held for each suspect, and one with fewer suspects goes first. A segment that most requests have is tried again after five seconds, however often its trial failed: to refuse it without need costs more than an endpoint.

--- a/packages/core/__tests__/lostAttempts.spec.ts
+++ b/packages/core/__tests__/lostAttempts.spec.ts
@@ -24,7 +24,8 @@
     isPresumedCrash,
     segmentIds: [],
     serviceId: 'desk',
-    trialOf: null,
+    trial: null,
+    hasAnswer: false,
   };
   return recordLostAttempt(state, 'e1', attempt);
 }
--- a/packages/core/__tests__/segmentSuspects.spec.ts
+++ b/packages/core/__tests__/segmentSuspects.spec.ts
@@ -3,6 +3,8 @@
 import {
   announceTrial,
   classifySegments,
+  countClassified,
+  countSegmentRefusal,
   createSegmentSuspectState,
   endTrial,
   isExplainedCrash,
@@ -153,6 +155,18 @@
       t.is(classify(state, ['bad'], 33_000), 'suspect');
     });
 
+    it('is tried again after five seconds when most requests have it', (t) => {
+      const state = createSegmentSuspectState();
+      [1000, 1200, 1400, 1600].forEach((at) => crash(state, ['first'], at));
+      fail(state, 'first', 2500);
+      for (let index = 0; index < 10; index += 1) {
+        countClassified(state);
+        if (index % 3 !== 0) countSegmentRefusal(state, 'first');
+      }
+      t.is(classify(state, ['first'], 7400), 'refused');
+      t.is(classify(state, ['first'], 7600), 'suspect');
+    });
+
     it('comes back after an hour at the cost of one endpoint', (t) => {
       const state = createSegmentSuspectState();
       crash(state, ['bad'], 1000);
@@ -225,51 +239,74 @@
 });
 
 describe('a trial', () => {
-  const announced = (vmId: string, isRunning = false) => ({
-    subject: 'bad',
-    vmId,
+  const announced = (holder: string, isRunning = false) => ({
+    segmentId: 'bad',
+    holder,
     isRunning,
+    suspects: 1,
     endsAt: 2000,
   });
 
-  it('starts on one VM of those that announce it at the same time', (t) => {
-    const vmIds = ['vm-1', 'vm-2', 'vm-3'];
-    const vms = vmIds.map((vmId) => ({ vmId, state: createSegmentSuspectState() }));
-    vms.forEach(({ state, vmId }) => announceTrial(state, 'bad', vmId, 1000));
+  function exchangeNews(vms: readonly { vmId: string; state: SegmentSuspectState }[], now: number) {
     vms.forEach(({ state: from, vmId }) => {
-      const news = takeTrialAnnouncements(from, vmId, 1010);
+      const news = takeTrialAnnouncements(from, vmId, now);
       vms.forEach(({ state, vmId: own }) => {
-        news.forEach((trial) => recordPeerTrial(state, trial, own, 1010));
+        news.forEach((trial) => recordPeerTrial(state, trial, own, now));
       });
     });
-    const started = vms.filter(({ state, vmId }) => startTrial(state, 'bad', vmId, 1200));
+  }
+
+  const createVms = (...vmIds: string[]) =>
+    vmIds.map((vmId) => ({ vmId, holder: `${vmId}/1`, state: createSegmentSuspectState() }));
+
+  it('starts on one VM of those that announce it at the same time', (t) => {
+    const vms = createVms('vm-1', 'vm-2', 'vm-3');
+    vms.forEach(({ state, holder }) => announceTrial(state, ['bad'], holder, 1000));
+    exchangeNews(vms, 1010);
+    const started = vms.filter(({ state, holder }) => startTrial(state, ['bad'], holder, 1200));
     t.is(started.length, 1);
   });
 
+  it('of one suspect goes before that of the same one and another together', (t) => {
+    const vms = createVms('vm-1', 'vm-2', 'vm-3', 'vm-4');
+    vms.forEach(({ state, holder }, index) => {
+      announceTrial(state, index === 2 ? ['first'] : ['first', 'bad'], holder, 1000);
+    });
+    exchangeNews(vms, 1010);
+    const started = vms.filter(({ state, holder }, index) =>
+      startTrial(state, index === 2 ? ['first'] : ['first', 'bad'], holder, 1200),
+    );
+    t.deepEqual(
+      started.map(({ vmId }) => vmId),
+      ['vm-3'],
+    );
+  });
+
   it('that runs keeps all others from starting until nobody announces it any more', (t) => {
     const state = createSegmentSuspectState();
-    recordPeerTrial(state, announced('vm-2', true), 'vm-1', 1500);
-    t.false(announceTrial(state, 'bad', 'vm-1', 1900));
-    t.true(announceTrial(state, 'bad', 'vm-1', 2100));
-    t.true(startTrial(state, 'bad', 'vm-1', 2300));
-    t.false(startTrial(state, 'bad', 'vm-1', 2300));
+    recordPeerTrial(state, announced('vm-2/1', true), 'vm-1', 1500);
+    t.false(announceTrial(state, ['bad'], 'vm-1/1', 1900));
+    t.true(announceTrial(state, ['bad'], 'vm-1/1', 2100));
+    t.true(startTrial(state, ['bad'], 'vm-1/1', 2300));
+    t.false(announceTrial(state, ['bad'], 'vm-1/2', 2300));
+    t.false(startTrial(state, ['bad'], 'vm-1/2', 2500));
   });
 
   it('that ends may be followed by another', (t) => {
     const state = createSegmentSuspectState();
-    announceTrial(state, 'bad', 'vm-1', 1000);
-    startTrial(state, 'bad', 'vm-1', 1200);
-    endTrial(state, 'bad', 'vm-2');
-    t.false(announceTrial(state, 'bad', 'vm-1', 1300));
-    endTrial(state, 'bad', 'vm-1');
-    t.true(announceTrial(state, 'bad', 'vm-1', 1300));
+    announceTrial(state, ['bad'], 'vm-1/1', 1000);
+    startTrial(state, ['bad'], 'vm-1/1', 1200);
+    endTrial(state, 'vm-2/1');
+    t.false(announceTrial(state, ['bad'], 'vm-1/2', 1300));
+    endTrial(state, 'vm-1/1');
+    t.true(announceTrial(state, ['bad'], 'vm-1/2', 1300));
   });
 
   it('does not hold for longer than announced, whatever a peer says', (t) => {
     const state = createSegmentSuspectState();
-    const absurd = { ...announced('vm-2', true), endsAt: 1e15 };
+    const absurd = { ...announced('vm-2/1', true), endsAt: 1e15 };
     recordPeerTrial(state, absurd, 'vm-1', 1500);
-    t.true(announceTrial(state, 'bad', 'vm-1', 3000));
+    t.true(announceTrial(state, ['bad'], 'vm-1/1', 3000));
     t.true(trialSettleMs(330) <= 500);
   });
 });
--- a/packages/core/src/segmentSuspects/commands.ts
+++ b/packages/core/src/segmentSuspects/commands.ts
@@ -83,7 +83,7 @@
 }
 
 function createHistory(): SegmentHistory {
-  return { crashes: [], refusals: 0, ...NO_FAILED_TRIAL };
+  return { crashes: [], refusals: 0, classifiedBefore: 0, ...NO_FAILED_TRIAL };
 }
 
 function getOrCreateHistory(state: SegmentSuspectState, segmentId: string): SegmentHistory {
@@ -278,6 +278,8 @@
   history.failedAt = at;
   history.failedServiceId = serviceId;
   history.failedEndpointId = endpointId;
+  history.refusals = 0;
+  history.classifiedBefore = state.classified;
   state.confirmed.add(subject);
   const isExplained = [...state.confirmed].some((id) => {
     const cause = state.histories.get(id);
@@ -294,7 +296,11 @@
 ): void {
   const { failedTrials } = getOrCreateHistory(state, trial.subject);
   recordPeerFailedTrial(state, { ...trial, failedTrials: failedTrials + 1 });
-  state.trials.delete(trial.subject);
+}
+
+/** Counts a request that is classified while anything is recorded. */
+export function countClassified(state: SegmentSuspectState): void {
+  if (state.histories.size > 0) state.classified += 1;
 }
 
 /** Counts a request that is refused for a suspect. */
--- a/packages/core/src/segmentSuspects/index.ts
+++ b/packages/core/src/segmentSuspects/index.ts
@@ -1,4 +1,5 @@
 export {
+  countClassified,
   countSegmentRefusal,
   isExplainedCrash,
   listExplainedCrashes,
@@ -13,6 +14,7 @@
   type FailedTrial,
 } from './commands.js';
 export {
+  areAnsweredLately,
   classifySegments,
   countSegments,
   describeSegment,
--- a/packages/core/src/segmentSuspects/queries.ts
+++ b/packages/core/src/segmentSuspects/queries.ts
@@ -19,6 +19,13 @@
 const TRIAL_DELAY_FACTOR = 6;
 const MAX_TRIAL_DELAY_MS = 3_600_000;
 
+/**
+ * A segment with this fraction of the requests is tried again soon: to refuse it without need would
+ * cost more than an endpoint.
+ */
+const COMMON_FRACTION = 0.5;
+const MIN_REFUSALS_OF_COMMON = 5;
+
 /** Delay after which a caller may come back while another request is on trial. */
 const TRIAL_RETRY_AFTER_MS = 300;
 
@@ -32,6 +39,8 @@
       readonly kind: 'suspect' | 'refused';
       /** Segment that the verdict is about, or the id of a combination of segments. */
       readonly subject: string;
+      /** Suspects among the segments. */
+      readonly suspects: readonly string[];
       /** Time until a request with it may run again. */
       readonly retryAfterMs: number;
     };
@@ -58,8 +67,13 @@
 }
 
 /** Returns the time at which the next trial may begin; epoch milliseconds, 0 before the first. */
-function nextTrialAt({ crashes, failedTrials, failedAt }: SegmentHistory): number {
+function nextTrialAt(state: SegmentSuspectState, history: SegmentHistory): number {
+  const { crashes, failedTrials, failedAt, refusals, classifiedBefore } = history;
   if (failedAt === null) return 0;
+  const isCommon =
+    refusals >= MIN_REFUSALS_OF_COMMON &&
+    refusals >= COMMON_FRACTION * (state.classified - classifiedBefore);
+  if (isCommon) return failedAt + FIRST_TRIAL_DELAY_MS;
   const isBeyondChance = crashes.length >= CRASHES_BEYOND_CHANCE;
   const exponent = Math.max(0, failedTrials - 1) + (isBeyondChance ? 1 : 0);
   const delayMs = FIRST_TRIAL_DELAY_MS * TRIAL_DELAY_FACTOR ** exponent;
@@ -96,16 +110,26 @@
   now: number,
 ): SegmentVerdict {
   // Hot path: almost always nothing is recorded.
-  if (state.histories.size === 0) return SOUND;
+  if (state.histories.size === 0 || segmentIds.length === 0) return SOUND;
   const suspects = segmentIds.filter((id) => isSuspect(state, serviceId, id));
   if (suspects.length === 0) return SOUND;
   const subject = subjectOf(suspects);
   for (const id of [...suspects, subject]) {
     const history = state.histories.get(id);
-    const waitMs = history === undefined ? 0 : nextTrialAt(history) - now;
-    if (waitMs > 0) return { kind: 'refused', subject: id, retryAfterMs: waitMs };
+    const waitMs = history === undefined ? 0 : nextTrialAt(state, history) - now;
+    if (waitMs > 0) return { kind: 'refused', subject: id, suspects, retryAfterMs: waitMs };
   }
-  return { kind: 'suspect', subject, retryAfterMs: TRIAL_RETRY_AFTER_MS };
+  return { kind: 'suspect', subject, suspects, retryAfterMs: TRIAL_RETRY_AFTER_MS };
+}
+
+/** Returns whether all of these segments were answered at a service shortly before. */
+export function areAnsweredLately(
+  state: SegmentSuspectState,
+  serviceId: string,
+  segmentIds: readonly string[],
+  now: number,
+): boolean {
+  return segmentIds.every((id) => now - latestAnswerAt(state, serviceId, id) <= ANSWER_TRUST_MS);
 }
 
 /** Returns whether anything speaks against any of these segments. */
@@ -156,7 +180,7 @@
   return {
     recorded: state.histories.size,
     suspected: suspects.length,
-    refused: suspects.filter(([, history]) => nextTrialAt(history) > now).length,
+    refused: suspects.filter(([, history]) => nextTrialAt(state, history) > now).length,
   };
 }
 
@@ -196,7 +220,7 @@
         answeredAfterMs: Math.max(0, Math.round(latestAnswerAt(state, serviceId, segmentId) - at)),
       })),
       failedTrials: history.failedTrials,
-      nextTrialInMs: history.failedAt === null ? null : -ageMs(nextTrialAt(history)),
+      nextTrialInMs: history.failedAt === null ? null : -ageMs(nextTrialAt(state, history)),
       trial: state.trials.get(segmentId) ?? null,
       refusals: history.refusals,
     }));
--- a/packages/core/src/segmentSuspects/state.ts
+++ b/packages/core/src/segmentSuspects/state.ts
@@ -24,15 +24,20 @@
   /** Service and endpoint of the latest failed trial. */
   failedServiceId: string | null;
   failedEndpointId: string | null;
-  /** Requests that this VM refused for it. */
+  /** Requests that this VM refused for it since the latest failed trial. */
   refusals: number;
+  /** `SegmentSuspectState.classified` at the latest failed trial. */
+  classifiedBefore: number;
 }
 
 /** A request that runs with a suspect while all others with the suspect are refused. */
 export interface SegmentTrial {
-  readonly vmId: string;
-  /** False while the VM waits whether another VM announces the same trial. */
+  /** Id of the VM, a slash, and a name of the request there. */
+  readonly holder: string;
+  /** False while the request waits whether another trial goes first. */
   readonly isRunning: boolean;
+  /** Suspects in the request; they are tried together. */
+  readonly suspects: number;
   /** Time from which it no longer holds; epoch milliseconds. */
   readonly endsAt: number;
 }
@@ -55,8 +60,10 @@
    * `answerKey`), the least recent first; epoch milliseconds.
    */
   readonly answeredAt: Map<string, number>;
-  /** By segment id or by the id of a combination. */
+  /** By suspect. */
   readonly trials: Map<string, SegmentTrial>;
+  /** Requests with segments that were classified while anything was recorded. */
+  classified: number;
   readonly unsentCrashes: UnsentNews<SegmentCrashReport>[];
   readonly unsentAnswers: UnsentNews<SegmentAnswer>[];
 }
@@ -87,6 +94,7 @@
     confirmed: new Set(),
     answeredAt: new Map(),
     trials: new Map(),
+    classified: 0,
     unsentCrashes: [],
     unsentAnswers: [],
   };
--- a/packages/core/src/segmentSuspects/trials.ts
+++ b/packages/core/src/segmentSuspects/trials.ts
@@ -11,7 +11,7 @@
 const LOST_TRIAL_MS = 3000;
 
 /** Most trials in one message to peers. */
-export const MAX_REPORTED_TRIALS = 16;
+export const MAX_REPORTED_TRIALS = 24;
 
 /** Most trials known at a time. */
 const MAX_TRIALS = 512;
@@ -25,8 +25,7 @@
 
 /** A trial as VMs announce it to each other. */
 export interface TrialAnnouncement extends SegmentTrial {
-  /** Segment id, or the id of a combination. */
-  readonly subject: string;
+  readonly segmentId: string;
 }
 
 /** Returns the time from the announcement of a trial to its start in a fleet of `vms`. */
@@ -35,83 +34,95 @@
   return SETTLE_MS + HOP_MS * (hops - 1);
 }
 
-const rankOf = (subject: string, vmId: string) => hashText(`${subject}\n${vmId}`);
+const rankOf = (segmentId: string, holder: string) => hashText(`${segmentId}\n${holder}`);
 
-/** Says whether a trial goes first: one that runs, then the one of the VM with the lowest rank. */
-function goesFirst(subject: string, a: SegmentTrial, b: SegmentTrial): boolean {
+const isOwn = ({ holder }: SegmentTrial, vmId: string) => holder.startsWith(`${vmId}/`);
+
+/** Says whether a trial goes first: one that runs, then one with fewer suspects. */
+function goesFirst(segmentId: string, a: SegmentTrial, b: SegmentTrial): boolean {
   if (a.isRunning !== b.isRunning) return a.isRunning;
-  return rankOf(subject, a.vmId) < rankOf(subject, b.vmId);
+  if (a.suspects !== b.suspects) return a.suspects < b.suspects;
+  return rankOf(segmentId, a.holder) < rankOf(segmentId, b.holder);
 }
 
-function findHeld(state: SegmentSuspectState, subject: string, now: number): SegmentTrial | null {
-  const trial = state.trials.get(subject);
+function findHeld(state: SegmentSuspectState, segmentId: string, now: number): SegmentTrial | null {
+  const trial = state.trials.get(segmentId);
   return trial !== undefined && trial.endsAt > now ? trial : null;
 }
 
 /**
- * Announces a trial of this VM; false while another one goes first. It may start once the
- * announcement has had the time to reach the other VMs.
+ * Announces a trial of suspects; false while another one goes first for one of them. It may start
+ * once the announcement has had the time to reach the other VMs.
  */
 export function announceTrial(
   state: SegmentSuspectState,
-  subject: string,
-  vmId: string,
+  suspects: readonly string[],
+  holder: string,
   now: number,
 ): boolean {
-  const other = findHeld(state, subject, now);
-  const own = { vmId, isRunning: false, endsAt: now + ANNOUNCEMENT_TTL_MS };
-  if (other !== null && (other.vmId === vmId || goesFirst(subject, other, own))) return false;
-  if (state.trials.size >= MAX_TRIALS && !state.trials.has(subject)) return false;
-  state.trials.set(subject, own);
+  const endsAt = now + ANNOUNCEMENT_TTL_MS;
+  const trial = { holder, isRunning: false, suspects: suspects.length, endsAt };
+  const isAhead = (segmentId: string) => {
+    const other = findHeld(state, segmentId, now);
+    return other !== null && goesFirst(segmentId, other, trial);
+  };
+  if (suspects.some(isAhead) || state.trials.size + suspects.length > MAX_TRIALS) return false;
+  suspects.forEach((segmentId) => state.trials.set(segmentId, trial));
   return true;
 }
 
-/** Starts an announced trial; false when another VM's goes first or one runs already. */
+/** Starts an announced trial; false when another one goes first for one of the suspects. */
 export function startTrial(
   state: SegmentSuspectState,
-  subject: string,
-  vmId: string,
+  suspects: readonly string[],
+  holder: string,
   now: number,
 ): boolean {
-  const trial = findHeld(state, subject, now);
-  if (trial?.vmId !== vmId || trial.isRunning) return false;
-  state.trials.set(subject, { vmId, isRunning: true, endsAt: now + MAX_TRIAL_MS });
+  const isHeld = suspects.every((id) => findHeld(state, id, now)?.holder === holder);
+  if (!isHeld) return false;
+  const endsAt = now + MAX_TRIAL_MS;
+  const trial = { holder, isRunning: true, suspects: suspects.length, endsAt };
+  suspects.forEach((segmentId) => state.trials.set(segmentId, trial));
   return true;
 }
 
-/** Ends a trial of this VM. */
-export function endTrial(state: SegmentSuspectState, subject: string, vmId: string): void {
-  if (state.trials.get(subject)?.vmId === vmId) state.trials.delete(subject);
+/** Ends a trial. */
+export function endTrial({ trials }: SegmentSuspectState, holder: string): void {
+  trials.forEach((trial, segmentId) => {
+    if (trial.holder === holder) trials.delete(segmentId);
+  });
 }
 
-/** Holds a trial of this VM that got no answer until its endpoint has been looked into. */
-export function holdLostTrial(
-  state: SegmentSuspectState,
-  subject: string,
-  vmId: string,
-  now: number,
-): void {
-  if (state.trials.get(subject)?.vmId !== vmId) return;
-  state.trials.set(subject, { vmId, isRunning: true, endsAt: now + LOST_TRIAL_MS });
+/** Holds a trial that got no answer until its endpoint has been looked into. */
+export function holdLostTrial({ trials }: SegmentSuspectState, holder: string, now: number): void {
+  trials.forEach((trial, segmentId) => {
+    if (trial.holder !== holder) return;
+    trials.set(segmentId, { ...trial, endsAt: now + LOST_TRIAL_MS });
+  });
 }
 
 /** Records a trial that a peer announces. */
 export function recordPeerTrial(
   state: SegmentSuspectState,
-  { subject, vmId, isRunning, endsAt }: TrialAnnouncement,
+  { segmentId, holder, isRunning, suspects, endsAt }: TrialAnnouncement,
   ownVmId: string,
   now: number,
 ): void {
-  if (vmId === ownVmId || endsAt <= now) return;
-  const trial = { vmId, isRunning, endsAt: Math.min(endsAt, now + ANNOUNCEMENT_TTL_MS) };
-  const known = findHeld(state, subject, now);
+  const trial = {
+    holder,
+    isRunning,
+    suspects,
+    endsAt: Math.min(endsAt, now + ANNOUNCEMENT_TTL_MS),
+  };
+  if (isOwn(trial, ownVmId) || endsAt <= now) return;
+  const known = findHeld(state, segmentId, now);
   if (known === null && state.trials.size >= MAX_TRIALS) return;
-  if (known?.vmId === vmId) {
+  if (known?.holder === holder) {
     // One that was heard to run is not taken back by an announcement that was sent before.
     trial.isRunning ||= known.isRunning;
     trial.endsAt = Math.max(trial.endsAt, known.endsAt);
-  } else if (known !== null && goesFirst(subject, known, trial)) return;
-  state.trials.set(subject, trial);
+  } else if (known !== null && goesFirst(segmentId, known, trial)) return;
+  state.trials.set(segmentId, trial);
 }
 
 /** Takes the trials to announce in the next message to peers, those of this VM first. */
@@ -121,10 +132,10 @@
   now: number,
 ): TrialAnnouncement[] {
   const held = [...state.trials].filter(([, { endsAt }]) => endsAt > now);
-  const own = held.filter(([, { vmId }]) => vmId === ownVmId);
-  const others = held.filter(([, { vmId }]) => vmId !== ownVmId);
-  return [...own, ...others].slice(0, MAX_REPORTED_TRIALS).map(([subject, trial]) => ({
-    subject,
+  const own = held.filter(([, trial]) => isOwn(trial, ownVmId));
+  const others = held.filter(([, trial]) => !isOwn(trial, ownVmId));
+  return [...own, ...others].slice(0, MAX_REPORTED_TRIALS).map(([segmentId, trial]) => ({
+    segmentId,
     ...trial,
     endsAt: Math.min(trial.endsAt, now + ANNOUNCEMENT_TTL_MS),
   }));
@@ -132,7 +143,7 @@
 
 /** Removes trials that have ended or that nobody announces any more. */
 export function removeExpiredTrials({ trials }: SegmentSuspectState, now: number): void {
-  trials.forEach(({ endsAt }, subject) => {
-    if (endsAt <= now) trials.delete(subject);
+  trials.forEach(({ endsAt }, segmentId) => {
+    if (endsAt <= now) trials.delete(segmentId);
   });
 }
--- a/packages/core/src/suspects/index.ts
+++ b/packages/core/src/suspects/index.ts
@@ -37,6 +37,7 @@
 } from './queries.js';
 export {
   createSuspectState,
+  type AttemptTrial,
   type Crash,
   type CrashHistory,
   type EndpointTrace,
--- a/packages/core/src/suspects/lostAttempts.ts
+++ b/packages/core/src/suspects/lostAttempts.ts
@@ -1,6 +1,6 @@
 import { recordCrash } from './commands.js';
 import type { CrashReport } from './queries.js';
-import type { EndpointTrace, LostAttempt, SuspectState } from './state.js';
+import type { AttemptTrial, EndpointTrace, LostAttempt, SuspectState } from './state.js';
 
 /**
  * How long an attempt is kept after its loss; longer than a store takes to drop or renew the entry
@@ -24,20 +24,26 @@
 }
 
 /** A crash of an endpoint, with what else is known of the attempt that it ended. */
-export interface EndedAttempt extends CrashReport {
+export interface EndedAttempt extends Omit<CrashReport, 'fingerprint'> {
+  /** Null when it does not speak against its request. */
+  readonly fingerprint: string | null;
   readonly segmentIds: readonly string[];
   readonly serviceId: string;
-  /** Suspect segment, or combination, that the attempt was a trial of; null for none. */
-  readonly trialOf: string | null;
+  /** The trial that the attempt was; null for none. */
+  readonly trial: AttemptTrial | null;
 }
 
 function createReport(
   endpointId: string,
-  { isPresumedCrash, ...attempt }: LostAttempt,
+  { isPresumedCrash, hasAnswer, ...attempt }: LostAttempt,
 ): EndedAttempt {
   return { ...attempt, endpointId, isAlone: false };
 }
 
+function recordRequestCrash(state: SuspectState, { fingerprint, ...crash }: EndedAttempt): void {
+  if (fingerprint !== null) recordCrash(state, { fingerprint, ...crash });
+}
+
 /**
  * Records an attempt that ended without a complete answer. Returns the crash when its endpoint is
  * known to have ended since the attempt was sent, else null: a later sign may still show it.
@@ -50,7 +56,7 @@
   const { lostAttempts, endedAt } = getOrCreateTrace(state, endpointId);
   if (endedAt !== null && endedAt >= attempt.startedAt) {
     const report = createReport(endpointId, attempt);
-    recordCrash(state, report);
+    recordRequestCrash(state, report);
     return report;
   }
   lostAttempts.push(attempt);
@@ -73,7 +79,7 @@
     .splice(0)
     .filter(({ at }) => at >= now - LOST_ATTEMPT_TTL_MS)
     .map((attempt) => createReport(endpointId, attempt));
-  reports.forEach((report) => recordCrash(state, report));
+  reports.forEach((report) => recordRequestCrash(state, report));
   return reports;
 }
 
--- a/packages/core/src/suspects/state.ts
+++ b/packages/core/src/suspects/state.ts
@@ -22,9 +22,17 @@
   refusedAt: number | null;
 }
 
-/** An attempt that ended without a complete answer; its endpoint may have crashed under it. */
+/** A trial of suspect segments. */
+export interface AttemptTrial {
+  /** Suspect segment, or the id of a combination. */
+  readonly subject: string;
+  readonly holder: string;
+}
+
+/** An attempt that ended without a certainly complete answer; its endpoint may have crashed. */
 export interface LostAttempt {
-  readonly fingerprint: string;
+  /** Null when it does not speak against its request. */
+  readonly fingerprint: string | null;
   /** Time at which it was sent; epoch milliseconds. */
   readonly startedAt: number;
   /** Time at which it ended; epoch milliseconds. */
@@ -34,8 +42,10 @@
   /** Shared segments of the prompt; empty when the endpoint had begun to answer and lived on. */
   readonly segmentIds: readonly string[];
   readonly serviceId: string;
-  /** Suspect segment, or combination, that the attempt was a trial of; null for none. */
-  readonly trialOf: string | null;
+  /** The trial that the attempt was; null for none. */
+  readonly trial: AttemptTrial | null;
+  /** True when it got an answer that is complete unless the endpoint crashed. */
+  readonly hasAnswer: boolean;
 }
 
 /** What points to a crash of one endpoint. */
--- a/packages/router/__tests__/gateway/crashingSegments.spec.ts
+++ b/packages/router/__tests__/gateway/crashingSegments.spec.ts
@@ -37,6 +37,7 @@
   middle: 'shared',
   firstEventMs: [20, 60],
   isResumable: false,
+  framing: 'chunks',
   timeoutMs: 3000,
   resends: true,
   restart: 'none',
@@ -74,6 +75,11 @@
     crashAt: 'event',
     isResumable: true,
   },
+  'after the first event, and the connections just close': {
+    crashAt: 'event',
+    end: 'close',
+    framing: 'none',
+  },
   'of two, beside segments that are always new': { place: 'first', segments: 2, middle: 'new' },
   'and the endpoint falls silent for longer than callers wait': {
     end: 'silent',
--- a/packages/router/__tests__/gateway/publicationTask.spec.ts
+++ b/packages/router/__tests__/gateway/publicationTask.spec.ts
@@ -90,7 +90,7 @@
     it(`that ${title} has crashed under the attempts that it did not answer`, async (t) => {
       await withTask(async (state, crashes, source) => {
         const at = now();
-        const work = { segmentIds: [], serviceId: 'desk', trialOf: null };
+        const work = { segmentIds: [], serviceId: 'desk', trial: null, hasAnswer: false };
         const lost = { startedAt: at - 50, at, isPresumedCrash: false, ...work };
         crashes.recordLostAttempt('e1', { fingerprint: 'silent', ...lost });
         t.is(countCrashes(state.suspects, 'silent', now()).crashes, 0);
--- a/packages/router/__tests__/gateway/restartingEndpoint.ts
+++ b/packages/router/__tests__/gateway/restartingEndpoint.ts
@@ -10,8 +10,8 @@
 
 /** How endpoints end and come back. */
 export interface EndpointLifetime {
-  /** How the endpoint ends: its connections are reset, or nothing answers any more. */
-  readonly end: 'reset' | 'silent';
+  /** How the endpoint ends: its connections are reset or closed, or nothing answers any more. */
+  readonly end: 'reset' | 'close' | 'silent';
   /** Whether an endpoint restarts under its id or registers under another. */
   readonly identity: 'kept' | 'new';
   /** Time after which the store removes the entry of an endpoint that is down; 900 ms unless set. */
@@ -98,7 +98,10 @@
   #close(): void {
     this.#server?.close();
     this.#server = null;
-    this.#sockets.forEach((socket) => socket.resetAndDestroy());
+    this.#sockets.forEach((socket) => {
+      if (this.#life.end === 'close') socket.destroySoon();
+      else socket.resetAndDestroy();
+    });
   }
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
@@ -128,8 +131,8 @@
       this.#register();
       return;
     }
-    if (this.#life.end === 'reset') this.#close();
-    else this.#isMute = true;
+    if (this.#life.end === 'silent') this.#isMute = true;
+    else this.#close();
     await sleep(downMs);
     if (this.#life.end === 'silent') this.#close();
     if (!this.#isStopped) await this.start();
--- a/packages/router/__tests__/gateway/segmentEndpoint.ts
+++ b/packages/router/__tests__/gateway/segmentEndpoint.ts
@@ -40,7 +40,11 @@
     request.resume();
     request.on('error', () => {});
     const { lifetime } = this;
-    const { crashAt, firstEventMs } = this.#scenario;
+    const { crashAt, firstEventMs, framing } = this.#scenario;
+    if (framing === 'none') {
+      response.useChunkedEncodingByDefault = false;
+      response.setHeader('connection', 'close');
+    }
     const [kind] = String(request.headers['x-request']).split('/');
     const crashing = String(request.headers['x-segments'])
       .split(',')
--- a/packages/router/__tests__/gateway/segmentScenario.ts
+++ b/packages/router/__tests__/gateway/segmentScenario.ts
@@ -34,6 +34,8 @@
   /** Time from the arrival at an endpoint to its first event, in milliseconds. */
   readonly firstEventMs: Range;
   readonly isResumable: boolean;
+  /** Whether chunks delimit answers, or only the end of the connection. */
+  readonly framing: 'chunks' | 'none';
   /** Time for which a caller waits, in milliseconds. */
   readonly timeoutMs: number;
   /** Whether a caller sends a request again, under another id, when it gets no answer. */
@@ -58,7 +60,7 @@
 /** Draws a mix of all that scenarios vary; the same seed gives the same mix. */
 export function drawSegmentScenario(seed: number): SegmentScenario {
   const random = createRandom(seed);
-  const end = choose(random, ['reset', 'reset', 'silent'] as const);
+  const end = choose(random, ['reset', 'close', 'silent'] as const);
   const vms = drawBetween(random, [3, 8]);
   return {
     seed,
@@ -90,6 +92,7 @@
       [100, 400],
     ] as const),
     isResumable: choose(random, [true, false]),
+    framing: choose(random, ['chunks', 'chunks', 'none'] as const),
     timeoutMs: choose(random, [3000, 6000]),
     resends: choose(random, [true, false]),
     restart: choose(random, ['none', 'none', 'in-turn', 'together'] as const),
--- a/packages/router/src/gateway/crashGuard.ts
+++ b/packages/router/src/gateway/crashGuard.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import {
+  areAnsweredLately,
   classifyRequest,
   clearCrashes,
   countCrashes,
@@ -12,6 +13,7 @@
 import type { EndpointAttempt } from './endpointAttempt.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { LogFields } from './gatewayLog.js';
+import { isFramed } from './headers.js';
 import type { SegmentGuard } from './segmentGuard.js';
 
 /** Time without any byte of an answer after which an attempt that its caller left is looked into. */
@@ -20,6 +22,12 @@
 /** Time without any byte from an endpoint after which an attempt there is looked into. */
 const SILENCE_MS = 1000;
 
+/** Time after an answer without length and chunks at which its endpoint must be heard again. */
+const UNFRAMED_CHECK_MS = 300;
+
+/** Time in which bytes arrive that an endpoint sent before it crashed. */
+const IN_FLIGHT_MS = 100;
+
 /** Connects one request with the crashes of the endpoints that ran it. */
 export class CrashGuard {
   readonly #context: GatewayContext;
@@ -72,7 +80,7 @@
 
   /** Records an attempt without a complete answer whose caller has left. */
   recordAbandoned(attempt: EndpointAttempt): void {
-    const isTrial = this.#segments.trialOf !== null;
+    const isTrial = this.#segments.trial !== null;
     this.#recordLost(attempt, false);
     const isSilent = !attempt.hasAnswered && now() - attempt.sentAt >= MIN_SILENCE_MS;
     if (isSilent || isTrial) this.#context.probes.probe(attempt.endpoint.id);
@@ -93,9 +101,48 @@
     if (this.#silenceTimer !== null) clearTimeout(this.#silenceTimer);
   }
 
-  /** Removes the request's crashes after a complete answer: another request caused them. */
-  clear(): void {
-    this.#segments.recordAnswer();
+  /**
+   * Records a complete answer. One that only the end of the connection delimits may also come from
+   * an endpoint that crashed after an event: it speaks for the segments once the endpoint is heard
+   * again.
+   */
+  recordAnswer(attempt: EndpointAttempt, headers: readonly string[]): void {
+    this.#clear();
+    const hasSegments = this.#segments.segmentIds.length > 0;
+    if (!hasSegments || attempt.hasLivedOn || isFramed(headers)) this.#segments.recordAnswer();
+    else this.#recordUnframedAnswer(attempt);
+  }
+
+  #recordUnframedAnswer({ endpoint, sentAt }: EndpointAttempt): void {
+    const { segmentIds, serviceId, trial } = this.#segments;
+    const at = now();
+    this.#context.crashes.recordLostAttempt(endpoint.id, {
+      fingerprint: null,
+      startedAt: sentAt,
+      at,
+      isPresumedCrash: false,
+      segmentIds,
+      serviceId,
+      trial,
+      hasAnswer: true,
+    });
+    this.#segments.recordLost();
+    setTimeout(() => this.#checkEndpoint(endpoint.id, at), UNFRAMED_CHECK_MS);
+  }
+
+  #checkEndpoint(endpointId: string, answeredAt: number): void {
+    const { connections, crashes, probes, state } = this.#context;
+    const { segmentIds, serviceId } = this.#segments;
+    const instant = now();
+    if (connections.lastHeardAt(endpointId) > answeredAt + IN_FLIGHT_MS) {
+      crashes.recordEndpointAlive(endpointId, answeredAt);
+    } else if (!areAnsweredLately(state.segmentSuspects, serviceId, segmentIds, instant)) {
+      probes.probe(endpointId);
+    }
+  }
+
+  /** Removes the request's crashes: another request caused them. */
+  #clear(): void {
     const { suspects } = this.#context.state;
     const mayHaveLostAttempts = this.#fingerprint !== null;
     if (!mayHaveLostAttempts && !hasRecordedCrashes(suspects)) return;
@@ -137,7 +184,8 @@
       isPresumedCrash: isBroken,
       segmentIds: attempt.hasLivedOn ? [] : this.#segments.segmentIds,
       serviceId: this.#segments.serviceId,
-      trialOf: this.#segments.trialOf,
+      trial: this.#segments.trial,
+      hasAnswer: false,
     });
     this.#segments.recordLost();
   }
--- a/packages/router/src/gateway/crashRecorder.ts
+++ b/packages/router/src/gateway/crashRecorder.ts
@@ -7,8 +7,10 @@
   recordEndpointEnd,
   recordFailedTrial,
   recordLostAttempt,
+  recordSegmentAnswer,
   recordSegmentCrash,
   removeCrashes,
+  type AttemptTrial,
   type EndedAttempt,
   type LostAttempt,
 } from '@filbertlatch/core';
@@ -54,9 +56,11 @@
 
   /** Records that an endpoint answered a health check that began at `checkedAt`. */
   recordEndpointAlive(endpointId: string, checkedAt: number): void {
-    const { segmentSuspects, suspects, vmId } = this.#state;
-    recordEndpointAlive(suspects, endpointId, checkedAt).forEach(({ trialOf }) => {
-      if (trialOf !== null) endTrial(segmentSuspects, trialOf, vmId);
+    const { segmentSuspects, suspects } = this.#state;
+    recordEndpointAlive(suspects, endpointId, checkedAt).forEach((attempt) => {
+      const { at, hasAnswer, segmentIds, serviceId, trial } = attempt;
+      if (hasAnswer) recordSegmentAnswer(segmentSuspects, serviceId, segmentIds, at);
+      if (trial !== null) endTrial(segmentSuspects, trial.holder);
     });
   }
 
@@ -67,21 +71,26 @@
     removeCrashes(suspects, (crash) => isExplainedCrash(segmentSuspects, crash));
   }
 
-  #recordCrash({ fingerprint, segmentIds, trialOf, ...crash }: EndedAttempt, sign: string): void {
+  #recordCrash({ fingerprint, segmentIds, trial, ...crash }: EndedAttempt, sign: string): void {
     const { endpointId, serviceId, startedAt, at } = crash;
     const { suspects, segmentSuspects } = this.#state;
     recordSegmentCrash(segmentSuspects, segmentIds, { endpointId, serviceId, startedAt, at });
-    if (trialOf !== null) this.#recordFailedTrial(trialOf, serviceId, endpointId);
+    if (trial !== null) this.#recordFailedTrial(trial, serviceId, endpointId);
     const segments = segmentIds
       .slice(0, MAX_LOGGED_SEGMENTS)
       .map((segmentId) => describeSegment(segmentSuspects, serviceId, segmentId, now()));
-    const known = countCrashes(suspects, fingerprint, now());
+    const known = fingerprint === null ? {} : countCrashes(suspects, fingerprint, now());
     this.#log.decision('crash_recorded', { fingerprint, endpointId, sign, ...known, segments });
   }
 
-  #recordFailedTrial(subject: string, serviceId: string, endpointId: string): void {
-    const trial = { subject, serviceId, endpointId, at: now() };
-    recordFailedTrial(this.#state.segmentSuspects, trial);
+  #recordFailedTrial(
+    { subject, holder }: AttemptTrial,
+    serviceId: string,
+    endpointId: string,
+  ): void {
+    const { segmentSuspects } = this.#state;
+    recordFailedTrial(segmentSuspects, { subject, serviceId, endpointId, at: now() });
+    endTrial(segmentSuspects, holder);
     this.#metrics.countFailedTrial();
     this.#log.decision('segment_trial', { subject, phase: 'failed', endpointId });
     this.removeExplained();
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -283,7 +283,7 @@
   }
 
   #completeStream(head: RawAnswerHead): void {
-    this.#crashGuard.clear();
+    this.#crashGuard.recordAnswer(this.#attempt!, head.headers);
     this.#beginStream(head);
     this.#response.end();
     this.#finish('served');
@@ -300,7 +300,7 @@
       this.#failRequest('endpoint_failed');
       return;
     }
-    if (status < FIRST_REDIRECT_STATUS) this.#crashGuard.clear();
+    if (status < FIRST_REDIRECT_STATUS) this.#crashGuard.recordAnswer(this.#attempt!, headers);
     this.#recordFirstAnswer();
     forwardAnswer(this.#response, this.#context.state, status, headers, body);
     this.#finish(status < FIRST_CLIENT_ERROR_STATUS ? 'served' : 'failed');
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
   countLimitedEndpoints,
   countSegments,
   createRandom,
+  randomInteger,
   MAX_REPORTED_CRASHES,
   removeExpiredCrashes,
   removeExpiredSegments,
@@ -106,6 +107,8 @@
   const peers = new PeerTask(settings, state, publication, log);
   publication.onUpdate(() => peers.gossip());
   let currentSettings = settings;
+  // Starts anew with the process, whose former trials may still be known to its peers.
+  let sequenceNumber = randomInteger(state.random, 2 ** 31);
   const countVms = () => countFleetVms(state, currentSettings.seeds.length, now());
   const context: GatewayContext = {
     state,
@@ -117,6 +120,10 @@
     crashes,
     limits,
     countFleetVms: countVms,
+    takeSequenceNumber: () => {
+      sequenceNumber += 1;
+      return sequenceNumber;
+    },
     notifyPeers: () => peers.gossip(),
   };
   const callerServer = new CallerServer(context);
--- a/packages/router/src/gateway/gatewayContext.ts
+++ b/packages/router/src/gateway/gatewayContext.ts
@@ -19,6 +19,8 @@
   readonly limits: LimitRecorder;
   /** Number of VMs that share the limits of the fleet. */
   readonly countFleetVms: () => number;
+  /** Returns a number that no other request of this process has got. */
+  readonly takeSequenceNumber: () => number;
   /** Sends this VM's news to its peers at once. */
   readonly notifyPeers: () => void;
 }
--- a/packages/router/src/gateway/gossipMessage.ts
+++ b/packages/router/src/gateway/gossipMessage.ts
@@ -99,9 +99,9 @@
     .array(z.tuple([text, text, text, z.number().int().min(1).max(MAX_TOLD_TRIALS), age]))
     .max(MAX_FAILED_TRIALS)
     .default([]),
-  /** Suspect, id of the VM that tries it, whether it runs, milliseconds until this lapses. */
+  /** Suspect segment, holder of the trial, whether it runs, suspects in it, milliseconds it holds. */
   trials: z
-    .array(z.tuple([text, text, z.boolean(), age]))
+    .array(z.tuple([text, text, z.boolean(), count, age]))
     .max(MAX_REPORTED_TRIALS)
     .default([]),
   /**
@@ -219,10 +219,11 @@
       ],
     ),
     trials: takeTrialAnnouncements(segmentSuspects, vmId, now).map(
-      ({ subject, vmId: triedBy, isRunning, endsAt }): TrialTuple => [
-        subject,
-        triedBy,
+      ({ segmentId, holder, isRunning, suspects, endsAt }): TrialTuple => [
+        segmentId,
+        holder,
         isRunning,
+        suspects,
         Math.round(endsAt - now),
       ],
     ),
@@ -359,10 +360,11 @@
         at: now - ageMs,
       }),
     ),
-    trials: message.trials.map(([subject, vmId, isRunning, endsInMs]) => ({
-      subject,
-      vmId,
+    trials: message.trials.map(([segmentId, holder, isRunning, suspects, endsInMs]) => ({
+      segmentId,
+      holder,
       isRunning,
+      suspects,
       endsAt: now + endsInMs,
     })),
   };
--- a/packages/router/src/gateway/segmentGuard.ts
+++ b/packages/router/src/gateway/segmentGuard.ts
@@ -1,6 +1,7 @@
 import {
   announceTrial,
   classifySegments,
+  countClassified,
   countSegmentRefusal,
   describeSegment,
   endTrial,
@@ -10,6 +11,7 @@
   sharedSegments,
   startTrial,
   trialSettleMs,
+  type AttemptTrial,
 } from '@filbertlatch/core';
 
 import { now } from '../clock.js';
@@ -35,8 +37,11 @@
 
   readonly #context: GatewayContext;
 
-  /** Suspect whose trial this request is waiting for, is or was. */
-  #subject: string | null = null;
+  /** Names this request among those on trial. */
+  readonly #holder: string;
+
+  /** Trial that this request has announced or is; null for none. */
+  #trial: AttemptTrial | null = null;
 
   #isWaiting = false;
 
@@ -44,33 +49,35 @@
 
   constructor(context: GatewayContext, { job, metadata }: AdmittedRequest) {
     this.#context = context;
+    this.#holder = `${context.state.vmId}/${context.takeSequenceNumber()}`;
     this.serviceId = job.serviceId;
     const { size } = metadata;
     this.segmentIds = size === null ? [] : sharedSegments(size).map(({ id }) => id);
   }
 
-  /** Suspect that the present attempt is a trial of; null for none. */
-  get trialOf(): string | null {
-    return this.#isOnTrial ? this.#subject : null;
+  /** The trial that the present attempt is; null for none. */
+  get trial(): AttemptTrial | null {
+    return this.#isOnTrial ? this.#trial : null;
   }
 
   /** Decides before each attempt. A suspect waits once, while VMs settle whose trial goes first. */
   requestPermission(): SendPermission {
-    const { state } = this.#context;
-    const { segmentSuspects } = state;
+    const { segmentSuspects } = this.#context.state;
     const instant = now();
+    if (!this.#isWaiting && this.segmentIds.length > 0) countClassified(segmentSuspects);
     const verdict = classifySegments(segmentSuspects, this.serviceId, this.segmentIds, instant);
     if (verdict.kind === 'sound') {
       this.release();
       return { kind: 'send' };
     }
-    const { subject, retryAfterMs } = verdict;
+    const { subject, suspects, retryAfterMs } = verdict;
     if (verdict.kind === 'suspect') {
       // The endpoint before has not run it.
-      if (this.trialOf === subject) return { kind: 'trial' };
-      if (!this.#isWaiting) return this.#waitForTrial(subject, instant);
-      if (startTrial(segmentSuspects, subject, state.vmId, instant)) {
-        return this.#beginTrial(subject);
+      if (this.trial?.subject === subject) return { kind: 'trial' };
+      if (!this.#isWaiting) return this.#waitForTrial(subject, suspects, instant);
+      const isAnnounced = this.#trial?.subject === subject;
+      if (isAnnounced && startTrial(segmentSuspects, suspects, this.#holder, instant)) {
+        return this.#beginTrial();
       }
     }
     this.release();
@@ -90,18 +97,16 @@
   /** Records that the attempt got no answer; its trial holds until the endpoint is looked into. */
   recordLost(): void {
     if (!this.#isOnTrial) return;
-    const { segmentSuspects, vmId } = this.#context.state;
-    holdLostTrial(segmentSuspects, this.#subject!, vmId, now());
+    holdLostTrial(this.#context.state.segmentSuspects, this.#holder, now());
     this.#logTrial('lost');
     this.#isOnTrial = false;
-    this.#subject = null;
+    this.#trial = null;
   }
 
   /** Ends what this request has announced or begun. */
   release(): void {
-    const { segmentSuspects, vmId } = this.#context.state;
-    if (this.#subject !== null) endTrial(segmentSuspects, this.#subject, vmId);
-    this.#subject = null;
+    if (this.#trial !== null) endTrial(this.#context.state.segmentSuspects, this.#holder);
+    this.#trial = null;
     this.#isWaiting = false;
     this.#isOnTrial = false;
   }
@@ -117,18 +122,17 @@
     return { segments };
   }
 
-  #waitForTrial(subject: string, instant: number): SendPermission {
+  #waitForTrial(subject: string, suspects: readonly string[], instant: number): SendPermission {
     const { state, countFleetVms, notifyPeers } = this.#context;
     this.#isWaiting = true;
-    if (announceTrial(state.segmentSuspects, subject, state.vmId, instant)) {
-      this.#subject = subject;
+    if (announceTrial(state.segmentSuspects, suspects, this.#holder, instant)) {
+      this.#trial = { subject, holder: this.#holder };
       notifyPeers();
     }
     return { kind: 'wait', waitMs: trialSettleMs(countFleetVms()) };
   }
 
-  #beginTrial(subject: string): SendPermission {
-    this.#subject = subject;
+  #beginTrial(): SendPermission {
     this.#isWaiting = false;
     this.#isOnTrial = true;
     this.#logTrial('started');
@@ -138,6 +142,6 @@
 
   #logTrial(phase: 'started' | 'passed' | 'lost'): void {
     if (!this.#isOnTrial) return;
-    this.#context.log.decision('segment_trial', { subject: this.#subject, phase });
+    this.#context.log.decision('segment_trial', { subject: this.#trial?.subject, phase });
   }
 }
