Close connections on which endpoints send bytes without end besides a body

Forty endpoints at once that sent a status line, headers, informational heads, chunk extensions or trailers without end held their callers until the deadline (5 s and more) and other requests for up to 6.8 s: the parser takes what makes no answer for as long as it comes, and reports each header beyond its limit anew. Each connection now counts what it has parsed besides bodies, before the parser reads on, and is closed beyond 64 kB and 8 bytes for each byte of the body; the attempt ends as malformed.

--- a/packages/router/src/gateway/endpointConnections.ts
+++ b/packages/router/src/gateway/endpointConnections.ts
@@ -3,6 +3,7 @@
 import { buildConnector, Pool } from 'undici';
 
 import { now } from '../clock.js';
+import { MeteredClient } from './answerMeter.js';
 
 /** Time-out for opening a connection; within a data centre it opens within milliseconds. */
 const CONNECT_TIMEOUT_MS = 700;
@@ -79,12 +80,13 @@
       bodyTimeout: 0,
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      connect: (options, callback) => {
-        connect(options, (...result) => {
-          this.#watchReset(result[1]);
-          callback(...result);
-        });
-      },
+      factory: (origin, options) =>
+        new MeteredClient(origin, options, (target, callback) => {
+          connect(target, (...result) => {
+            this.#watchReset(result[1]);
+            callback(...result);
+          });
+        }),
     });
   }
 
--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -1,6 +1,7 @@
 import type { Verdict } from '@filbertlatch/core';
 import { errors } from 'undici';
 
+import { EndlessAnswerError } from './answerMeter.js';
 import type { EndpointConnections } from './endpointConnections.js';
 
 /** An HTTP request as it is sent to an endpoint. */
@@ -107,7 +108,8 @@
   #fail(error: Error): void {
     if (this.#isOver) return;
     this.#isOver = true;
-    const isMalformed = error instanceof errors.HTTPParserError;
+    const isMalformed =
+      error instanceof errors.HTTPParserError || error instanceof EndlessAnswerError;
     const brokenCause = isMalformed ? 'malformed' : 'broken';
     this.#observer.fail({
       verdict: this.#mayHaveSent ? 'may-have-run' : 'not-run',
