Bound the memory of answers and the size of events, and scan events once

Forty bodies without end cost 595 MB on a plain route: each answer was buffered up to 16 MB, and all together had no limit. On routes of streams an event without end was passed on until the deadline or, where streams can be resumed, joined and scanned again with each chunk up to 1 MB. Now all buffered answers of a gateway share 32 MB, beyond which the largest is given up; a declared length above 16 MB is rejected with the head; an event above 256 kB is malformed; the splitter looks at each byte once and joins an event when it is complete.

--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -17,23 +17,19 @@
 import { now } from '../clock.js';
 import type { AdmittedRequest } from './admitRequest.js';
 import { EndpointRequest, type OutgoingRequest, type AttemptFailure } from './endpointRequest.js';
+import type { BufferedAnswer } from './answerBuffers.js';
 import type { AnswerMetadata } from './dialect.js';
-import { EventBoundary } from './eventBoundary.js';
 import type { GatewayContext } from './gatewayContext.js';
-import { findHeader, isFramed } from './headers.js';
+import { findHeader } from './headers.js';
+import { StreamProgress } from './streamProgress.js';
 
 /** Maximum size of an answer that is buffered until it is complete. */
 const MAX_ANSWER_BYTES = 16_777_216;
 
-const EVENT_STREAM = 'text/event-stream';
-
 const OK_STATUS = 200;
 const FIRST_REDIRECT_STATUS = 300;
 const FIRST_SERVER_ERROR_STATUS = 500;
 
-/** An endpoint that still answers this long after the first bytes of a stream lives on. */
-const LIVED_ON_MS = 250;
-
 /** Endpoint of an attempt and its expected cost. */
 export interface AttemptPlan {
   readonly endpoint: RegisteredEndpoint;
@@ -68,7 +64,7 @@
 /**
  * One attempt of a request at one endpoint: validates the answer and accounts for load and health.
  */
-export class EndpointAttempt {
+export class EndpointAttempt implements BufferedAnswer {
   readonly endpoint: RegisteredEndpoint;
 
   /** Expected time to the first event or answer, in milliseconds. */
@@ -92,12 +88,9 @@
 
   readonly #chunks: Buffer[] = [];
 
-  #receivedBytes = 0;
+  #bufferedBytes = 0;
 
-  /** Chunks received of a stream; almost always one event each. */
-  #streamChunks = 0;
-
-  readonly #eventBoundary = new EventBoundary();
+  readonly #stream = new StreamProgress();
 
   #rawHead: RawAnswerHead = { status: 0, headers: [] };
 
@@ -105,11 +98,6 @@
 
   #isSettled = false;
 
-  /** Time of the first bytes of a stream; epoch milliseconds. */
-  #streamingSince: number | null = null;
-
-  #hasLivedOn = false;
-
   #heardAt = this.sentAt;
 
   constructor(
@@ -148,6 +136,16 @@
     return this.#isSettled;
   }
 
+  /** Bytes buffered so far of an answer that is not a stream. */
+  get bufferedBytes(): number {
+    return this.#bufferedBytes;
+  }
+
+  /** Gives up an answer that is too large. */
+  giveUp(): void {
+    this.#reject('answer exceeds the memory for answers');
+  }
+
   /** True when the status and headers have arrived. */
   get hasAnswered(): boolean {
     return this.#metadata !== null;
@@ -160,7 +158,7 @@
 
   /** True when the endpoint has lived on after it began to answer. */
   get hasLivedOn(): boolean {
-    return this.#hasLivedOn;
+    return this.#stream.hasLivedOn;
   }
 
   /** Sends the request. */
@@ -186,16 +184,6 @@
     return this.#admitted.route.repetition === 'streaming' && this.#rawHead.status === OK_STATUS;
   }
 
-  /** Says whether a stream that ended without an error lacks a part. */
-  #isBrokenOff(): boolean {
-    const { headers } = this.#rawHead;
-    const contentType = findHeader(headers, 'content-type') ?? EVENT_STREAM;
-    if (!contentType.toLowerCase().startsWith(EVENT_STREAM)) return false;
-    if (!this.#eventBoundary.isEmpty) return !this.#eventBoundary.isAtEventEnd;
-    // Without a length or chunks nothing but an event tells an answer from a crash.
-    return !isFramed(headers);
-  }
-
   #handleHead(status: number, headers: string[]): void {
     const { dialect } = this.#context;
     this.#heardAt = now();
@@ -208,9 +196,15 @@
     const isForged = isSuccess && (!metadata.isSigned || metadata.requestId === null);
     if (isForeign) this.#reject('answer carries the id of another request');
     else if (isForged) this.#reject('successful answer lacks a signature or request id');
+    else if (this.#isTooLong()) this.#reject('answer exceeds the size limit');
     else this.#recordLimit(metadata);
   }
 
+  #isTooLong(): boolean {
+    if (this.#isStream()) return false;
+    return Number(findHeader(this.#rawHead.headers, 'content-length')) > MAX_ANSWER_BYTES;
+  }
+
   #recordLimit(metadata: AnswerMetadata): void {
     const answered = { endpointId: this.endpoint.id, sentAt: this.sentAt };
     this.#context.limits.recordAnswer(answered, this.#rawHead.status, metadata);
@@ -224,31 +218,30 @@
   #handleBody(chunk: Buffer): boolean {
     if (this.#isSettled) return true;
     if (this.#isStream()) {
+      this.#heardAt = now();
       this.#markStreaming();
-      this.#streamChunks += 1;
-      this.#eventBoundary.push(chunk);
+      if (this.#stream.push(chunk, this.#heardAt)) this.#observer.livedOn();
+      if (this.#stream.isOverlong) {
+        this.#reject('event exceeds the size limit');
+        return true;
+      }
       return this.#observer.streamed(this.#rawHead, chunk);
     }
-    this.#receivedBytes += chunk.length;
+    this.#bufferedBytes += chunk.length;
     this.#chunks.push(chunk);
-    if (this.#receivedBytes > MAX_ANSWER_BYTES) this.#reject('answer exceeds the size limit');
+    if (this.#bufferedBytes > MAX_ANSWER_BYTES) this.#reject('answer exceeds the size limit');
+    else this.#context.buffers.add(this, chunk.length);
     return true;
   }
 
   #markStreaming(): void {
-    this.#heardAt = now();
-    this.#streamingSince ??= this.#heardAt;
-    if (!this.#hasLivedOn && this.#heardAt - this.#streamingSince >= LIVED_ON_MS) {
-      this.#hasLivedOn = true;
-      this.#observer.livedOn();
-    }
     if (this.#work.phase !== 'waiting') return;
     recordFirstEvent(this.#context.state.scheduling, this.#work, now());
   }
 
   #handleEnd(): void {
     if (this.#isSettled) return;
-    if (this.#isStream() && this.#isBrokenOff()) {
+    if (this.#isStream() && this.#stream.isBrokenOff(this.#rawHead.headers)) {
       const message = 'stream ended inside an event';
       this.#fail({ verdict: 'may-have-run', cause: 'broken', message });
     } else if (this.#isStream()) {
@@ -327,7 +320,7 @@
   #observeStream(): void {
     const { tokensPerEvent } = this.#admitted.job;
     const { scheduling } = this.#context.state;
-    recordStepPace(scheduling, this.#work, this.#streamChunks, tokensPerEvent, now());
+    recordStepPace(scheduling, this.#work, this.#stream.chunks, tokensPerEvent, now());
   }
 
   #observeOutcome(isFailure: boolean): void {
@@ -336,6 +329,8 @@
 
   #end(outcome: string): void {
     this.#isSettled = true;
+    this.#context.buffers.release(this);
+    this.#chunks.length = 0;
     recordEnd(this.#context.state.scheduling, this.#work);
     this.#context.metrics.countAttempt(this.endpoint.id, outcome);
   }
--- a/packages/router/src/gateway/eventSplitter.ts
+++ b/packages/router/src/gateway/eventSplitter.ts
@@ -1,25 +1,22 @@
-const LINE_FEED = 0x0a;
-const CARRIAGE_RETURN = 0x0d;
-
-/** Maximum size of an incomplete event; a larger one is malformed. */
-const MAX_EVENT_BYTES = 1_048_576;
-
-/** Returns the index after the first blank line; -1 when there is none. */
-function findEventEnd(bytes: Buffer, from: number): number {
-  let lineStart = from;
-  for (let index = bytes.indexOf(LINE_FEED, from); index >= 0;) {
-    const isBlank =
-      index === lineStart || (index === lineStart + 1 && bytes[lineStart] === CARRIAGE_RETURN);
-    if (isBlank) return index + 1;
-    lineStart = index + 1;
-    index = bytes.indexOf(LINE_FEED, lineStart);
-  }
-  return -1;
+/** Ends of an event: a line end and an empty line. */
+const EVENT_ENDS = ['\n\n', '\r\r', '\n\r\n'];
+
+/** Bytes before a chunk that may belong to an event end which the chunk completes. */
+const TAIL_BYTES = 2;
+
+/** Returns the index after the last event end; 0 when there is none. */
+function findLastEventEnd(bytes: Buffer): number {
+  const ends = EVENT_ENDS.map((end) => {
+    const index = bytes.lastIndexOf(end);
+    return index < 0 ? 0 : index + end.length;
+  });
+  return Math.max(...ends);
 }
 
-function parseEventId(event: string): string | null {
-  const match = /^id: ?([^\r\n]*)/m.exec(event);
-  return match === null ? null : match[1]!;
+function parseLastEventId(events: string): string | null {
+  let id: string | null = null;
+  for (const match of events.matchAll(/^id: ?([^\r\n]*)/gm)) id = match[1]!;
+  return id;
 }
 
 /**
@@ -27,7 +24,11 @@
  * event.
  */
 export class EventSplitter {
-  #pending: Buffer = Buffer.alloc(0);
+  /** Bytes of an incomplete event; kept apart, since joining them for each chunk costs too much. */
+  #pending: Buffer[] = [];
+
+  /** Last bytes of the stream. */
+  #tail: Buffer = Buffer.alloc(0);
 
   #lastEventId: string | null = null;
 
@@ -36,24 +37,24 @@
     return this.#lastEventId;
   }
 
-  /** Adds bytes and returns all complete events; throws RangeError beyond the size limit. */
+  /** Adds bytes and returns all complete events. */
   push(chunk: Buffer): Buffer {
-    this.#pending = this.#pending.length === 0 ? chunk : Buffer.concat([this.#pending, chunk]);
-    let end = 0;
-    for (let next = findEventEnd(this.#pending, 0); next >= 0;) {
-      const id = parseEventId(this.#pending.toString('latin1', end, next));
-      if (id !== null) this.#lastEventId = id;
-      end = next;
-      next = findEventEnd(this.#pending, end);
+    const tailed = Buffer.concat([this.#tail, chunk]);
+    const end = findLastEventEnd(tailed) - this.#tail.length;
+    this.#tail = Buffer.from(tailed.subarray(-TAIL_BYTES));
+    if (end <= 0) {
+      this.#pending.push(chunk);
+      return Buffer.alloc(0);
     }
-    const whole = this.#pending.subarray(0, end);
-    this.#pending = this.#pending.subarray(end);
-    if (this.#pending.length > MAX_EVENT_BYTES) throw new RangeError('event exceeds size limit');
+    const whole = Buffer.concat([...this.#pending, chunk.subarray(0, end)]);
+    this.#pending = end < chunk.length ? [chunk.subarray(end)] : [];
+    this.#lastEventId = parseLastEventId(whole.toString('latin1')) ?? this.#lastEventId;
     return whole;
   }
 
   /** Discards an incomplete event. */
   dropPartial(): void {
-    this.#pending = Buffer.alloc(0);
+    this.#pending = [];
+    this.#tail = Buffer.alloc(0);
   }
 }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -22,6 +22,7 @@
 import { now } from '../clock.js';
 import { createLog } from '../log/index.js';
 import { splitAddress } from './address.js';
+import { AnswerBuffers } from './answerBuffers.js';
 import { ConnectionTable } from './connectionTable.js';
 import { CrashRecorder } from './crashRecorder.js';
 import type { Dialect } from './dialect.js';
@@ -119,6 +120,7 @@
     probes,
     crashes,
     limits,
+    buffers: new AnswerBuffers(),
     countFleetVms: countVms,
     takeSequenceNumber: () => {
       sequenceNumber += 1;
--- a/packages/router/src/gateway/gatewayContext.ts
+++ b/packages/router/src/gateway/gatewayContext.ts
@@ -1,3 +1,4 @@
+import type { AnswerBuffers } from './answerBuffers.js';
 import type { ConnectionTable } from './connectionTable.js';
 import type { CrashRecorder } from './crashRecorder.js';
 import type { Dialect } from './dialect.js';
@@ -17,6 +18,7 @@
   readonly probes: ProbeTask;
   readonly crashes: CrashRecorder;
   readonly limits: LimitRecorder;
+  readonly buffers: AnswerBuffers;
   /** Number of VMs that share the limits of the fleet. */
   readonly countFleetVms: () => number;
   /** Returns a number that no other request of this process has got. */
--- /dev/null
+++ b/packages/router/src/gateway/streamProgress.ts
@@ -0,0 +1,56 @@
+import { EventBoundary } from './eventBoundary.js';
+import { findHeader, isFramed } from './headers.js';
+
+/** An endpoint that still answers this long after the first bytes of a stream lives on. */
+const LIVED_ON_MS = 250;
+
+/** Maximum size of one event. */
+const MAX_EVENT_BYTES = 262_144;
+
+const EVENT_STREAM = 'text/event-stream';
+
+/** What has come of a stream of events. */
+export class StreamProgress {
+  readonly #boundary = new EventBoundary();
+
+  /** Time of the first bytes; epoch milliseconds. */
+  #beganAt: number | null = null;
+
+  #chunks = 0;
+
+  #hasLivedOn = false;
+
+  /** Chunks received; almost always one event each. */
+  get chunks(): number {
+    return this.#chunks;
+  }
+
+  /** True when the endpoint has lived on after it began to answer. */
+  get hasLivedOn(): boolean {
+    return this.#hasLivedOn;
+  }
+
+  /** True when an event is longer than any may be. */
+  get isOverlong(): boolean {
+    return this.#boundary.openBytes > MAX_EVENT_BYTES;
+  }
+
+  /** Adds bytes; returns true for the first ones that show that the endpoint has lived on. */
+  push(chunk: Buffer, now: number): boolean {
+    this.#chunks += 1;
+    this.#boundary.push(chunk);
+    this.#beganAt ??= now;
+    if (this.#hasLivedOn || now - this.#beganAt < LIVED_ON_MS) return false;
+    this.#hasLivedOn = true;
+    return true;
+  }
+
+  /** Says whether a stream with these headers that ended without an error lacks a part. */
+  isBrokenOff(headers: readonly string[]): boolean {
+    const contentType = findHeader(headers, 'content-type') ?? EVENT_STREAM;
+    if (!contentType.toLowerCase().startsWith(EVENT_STREAM)) return false;
+    if (!this.#boundary.isEmpty) return !this.#boundary.isAtEventEnd;
+    // Without a length or chunks nothing but an event tells an answer from a crash.
+    return !isFramed(headers);
+  }
+}
