--- a/packages/core/src/segmentSuspects/queries.ts
+++ b/packages/core/src/segmentSuspects/queries.ts
@@ -11,11 +11,14 @@
 const ANSWER_TRUST_MS = 10_000;
 
 /**
- * Time after a failed trial until the next one. It is longer by the factor after each further one,
- * and after the first one when there were so many crashes that chance hardly explains them.
+ * Time after the first failed trial until the next one, if chance may explain the crashes: several
+ * endpoints may end for other reasons.
  */
-const FIRST_TRIAL_DELAY_MS = 5000;
+const FIRST_TRIAL_DELAY_MS = 2000;
 const CRASHES_BEYOND_CHANCE = 4;
+
+/** Time until the next trial otherwise; longer by the factor after each further one. */
+const TRIAL_DELAY_MS = 30_000;
 const TRIAL_DELAY_FACTOR = 6;
 const MAX_TRIAL_DELAY_MS = 3_600_000;
 
@@ -23,8 +26,8 @@
  * A segment with this fraction of the requests is tried again soon: to refuse it without need would
  * cost more than an endpoint.
  */
-const COMMON_FRACTION = 0.5;
-const MIN_REFUSALS_OF_COMMON = 5;
+const COMMON_FRACTION = 0.95;
+const MIN_REFUSALS_OF_COMMON = 20;
 
 /** Delay after which a caller may come back while another request is on trial. */
 const TRIAL_RETRY_AFTER_MS = 300;
@@ -74,9 +77,9 @@
     refusals >= MIN_REFUSALS_OF_COMMON &&
     refusals >= COMMON_FRACTION * (state.classified - classifiedBefore);
   if (isCommon) return failedAt + FIRST_TRIAL_DELAY_MS;
-  const isBeyondChance = crashes.length >= CRASHES_BEYOND_CHANCE;
-  const exponent = Math.max(0, failedTrials - 1) + (isBeyondChance ? 1 : 0);
-  const delayMs = FIRST_TRIAL_DELAY_MS * TRIAL_DELAY_FACTOR ** exponent;
+  const further = failedTrials - 1 + (crashes.length >= CRASHES_BEYOND_CHANCE ? 1 : 0);
+  if (further <= 0) return failedAt + FIRST_TRIAL_DELAY_MS;
+  const delayMs = TRIAL_DELAY_MS * TRIAL_DELAY_FACTOR ** (further - 1);
   return failedAt + Math.min(MAX_TRIAL_DELAY_MS, delayMs);
 }
 
--- a/packages/router/__tests__/gateway/segmentScenario.ts
+++ b/packages/router/__tests__/gateway/segmentScenario.ts
@@ -53,6 +53,38 @@
   readonly lengthMs: number;
 }
 
+/** Four VMs, eight engines and one segment that crashes them, three times a second. */
+export const basicSegmentScenario: SegmentScenario = {
+  seed: 1,
+  vms: 4,
+  endpoints: 8,
+  end: 'reset',
+  identity: 'new',
+  downMs: [1500, 2500],
+  crashAt: 'head',
+  crashingSegments: 1,
+  place: 'middle',
+  segments: 4,
+  crashingEveryMs: [200, 400],
+  crashingAtOnce: 1,
+  crashingVms: 4,
+  companions: 0,
+  soundPerSecond: 40,
+  middle: 'shared',
+  firstEventMs: [20, 60],
+  isResumable: false,
+  framing: 'chunks',
+  timeoutMs: 3000,
+  resends: true,
+  restart: 'none',
+  restartAtMs: 7000,
+  peerLoss: 0,
+  cutOffMs: null,
+  killEveryMs: null,
+  storeSilentAtMs: null,
+  lengthMs: 20_000,
+};
+
 function choose<T>(random: Random, choices: readonly T[]): T {
   return choices[randomInteger(random, choices.length)]!;
 }
