Let a connection end while its answer is held back

An endpoint could take a whole VM down: when an answer without length and chunks was held back for a slow caller and its connection ended after the last bytes, the parser of undici threw an assertion from the socket's event, which nothing catches. The parser is now resumed before it sees the end, and an empty chunk, which it passes on when it is resumed without further bytes, holds back nothing. There is no more data then, so that nothing is lost or gathered.

--- a/packages/router/src/gateway/endpointConnections.ts
+++ b/packages/router/src/gateway/endpointConnections.ts
@@ -3,7 +3,7 @@
 import { buildConnector, Pool } from 'undici';
 
 import { now } from '../clock.js';
-import { MeteredClient } from './answerMeter.js';
+import { GuardedClient } from './guardedClient.js';
 
 /** Time-out for opening a connection; within a data centre it opens within milliseconds. */
 const CONNECT_TIMEOUT_MS = 700;
@@ -81,7 +81,7 @@
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       factory: (origin, options) =>
-        new MeteredClient(origin, options, (target, callback) => {
+        new GuardedClient(origin, options, (target, callback) => {
           connect(target, (...result) => {
             this.#watchReset(result[1]);
             callback(...result);
--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -1,8 +1,8 @@
 import type { Verdict } from '@filbertlatch/core';
 import { errors } from 'undici';
 
-import { EndlessAnswerError } from './answerMeter.js';
 import type { EndpointConnections } from './endpointConnections.js';
+import { EndlessAnswerError } from './guardedClient.js';
 
 /** An HTTP request as it is sent to an endpoint. */
 export interface OutgoingRequest {
--- a/packages/router/src/gateway/answerMeter.ts
+++ b/packages/router/src/gateway/guardedClient.ts
@@ -8,7 +8,7 @@
 /** Bytes of frame that are accepted for each byte of the body; a chunk may hold a single one. */
 const MAX_FRAME_FACTOR = 8;
 
-/** Above what the meter accepts, so that the parser does not report each further header. */
+/** Above what the guard accepts, so that the parser does not report each further header. */
 const MAX_PARSED_HEAD_BYTES = 1_048_576;
 
 /** An endpoint sends bytes that do not make an answer. */
@@ -20,33 +20,53 @@
   }
 }
 
-/** Closes a connection on which an endpoint sends more bytes than an answer may have. */
-class AnswerMeter {
+/**
+ * Watches a connection: closes it when an endpoint sends more bytes than an answer may have, and
+ * lets the parser see an end that comes while an answer is paused.
+ */
+class ConnectionGuard {
   #socket: Socket | null = null;
 
   #bytesBefore = 0;
 
   #bodyBytes = 0;
 
+  /** Resumes the paused answer; null while none is paused. */
+  #resume: (() => void) | null = null;
+
   /** Begins to watch a new connection. */
   attach(socket: Socket): void {
     this.#socket = socket;
     this.#begin();
     // Before the parser reads, so that it gets no more than one block too many.
     socket.prependListener('readable', () => this.#check(socket));
+    // The parser throws at the end of a connection while it is paused; there is nothing to hold back.
+    socket.prependListener('end', () => this.#resume?.());
   }
 
-  /** Returns a handler that also counts the bytes of the bodies. */
+  /** Returns a handler that also counts the bytes of the body and knows when it is paused. */
   watch(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
+    let resume = () => {};
     return {
       ...handler,
+      onHeaders: (status, headers, resumeParser, statusText) => {
+        resume = () => {
+          this.#resume = null;
+          resumeParser();
+        };
+        return handler.onHeaders?.(status, headers, resume, statusText) ?? true;
+      },
       onConnect: (abort) => {
         this.#begin();
         handler.onConnect?.(abort);
       },
       onData: (chunk) => {
+        // The parser passes on nothing when it is resumed without further bytes.
+        if (chunk.length === 0) return true;
         this.#bodyBytes += chunk.length;
-        return handler.onData?.(chunk) ?? true;
+        const isRead = handler.onData?.(chunk) ?? true;
+        if (!isRead) this.#resume = resume;
+        return isRead;
       },
     };
   }
@@ -54,6 +74,7 @@
   #begin(): void {
     this.#bytesBefore = this.#socket?.bytesRead ?? 0;
     this.#bodyBytes = 0;
+    this.#resume = null;
   }
 
   #check(socket: Socket): void {
@@ -69,29 +90,29 @@
 }
 
 /** A client of one connection that is closed when an endpoint sends bytes without end. */
-export class MeteredClient extends Client {
-  readonly #meter: AnswerMeter;
+export class GuardedClient extends Client {
+  readonly #guard: ConnectionGuard;
 
   constructor(origin: URL, options: Client.Options, connect: buildConnector.connector) {
-    const meter = new AnswerMeter();
+    const guard = new ConnectionGuard();
     super(origin, {
       ...options,
       maxHeaderSize: MAX_PARSED_HEAD_BYTES,
       connect: (target, callback) => {
         connect(target, (...result) => {
           // A connection that cannot be opened has no socket.
-          if (result[0] === null) meter.attach(result[1]);
+          if (result[0] === null) guard.attach(result[1]);
           callback(...result);
         });
       },
     });
-    this.#meter = meter;
+    this.#guard = guard;
   }
 
   override dispatch(
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): boolean {
-    return super.dispatch(options, this.#meter.watch(handler));
+    return super.dispatch(options, this.#guard.watch(handler));
   }
 }
