--- a/packages/core/src/segmentSuspects/commands.ts
+++ b/packages/core/src/segmentSuspects/commands.ts
@@ -32,7 +32,7 @@
 /** How long a failed trial is remembered, so that the next one comes no sooner than due. */
 const FAILED_TRIAL_TTL_MS = 86_400_000;
 
-/** Largest difference of the times that VMs report of one crash beside their clocks' rounding. */
+/** Largest difference between the times that VMs report of one crash. */
 const SAME_CRASH_MS = 250;
 
 /** Difference below which a failed trial is the same one, told by another VM. */
@@ -96,11 +96,6 @@
   return history;
 }
 
-/** Lists the crashes under the segments whose trials failed. */
-export function listExplainedCrashes({ confirmed, histories }: SegmentSuspectState): CrashTimes[] {
-  return [...confirmed].flatMap((segmentId) => histories.get(segmentId)?.crashes ?? []);
-}
-
 /**
  * Says whether a segment whose trial failed was there at a crash, if it has more crashes than the
  * `crashes` of the segment in question.
--- a/packages/core/src/segmentSuspects/index.ts
+++ b/packages/core/src/segmentSuspects/index.ts
@@ -2,7 +2,6 @@
   countClassified,
   countSegmentRefusal,
   isExplainedCrash,
-  listExplainedCrashes,
   type CrashTimes,
   recordFailedTrial,
   recordPeerFailedTrial,
