Count the memory of each buffered answer once; resume only the answer that is paused

An answer above 16 MB was released with one chunk more than had been added, so that the limit on all answers grew with each; the bytes of each answer are now kept where they are added.

--- a/packages/router/src/gateway/answerBuffers.ts
+++ b/packages/router/src/gateway/answerBuffers.ts
@@ -3,33 +3,37 @@
 
 /** An answer that is buffered until it is complete. */
 export interface BufferedAnswer {
-  /** Bytes buffered so far. */
-  readonly bufferedBytes: number;
   /** Gives up the answer and its memory; called when all answers together need too much. */
   giveUp(): void;
 }
 
 /** Bounds the memory of all buffered answers of a gateway. */
 export class AnswerBuffers {
-  readonly #answers = new Set<BufferedAnswer>();
+  readonly #bytesOf = new Map<BufferedAnswer, number>();
 
   #bytes = 0;
 
   /** Counts bytes that an answer has buffered; the largest answers are given up beyond the limit. */
   add(answer: BufferedAnswer, bytes: number): void {
-    this.#answers.add(answer);
+    this.#bytesOf.set(answer, (this.#bytesOf.get(answer) ?? 0) + bytes);
     this.#bytes += bytes;
-    while (this.#bytes > MAX_BUFFERED_BYTES) this.#findLargest().giveUp();
+    while (this.#bytes > MAX_BUFFERED_BYTES) {
+      const largest = this.#findLargest();
+      largest.giveUp();
+      this.release(largest);
+    }
   }
 
-  /** Frees the memory of an answer; called once for each that `add` was called for. */
+  /** Frees the memory of an answer that has ended or is given up. */
   release(answer: BufferedAnswer): void {
-    if (this.#answers.delete(answer)) this.#bytes -= answer.bufferedBytes;
+    this.#bytes -= this.#bytesOf.get(answer) ?? 0;
+    this.#bytesOf.delete(answer);
   }
 
   #findLargest(): BufferedAnswer {
-    return [...this.#answers].reduce((largest, answer) =>
-      answer.bufferedBytes > largest.bufferedBytes ? answer : largest,
-    );
+    const [[largest]] = [...this.#bytesOf].sort(([, a], [, b]) => b - a) as [
+      [BufferedAnswer, number],
+    ];
+    return largest;
   }
 }
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -136,11 +136,6 @@
     return this.#isSettled;
   }
 
-  /** Bytes buffered so far of an answer that is not a stream. */
-  get bufferedBytes(): number {
-    return this.#bufferedBytes;
-  }
-
   /** Gives up an answer that is too large. */
   giveUp(): void {
     this.#reject('answer exceeds the memory for answers');
--- a/packages/router/src/gateway/guardedClient.ts
+++ b/packages/router/src/gateway/guardedClient.ts
@@ -46,11 +46,14 @@
 
   /** Returns a handler that also counts the bytes of the body and knows when it is paused. */
   watch(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
+    let isOver = false;
     let resume = () => {};
     return {
       ...handler,
       onHeaders: (status, headers, resumeParser, statusText) => {
         resume = () => {
+          // The connection may have another answer by now.
+          if (isOver) return;
           this.#resume = null;
           resumeParser();
         };
@@ -68,6 +71,14 @@
         if (!isRead) this.#resume = resume;
         return isRead;
       },
+      onComplete: (trailers) => {
+        isOver = true;
+        handler.onComplete?.(trailers);
+      },
+      onError: (error) => {
+        isOver = true;
+        handler.onError?.(error);
+      },
     };
   }
 
