--- a/packages/router/src/gateway/answerBuffers.ts
+++ b/packages/router/src/gateway/answerBuffers.ts
@@ -1,5 +1,5 @@
 /** Memory for all answers that are buffered until they are complete. */
-const MAX_BUFFERED_BYTES = 33_554_432;
+const MAX_BUFFERED_BYTES = 16_777_216;
 
 /** An answer that is buffered until it is complete. */
 export interface BufferedAnswer {
