Log and count answers that end with their connection

To tell apart what came last of an answer that reached its caller as complete and is not: the end of an unframed answer is logged with its endpoint and whether it came inside an event. A line endpoint_unreachable of the same endpoint right after it means that the endpoint crashed.

--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -20,7 +20,7 @@
 import type { BufferedAnswer } from './answerBuffers.js';
 import type { AnswerMetadata } from './dialect.js';
 import type { GatewayContext } from './gatewayContext.js';
-import { findHeader } from './headers.js';
+import { findHeader, isFramed } from './headers.js';
 import { StreamProgress } from './streamProgress.js';
 
 /** Maximum size of an answer that is buffered until it is complete. */
@@ -236,6 +236,7 @@
 
   #handleEnd(): void {
     if (this.#isSettled) return;
+    if (!isFramed(this.#rawHead.headers)) this.#logUnframedEnd();
     if (this.#isStream() && this.#stream.isBrokenOff(this.#rawHead.headers)) {
       const message = 'stream ended inside an event';
       this.#fail({ verdict: 'may-have-run', cause: 'broken', message });
@@ -254,6 +255,20 @@
     }
   }
 
+  /** Logs an end that only the connection tells: an endpoint that crashes closes it too. */
+  #logUnframedEnd(): void {
+    const { log, metrics } = this.#context;
+    const isStream = this.#isStream();
+    metrics.countUnframedEnd(isStream ? 'stream' : 'body');
+    log.decision('unframed_answer_ended', {
+      requestId: this.#admitted.job.id,
+      endpointId: this.endpoint.id,
+      isStream,
+      isInsideEvent: isStream && this.#stream.isBrokenOff(this.#rawHead.headers),
+      sinceSentMs: Math.round(now() - this.sentAt),
+    });
+  }
+
   /** Records the end of the endpoint when another one answers at its address. */
   #recordReplacement({ endpointId }: AnswerMetadata): void {
     if (endpointId === null || endpointId === this.endpoint.id) return;
--- a/packages/router/src/gateway/gatewayMetrics.ts
+++ b/packages/router/src/gateway/gatewayMetrics.ts
@@ -54,6 +54,13 @@
     registers: [this.#registry],
   });
 
+  readonly #unframedEnds = new Counter({
+    name: `${METRIC_PREFIX}unframed_ends_total`,
+    help: 'Answers without length and chunks whose connection ended, by kind.',
+    labelNames: ['kind'],
+    registers: [this.#registry],
+  });
+
   readonly #firstAnswer = new Histogram({
     name: `${METRIC_PREFIX}first_answer_seconds`,
     help: 'From arrival to the answer, or to the first event of a stream.',
@@ -105,6 +112,11 @@
     this.#failedTrials.inc();
   }
 
+  /** Counts an answer that ended with its connection. */
+  countUnframedEnd(kind: 'stream' | 'body'): void {
+    this.#unframedEnds.inc({ kind });
+  }
+
   /** Counts a completed request. */
   countRequest(route: string, outcome: string): void {
     this.#requests.inc({ route, outcome });
