Reproduce unframed answers that look complete after a crash; known red

Four gateways and four endpoints whose answers have neither a length nor chunks: plain bodies and streams, repeatable or not. Endpoints crash with a FIN every 400 ms and are back later, or another one is back at the address 40 ms later. Listed in KNOWN-RED.txt; the test is expected to fail.

--- a/packages/core/src/testing/describe.ts
+++ b/packages/core/src/testing/describe.ts
@@ -22,3 +22,8 @@
 export function itSerial(title: string, implementation: ImplementationFn<[]>): void {
   test.serial(joinTitles(title), implementation);
 }
+
+/** Declares a test of a known fault, which must fail; listed in KNOWN-RED.txt. */
+export function itFails(title: string, implementation: ImplementationFn<[]>): void {
+  test.failing(joinTitles(title), implementation);
+}
--- a/packages/router/__tests__/gateway/restartingEndpoint.ts
+++ b/packages/router/__tests__/gateway/restartingEndpoint.ts
@@ -8,6 +8,9 @@
 
 const DEFAULT_LEASE_MS = 900;
 
+/** Time after its notice from which an endpoint that leaves gets no more requests. */
+const LEAVE_NOTICE_MS = 300;
+
 /** How endpoints end and come back. */
 export interface EndpointLifetime {
   /** How the endpoint ends: its connections are reset or closed, or nothing answers any more. */
@@ -39,6 +42,9 @@
 
   #isStopped = false;
 
+  /** Answers that have not ended. */
+  #running = 0;
+
   constructor(name: string, life: EndpointLifetime, store: ChangingStore) {
     this.#name = name;
     this.#life = life;
@@ -79,13 +85,17 @@
   /** Begins a lifetime: the store and the answers tell of it from now on. */
   #register(): void {
     this.#lifetime += 1;
+    this.#put('ready');
+  }
+
+  #put(state: 'ready' | 'draining'): void {
     this.#store.put({
       id: this.#id,
       serviceId: 'desk',
       address: this.#address!,
       zone: 'zone-a',
       slots: 64,
-      state: 'ready',
+      state,
       startedAt: this.#lifetime,
     });
   }
@@ -98,6 +108,10 @@
   #close(): void {
     this.#server?.close();
     this.#server = null;
+    this.#closeSockets();
+  }
+
+  #closeSockets(): void {
     this.#sockets.forEach((socket) => {
       if (this.#life.end === 'close') socket.destroySoon();
       else socket.resetAndDestroy();
@@ -113,10 +127,26 @@
     } else if (request.headers['x-endpoint'] !== this.#id) {
       response.writeHead(421, { 'x-not-run': '1', 'x-instance': this.#id }).end();
     } else {
+      this.#running += 1;
+      response.on('close', () => {
+        this.#running -= 1;
+      });
       void this.run(request, response);
     }
   }
 
+  /** Leaves as planned: ends directly after its last answer and is back later under another id. */
+  async leave(downMs: number): Promise<void> {
+    const id = this.#id;
+    this.#put('draining');
+    await sleep(LEAVE_NOTICE_MS);
+    while (this.#running > 0) await sleep(1);
+    this.#close();
+    this.#store.remove(id);
+    await sleep(downMs);
+    if (!this.#isStopped) await this.start();
+  }
+
   /** Ends the endpoint; it is back after a time, or at once for 0. */
   async crash(downMs: number): Promise<void> {
     const id = this.#id;
@@ -127,7 +157,7 @@
     }, this.#life.leaseMs ?? DEFAULT_LEASE_MS);
     if (downMs === 0) {
       // Another process accepts at once: no connection is ever refused.
-      this.#sockets.forEach((socket) => socket.resetAndDestroy());
+      this.#closeSockets();
       this.#register();
       return;
     }
--- /dev/null
+++ b/packages/router/__tests__/gateway/unframedEndpoint.ts
@@ -0,0 +1,63 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { RestartingEndpoint } from './restartingEndpoint.js';
+
+/** Parts of each answer: events of a stream, or pieces of a body. */
+const PARTS = 6;
+const PART_GAP_MS = 15;
+
+const isStreamPath = (path: string) => path.startsWith('/stream/') || path.startsWith('/resumed/');
+
+function formatPart(path: string, id: number): string {
+  return isStreamPath(path) ? `id: ${id}\ndata: ${id}\n\n` : `part ${id};`;
+}
+
+/** Returns the whole answer to a request. */
+export function formatWholeAnswer(path: string): string {
+  return Array.from({ length: PARTS }, (_, index) => formatPart(path, index + 1)).join('');
+}
+
+/** When an endpoint ended whole answers, and how often it ran requests; by request id. */
+export interface AnswerRecords {
+  readonly endedAt: Map<string, number>;
+  readonly runs: Map<string, number>;
+}
+
+/** An endpoint whose answers have neither a length nor chunks: they end with their connection. */
+export class UnframedEndpoint extends RestartingEndpoint {
+  readonly #records: AnswerRecords;
+
+  constructor(
+    records: AnswerRecords,
+    ...parameters: ConstructorParameters<typeof RestartingEndpoint>
+  ) {
+    super(...parameters);
+    this.#records = records;
+  }
+
+  protected async run(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { lifetime } = this;
+    const { endedAt, runs } = this.#records;
+    const id = String(request.headers['x-request']);
+    const path = request.url ?? '';
+    request.resume();
+    request.on('error', () => {});
+    runs.set(id, (runs.get(id) ?? 0) + 1);
+    response.useChunkedEncodingByDefault = false;
+    response.writeHead(200, {
+      'x-request': id,
+      'x-mac': 'mac',
+      'content-type': isStreamPath(path) ? 'text/event-stream' : 'text/plain',
+      connection: 'close',
+    });
+    const after = Number(request.headers['x-after'] ?? 0);
+    for (let part = after + 1; part <= PARTS; part += 1) {
+      response.write(formatPart(path, part));
+      await sleep(PART_GAP_MS);
+      if (lifetime !== this.lifetime || this.isDown || response.destroyed) return;
+    }
+    endedAt.set(id, performance.now());
+    response.end();
+  }
+}
