Read the software version of endpoints, and log where streams go on

To tell apart who joins two versions: stream_resumed names the endpoints and versions of a stream that this VM resumes, stream_taken_up those of one that a caller takes up, with the attempt that began it.

--- a/packages/core/__tests__/gateway/fixtures.ts
+++ b/packages/core/__tests__/gateway/fixtures.ts
@@ -55,6 +55,7 @@
     slots: 128,
     state: 'ready',
     startedAt: null,
+    version: null,
     ...changes,
   };
 }
--- a/packages/core/src/directory/state.ts
+++ b/packages/core/src/directory/state.ts
@@ -10,6 +10,8 @@
   readonly state: 'ready' | 'draining';
   /** Start instant, epoch milliseconds: differs after a restart under the same id. */
   readonly startedAt: number | null;
+  /** Version of its software; null when it registers none. */
+  readonly version: string | null;
 }
 
 /** The registered endpoints, and the revision up to which the platform's store was read. */
--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -63,9 +63,16 @@
     remainingMs: Number(headers['x-remaining'] ?? 5000),
     key: (headers['x-key'] as string | undefined) ?? null,
     size: parseTestSize(headers['x-segments'] as string | undefined),
+    lastEventId: (headers['x-after'] as string | undefined) ?? null,
+    resumedRequestId: (headers['x-resumes'] as string | undefined) ?? null,
   }),
   formatRequest: (headers, forwarded) => [
-    ...dropHeaders(headers, (name) => name === 'x-key' || name === 'x-remaining'),
+    ...dropHeaders(
+      headers,
+      (name) =>
+        ['x-key', 'x-remaining'].includes(name) ||
+        (name === 'x-after' && forwarded.lastEventId !== null),
+    ),
     ...['X-Remaining', String(Math.floor(forwarded.remainingMs))],
     ...['X-Endpoint', forwarded.endpointId],
     ...(forwarded.accountId === null ? [] : ['X-Account', forwarded.accountId]),
@@ -194,6 +201,7 @@
       slots: 6,
       state: 'ready',
       startedAt: null,
+      version: null,
     },
     close: () => {
       server.close();
--- a/packages/router/__tests__/gateway/limitedEndpoint.ts
+++ b/packages/router/__tests__/gateway/limitedEndpoint.ts
@@ -104,6 +104,7 @@
       slots: 64,
       state: 'ready',
       startedAt: this.#lifetime,
+      version: null,
     });
   }
 
--- a/packages/router/__tests__/gateway/publicationTask.spec.ts
+++ b/packages/router/__tests__/gateway/publicationTask.spec.ts
@@ -34,6 +34,7 @@
   slots: 6,
   state: 'ready',
   startedAt,
+  version: null,
 });
 
 /** Publishes an endpoint, then the changes that the test makes. */
--- a/packages/router/__tests__/gateway/restartingEndpoint.ts
+++ b/packages/router/__tests__/gateway/restartingEndpoint.ts
@@ -19,6 +19,8 @@
   readonly identity: 'kept' | 'new';
   /** Time after which the store removes the entry of an endpoint that is down; 900 ms unless set. */
   readonly leaseMs?: number;
+  /** Version of its software; none unless set. */
+  readonly version?: string;
 }
 
 /** An endpoint that ends, with all that runs there, and is back later. */
@@ -97,6 +99,7 @@
       slots: 64,
       state,
       startedAt: this.#lifetime,
+      version: this.#life.version ?? null,
     });
   }
 
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -11,6 +11,10 @@
   readonly key: string | null;
   /** Size of a generation; null for a plain request. */
   readonly size: GenerationSize | null;
+  /** Id of the last event of a stream that the caller takes up; null for a new one. */
+  readonly lastEventId: string | null;
+  /** Id of the request that brought the first event of a stream that the caller takes up. */
+  readonly resumedRequestId: string | null;
 }
 
 /** Metadata that the gateway adds to the caller's headers for an endpoint. */
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -198,6 +198,7 @@
       notRun: () => this.#handleNotRun(),
       failed: (failure) => this.#handleFailure(failure),
     });
+    this.#logResume(attempt);
     this.#attempt = attempt;
     this.#attemptCount += 1;
     this.#triedEndpointIds.add(attempt.endpoint.id);
@@ -211,6 +212,19 @@
     });
   }
 
+  /** Logs where a stream goes on that another attempt has begun: of this request, or another. */
+  #logResume({ endpoint }: EndpointAttempt): void {
+    const { job, metadata } = this.#admitted;
+    const fields = { requestId: job.id, endpointId: endpoint.id, version: endpoint.version };
+    const { log } = this.#context;
+    if (this.#response.headersSent) {
+      const from = this.#attempt?.endpoint;
+      log.decision('stream_resumed', { ...fields, from: from?.id, fromVersion: from?.version });
+    } else if (metadata.lastEventId !== null) {
+      log.decision('stream_taken_up', { ...fields, resumes: metadata.resumedRequestId });
+    }
+  }
+
   #formatHeaders(endpoint: RegisteredEndpoint, remainingMs: number): string[] {
     const { accountId, job } = this.#admitted;
     const { routing } = this.#context.state;
--- a/packages/router/src/gateway/publicationTask.ts
+++ b/packages/router/src/gateway/publicationTask.ts
@@ -60,6 +60,7 @@
   slots: z.number().int().positive(),
   state: z.enum(['ready', 'draining']),
   startedAt: z.number().nullable(),
+  version: z.string().nullable().default(null),
 });
 
 /** Progress of reading one part of the publication. */
