Send nothing to endpoints that say that they leave

DRAIN: requests reached endpoints that said in their answers that they leave, as long as the store said that they are ready (up to 33 later than 2 s after the header had been passed on, by the users' measure).

Cause: only the store's entry told of a departure; nothing read the header.

A header in an answer that belongs to the request takes the endpoint out at once, on this VM and by gossip on the others; a request that waits for a connection goes elsewhere. The mark belongs to a lifetime, and a health check ends one that a stray header has set.

--- a/packages/core/src/directory/index.ts
+++ b/packages/core/src/directory/index.ts
@@ -7,5 +7,22 @@
   markStoreRegained,
   type EntryChange,
 } from './commands.js';
+export {
+  isDeparting,
+  isTakingRequests,
+  listDoubtfulDepartures,
+  listOwnDepartures,
+  MAX_REPORTED_DEPARTURES,
+  recordDeparture,
+  recordPeerDepartures,
+  removeStaleDepartures,
+  revokeDeparture,
+  type DepartureReport,
+} from './departures.js';
 export { listReadyEndpoints } from './queries.js';
-export { createDirectoryState, type DirectoryState, type RegisteredEndpoint } from './state.js';
+export {
+  createDirectoryState,
+  type Departure,
+  type DirectoryState,
+  type RegisteredEndpoint,
+} from './state.js';
--- a/packages/core/src/directory/queries.ts
+++ b/packages/core/src/directory/queries.ts
@@ -1,10 +1,12 @@
+import { isDeparting } from './departures.js';
 import type { DirectoryState, RegisteredEndpoint } from './state.js';
 
-/** Lists the endpoints of a service in state `ready`, which take new requests. */
+/** Lists the endpoints of a service that take new requests. */
 export function listReadyEndpoints(state: DirectoryState, serviceId: string): RegisteredEndpoint[] {
   const ready: RegisteredEndpoint[] = [];
   for (const endpoint of state.endpoints.values()) {
-    if (endpoint.serviceId === serviceId && endpoint.state === 'ready') ready.push(endpoint);
+    const isReady = endpoint.state === 'ready' && !isDeparting(state, endpoint);
+    if (isReady && endpoint.serviceId === serviceId) ready.push(endpoint);
   }
   return ready;
 }
--- a/packages/core/src/directory/state.ts
+++ b/packages/core/src/directory/state.ts
@@ -14,6 +14,16 @@
   readonly version: string | null;
 }
 
+/** What is known of an endpoint that said in an answer that it leaves. */
+export interface Departure {
+  /** Lifetime of the endpoint that said so. */
+  readonly startedAt: number | null;
+  /** True when it told this VM, false when a peer has passed it on. */
+  readonly isFirstHand: boolean;
+  /** Time at which this VM was last told; epoch milliseconds. */
+  readonly toldAt: number;
+}
+
 /** The registered endpoints, and the revision up to which the platform's store was read. */
 export interface DirectoryState {
   /** Endpoints by id, those with lapsed entries included. */
@@ -24,6 +34,8 @@
    * epoch milliseconds.
    */
   readonly lapsed: Map<string, number>;
+  /** Endpoints that leave by their own answers, by id; their entries may say otherwise. */
+  readonly departures: Map<string, Departure>;
   /** Revision up to which changes were read; -1 before the first. */
   revision: number;
   /** True while the store does not answer. */
@@ -37,6 +49,7 @@
   return {
     endpoints: new Map(),
     lapsed: new Map(),
+    departures: new Map(),
     revision: -1,
     isStoreLost: false,
     graceEndsAt: 0,
--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -56,6 +56,12 @@
   });
 }
 
+/** Name of the header of answers whose endpoint leaves. */
+export const LEAVING_HEADER = 'x-leaving';
+
+/** Name of the header of refusals whose endpoint wants no request for some seconds. */
+export const PAUSE_HEADER = 'retry-after';
+
 /** Dialect with headers of its own for tests. */
 export const testDialect: Dialect = {
   parseRequest: (headers) => ({
@@ -85,6 +91,7 @@
     endpointId: findHeader(headers, 'x-instance'),
     load: null,
     limit: parseTestLimit(findHeader(headers, 'x-limit')),
+    isLeaving: findHeader(headers, LEAVING_HEADER) === '1',
   }),
 };
 
--- /dev/null
+++ b/packages/router/__tests__/gateway/leavingEndpoints.spec.ts
@@ -0,0 +1,84 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { describe, it } from '@filbertlatch/core/testing';
+
+import { LEAVING_HEADER } from './fixtures.js';
+import type { WishfulEndpoint } from './wishfulEndpoint.js';
+import { WishfulFleet } from './wishfulFleet.js';
+
+/** Time for the news to reach all VMs, and for requests on their way to arrive. */
+const SETTLE_MS = 400;
+
+const leaving = { status: 200, headers: { [LEAVING_HEADER]: '1' } };
+
+async function withFleet(endpoints: number, use: (fleet: WishfulFleet) => Promise<void>) {
+  const fleet = new WishfulFleet(endpoints);
+  await fleet.start(10);
+  try {
+    await sleep(500);
+    await use(fleet);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+/** Counts the requests of all VMs that reach an endpoint from `SETTLE_MS` on. */
+async function countLateArrivals(endpoint: WishfulEndpoint): Promise<number> {
+  await sleep(SETTLE_MS);
+  const before = endpoint.arrivals.length;
+  await sleep(3000);
+  return endpoint.arrivals.length - before;
+}
+
+describe('an endpoint that says in its answers that it leaves', () => {
+  it('gets no more requests from any VM, though the store says that it is ready', async (t) => {
+    await withFleet(3, async ({ endpoints, answers }) => {
+      endpoints[0]!.wishFor = () => leaving;
+      t.is(await countLateArrivals(endpoints[0]!), 0);
+      t.true(answers.every(({ status }) => status === 200));
+    });
+  });
+
+  it('gets no more requests when it refuses them too', async (t) => {
+    await withFleet(3, async ({ endpoints }) => {
+      endpoints[0]!.wishFor = () => ({
+        status: 503,
+        headers: { ...leaving.headers, 'x-not-run': '1' },
+      });
+      t.is(await countLateArrivals(endpoints[0]!), 0);
+    });
+  });
+
+  it('gets no more requests when it is the last one, and callers are told early', async (t) => {
+    await withFleet(1, async ({ endpoints, answers }) => {
+      endpoints[0]!.wishFor = () => leaving;
+      t.is(await countLateArrivals(endpoints[0]!), 0);
+      const last = answers.at(-1)!;
+      t.is(last.status, 503);
+      t.true(Number(last.headers['retry-after']) > 0);
+    });
+  });
+
+  it('is used again in its next lifetime', async (t) => {
+    await withFleet(2, async ({ endpoints }) => {
+      endpoints[0]!.wishFor = () => leaving;
+      await sleep(SETTLE_MS);
+      endpoints[0]!.wishFor = () => null;
+      await endpoints[0]!.crash(20);
+      t.true((await countLateArrivals(endpoints[0]!)) > 0);
+    });
+  });
+
+  it('is used again when only a stray answer said so', async (t) => {
+    await withFleet(1, async ({ endpoints, answers }) => {
+      let told = 0;
+      endpoints[0]!.wishFor = (vm) => {
+        if (vm === '') return null;
+        told += 1;
+        return told === 1 ? leaving : null;
+      };
+      await sleep(1500);
+      t.is(answers.at(-1)!.status, 200);
+    });
+  });
+});
--- a/packages/router/__tests__/gateway/limitRecorder.spec.ts
+++ b/packages/router/__tests__/gateway/limitRecorder.spec.ts
@@ -37,6 +37,7 @@
     endpointId: null,
     load: null,
     limit: null,
+    isLeaving: false,
     ...changes,
   };
 }
--- a/packages/router/__tests__/gateway/restartingEndpoint.ts
+++ b/packages/router/__tests__/gateway/restartingEndpoint.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import type { ChangingStore } from './changingStore.js';
-import { findFreeAddress } from './fixtures.js';
+import { findFreeAddress, LEAVING_HEADER } from './fixtures.js';
 
 const DEFAULT_LEASE_MS = 900;
 
@@ -66,6 +66,11 @@
     return null;
   }
 
+  /** Further headers of answers to health checks. */
+  protected get healthHeaders(): Readonly<Record<string, string>> {
+    return {};
+  }
+
   protected abstract run(request: IncomingMessage, response: ServerResponse): Promise<void>;
 
   get #id(): string {
@@ -128,8 +133,9 @@
     response.on('error', () => {});
     if (this.#isMute) return;
     if (request.url === '/health') {
-      response.setHeader('x-instance', this.#id);
-      response.end();
+      const headers = this.healthHeaders;
+      const status = headers[LEAVING_HEADER] === undefined ? 200 : 503;
+      response.writeHead(status, { 'x-instance': this.#id, ...headers }).end();
     } else if (request.headers['x-endpoint'] !== this.#id) {
       response.writeHead(421, { 'x-not-run': '1', 'x-instance': this.#id }).end();
     } else {
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -57,6 +57,8 @@
   readonly load: ReportedLoad | null;
   /** Null when the answer names no limit. */
   readonly limit: NamedLimit | null;
+  /** True when the endpoint says that it leaves. */
+  readonly isLeaving: boolean;
 }
 
 /** Translates between HTTP headers and the metadata that the gateway uses. */
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -3,6 +3,7 @@
   recordFirstEvent,
   recordEnd,
   hasLostAttempts,
+  isTakingRequests,
   kindOfRoute,
   recordOutcome,
   recordStepPace,
@@ -58,6 +59,8 @@
   answered(head: RawAnswerHead, body: Buffer): void;
   /** The endpoint did not run the request. */
   notRun(reason: string): void;
+  /** The request was not sent: the endpoint takes no requests any more. */
+  withheld(): void;
   /** The attempt failed and the endpoint may have run the request. */
   failed(failure: AttemptFailure): void;
 }
@@ -125,6 +128,7 @@
     this.#request = new EndpointRequest(
       connections.getConnections(endpoint, maxConnections, countFleetVms()),
       {
+        mayStart: () => isTakingRequests(state.directory, endpoint.id),
         head: (status, headers) => this.#handleHead(status, headers),
         body: (chunk) => this.#handleBody(chunk),
         end: () => this.#handleEnd(),
@@ -209,7 +213,7 @@
     if (isForeign) this.#reject('answer carries the id of another request');
     else if (isForged) this.#reject('successful answer lacks a signature or request id');
     else if (this.#isTooLong()) this.#reject('answer exceeds the size limit');
-    else this.#recordLimit(metadata);
+    else this.#recordTerms(status, metadata);
   }
 
   #isTooLong(): boolean {
@@ -217,9 +221,12 @@
     return Number(findHeader(this.#rawHead.headers, 'content-length')) > MAX_ANSWER_BYTES;
   }
 
-  #recordLimit(metadata: AnswerMetadata): void {
+  /** Records what the endpoint says of the requests that it wants. */
+  #recordTerms(status: number, metadata: AnswerMetadata): void {
+    const { departures, limits } = this.#context;
     const answered = { endpointId: this.endpoint.id, sentAt: this.sentAt };
-    this.#context.limits.recordAnswer(answered, this.#rawHead.status, metadata);
+    limits.recordAnswer(answered, status, metadata);
+    departures.recordAnswer(this.endpoint, status, metadata);
   }
 
   #reject(message: string): void {
@@ -339,7 +346,7 @@
 
   #fail(failure: AttemptFailure): void {
     if (this.#isSettled) return;
-    this.#countFailure();
+    if (failure.cause !== 'withheld') this.#countFailure();
     this.#end(failure.cause);
     const { log, probes, state } = this.#context;
     if (failure.cause === 'unreachable' && hasLostAttempts(state.suspects, this.endpoint.id)) {
@@ -353,7 +360,8 @@
       error: failure.message,
       sinceSentMs: Math.round(now() - this.sentAt),
     });
-    if (failure.verdict === 'not-run') this.#observer.notRun(failure.message);
+    if (failure.cause === 'withheld') this.#observer.withheld();
+    else if (failure.verdict === 'not-run') this.#observer.notRun(failure.message);
     else this.#observer.failed(failure);
   }
 
--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -16,12 +16,14 @@
 /** Why an attempt ended without a complete answer. */
 export interface AttemptFailure {
   readonly verdict: Verdict;
-  readonly cause: 'unreachable' | 'broken' | 'malformed' | 'cancelled';
+  readonly cause: 'unreachable' | 'broken' | 'malformed' | 'cancelled' | 'withheld';
   readonly message: string;
 }
 
 /** Receives the events of an endpoint request; `end` or `fail` is the last one. */
 export interface EndpointRequestObserver {
+  /** Says whether to send the request, which may have waited for a connection. */
+  mayStart?(): boolean;
   head(status: number, headers: string[]): void;
   /** Returns false to pause reading until `EndpointRequest.resume`. */
   body(chunk: Buffer): boolean;
@@ -49,6 +51,8 @@
 
   #isCancelled = false;
 
+  #isWithheld = false;
+
   constructor(connections: EndpointConnections, observer: EndpointRequestObserver) {
     this.#connections = connections;
     this.#observer = observer;
@@ -64,6 +68,11 @@
           abort(new Error('request cancelled before it was sent'));
           return;
         }
+        if (this.#observer.mayStart?.() === false) {
+          this.#isWithheld = true;
+          abort(new Error('endpoint takes no requests any more'));
+          return;
+        }
         this.#mayHaveSent = true;
         this.#abort = abort;
       },
@@ -96,6 +105,10 @@
     this.#abort?.(new Error('request cancelled'));
   }
 
+  get #unsentCause(): AttemptFailure['cause'] {
+    return this.#isWithheld ? 'withheld' : 'unreachable';
+  }
+
   #complete(): void {
     // undici reports a connection reset as the end of a body without a length.
     if (this.#connections.isResetting) this.#fail(new Error('connection reset within the body'));
@@ -114,7 +127,7 @@
     const brokenCause = isMalformed ? 'malformed' : 'broken';
     this.#observer.fail({
       verdict: this.#mayHaveSent ? 'may-have-run' : 'not-run',
-      cause: this.#mayHaveSent ? brokenCause : 'unreachable',
+      cause: this.#mayHaveSent ? brokenCause : this.#unsentCause,
       message: error.message,
     });
   }
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -246,6 +246,7 @@
       streamEnded: (head) => this.#completeStream(head),
       answered: (head, body) => this.#completeAnswer(head, body),
       notRun: () => this.#handleNotRun(),
+      withheld: () => this.#handleWithheld(),
       failed: (failure) => this.#handleFailure(failure),
     });
     this.#logResume(attempt);
@@ -414,6 +415,12 @@
     else this.#endUnserved('turned_away', FAILURE_RETRY_AFTER_MS);
   }
 
+  /** Sends the request elsewhere; nothing was sent, so no retry is spent. */
+  #handleWithheld(): void {
+    this.#attemptCount -= 1;
+    this.#send();
+  }
+
   /** Ends a request that no endpoint accepts; retryable unless an earlier attempt may have run. */
   #endUnserved(reason: string, retryAfterMs: number): void {
     if (this.#mayHaveRun) this.#failRequest(reason);
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
   removeExpiredTrials,
   removeExpiredTraces,
   divideRequestLimits,
+  removeStaleDepartures,
   removeStaleLimits,
   dropStaleWork,
   hashText,
@@ -26,6 +27,7 @@
 import { AnswerBuffers } from './answerBuffers.js';
 import { ConnectionTable } from './connectionTable.js';
 import { CrashRecorder } from './crashRecorder.js';
+import { DepartureRecorder } from './departureRecorder.js';
 import type { Dialect } from './dialect.js';
 import { CallerServer } from './callerServer.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -106,13 +108,15 @@
   });
   const crashes = new CrashRecorder(state, metrics, log);
   const limits = new LimitRecorder(state, metrics, log);
-  const probes = new ProbeTask(state, dialect, connections, crashes, limits, log);
+  const notifyPeers = () => peers.gossip();
+  const departures = new DepartureRecorder(state, log, notifyPeers);
+  const probes = new ProbeTask(state, dialect, connections, crashes, limits, departures, log);
   const liveness = new LivenessTask(state, dialect, connections, limits, metrics, log);
   const publication = new PublicationTask(state, source, crashes, log);
   const peers = new PeerTask(settings, state, publication, log);
   const origins = new OriginTask(state, peers);
   peers.onSeveralVersions((serviceIds) => origins.sendOwn(serviceIds));
-  publication.onUpdate(() => peers.gossip());
+  publication.onUpdate(notifyPeers);
   let currentSettings = settings;
   // Starts anew with the process, whose former trials may still be known to its peers.
   let sequenceNumber = randomInteger(state.random, 2 ** 31);
@@ -128,13 +132,14 @@
     origins,
     crashes,
     limits,
+    departures,
     buffers: new AnswerBuffers(),
     countFleetVms: countVms,
     takeSequenceNumber: () => {
       sequenceNumber += 1;
       return sequenceNumber;
     },
-    notifyPeers: () => peers.gossip(),
+    notifyPeers,
   };
   const callerServer = new CallerServer(context);
   const dump = () => dumpGateway(state, callerServer.openRequests, now());
@@ -163,7 +168,9 @@
     maintainedAt = instant;
     maintenanceCount += 1;
     publication.removeMissing();
+    removeStaleDepartures(state.directory, instant);
     probes.probeEjected();
+    departures.takeDueChecks().forEach((id) => probes.probe(id));
     callerServer.applyLimits();
     origins.updateVersions();
     divideRequestLimits(state.requestLimits, findServiceId, currentSettings.seeds.length, instant);
--- a/packages/router/src/gateway/gatewayContext.ts
+++ b/packages/router/src/gateway/gatewayContext.ts
@@ -1,6 +1,7 @@
 import type { AnswerBuffers } from './answerBuffers.js';
 import type { ConnectionTable } from './connectionTable.js';
 import type { CrashRecorder } from './crashRecorder.js';
+import type { DepartureRecorder } from './departureRecorder.js';
 import type { Dialect } from './dialect.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
@@ -22,6 +23,7 @@
   readonly origins: OriginTask;
   readonly crashes: CrashRecorder;
   readonly limits: LimitRecorder;
+  readonly departures: DepartureRecorder;
   readonly buffers: AnswerBuffers;
   /** Number of VMs that share the limits of the fleet. */
   readonly countFleetVms: () => number;
--- a/packages/router/src/gateway/gossipMessage.ts
+++ b/packages/router/src/gateway/gossipMessage.ts
@@ -1,8 +1,10 @@
 import {
   configurationVersion,
   listArrivals,
+  listOwnDepartures,
   listSeveralVersions,
   MAX_FAILED_TRIALS,
+  MAX_REPORTED_DEPARTURES,
   MAX_REPORTED_TRIALS,
   MAX_SEGMENT_ANSWERS,
   MAX_SEGMENT_CRASHES,
@@ -18,6 +20,7 @@
   takeSegmentCrashes,
   takeTrialAnnouncements,
   type CrashReport,
+  type DepartureReport,
   type FailedTrial,
   type LimitReport,
   type SegmentAnswer,
@@ -136,6 +139,11 @@
     .array(z.tuple([text, text.nullable(), age]))
     .max(MAX_VERSIONS)
     .default([]),
+  /** Endpoint id, start of its lifetime; of endpoints that told the VM that they leave. */
+  departures: z
+    .array(z.tuple([text, z.number().nullable()]))
+    .max(MAX_REPORTED_DEPARTURES)
+    .default([]),
 });
 
 /** A validated gossip message. */
@@ -293,6 +301,10 @@
     ...collectSegmentNews(state, now),
     ...collectLimits(state, now),
     versions: collectVersions(state, now),
+    departures: listOwnDepartures(directory).map(({ endpointId, startedAt }) => [
+      endpointId,
+      startedAt,
+    ]),
   };
 }
 
@@ -390,6 +402,11 @@
   };
 }
 
+/** Returns the endpoints that leave by a message. */
+export function extractDepartures({ departures }: GossipMessage): DepartureReport[] {
+  return departures.map(([endpointId, startedAt]) => ({ endpointId, startedAt }));
+}
+
 /** Returns the software versions in a message received at `now`. */
 export function extractVersions({ versions }: GossipMessage, now: number): SeenVersion[] {
   return versions.map(([serviceId, version, ageMs]) => ({ serviceId, version, at: now - ageMs }));
--- a/packages/router/src/gateway/livenessTask.ts
+++ b/packages/router/src/gateway/livenessTask.ts
@@ -1,7 +1,7 @@
 import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import type { RegisteredEndpoint } from '@filbertlatch/core';
+import { isTakingRequests, type RegisteredEndpoint } from '@filbertlatch/core';
 import { buildConnector, Client } from 'undici';
 
 import { now } from '../clock.js';
@@ -105,7 +105,7 @@
   async #run(endpoint: RegisteredEndpoint, askedAt: number): Promise<Liveness> {
     const seen = await this.#look(endpoint);
     // An endpoint that leaves ends after its last answer.
-    const isPlanned = seen === 'ended' && this.#isLeaving(endpoint.id);
+    const isPlanned = seen === 'ended' && !isTakingRequests(this.#state.directory, endpoint.id);
     const hasCrashed = this.#connections.lastBrokenAt(endpoint.id) > askedAt - CRASH_SPREAD_MS;
     const liveness = isPlanned && !hasCrashed ? 'unknown' : seen;
     this.#metrics.countLivenessCheck(liveness);
@@ -118,10 +118,6 @@
     return liveness;
   }
 
-  #isLeaving(endpointId: string): boolean {
-    return this.#state.directory.endpoints.get(endpointId)?.state !== 'ready';
-  }
-
   async #look(endpoint: RegisteredEndpoint, mayRepeat = true): Promise<Liveness> {
     try {
       if (this.#limits.timeToHealthCheck(endpoint.id) === 0) return await this.#askHealth(endpoint);
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -5,6 +5,7 @@
   recordPeerAnswers,
   recordPeerArrivals,
   recordPeerCrashes,
+  recordPeerDepartures,
   recordPeerFailedTrial,
   recordPeerLimits,
   recordPeerRefusals,
@@ -34,6 +35,7 @@
   gossipMessageSchema,
   extractAnswers,
   extractCrashes,
+  extractDepartures,
   extractLimits,
   extractReads,
   extractRefusals,
@@ -257,6 +259,11 @@
     recordPeerAnswers(suspects, extractAnswers(message), instant);
     this.#recordSegmentNews(message, instant);
     this.#recordLimits(message, instant);
+    recordPeerDepartures(this.#state.directory, extractDepartures(message), instant).forEach(
+      (id) => {
+        this.#log.change('endpoint_leaving', { endpointId: id, toldTo: message.vmId });
+      },
+    );
     const versions = extractVersions(message, instant);
     this.#notifyVersions(recordPeerVersions(this.#state.streamOrigins, versions, instant));
     this.#gossipToUnknownMember(message.members);
--- a/packages/router/src/gateway/probeTask.ts
+++ b/packages/router/src/gateway/probeTask.ts
@@ -4,6 +4,7 @@
 import { now } from '../clock.js';
 import type { ConnectionTable } from './connectionTable.js';
 import type { CrashRecorder } from './crashRecorder.js';
+import type { DepartureRecorder } from './departureRecorder.js';
 import type { AnswerMetadata, Dialect } from './dialect.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
@@ -41,6 +42,8 @@
 
   readonly #limits: LimitRecorder;
 
+  readonly #departures: DepartureRecorder;
+
   readonly #log: GatewayLog;
 
   readonly #progress = new Map<string, ProbeProgress>();
@@ -51,6 +54,7 @@
     connections: ConnectionTable,
     crashes: CrashRecorder,
     limits: LimitRecorder,
+    departures: DepartureRecorder,
     log: GatewayLog,
   ) {
     this.#state = state;
@@ -58,6 +62,7 @@
     this.#connections = connections;
     this.#crashes = crashes;
     this.#limits = limits;
+    this.#departures = departures;
     this.#log = log;
   }
 
@@ -118,7 +123,7 @@
       await body.dump();
       const rawHeaders = headers as unknown as readonly string[];
       const answer = this.#dialect.parseAnswer(statusCode, rawHeaders);
-      this.#recordAnswer(endpoint.id, answer, statusCode, startedAt);
+      this.#recordAnswer(endpoint, answer, statusCode, startedAt);
     } catch (error) {
       this.#recordFailure(endpoint.id, startedAt, error);
     } finally {
@@ -138,12 +143,13 @@
   }
 
   #recordAnswer(
-    endpointId: string,
+    endpoint: RegisteredEndpoint,
     answer: AnswerMetadata,
     statusCode: number,
     startedAt: number,
   ): void {
     const { health } = this.#state;
+    const { id: endpointId } = endpoint;
     const { endpointId: answeringId } = answer;
     const isReplaced = answeringId !== null && answeringId !== endpointId;
     recordProbeResult(health, endpointId, statusCode === OK_STATUS && !isReplaced, now());
@@ -153,6 +159,7 @@
       return;
     }
     this.#crashes.recordEndpointAlive(endpointId, startedAt);
+    this.#departures.recordHealthAnswer(endpoint, statusCode, answer);
     this.#limits.recordHealthAnswer({ endpointId, sentAt: startedAt }, answer);
   }
 }
--- a/packages/router/src/gateway/publicationTask.ts
+++ b/packages/router/src/gateway/publicationTask.ts
@@ -4,6 +4,7 @@
   adoptConfiguration,
   replaceEntries,
   applyEntryChange,
+  isTakingRequests,
   configurationVersion,
   removeLapsed,
   resetEndpointHealth,
@@ -230,12 +231,10 @@
     source: 'store' | 'peer',
   ): void {
     const { directory } = this.#state;
-    const before = [...directory.endpoints.values()];
+    const before = [...directory.endpoints.keys()].filter((id) => isTakingRequests(directory, id));
     this.#resetRestarted(replaceEntries(directory, endpoints, revision, now(), source));
-    before.forEach(({ id, state }) => {
-      if (state === 'ready' && !directory.endpoints.has(id)) {
-        this.#crashes.recordEndpointEnd(id, 'removed');
-      }
+    before.forEach((id) => {
+      if (!directory.endpoints.has(id)) this.#crashes.recordEndpointEnd(id, 'removed');
     });
   }
 
@@ -243,6 +242,7 @@
     const { directory } = this.#state;
     for (const entry of entries) {
       const before = directory.endpoints.get(entry.id)?.state ?? 'unknown';
+      const wasTakingRequests = isTakingRequests(directory, entry.id);
       const isRemoved = entry.text === null;
       const change = { id: entry.id, endpoint: this.#decode(entry), isRemoved };
       if (applyEntryChange(directory, change, now())) this.#resetRestarted([entry.id]);
@@ -251,8 +251,8 @@
         const fields = { endpointId: entry.id, before, after, revision };
         this.#log.change('endpoint_changed', fields);
       }
-      // An endpoint that leaves as planned is draining first.
-      if (before === 'ready' && after === 'gone') {
+      // An endpoint that leaves as planned is draining first, or says so.
+      if (wasTakingRequests && after === 'gone') {
         this.#crashes.recordEndpointEnd(entry.id, 'removed');
       }
     }
