Send nothing to endpoints that want nothing for a while

Cause: a refusal was a failure like any other; nothing read for how long the endpoint wants no request.

A pause takes the endpoint out of this VM's choice until its latest end, health checks included. It is no failure. When all endpoints ask, callers are refused at once with a Retry-After that spreads their return.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * from './limits/index.js';
 export * from './membership/index.js';
 export * from './orders/index.js';
+export * from './pauses/index.js';
 export * from './placement/index.js';
 export * from './prediction/index.js';
 export * from './requestLimits/index.js';
--- /dev/null
+++ b/packages/core/src/pauses/index.ts
@@ -0,0 +1,7 @@
+export {
+  createPauseState,
+  pauseLeftMs,
+  recordPause,
+  removeEndedPauses,
+  type PauseState,
+} from './pauses.js';
--- a/packages/core/src/scheduling/placeJob.ts
+++ b/packages/core/src/scheduling/placeJob.ts
@@ -32,9 +32,9 @@
       readonly kind: 'refuse';
       /**
        * `full`: no capacity; `too-late`: no engine would meet the target or the deadline; `limited`:
-       * the limits of all endpoints are used up.
+       * the limits of all endpoints are used up; `paused`: all endpoints want none for a while.
        */
-      readonly reason: 'no-endpoint' | 'full' | 'too-late' | 'limited';
+      readonly reason: 'no-endpoint' | 'full' | 'too-late' | 'limited' | 'paused';
       /** Expected time to the first event or answer if it were accepted, in milliseconds. */
       readonly predictedMs: number;
       /** Time after which the caller should retry, in milliseconds. */
@@ -52,6 +52,8 @@
   readonly zone: string;
   readonly random: Random;
   readonly now: number;
+  /** Time until the first of the endpoints that want none for a while takes requests; else null. */
+  readonly firstPauseMs?: number | null;
   /** True for a stream that has begun and goes on: only the given endpoints can continue it. */
   readonly isResumed?: boolean;
   /** True when other requests must leave room on engines for streams that go on. */
@@ -118,6 +120,10 @@
 /** Shortest retry delay, unless the deadline allows less. */
 const MIN_RETRY_AFTER_MS = 150;
 
+/** Time over which callers return after a pause of all endpoints. */
+const MIN_RETURN_SPREAD_MS = 200;
+const MAX_RETURN_SPREAD_MS = 1500;
+
 /** Longest retry delay as a fraction of the time to the deadline: callers honour no more. */
 const MAX_RETRY_AFTER_FRACTION = 1 / 3;
 
@@ -317,8 +323,22 @@
   return { kind: 'refuse', reason: 'limited', predictedMs: waitMs, retryAfterMs };
 }
 
+/** Refuses a request while all endpoints want none; callers return after the first pause, spread. */
+function refuseWhilePaused(pauseMs: number, job: Job, random: Random): Placement {
+  const spreadMs = Math.min(MAX_RETURN_SPREAD_MS, Math.max(MIN_RETURN_SPREAD_MS, pauseMs / 2));
+  const retryAfterMs = Math.min(
+    job.remainingMs * MAX_RETRY_AFTER_FRACTION,
+    pauseMs + spreadMs * random.next(),
+  );
+  return { kind: 'refuse', reason: 'paused', predictedMs: pauseMs, retryAfterMs };
+}
+
 /** Chooses the endpoint for a request, or refuses it with a retry delay. */
 export function placeJob(context: PlacementContext, job: Job): Placement {
+  const { firstPauseMs = null, random } = context;
+  if (context.endpoints.length === 0 && firstPauseMs !== null) {
+    return refuseWhilePaused(firstPauseMs, job, random);
+  }
   if (context.endpoints.length === 0) {
     const retryAfterMs = Math.min(
       NO_ENDPOINT_RETRY_AFTER_MS,
--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -39,6 +39,10 @@
   return { promptTokens, outputTokens: OUTPUT_TOKENS, segments };
 }
 
+function parseTestPause(text: string | null): number | null {
+  return /^\d+(\.\d+)?$/.test(text ?? '') ? Number(text) * 1000 : null;
+}
+
 const zero = () => 0;
 
 /** Creates the metrics of a gateway whose gauges are all 0. */
@@ -92,6 +96,7 @@
     load: null,
     limit: parseTestLimit(findHeader(headers, 'x-limit')),
     isLeaving: findHeader(headers, LEAVING_HEADER) === '1',
+    pauseMs: status === 503 ? parseTestPause(findHeader(headers, PAUSE_HEADER)) : null,
   }),
 };
 
--- a/packages/router/__tests__/gateway/limitRecorder.spec.ts
+++ b/packages/router/__tests__/gateway/limitRecorder.spec.ts
@@ -38,6 +38,7 @@
     load: null,
     limit: null,
     isLeaving: false,
+    pauseMs: null,
     ...changes,
   };
 }
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -59,6 +59,8 @@
   readonly limit: NamedLimit | null;
   /** True when the endpoint says that it leaves. */
   readonly isLeaving: boolean;
+  /** Time for which an endpoint that refuses a request wants none of this VM; null without one. */
+  readonly pauseMs: number | null;
 }
 
 /** Translates between HTTP headers and the metadata that the gateway uses. */
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -128,7 +128,8 @@
     this.#request = new EndpointRequest(
       connections.getConnections(endpoint, maxConnections, countFleetVms()),
       {
-        mayStart: () => isTakingRequests(state.directory, endpoint.id),
+        mayStart: () =>
+          isTakingRequests(state.directory, endpoint.id) && context.pauses.leftMs(endpoint) === 0,
         head: (status, headers) => this.#handleHead(status, headers),
         body: (chunk) => this.#handleBody(chunk),
         end: () => this.#handleEnd(),
@@ -223,10 +224,11 @@
 
   /** Records what the endpoint says of the requests that it wants. */
   #recordTerms(status: number, metadata: AnswerMetadata): void {
-    const { departures, limits } = this.#context;
+    const { departures, limits, pauses } = this.#context;
     const answered = { endpointId: this.endpoint.id, sentAt: this.sentAt };
     limits.recordAnswer(answered, status, metadata);
     departures.recordAnswer(this.endpoint, status, metadata);
+    pauses.recordAnswer(this.endpoint, status, metadata);
   }
 
   #reject(message: string): void {
@@ -270,7 +272,7 @@
       });
     } else if (this.#metadata?.isNotRun === true) {
       this.#recordReplacement(this.#metadata);
-      this.#observeOutcome(true);
+      this.#observeRefusal();
       this.#end('turned-away');
       this.#observer.notRun(`status ${status}`);
     } else if (isFramed(headers) || status >= FIRST_SERVER_ERROR_STATUS) {
@@ -338,7 +340,7 @@
       return;
     }
     const isFailure = status >= FIRST_SERVER_ERROR_STATUS;
-    if (isFailure) this.#observeOutcome(true);
+    if (isFailure) this.#observeRefusal();
     else this.#countSuccess();
     this.#end(isFailure ? 'failed' : 'served');
     this.#observer.answered(this.#rawHead, body);
@@ -384,6 +386,11 @@
     recordStepPace(scheduling, this.#work, this.#stream.chunks, tokensPerEvent, now());
   }
 
+  /** An endpoint that asks for a pause does not fail. */
+  #observeRefusal(): void {
+    if (this.#metadata?.pauseMs == null) this.#observeOutcome(true);
+  }
+
   #observeOutcome(isFailure: boolean): void {
     recordOutcome(this.#context.state.scheduling, this.endpoint.id, isFailure, now());
   }
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -171,11 +171,26 @@
     return ![...endpoints.values()].some((endpoint) => canGoOn(origin, endpoint));
   }
 
-  #listCandidates(): RegisteredEndpoint[] {
-    const { state } = this.#context;
-    const ready = listReadyEndpoints(state.directory, this.#admitted.job.serviceId);
+  /** Lists the endpoints that could serve the request, also those that want none for a while. */
+  #listServing(): RegisteredEndpoint[] {
+    const { directory } = this.#context.state;
+    const ready = listReadyEndpoints(directory, this.#admitted.job.serviceId);
     const origin = this.#origin;
-    const serving = origin === null ? ready : ready.filter((endpoint) => canGoOn(origin, endpoint));
+    return origin === null ? ready : ready.filter((endpoint) => canGoOn(origin, endpoint));
+  }
+
+  /** Returns the time until an endpoint that wants none now takes requests; null without such. */
+  #firstPauseMs(): number | null {
+    const { pauses } = this.#context;
+    const pausesMs = this.#listServing()
+      .map((endpoint) => pauses.leftMs(endpoint))
+      .filter((ms) => ms > 0);
+    return pausesMs.length === 0 ? null : Math.min(...pausesMs);
+  }
+
+  #listCandidates(): RegisteredEndpoint[] {
+    const { state, pauses } = this.#context;
+    const serving = this.#listServing().filter((endpoint) => pauses.leftMs(endpoint) === 0);
     const ids = serving.map(({ id }) => id);
     const usable = new Set(listUsableEndpoints(state.health, ids));
     return serving.filter(({ id }) => usable.has(id) && !this.#triedEndpointIds.has(id));
@@ -226,6 +241,7 @@
       zone,
       random,
       now: instant,
+      firstPauseMs: endpoints.length === 0 ? this.#firstPauseMs() : null,
       isResumed: this.#origin !== null,
       leavesRoom: hasSeveralVersions(streamOrigins, job.serviceId, instant),
     };
@@ -412,6 +428,7 @@
     this.#attemptCount -= 1;
     this.#notRunCount += 1;
     if (this.#notRunCount <= MAX_NOT_RUN_ATTEMPTS && this.#tryChargeRetryBudget()) this.#send();
+    else if (this.#firstPauseMs() !== null && this.#listCandidates().length === 0) this.#send();
     else this.#endUnserved('turned_away', FAILURE_RETRY_AFTER_MS);
   }
 
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -10,6 +10,7 @@
   randomInteger,
   MAX_REPORTED_CRASHES,
   removeExpiredCrashes,
+  removeEndedPauses,
   removeExpiredOrigins,
   removeExpiredSegments,
   removeExpiredTrials,
@@ -39,6 +40,7 @@
 import { dumpGateway, type GatewayDump } from './dumpGateway.js';
 import { createLazyControlApi } from './lazyControlApi.js';
 import { OriginTask } from './originTask.js';
+import { PauseRecorder } from './pauseRecorder.js';
 import { PeerTask } from './peerTask.js';
 import { ProbeTask } from './probeTask.js';
 import type { PublicationSource } from './publication.js';
@@ -110,8 +112,10 @@
   const limits = new LimitRecorder(state, metrics, log);
   const notifyPeers = () => peers.gossip();
   const departures = new DepartureRecorder(state, log, notifyPeers);
-  const probes = new ProbeTask(state, dialect, connections, crashes, limits, departures, log);
-  const liveness = new LivenessTask(state, dialect, connections, limits, metrics, log);
+  const pauses = new PauseRecorder(state, log);
+  const terms = { limits, departures, pauses };
+  const probes = new ProbeTask(state, dialect, connections, crashes, terms, log);
+  const liveness = new LivenessTask(state, dialect, connections, terms, metrics, log);
   const publication = new PublicationTask(state, source, crashes, log);
   const peers = new PeerTask(settings, state, publication, log);
   const origins = new OriginTask(state, peers);
@@ -131,8 +135,7 @@
     liveness,
     origins,
     crashes,
-    limits,
-    departures,
+    ...terms,
     buffers: new AnswerBuffers(),
     countFleetVms: countVms,
     takeSequenceNumber: () => {
@@ -184,6 +187,7 @@
     removeExpiredSegments(state.segmentSuspects, instant);
     removeExpiredTrials(state.segmentSuspects, instant);
     crashes.removeExplained();
+    removeEndedPauses(state.pauses, instant);
     removeExpiredOrigins(state.streamOrigins, instant);
     removeStaleLimits(state.requestLimits, isRegistered, instant);
   };
--- a/packages/router/src/gateway/gatewayContext.ts
+++ b/packages/router/src/gateway/gatewayContext.ts
@@ -1,18 +1,17 @@
 import type { AnswerBuffers } from './answerBuffers.js';
 import type { ConnectionTable } from './connectionTable.js';
 import type { CrashRecorder } from './crashRecorder.js';
-import type { DepartureRecorder } from './departureRecorder.js';
 import type { Dialect } from './dialect.js';
+import type { EndpointTerms } from './endpointTerms.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { GatewayState } from './gatewayState.js';
-import type { LimitRecorder } from './limitRecorder.js';
 import type { LivenessTask } from './livenessTask.js';
 import type { OriginTask } from './originTask.js';
 import type { ProbeTask } from './probeTask.js';
 
 /** State and services that the exchanges of a gateway share. */
-export interface GatewayContext {
+export interface GatewayContext extends EndpointTerms {
   readonly state: GatewayState;
   readonly connections: ConnectionTable;
   readonly dialect: Dialect;
@@ -22,8 +21,6 @@
   readonly liveness: LivenessTask;
   readonly origins: OriginTask;
   readonly crashes: CrashRecorder;
-  readonly limits: LimitRecorder;
-  readonly departures: DepartureRecorder;
   readonly buffers: AnswerBuffers;
   /** Number of VMs that share the limits of the fleet. */
   readonly countFleetVms: () => number;
--- a/packages/router/src/gateway/gatewayState.ts
+++ b/packages/router/src/gateway/gatewayState.ts
@@ -1,6 +1,7 @@
 import {
   createDirectoryState,
   createHealthState,
+  createPauseState,
   createRequestLimitState,
   createRetryBudget,
   createRoutingState,
@@ -10,6 +11,7 @@
   createSuspectState,
   type DirectoryState,
   type HealthState,
+  type PauseState,
   type Random,
   type RequestLimitState,
   type RetryBudget,
@@ -47,6 +49,7 @@
   readonly directory: DirectoryState;
   readonly scheduling: SchedulingState;
   readonly health: HealthState;
+  readonly pauses: PauseState;
   readonly retryBudget: RetryBudget;
   readonly suspects: SuspectState;
   readonly segmentSuspects: SegmentSuspectState;
@@ -77,6 +80,7 @@
     directory: createDirectoryState(),
     scheduling: createSchedulingState(settings.vm.id),
     health: createHealthState(),
+    pauses: createPauseState(),
     retryBudget: createRetryBudget(bounds),
     suspects: createSuspectState(),
     segmentSuspects: createSegmentSuspectState(),
--- a/packages/router/src/gateway/livenessTask.ts
+++ b/packages/router/src/gateway/livenessTask.ts
@@ -8,10 +8,10 @@
 import { splitAddress } from './address.js';
 import type { ConnectionTable } from './connectionTable.js';
 import type { Dialect } from './dialect.js';
+import type { EndpointTerms } from './endpointTerms.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { GatewayState } from './gatewayState.js';
-import type { LimitRecorder } from './limitRecorder.js';
 
 /** What a check tells of an endpoint; `unknown` when neither can be shown in time. */
 export type Liveness = 'alive' | 'ended' | 'unknown';
@@ -62,7 +62,7 @@
 
   readonly #connections: ConnectionTable;
 
-  readonly #limits: LimitRecorder;
+  readonly #terms: EndpointTerms;
 
   readonly #metrics: GatewayMetrics;
 
@@ -75,14 +75,14 @@
     state: GatewayState,
     dialect: Dialect,
     connections: ConnectionTable,
-    limits: LimitRecorder,
+    terms: EndpointTerms,
     metrics: GatewayMetrics,
     log: GatewayLog,
   ) {
     this.#state = state;
     this.#dialect = dialect;
     this.#connections = connections;
-    this.#limits = limits;
+    this.#terms = terms;
     this.#metrics = metrics;
     this.#log = log;
   }
@@ -120,7 +120,7 @@
 
   async #look(endpoint: RegisteredEndpoint, mayRepeat = true): Promise<Liveness> {
     try {
-      if (this.#limits.timeToHealthCheck(endpoint.id) === 0) return await this.#askHealth(endpoint);
+      if (this.#mayAsk(endpoint)) return await this.#askHealth(endpoint);
       await openConnection(endpoint.address);
       return 'unknown';
     } catch (error) {
@@ -132,9 +132,14 @@
     }
   }
 
+  #mayAsk(endpoint: RegisteredEndpoint): boolean {
+    const { limits, pauses } = this.#terms;
+    return limits.timeToHealthCheck(endpoint.id) === 0 && pauses.leftMs(endpoint) === 0;
+  }
+
   /** Asks who answers at the address: it may have another endpoint by now. */
   async #askHealth({ id, serviceId, address }: RegisteredEndpoint): Promise<Liveness> {
-    this.#limits.recordSend(id);
+    this.#terms.limits.recordSend(id);
     const { routing } = this.#state;
     const path = routing.configuration?.services.get(serviceId)?.healthPath ?? '/';
     const timeout = new AbortController();
--- a/packages/router/src/gateway/probeTask.ts
+++ b/packages/router/src/gateway/probeTask.ts
@@ -4,17 +4,16 @@
 import { now } from '../clock.js';
 import type { ConnectionTable } from './connectionTable.js';
 import type { CrashRecorder } from './crashRecorder.js';
-import type { DepartureRecorder } from './departureRecorder.js';
 import type { AnswerMetadata, Dialect } from './dialect.js';
+import type { EndpointTerms } from './endpointTerms.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
-import type { LimitRecorder } from './limitRecorder.js';
 
 /** Time-out of a health check; a healthy endpoint answers within it even when its queue is full. */
 const PROBE_TIMEOUT_MS = 1000;
 
-/** Time after which a probe that waits for an endpoint's limit looks at the limit again. */
-const LIMIT_RECHECK_MS = 250;
+/** Time after which a probe that waits for an endpoint's limit or pause looks at it again. */
+const TERMS_RECHECK_MS = 250;
 
 /** Minimum time between the starts of two probes of an endpoint. */
 const MIN_PROBE_INTERVAL_MS = 100;
@@ -40,9 +39,7 @@
 
   readonly #crashes: CrashRecorder;
 
-  readonly #limits: LimitRecorder;
-
-  readonly #departures: DepartureRecorder;
+  readonly #terms: EndpointTerms;
 
   readonly #log: GatewayLog;
 
@@ -53,16 +50,14 @@
     dialect: Dialect,
     connections: ConnectionTable,
     crashes: CrashRecorder,
-    limits: LimitRecorder,
-    departures: DepartureRecorder,
+    terms: EndpointTerms,
     log: GatewayLog,
   ) {
     this.#state = state;
     this.#dialect = dialect;
     this.#connections = connections;
     this.#crashes = crashes;
-    this.#limits = limits;
-    this.#departures = departures;
+    this.#terms = terms;
     this.#log = log;
   }
 
@@ -93,12 +88,20 @@
 
   #schedule(endpointId: string, progress: ProbeProgress): void {
     const intervalMs = progress.startedAt + MIN_PROBE_INTERVAL_MS - now();
-    const limitMs = Math.min(LIMIT_RECHECK_MS, this.#limits.timeToHealthCheck(endpointId));
-    const waitMs = Math.max(intervalMs, limitMs);
+    const termsMs = Math.min(TERMS_RECHECK_MS, this.#timeToHealthCheck(endpointId));
+    const waitMs = Math.max(intervalMs, termsMs);
     if (waitMs <= 0) void this.#run(endpointId, progress);
     else setTimeout(() => this.#schedule(endpointId, progress), waitMs).unref();
   }
 
+  /** Returns the time until an endpoint's limit and pause let a health check through. */
+  #timeToHealthCheck(endpointId: string): number {
+    const { limits, pauses } = this.#terms;
+    const endpoint = this.#state.directory.endpoints.get(endpointId);
+    const pauseMs = endpoint === undefined ? 0 : pauses.leftMs(endpoint);
+    return Math.max(limits.timeToHealthCheck(endpointId), pauseMs);
+  }
+
   async #run(endpointId: string, progress: ProbeProgress): Promise<void> {
     progress.isDue = false;
     const endpoint = this.#state.directory.endpoints.get(endpointId);
@@ -115,7 +118,7 @@
     const path = routing.configuration?.services.get(endpoint.serviceId)?.healthPath ?? '/';
     const client = new Client(`http://${endpoint.address}`);
     const startedAt = now();
-    this.#limits.recordSend(endpoint.id);
+    this.#terms.limits.recordSend(endpoint.id);
     try {
       const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
       const options = { method: 'GET', path, signal, responseHeaders: 'raw' } as const;
@@ -159,7 +162,9 @@
       return;
     }
     this.#crashes.recordEndpointAlive(endpointId, startedAt);
-    this.#departures.recordHealthAnswer(endpoint, statusCode, answer);
-    this.#limits.recordHealthAnswer({ endpointId, sentAt: startedAt }, answer);
+    const { departures, limits, pauses } = this.#terms;
+    departures.recordHealthAnswer(endpoint, statusCode, answer);
+    pauses.recordAnswer(endpoint, statusCode, answer);
+    limits.recordHealthAnswer({ endpointId, sentAt: startedAt }, answer);
   }
 }
