--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -496,6 +496,8 @@
       route: route.id,
       outcome,
       priority: job.priority,
+      promptTokens: job.size?.promptTokens,
+      outputTokens: job.size?.outputTokens,
       isReturning,
       configuration: state.routing.configuration?.version,
       placement: this.#placement?.kind,
