Serve large requests at least about two thirds as often as all of their route

Cause: the limit on the predicted time holds the request's own size, so that admission orders requests by size.

While a group of large requests of a route is sent less than 0.65 times as often as all, its requests may take as much longer as their own prompts take to read. They are then admitted behind the same queues as others.

--- a/packages/core/src/scheduling/commands.ts
+++ b/packages/core/src/scheduling/commands.ts
@@ -1,9 +1,10 @@
 import { addToRate } from '../shared/index.js';
-import { heldTokens, stepMs, engineMs } from './costs.js';
+import { heldTokens, stepMs, engineMs, unsharedTokens } from './costs.js';
 import type { GenerationSize, Job } from './job.js';
 import { dropStaleReads, minUncachedTokens } from './prefixCacheEstimate.js';
 import { recordPace } from './pace.js';
 import { kindOfRoute, totalLoad } from './queries.js';
+import { createSizeGroups, recordPlacement, recordSize } from './sizeGroups.js';
 import {
   createDemand,
   createEndpointWork,
@@ -38,12 +39,21 @@
   const { promptTokens, outputTokens } = size;
   const profile = state.profiles.get(routeId);
   if (profile === undefined || profile.serviceId !== serviceId) {
-    const sizes = { promptTokens, outputTokens };
-    state.profiles.set(routeId, { serviceId, ...sizes, priority, gapTargetMs });
+    state.profiles.set(routeId, {
+      serviceId,
+      promptTokens,
+      outputTokens,
+      priority,
+      gapTargetMs,
+      unsharedTokens: unsharedTokens(size),
+      sizes: createSizeGroups(size),
+    });
     return;
   }
   profile.promptTokens += PROFILE_WEIGHT * (promptTokens - profile.promptTokens);
   profile.outputTokens += PROFILE_WEIGHT * (outputTokens - profile.outputTokens);
+  profile.unsharedTokens += PROFILE_WEIGHT * (unsharedTokens(size) - profile.unsharedTokens);
+  recordSize(profile.sizes, size);
   profile.gapTargetMs = gapTargetMs;
   profile.priority += PROFILE_WEIGHT * (priority - profile.priority);
 }
@@ -59,6 +69,17 @@
   addToRate(kind === 'prefill' ? demand.prefill : demand.decode, engineMs(job.size, uncached), now);
 }
 
+/** Records whether a request was sent, or refused for its predicted time. */
+export function recordPlacedSize(
+  state: SchedulingState,
+  { routeId, size }: Pick<Job, 'routeId' | 'size'>,
+  isSent: boolean,
+  now: number,
+): void {
+  const profile = state.profiles.get(routeId);
+  if (size !== null && profile !== undefined) recordPlacement(profile.sizes, size, isSent, now);
+}
+
 /** A request that is about to be sent to an endpoint. */
 export interface PlannedWork {
   readonly endpointId: string;
--- a/packages/core/src/scheduling/index.ts
+++ b/packages/core/src/scheduling/index.ts
@@ -6,6 +6,7 @@
   recordPeerWork,
   recordArrival,
   recordOutcome,
+  recordPlacedSize,
   recordStepPace,
   recordSend,
   getOrCreateEndpointWork,
--- a/packages/core/src/scheduling/placeJob.ts
+++ b/packages/core/src/scheduling/placeJob.ts
@@ -16,6 +16,7 @@
 import { listSegmentHolders, uncachedTokens } from './prefixCacheEstimate.js';
 import { kindOfRoute, minGapTargetMs, totalLoad } from './queries.js';
 import { isWithinGapTarget } from './isWithinGapTarget.js';
+import { isBelowFloor } from './sizeGroups.js';
 import type { SchedulingState, WorkLoad } from './state.js';
 
 /** The endpoint for a request, or why the request is refused and when to retry. */
@@ -244,6 +245,17 @@
   return { kind: 'refuse', reason: 'full', predictedMs: job.targetMs, retryAfterMs };
 }
 
+/**
+ * Returns the time that a large request may take beyond others, for reading its own prompt, in
+ * milliseconds; 0 while such requests are served nearly as often as others. A prompt that takes long
+ * to read is refused first otherwise, at any load, since it waits behind the same queues.
+ */
+function extraReadMs({ state, now }: PlacementContext, job: Job, size: GenerationSize): number {
+  const profile = state.profiles.get(job.routeId);
+  if (profile === undefined || !isBelowFloor(profile.sizes, size, now)) return 0;
+  return Math.max(0, prefillMs(unsharedTokens(size) - profile.unsharedTokens));
+}
+
 function placePrefill(context: PlacementContext, job: Job, size: GenerationSize): Placement {
   const { state, random, now } = context;
   const usable = excludeFailing(context);
@@ -255,7 +267,7 @@
   const isGapSafe = ({ load, tokens }: Candidate) => isWithinGapTarget(load, job, tokens, gapMs);
   const hasFewStreams = ({ load }: Candidate) =>
     load.tight <= MAX_DECODE_STREAMS || own.length === usable.length;
-  const limitMs = job.targetMs * MAX_TARGET_FRACTION;
+  const limitMs = job.targetMs * MAX_TARGET_FRACTION + extraReadMs(context, job, size);
   const isInTime = (candidate: Candidate) =>
     candidate.predictedMs <= limitMs &&
     candidate.wholeMs <= job.remainingMs * MAX_REMAINING_FRACTION &&
--- a/packages/core/src/scheduling/state.ts
+++ b/packages/core/src/scheduling/state.ts
@@ -1,4 +1,5 @@
 import { createDecayingRate, type DecayingRate } from '../shared/index.js';
+import type { SizeGroups } from './sizeGroups.js';
 import { createPrefixCacheEstimate, type PrefixCacheEstimate } from './prefixCacheEstimate.js';
 
 /**
@@ -89,6 +90,9 @@
   priority: number;
   /** Gap target of the latest request, in milliseconds; null when there is none. */
   gapTargetMs: number | null;
+  /** Moving average of the prompt tokens that no other request shares. */
+  unsharedTokens: number;
+  readonly sizes: SizeGroups;
 }
 
 /** Loads, paces, demand and prefix cache estimates, of this VM and as its peers reported them. */
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -12,6 +12,7 @@
   originOf,
   placeJob,
   randomInteger,
+  recordPlacedSize,
   takeRetry,
   type Placement,
   type PlacementContext,
@@ -218,6 +219,11 @@
     }
     const placement = this.#place(remainingMs, permission.kind === 'trial');
     this.#placement = placement;
+    const isLate = placement.kind === 'refuse' && placement.reason === 'too-late';
+    if (isLate || placement.kind === 'send') {
+      const { scheduling } = this.#context.state;
+      recordPlacedSize(scheduling, this.#admitted.job, !isLate, now());
+    }
     if (placement.kind === 'refuse') this.#endUnserved(placement.reason, placement.retryAfterMs);
     else this.#startAttempt(placement, remainingMs);
   }
