--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -1,29 +1,18 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import {
-  canGoOn,
-  createRequestPermits,
   creditRequest,
   enginePriorityOfRank,
-  hasSeveralVersions,
-  listIdleHalf,
-  listReadyEndpoints,
-  listUsableEndpoints,
   originOf,
-  placeJob,
-  randomInteger,
-  recordPlacedSize,
   takeRetry,
   type Placement,
-  type PlacementContext,
   type RegisteredEndpoint,
-  type RequestPermits,
-  type StreamOrigin,
 } from '@filbertlatch/core';
 
 import { now } from '../clock.js';
 import type { AdmittedRequest } from './admitRequest.js';
 import { CrashGuard } from './crashGuard.js';
+import { EndpointChoice } from './endpointChoice.js';
 import type { AttemptFailure } from './endpointRequest.js';
 import { beginForwardedStream, sendErrorAnswer, forwardAnswer } from './callerAnswer.js';
 import { EventSplitter } from './eventSplitter.js';
@@ -84,10 +73,7 @@
   /** Holds back incomplete events; null unless the route's streams can be resumed. */
   readonly #eventSplitter: EventSplitter | null;
 
-  readonly #triedEndpointIds = new Set<string>();
-
-  /** Where a resumable stream began; null before its first event. */
-  #origin: StreamOrigin | null = null;
+  readonly #choice: EndpointChoice;
 
   #attempt: EndpointAttempt | null = null;
 
@@ -129,6 +115,7 @@
     this.#response = response;
     this.#body = body;
     this.#arrivedAt = arrivedAt;
+    this.#choice = new EndpointChoice(context, admitted);
     this.#segmentGuard = new SegmentGuard(context, admitted);
     const { accountId } = admitted;
     this.#crashGuard = new CrashGuard(context, this.#segmentGuard, accountId, request, body);
@@ -157,46 +144,13 @@
     const { accountId, metadata, job } = this.#admitted;
     const { resumedRequestId } = metadata;
     const answer = await this.#context.origins.find(accountId, resumedRequestId, job.serviceId);
-    if (answer.kind === 'known') this.#origin = answer.origin;
+    if (answer.kind === 'known') this.#choice.origin = answer.origin;
     if (this.#isFinished) return;
     if (answer.kind === 'unknown') this.#endUnserved('unknown_stream', UNKNOWN_RETRY_AFTER_MS);
-    else if (this.#isVersionGone()) this.#answerError(503, 'version_gone');
+    else if (this.#choice.isVersionGone()) this.#answerError(503, 'version_gone');
     else this.#send();
   }
 
-  /** True when no endpoint of the stream's version is registered, also none that cannot serve now. */
-  #isVersionGone(): boolean {
-    const origin = this.#origin;
-    if (origin === null) return false;
-    const { endpoints } = this.#context.state.directory;
-    return ![...endpoints.values()].some((endpoint) => canGoOn(origin, endpoint));
-  }
-
-  /** Lists the endpoints that could serve the request, also those that want none for a while. */
-  #listServing(): RegisteredEndpoint[] {
-    const { directory } = this.#context.state;
-    const ready = listReadyEndpoints(directory, this.#admitted.job.serviceId);
-    const origin = this.#origin;
-    return origin === null ? ready : ready.filter((endpoint) => canGoOn(origin, endpoint));
-  }
-
-  /** Returns the time until an endpoint that wants none now takes requests; null without such. */
-  #firstPauseMs(): number | null {
-    const { pauses } = this.#context;
-    const pausesMs = this.#listServing()
-      .map((endpoint) => pauses.leftMs(endpoint))
-      .filter((ms) => ms > 0);
-    return pausesMs.length === 0 ? null : Math.min(...pausesMs);
-  }
-
-  #listCandidates(): RegisteredEndpoint[] {
-    const { state, pauses } = this.#context;
-    const serving = this.#listServing().filter((endpoint) => pauses.leftMs(endpoint) === 0);
-    const ids = serving.map(({ id }) => id);
-    const usable = new Set(listUsableEndpoints(state.health, ids));
-    return serving.filter(({ id }) => usable.has(id) && !this.#triedEndpointIds.has(id));
-  }
-
   #send(): void {
     if (this.#isFinished) return;
     if (this.#crashGuard.isRefused()) {
@@ -217,50 +171,12 @@
       this.#endUnserved('suspect_prompt', permission.retryAfterMs);
       return;
     }
-    const placement = this.#place(remainingMs, permission.kind === 'trial');
+    const placement = this.#choice.place(remainingMs, permission.kind === 'trial');
     this.#placement = placement;
-    const isLate = placement.kind === 'refuse' && placement.reason === 'too-late';
-    if (isLate || placement.kind === 'send') {
-      const { scheduling } = this.#context.state;
-      recordPlacedSize(scheduling, this.#admitted.job, !isLate, now());
-    }
     if (placement.kind === 'refuse') this.#endUnserved(placement.reason, placement.retryAfterMs);
     else this.#startAttempt(placement, remainingMs);
   }
 
-  #createPermits(): RequestPermits {
-    return createRequestPermits(this.#context.state.requestLimits, this.#admitted.job, now());
-  }
-
-  #place(remainingMs: number, isTrial: boolean): Placement {
-    const { scheduling, streamOrigins, zone, random } = this.#context.state;
-    const candidates = this.#listCandidates();
-    // A trial may end its endpoint, with all that runs there.
-    const endpoints = isTrial ? this.#chooseTrialEndpoint(candidates) : candidates;
-    const permits = this.#createPermits();
-    const { job } = this.#admitted;
-    const instant = now();
-    const context: PlacementContext = {
-      state: scheduling,
-      endpoints,
-      permits,
-      zone,
-      random,
-      now: instant,
-      firstPauseMs: endpoints.length === 0 ? this.#firstPauseMs() : null,
-      isResumed: this.#origin !== null,
-      leavesRoom: hasSeveralVersions(streamOrigins, job.serviceId, instant),
-    };
-    return placeJob(context, { ...job, remainingMs });
-  }
-
-  #chooseTrialEndpoint(candidates: readonly RegisteredEndpoint[]): RegisteredEndpoint[] {
-    const { scheduling, random } = this.#context.state;
-    const idle = listIdleHalf(scheduling, candidates, now());
-    // At random, since the crash of an endpoint speaks against all that are on trial there.
-    return idle.length === 0 ? [] : [idle[randomInteger(random, idle.length)]!];
-  }
-
   #startAttempt(plan: AttemptPlan, remainingMs: number): void {
     const attempt = new EndpointAttempt(this.#context, this.#admitted, plan, {
       streamed: (head, bytes) => this.#forwardChunk(head, bytes),
@@ -274,7 +190,7 @@
     this.#logResume(attempt);
     this.#attempt = attempt;
     this.#attemptCount += 1;
-    this.#triedEndpointIds.add(attempt.endpoint.id);
+    this.#choice.markTried(attempt.endpoint.id);
     this.#restartStuckTimer(attempt);
     this.#crashGuard.watch(attempt);
     attempt.send({
@@ -357,9 +273,9 @@
 
   #recordOrigin(): void {
     const { accountId, metadata } = this.#admitted;
-    this.#origin ??= originOf(this.#attempt!.endpoint);
+    this.#choice.origin ??= originOf(this.#attempt!.endpoint);
     const requestId = this.#isTakenUp() ? metadata.resumedRequestId : metadata.requestId;
-    if (requestId !== null) this.#context.origins.record(accountId, requestId, this.#origin);
+    if (requestId !== null) this.#context.origins.record(accountId, requestId, this.#choice.origin);
   }
 
   #recordFirstAnswer(): void {
@@ -423,8 +339,7 @@
    * Takes a retry from the retry budget; false when it is used up or no untried endpoint may get it.
    */
   #tryChargeRetryBudget(): boolean {
-    const permits = this.#createPermits();
-    if (!this.#listCandidates().some(({ id }) => permits.isPermitted(id))) return false;
+    if (!this.#choice.hasPermitted()) return false;
     const { state, countFleetVms } = this.#context;
     return takeRetry(state.retryBudget, this.#admitted.job.serviceId, countFleetVms(), now());
   }
@@ -434,7 +349,7 @@
     this.#attemptCount -= 1;
     this.#notRunCount += 1;
     if (this.#notRunCount <= MAX_NOT_RUN_ATTEMPTS && this.#tryChargeRetryBudget()) this.#send();
-    else if (this.#firstPauseMs() !== null && this.#listCandidates().length === 0) this.#send();
+    else if (this.#choice.isPaused()) this.#send();
     else this.#endUnserved('turned_away', FAILURE_RETRY_AFTER_MS);
   }
 
@@ -508,7 +423,7 @@
       configuration: state.routing.configuration?.version,
       placement: this.#placement?.kind,
       predictedMs: Math.round(this.#placement?.predictedMs ?? 0),
-      tried: [...this.#triedEndpointIds],
+      tried: this.#choice.triedIds,
       requestLimit: this.#attempt?.requestLimit ?? undefined,
       ...this.#crashGuard.describe(),
       firstMs:
