--- a/packages/router/__tests__/gateway/leavingEndpoints.spec.ts
+++ b/packages/router/__tests__/gateway/leavingEndpoints.spec.ts
@@ -3,16 +3,16 @@
 import { describe, itSerial } from '@filbertlatch/core/testing';
 
 import { LEAVING_HEADER } from './fixtures.js';
-import type { WishfulEndpoint } from './wishfulEndpoint.js';
-import { WishfulFleet } from './wishfulFleet.js';
+import type { TermsEndpoint } from './termsEndpoint.js';
+import { TermsFleet } from './termsFleet.js';
 
 /** Time for the news to reach all VMs, and for requests on their way to arrive. */
 const SETTLE_MS = 400;
 
 const leaving = { status: 200, headers: { [LEAVING_HEADER]: '1' } };
 
-async function withFleet(endpoints: number, use: (fleet: WishfulFleet) => Promise<void>) {
-  const fleet = new WishfulFleet(endpoints);
+async function withFleet(endpoints: number, use: (fleet: TermsFleet) => Promise<void>) {
+  const fleet = new TermsFleet(endpoints);
   await fleet.start(10);
   try {
     await sleep(500);
@@ -23,7 +23,7 @@
 }
 
 /** Counts the requests of all VMs that reach an endpoint from `SETTLE_MS` on. */
-async function countLateArrivals(endpoint: WishfulEndpoint): Promise<number> {
+async function countLateArrivals(endpoint: TermsEndpoint): Promise<number> {
   await sleep(SETTLE_MS);
   const before = endpoint.arrivals.length;
   await sleep(3000);
@@ -35,7 +35,7 @@
     'gets no more requests from any VM, though the store says that it is ready',
     async (t) => {
       await withFleet(3, async ({ endpoints, answers }) => {
-        endpoints[0]!.wishFor = () => leaving;
+        endpoints[0]!.termsFor = () => leaving;
         t.is(await countLateArrivals(endpoints[0]!), 0);
         t.true(answers.every(({ status }) => status === 200));
       });
@@ -44,7 +44,7 @@
 
   itSerial('gets no more requests when it refuses them too', async (t) => {
     await withFleet(3, async ({ endpoints }) => {
-      endpoints[0]!.wishFor = () => ({
+      endpoints[0]!.termsFor = () => ({
         status: 503,
         headers: { ...leaving.headers, 'x-not-run': '1' },
       });
@@ -56,7 +56,7 @@
     'gets no more requests when it is the last one, and callers are told early',
     async (t) => {
       await withFleet(1, async ({ endpoints, answers }) => {
-        endpoints[0]!.wishFor = () => leaving;
+        endpoints[0]!.termsFor = () => leaving;
         t.is(await countLateArrivals(endpoints[0]!), 0);
         const last = answers.at(-1)!;
         t.is(last.status, 503);
@@ -67,9 +67,9 @@
 
   itSerial('is used again in its next lifetime', async (t) => {
     await withFleet(2, async ({ endpoints }) => {
-      endpoints[0]!.wishFor = () => leaving;
+      endpoints[0]!.termsFor = () => leaving;
       await sleep(SETTLE_MS);
-      endpoints[0]!.wishFor = () => null;
+      endpoints[0]!.termsFor = () => null;
       await endpoints[0]!.crash(20);
       t.true((await countLateArrivals(endpoints[0]!)) > 0);
     });
@@ -78,7 +78,7 @@
   itSerial('is used again when only a stray answer said so', async (t) => {
     await withFleet(1, async ({ endpoints, answers }) => {
       let told = 0;
-      endpoints[0]!.wishFor = (vm) => {
+      endpoints[0]!.termsFor = (vm) => {
         if (vm === '') return null;
         told += 1;
         return told === 1 ? leaving : null;
--- a/packages/router/__tests__/gateway/wishfulEndpoint.ts
+++ b/packages/router/__tests__/gateway/termsEndpoint.ts
@@ -13,29 +13,29 @@
 }
 
 /** What an endpoint tells in its answers from now on. */
-export interface Wish {
+export interface AnswerTerms {
   readonly headers: Readonly<Record<string, string>>;
   /** Status of its answers; 200 unless it refuses requests. */
   readonly status: number;
 }
 
 /** An endpoint that tells in its answers what it wants; its entry in the store says nothing of it. */
-export class WishfulEndpoint extends RestartingEndpoint {
+export class TermsEndpoint extends RestartingEndpoint {
   readonly arrivals: Arrival[] = [];
 
-  /** Returns the wish for the answers to a VM's requests; null for none. */
-  wishFor: ((vm: string) => Wish | null) | null = null;
+  /** Returns the terms in the answers to a VM's requests; null for none. */
+  termsFor: ((vm: string) => AnswerTerms | null) | null = null;
 
-  protected override getHealthHeaders = () => this.wishFor?.('')?.headers ?? {};
+  protected override getHealthHeaders = () => this.termsFor?.('')?.headers ?? {};
 
   protected async run(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const vm = String(request.headers[VM_HEADER]);
-    const wish = this.wishFor?.(vm) ?? null;
+    const terms = this.termsFor?.(vm) ?? null;
     this.arrivals.push({ at: performance.now(), vm });
     request.resume();
     request.on('error', () => {});
     await sleep(RUN_MS);
-    const { status = 200, headers = {} } = wish ?? {};
+    const { status = 200, headers = {} } = terms ?? {};
     response.writeHead(status, {
       'x-request': request.headers['x-request'],
       'x-mac': 'mac',
--- a/packages/router/__tests__/gateway/wishfulFleet.ts
+++ b/packages/router/__tests__/gateway/termsFleet.ts
@@ -5,7 +5,7 @@
 import { ChangingStore } from './changingStore.js';
 import { call, createRoute, testConfiguration, type CallerAnswer } from './fixtures.js';
 import { createVms, type RestartableVm } from './restartableVm.js';
-import { WishfulEndpoint } from './wishfulEndpoint.js';
+import { TermsEndpoint } from './termsEndpoint.js';
 
 const VMS = 4;
 
@@ -21,10 +21,10 @@
 }
 
 /** Gateways, callers that send all the time, and endpoints that say what they want. */
-export class WishfulFleet {
+export class TermsFleet {
   readonly answers: ReceivedAnswer[] = [];
 
-  readonly endpoints: readonly WishfulEndpoint[];
+  readonly endpoints: readonly TermsEndpoint[];
 
   readonly #store = new ChangingStore(configuration);
 
@@ -40,7 +40,7 @@
     const life = { end: 'close', identity: 'new' } as const;
     this.endpoints = Array.from(
       { length: endpoints },
-      (_, index) => new WishfulEndpoint(`e${index}`, life, this.#store),
+      (_, index) => new TermsEndpoint(`e${index}`, life, this.#store),
     );
   }
 
