--- a/packages/router/__tests__/gateway/restartableVm.ts
+++ b/packages/router/__tests__/gateway/restartableVm.ts
@@ -1,7 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { createGateway, type Dialect, type Gateway } from '../../src/gateway/index.js';
-import type { ChangingStore } from './changingStore.js';
+import {
+  createGateway,
+  type Dialect,
+  type Gateway,
+  type PublicationSource,
+} from '../../src/gateway/index.js';
 import { call, findFreeAddress, testDialect, waitUntil } from './fixtures.js';
 
 /** Name of the header that tells an endpoint which VM sent a request. */
@@ -17,6 +21,11 @@
   };
 }
 
+/** What VMs read their configuration and endpoints from. */
+export interface VmStore {
+  createSource(): PublicationSource;
+}
+
 /** A VM that can be restarted; a restarted one knows nothing. */
 export class RestartableVm {
   readonly #id: string;
@@ -25,7 +34,7 @@
 
   readonly #seeds: readonly string[];
 
-  readonly #store: ChangingStore;
+  readonly #store: VmStore;
 
   #gateway: Gateway | null = null;
 
@@ -33,7 +42,7 @@
     id: string,
     listen: { callers: string; ready: string; control: string },
     seeds: readonly string[],
-    store: ChangingStore,
+    store: VmStore,
   ) {
     this.#id = id;
     this.#listen = listen;
@@ -94,8 +103,11 @@
   }
 }
 
-/** Creates VMs that read a store; they are not started yet. */
-export async function createVms(vms: number, store: ChangingStore): Promise<RestartableVm[]> {
+/** Creates VMs that read a store, each its own view if there are several; they are not started yet. */
+export async function createVms(
+  vms: number,
+  store: VmStore | readonly VmStore[],
+): Promise<RestartableVm[]> {
   const listens = await Promise.all(
     Array.from({ length: vms }, async () => {
       const [callers, ready, control] = await Promise.all([
@@ -107,5 +119,8 @@
     }),
   );
   const seeds = listens.slice(0, 3).map(({ control }) => control);
-  return listens.map((listen, index) => new RestartableVm(`vm-${index}`, listen, seeds, store));
+  return listens.map((listen, index) => {
+    const view = 'createSource' in store ? store : store[index]!;
+    return new RestartableVm(`vm-${index}`, listen, seeds, view);
+  });
 }
