Take nothing that a VM without links sees for news of endpoints

Cause: a VM without links took each endpoint that it could not reach for one that had ended, and told its lost attempts as crashes; and it told the load of requests that hung, so that its peers found endpoints full.

Now core/contacts knows which services are lost to this VM: several endpoints failed and none answered on a new connection since. An endpoint has ended only when another answers after it could not be reached; lost attempts are dropped while a peer still hears from the service; loads, paces, demand, borders and arrivals of lost services are not told; failures do not eject. Silence of all endpoints of a service is checked with health checks of three of them.

--- /dev/null
+++ b/packages/core/__tests__/contacts.spec.ts
@@ -0,0 +1,165 @@
+import {
+  chooseTransitPeer,
+  createContactState,
+  createRandom,
+  isCutOff,
+  listLostServices,
+  listTransitPeers,
+  lostSince,
+  recordContact,
+  recordFailedContact,
+  recordPeerContact,
+  removeStaleContacts,
+  wasCutOffSince,
+  type ContactState,
+  type PeerContact,
+} from '../src/index.js';
+import { describe, it } from '../src/testing/index.js';
+
+const SERVICE = 'desk';
+
+const START = 1_000_000;
+
+const peer = (changes: Partial<PeerContact> = {}): PeerContact => ({
+  address: '127.0.0.1:1',
+  zone: 'zone-a',
+  heardAt: START,
+  takesTransits: true,
+  openTransits: 0,
+  configurationVersion: 3,
+  lostServices: new Set(),
+  contactAt: new Map([[SERVICE, START]]),
+  ...changes,
+});
+
+const fail = (state: ContactState, id: string, at: number, endpoints = 4) =>
+  recordFailedContact(state, SERVICE, id, endpoints, at);
+
+const choose = (state: ContactState, tried: readonly string[] = []) =>
+  chooseTransitPeer(
+    state,
+    {
+      serviceId: SERVICE,
+      zone: 'zone-a',
+      configurationVersion: 3,
+      tried: new Set(tried),
+      ownTransits: () => 0,
+      random: createRandom(1),
+    },
+    START,
+  )?.id;
+
+describe('contact with the endpoints of a service', () => {
+  it('is not lost by one endpoint that fails again and again', (t) => {
+    const state = createContactState();
+    for (let at = START; at < START + 5000; at += 100) t.false(fail(state, 'e1', at));
+    t.is(lostSince(state, SERVICE), null);
+  });
+
+  it('is lost when several fail and none was reached since, once', (t) => {
+    const state = createContactState();
+    t.false(fail(state, 'e1', START));
+    t.true(fail(state, 'e2', START + 10));
+    t.false(fail(state, 'e3', START + 20));
+    t.is(lostSince(state, SERVICE), START + 10);
+    t.deepEqual(listLostServices(state), [SERVICE]);
+  });
+
+  it('is not lost by failures with a contact between them, or long apart', (t) => {
+    const state = createContactState();
+    fail(state, 'e1', START);
+    recordContact(state, SERVICE, START + 5);
+    t.false(fail(state, 'e2', START + 10));
+    t.false(fail(state, 'e3', START + 5000));
+  });
+
+  it('is lost by the only endpoint', (t) => {
+    t.true(fail(createContactState(), 'e1', START, 1));
+  });
+
+  it('is regained by one endpoint that answers', (t) => {
+    const state = createContactState();
+    fail(state, 'e1', START);
+    fail(state, 'e2', START);
+    t.is(recordContact(state, SERVICE, START + 400), START);
+    t.is(recordContact(state, SERVICE, START + 500), null);
+    t.is(lostSince(state, SERVICE), null);
+  });
+});
+
+describe('a VM that lost a service', () => {
+  const lose = () => {
+    const state = createContactState();
+    fail(state, 'e1', START);
+    fail(state, 'e2', START);
+    return state;
+  };
+
+  it('does not take a crash of all endpoints for a cut', (t) => {
+    const state = lose();
+    recordPeerContact(state, 'vm-2', peer({ contactAt: new Map([[SERVICE, START + 50]]) }));
+    t.false(isCutOff(state, SERVICE));
+    t.false(wasCutOffSince(state, SERVICE, START));
+  });
+
+  it('is cut off when a peer goes on hearing from it, and remembers until when', (t) => {
+    const state = lose();
+    recordPeerContact(state, 'vm-2', peer({ contactAt: new Map([[SERVICE, START + 400]]) }));
+    t.true(isCutOff(state, SERVICE));
+    recordContact(state, SERVICE, START + 1000);
+    t.false(isCutOff(state, SERVICE));
+    t.true(wasCutOffSince(state, SERVICE, START + 900));
+    t.false(wasCutOffSince(state, SERVICE, START + 1001));
+  });
+
+  it('forgets services that are configured no more, and silent peers', (t) => {
+    const state = lose();
+    recordPeerContact(state, 'vm-2', peer());
+    removeStaleContacts(state, () => false, START + 20_000);
+    t.is(state.services.size, 0);
+    t.is(state.peers.size, 0);
+  });
+});
+
+describe('the VM that carries a request', () => {
+  const unfit: Readonly<Record<string, Partial<PeerContact>>> = {
+    'has lost the service itself': { lostServices: new Set([SERVICE]) },
+    'takes no requests': { takesTransits: false },
+    'has been silent': { heardAt: START - 2000 },
+    'has an older configuration': { configurationVersion: 2 },
+  };
+  Object.entries(unfit).forEach(([title, changes]) => {
+    it(`is none that ${title}`, (t) => {
+      const state = createContactState();
+      recordPeerContact(state, 'vm-2', peer(changes));
+      t.is(choose(state), undefined);
+    });
+  });
+
+  it('is none that refused it', (t) => {
+    const state = createContactState();
+    recordPeerContact(state, 'vm-2', peer());
+    recordPeerContact(state, 'vm-3', peer());
+    t.is(choose(state, ['vm-2']), 'vm-3');
+    t.is(choose(state, ['vm-2', 'vm-3']), undefined);
+  });
+
+  it('is one of the own zone while half of it is in touch', (t) => {
+    const state = createContactState();
+    recordPeerContact(state, 'vm-2', peer());
+    recordPeerContact(state, 'vm-3', peer({ zone: 'zone-b' }));
+    t.is(choose(state), 'vm-2');
+  });
+
+  it('is the less loaded of two, of any zone when most of the own one is cut', (t) => {
+    const state = createContactState();
+    recordPeerContact(state, 'vm-2', peer({ openTransits: 50 }));
+    const lostServices = new Set([SERVICE]);
+    ['vm-3', 'vm-4'].forEach((id) => recordPeerContact(state, id, peer({ lostServices })));
+    ['vm-5', 'vm-6', 'vm-7'].forEach((id) => {
+      recordPeerContact(state, id, peer({ zone: 'zone-b' }));
+    });
+    t.is(listTransitPeers(state, SERVICE, START).length, 4);
+    t.not(choose(state), 'vm-2');
+  });
+});
--- /dev/null
+++ b/packages/core/src/contacts/index.ts
@@ -0,0 +1,24 @@
+export {
+  recordContact,
+  recordFailedContact,
+  recordPeerContact,
+  removeStaleContacts,
+} from './commands.js';
+export {
+  chooseTransitPeer,
+  isCutOff,
+  lastContactAt,
+  lastPeerContactAt,
+  listLostServices,
+  listTransitPeers,
+  lostSince,
+  wasCutOffSince,
+  type TransitChoice,
+  type TransitPeer,
+} from './queries.js';
+export {
+  createContactState,
+  type ContactState,
+  type PeerContact,
+  type ServiceContact,
+} from './state.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export * from './admission/index.js';
 export * from './claims/index.js';
+export * from './contacts/index.js';
 export * from './directory/index.js';
 export * from './entry/index.js';
 export * from './health/index.js';
--- a/packages/core/src/suspects/index.ts
+++ b/packages/core/src/suspects/index.ts
@@ -14,6 +14,7 @@
   recordEndpointEnd,
   recordLostAttempt,
   removeExpiredTraces,
+  removeLostAttempts,
   type EndedAttempt,
 } from './lostAttempts.js';
 export {
--- a/packages/core/src/suspects/lostAttempts.ts
+++ b/packages/core/src/suspects/lostAttempts.ts
@@ -100,6 +100,12 @@
   return survived;
 }
 
+/** Removes the attempts lost since an instant at an endpoint, for what ended them is another cause. */
+export function removeLostAttempts(state: SuspectState, endpointId: string, since: number): void {
+  const lostAttempts = state.endpointTraces.get(endpointId)?.lostAttempts;
+  lostAttempts?.splice(0, lostAttempts.length, ...lostAttempts.filter(({ at }) => at < since));
+}
+
 /** Removes lost attempts and ends of endpoints that are too old to matter. */
 export function removeExpiredTraces(state: SuspectState, now: number): void {
   state.endpointTraces.forEach((trace, endpointId) => {
--- a/packages/router/__tests__/gateway/cutFleet.ts
+++ b/packages/router/__tests__/gateway/cutFleet.ts
@@ -60,6 +60,9 @@
 
 const CALM_MS = 1500;
 
+/** Time before the cut in which requests are sent that it may meet. */
+const LONGEST_RUN_MS = 400;
+
 /** Time within which a cut, and its end, must be found out. */
 const STABLE_WINDOW_MS = 3000;
 
@@ -184,6 +187,7 @@
       const sending = this.#vms.map((vm, index) => this.#sendAll(vm, index));
       await sleep(500);
       await this.#playPhase('calm', CALM_MS);
+      await this.#playPhase('cutting', LONGEST_RUN_MS);
       this.cut();
       await this.#playPhase('cutting', STABLE_WINDOW_MS);
       await this.#playPhase('cut', cutMs - STABLE_WINDOW_MS);
@@ -258,7 +262,8 @@
       count.served += 1;
       return;
     }
-    const failure = `${phase} ${answer?.status ?? 0}`;
+    const code = /"code":"(\w+)/.exec(answer?.body ?? '')?.[1] ?? '';
+    const failure = `${phase} ${answer?.status ?? 0} ${code}`.trim();
     this.#failures[failure] = (this.#failures[failure] ?? 0) + 1;
     if (answer?.status === 503) this.#refused.add(id);
   }
--- a/packages/router/__tests__/gateway/peerTask.spec.ts
+++ b/packages/router/__tests__/gateway/peerTask.spec.ts
@@ -55,7 +55,13 @@
     }
     const named = new Set<string>();
     for (let message = 0; message < 100; message += 1) {
-      const sender = { address: '127.0.0.1:61', hasStore: true, reads: [], limitedSends: [] };
+      const sender = {
+        address: '127.0.0.1:61',
+        hasStore: true,
+        reads: [],
+        limitedSends: [],
+        contact: { heardAt: new Map(), openTransits: 0 },
+      };
       const { members } = createGossipMessage(state, sender, now());
       t.true(members.length <= 16);
       members.forEach((address) => named.add(address));
--- a/packages/router/src/gateway/connectionTable.ts
+++ b/packages/router/src/gateway/connectionTable.ts
@@ -18,6 +18,13 @@
 export class ConnectionTable {
   readonly #entries = new Map<string, ConnectionEntry>();
 
+  #notifyContact: ((endpointId: string) => void) | null = null;
+
+  /** Sets the callback for endpoints that answer on a new connection. */
+  onContact(notify: (endpointId: string) => void): void {
+    this.#notifyContact = notify;
+  }
+
   /**
    * Returns the connections to an endpoint; replaces them when it restarted or moved. New ones are
    * limited to this VM's share of `maxConnections`, the limit for all VMs together.
@@ -35,6 +42,7 @@
     const connections = new EndpointConnections(
       endpoint.address,
       Math.max(MIN_CONNECTIONS, connectionLimit),
+      () => this.#notifyContact?.(endpoint.id),
     );
     const { address, startedAt } = endpoint;
     this.#entries.set(endpoint.id, { address, startedAt, connections });
--- /dev/null
+++ b/packages/router/src/gateway/contactTask.ts
@@ -0,0 +1,316 @@
+import {
+  isCutOff,
+  lastContactAt,
+  lastPeerContactAt,
+  listLostServices,
+  listReadyEndpoints,
+  listTransitPeers,
+  lostSince,
+  randomInteger,
+  recordContact,
+  recordFailedContact,
+  removeLostAttempts,
+  resetEndpointHealth,
+  type RegisteredEndpoint,
+} from '@filbertlatch/core';
+
+import { now } from '../clock.js';
+import type { ConnectionTable } from './connectionTable.js';
+import { checkLink, type LinkState } from './endpointCheck.js';
+import type { EndpointTerms } from './endpointTerms.js';
+import type { GatewayLog } from './gatewayLog.js';
+import type { GatewayMetrics } from './gatewayMetrics.js';
+import type { GatewayState } from './gatewayState.js';
+
+/** Endpoints that are checked at a time. */
+const CHECKED_ENDPOINTS = 3;
+
+/** Interval between checks of a service that is lost. */
+const LOST_CHECK_INTERVAL_MS = 250;
+
+/** Time without a byte from a service that has requests of this VM after which links are checked. */
+const SILENCE_MS = 350;
+
+/** The same where peers have not heard from the service either. */
+const LONG_SILENCE_MS = 700;
+
+/** Shortest and longest time between two checks for silence; doubled while links prove sound. */
+const MIN_SILENCE_CHECK_INTERVAL_MS = 500;
+const MAX_SILENCE_CHECK_INTERVAL_MS = 4000;
+
+/** Time within which a cut is noticed. */
+const MAX_DETECTION_MS = 1000;
+
+/** After a shorter loss, connections and health records are kept. */
+const MIN_RENEWED_LOSS_MS = 300;
+
+/** What the silence of a service's endpoints has shown. */
+interface SilenceWatch {
+  /** Time since which this VM has had requests there; null without any. */
+  busySince: number | null;
+  /** Time before which no check is due. */
+  nextCheckAt: number;
+  intervalMs: number;
+}
+
+/**
+ * Finds out whether this VM has links to the endpoints of each service. What it sees of endpoints
+ * while it has none is no sign of their state.
+ */
+export class ContactTask {
+  readonly #state: GatewayState;
+
+  readonly #connections: ConnectionTable;
+
+  readonly #terms: EndpointTerms;
+
+  readonly #metrics: GatewayMetrics;
+
+  readonly #log: GatewayLog;
+
+  readonly #notifyPeers: () => void;
+
+  readonly #watches = new Map<string, SilenceWatch>();
+
+  /** Checks that run, by service id. */
+  readonly #checks = new Map<string, Promise<void>>();
+
+  /** Time of the latest check of each lost service; epoch milliseconds. */
+  readonly #checkedAt = new Map<string, number>();
+
+  /** Endpoints that may have ended, to be looked at when there are links; by service id. */
+  readonly #doubtful = new Map<string, Set<string>>();
+
+  #probe: ((endpointId: string) => void) | null = null;
+
+  constructor(
+    state: GatewayState,
+    connections: ConnectionTable,
+    terms: EndpointTerms,
+    metrics: GatewayMetrics,
+    log: GatewayLog,
+    notifyPeers: () => void,
+  ) {
+    this.#state = state;
+    this.#connections = connections;
+    this.#terms = terms;
+    this.#metrics = metrics;
+    this.#log = log;
+    this.#notifyPeers = notifyPeers;
+    connections.onContact((endpointId) => this.recordAnswer(endpointId));
+  }
+
+  /** Sets the callback for endpoints that are to be probed again. */
+  onDoubt(probe: (endpointId: string) => void): void {
+    this.#probe = probe;
+  }
+
+  /** True while no endpoint of a service can be reached. */
+  isLost(serviceId: string): boolean {
+    return lostSince(this.#state.contacts, serviceId) !== null;
+  }
+
+  /** Returns when each service's endpoints were last heard; epoch milliseconds by service id. */
+  listHeardAt(): Map<string, number> {
+    const heardAt = new Map<string, number>();
+    this.#state.directory.endpoints.forEach(({ id, serviceId }) => {
+      const at = this.#connections.lastHeardAt(id);
+      heardAt.set(serviceId, Math.max(at, heardAt.get(serviceId) ?? 0));
+    });
+    return heardAt;
+  }
+
+  /** Records that an endpoint has answered on a new connection. */
+  recordAnswer(endpointId: string): void {
+    const endpoint = this.#state.directory.endpoints.get(endpointId);
+    if (endpoint === undefined) return;
+    const { serviceId } = endpoint;
+    const { contacts } = this.#state;
+    const wasCutOff = isCutOff(contacts, serviceId);
+    const lostAt = recordContact(contacts, serviceId, now());
+    if (lostAt !== null) this.#regain(serviceId, lostAt, wasCutOff);
+    this.#probeDoubtful(serviceId);
+  }
+
+  /** Records that an endpoint could not be reached, or broke a connection off. */
+  recordFailure({ id, serviceId }: RegisteredEndpoint): void {
+    const { contacts, directory } = this.#state;
+    const { length } = listReadyEndpoints(directory, serviceId);
+    if (!recordFailedContact(contacts, serviceId, id, length, now())) return;
+    this.#metrics.countContactChange('lost');
+    this.#log.change('service_lost', { serviceId, endpoints: length });
+    this.#notifyPeers();
+    void this.#check(serviceId);
+  }
+
+  /**
+   * Finds out whether an endpoint that could not be reached since `since` has ended. Otherwise the
+   * links of this VM may have failed, and the endpoint is probed again when it has some.
+   */
+  async hasEnded(endpoint: RegisteredEndpoint, since: number): Promise<boolean> {
+    const { id, serviceId } = endpoint;
+    this.recordFailure(endpoint);
+    if (await this.#hasLinks(endpoint, since)) return true;
+    const doubtful = this.#doubtful.get(serviceId) ?? new Set();
+    this.#doubtful.set(serviceId, doubtful.add(id));
+    return false;
+  }
+
+  /** Checks links whose state is in doubt; called by the maintenance timer. */
+  maintain(): void {
+    const lost = listLostServices(this.#state.contacts);
+    if (lost.length > 0) this.#checkLost();
+    lost.forEach((serviceId) => this.#dropEvidence(serviceId));
+    this.#checkSilent();
+    this.#doubtful.forEach((_, serviceId) => {
+      if (!this.isLost(serviceId)) this.#probeDoubtful(serviceId);
+    });
+  }
+
+  /** Drops what a VM that is cut off has seen: its attempts were not ended by their endpoints. */
+  #dropEvidence(serviceId: string): void {
+    const { contacts, directory, suspects } = this.#state;
+    if (!isCutOff(contacts, serviceId)) return;
+    const since = lostSince(contacts, serviceId)! - MAX_DETECTION_MS;
+    directory.endpoints.forEach(({ id, serviceId: ofService }) => {
+      if (ofService === serviceId) removeLostAttempts(suspects, id, since);
+    });
+  }
+
+  async #hasLinks(endpoint: RegisteredEndpoint, since: number): Promise<boolean> {
+    const { serviceId } = endpoint;
+    const { contacts, directory } = this.#state;
+    const others = listReadyEndpoints(directory, serviceId).filter(({ id }) => id !== endpoint.id);
+    if (others.length === 0) return listTransitPeers(contacts, serviceId, now()).length === 0;
+    // A check that was running may have begun before.
+    for (let tries = 0; tries < 2 && lastContactAt(contacts, serviceId) < since; tries += 1) {
+      await this.#check(serviceId, endpoint.id);
+    }
+    return lastContactAt(contacts, serviceId) >= since;
+  }
+
+  /** A VM that lost one service has perhaps lost those that it has not called lately, too. */
+  #checkLost(): void {
+    const { routing } = this.#state;
+    const instant = now();
+    [...(routing.configuration?.services.keys() ?? [])].forEach((id) => {
+      const dueAt = (this.#checkedAt.get(id) ?? 0) + LOST_CHECK_INTERVAL_MS;
+      if (instant < dueAt || lastContactAt(this.#state.contacts, id) >= dueAt) return;
+      this.#checkedAt.set(id, instant);
+      void this.#check(id);
+    });
+  }
+
+  #checkSilent(): void {
+    const heardAt = this.listHeardAt();
+    const busy = this.#listBusyServices();
+    const instant = now();
+    heardAt.forEach((heard, serviceId) => {
+      const watch = this.#watches.get(serviceId) ?? {
+        busySince: null,
+        nextCheckAt: 0,
+        intervalMs: MIN_SILENCE_CHECK_INTERVAL_MS,
+      };
+      this.#watches.set(serviceId, watch);
+      watch.busySince = busy.has(serviceId) ? (watch.busySince ?? instant) : null;
+      const quietSince = Math.max(heard, watch.busySince ?? instant);
+      if (instant - quietSince < SILENCE_MS || this.isLost(serviceId)) return;
+      // Where no peer hears anything either, the endpoints may be slow.
+      const peerHeard = lastPeerContactAt(this.#state.contacts, serviceId);
+      const isDoubtful = peerHeard > quietSince || instant - quietSince >= LONG_SILENCE_MS;
+      if (instant < watch.nextCheckAt || !isDoubtful) return;
+      void this.#checkSilence(serviceId, watch);
+    });
+  }
+
+  #listBusyServices(): Set<string> {
+    const { directory, scheduling } = this.#state;
+    const busy = new Set<string>();
+    scheduling.work.forEach(({ own }, id) => {
+      const serviceId = directory.endpoints.get(id)?.serviceId;
+      if (serviceId !== undefined && own.waiting + own.streaming > 0) busy.add(serviceId);
+    });
+    return busy;
+  }
+
+  async #checkSilence(serviceId: string, watch: SilenceWatch): Promise<void> {
+    const startedAt = now();
+    watch.nextCheckAt = Number.POSITIVE_INFINITY;
+    await this.#check(serviceId);
+    const isSound = lastContactAt(this.#state.contacts, serviceId) >= startedAt;
+    const longerMs = Math.min(MAX_SILENCE_CHECK_INTERVAL_MS, 2 * watch.intervalMs);
+    watch.intervalMs = isSound ? longerMs : MIN_SILENCE_CHECK_INTERVAL_MS;
+    watch.nextCheckAt = now() + watch.intervalMs;
+  }
+
+  /** Checks the links to some endpoints of a service; at most one check of a service at a time. */
+  #check(serviceId: string, exceptId: string | null = null): Promise<void> {
+    const running = this.#checks.get(serviceId);
+    if (running !== undefined) return running;
+    const check = this.#checkSome(serviceId, exceptId).finally(() => {
+      this.#checks.delete(serviceId);
+    });
+    this.#checks.set(serviceId, check);
+    return check;
+  }
+
+  async #checkSome(serviceId: string, exceptId: string | null): Promise<void> {
+    const { directory, random, routing } = this.#state;
+    const askable = listReadyEndpoints(directory, serviceId).filter(
+      (endpoint) => endpoint.id !== exceptId && this.#mayAsk(endpoint),
+    );
+    const first = randomInteger(random, Math.max(1, askable.length));
+    const chosen = [...askable.slice(first), ...askable.slice(0, first)].slice(
+      0,
+      CHECKED_ENDPOINTS,
+    );
+    const path = routing.configuration?.services.get(serviceId)?.healthPath ?? '/';
+    const checks = chosen.map((endpoint) => this.#checkOne(endpoint, path));
+    // One that answers suffices.
+    const reached = checks.map(async (check) => {
+      if ((await check) !== 'answers') throw new Error('not reached');
+    });
+    await Promise.any(reached).catch(() => Promise.all(checks));
+  }
+
+  async #checkOne(endpoint: RegisteredEndpoint, path: string): Promise<LinkState> {
+    const startedAt = now();
+    this.#terms.limits.recordSend(endpoint.id);
+    const link = await checkLink(endpoint, path);
+    this.#metrics.countLinkCheck(link);
+    const tookMs = Math.round(now() - startedAt);
+    this.#log.decision('link_checked', { endpointId: endpoint.id, link, tookMs });
+    // A full endpoint is silent, but not all of a service are to a VM that is in touch.
+    const isHeard = (this.listHeardAt().get(endpoint.serviceId) ?? 0) >= startedAt;
+    if (link === 'answers') this.recordAnswer(endpoint.id);
+    else if (link === 'unreachable' || !isHeard) this.recordFailure(endpoint);
+    return link;
+  }
+
+  #mayAsk(endpoint: RegisteredEndpoint): boolean {
+    const { limits, pauses } = this.#terms;
+    return limits.timeToHealthCheck(endpoint.id) === 0 && pauses.leftMs(endpoint) === 0;
+  }
+
+  #regain(serviceId: string, lostAt: number, wasCutOff: boolean): void {
+    const { directory, health } = this.#state;
+    const lostMs = Math.round(now() - lostAt);
+    this.#metrics.countContactChange('regained');
+    this.#log.change('service_regained', { serviceId, lostMs, wasCutOff });
+    this.#notifyPeers();
+    directory.endpoints.forEach((endpoint) => {
+      if (endpoint.serviceId !== serviceId) return;
+      if (lostMs < MIN_RENEWED_LOSS_MS) return;
+      if (wasCutOff) resetEndpointHealth(health, endpoint.id);
+      this.#connections.renew(endpoint.id);
+    });
+    if (wasCutOff) this.#doubtful.delete(serviceId);
+  }
+
+  #probeDoubtful(serviceId: string): void {
+    const doubtful = this.#doubtful.get(serviceId);
+    if (doubtful === undefined) return;
+    this.#doubtful.delete(serviceId);
+    doubtful.forEach((id) => this.#probe?.(id));
+  }
+}
--- a/packages/router/src/gateway/crashRecorder.ts
+++ b/packages/router/src/gateway/crashRecorder.ts
@@ -10,6 +10,7 @@
   recordSegmentAnswer,
   recordSegmentCrash,
   removeCrashes,
+  wasCutOffSince,
   type AttemptTrial,
   type EndedAttempt,
   type LostAttempt,
@@ -43,6 +44,8 @@
     const segments = attempt.segmentIds.slice(0, MAX_LOGGED_SEGMENTS);
     const fields = { fingerprint, endpointId, isBroken: isPresumedCrash, segments };
     this.#log.decision('attempt_lost', fields);
+    // It says nothing of its endpoint.
+    if (wasCutOffSince(this.#state.contacts, attempt.serviceId, attempt.startedAt)) return;
     const crash = recordLostAttempt(this.#state.suspects, endpointId, attempt);
     if (crash !== null) this.#recordCrash(crash, 'found_before');
   }
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -350,7 +350,10 @@
     if (this.#isSettled) return;
     if (failure.cause !== 'withheld') this.#countFailure();
     this.#end(failure.cause);
-    const { log, probes, state } = this.#context;
+    const { contacts, log, probes, state } = this.#context;
+    if (failure.cause === 'unreachable' || failure.cause === 'broken') {
+      contacts.recordFailure(this.endpoint);
+    }
     if (failure.cause === 'unreachable' && hasLostAttempts(state.suspects, this.endpoint.id)) {
       probes.probe(this.endpoint.id);
     }
@@ -373,6 +376,8 @@
   }
 
   #countFailure(): void {
+    // It is the links of this VM that fail.
+    if (this.#context.contacts.isLost(this.endpoint.serviceId)) return;
     this.#observeOutcome(true);
     const { state, log } = this.#context;
     if (recordFailure(state.health, this.endpoint.id, now())) {
--- a/packages/router/src/gateway/endpointConnections.ts
+++ b/packages/router/src/gateway/endpointConnections.ts
@@ -26,6 +26,8 @@
 
   readonly #maxConnections: number;
 
+  readonly #notifyContact: () => void;
+
   #pool: Pool;
 
   #isResetting = false;
@@ -34,9 +36,11 @@
 
   #brokenAt = 0;
 
-  constructor(address: string, connections: number) {
+  /** `notifyContact` is called when the first bytes arrive on a new connection. */
+  constructor(address: string, connections: number, notifyContact: () => void = () => {}) {
     this.#origin = `http://${address}`;
     this.#maxConnections = connections;
+    this.#notifyContact = notifyContact;
     this.#pool = this.#createPool();
   }
 
@@ -96,12 +100,19 @@
         new GuardedClient(origin, options, (target, callback) => {
           connect(target, (...result) => {
             this.#watchReset(result[1]);
+            this.#watchContact(result[1]);
             callback(...result);
           });
         }),
     });
   }
 
+  #watchContact(socket: Socket | null): void {
+    socket?.prependOnceListener('readable', () => {
+      if (socket.bytesRead > 0) this.#notifyContact();
+    });
+  }
+
   #watchReset(socket: Socket | null): void {
     socket?.prependListener('error', () => this.#markReset());
     // A reset directly after the last bytes may be reported as `end`; such a socket has no remote
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -16,6 +16,7 @@
   removeExpiredTrials,
   removeExpiredTraces,
   divideRequestLimits,
+  removeStaleContacts,
   removeStaleDepartures,
   removeStaleLimits,
   dropStaleWork,
@@ -27,6 +28,7 @@
 import { splitAddress } from './address.js';
 import { AnswerBuffers } from './answerBuffers.js';
 import { ConnectionTable } from './connectionTable.js';
+import { ContactTask } from './contactTask.js';
 import { CrashRecorder } from './crashRecorder.js';
 import { DepartureRecorder } from './departureRecorder.js';
 import type { Dialect } from './dialect.js';
@@ -121,8 +123,9 @@
     departures: new DepartureRecorder(state, log, notifyPeers),
     pauses: new PauseRecorder(state, log),
   };
-  const probes = new ProbeTask(state, dialect, connections, crashes, terms, log);
-  const liveness = new LivenessTask(state, dialect, connections, terms, metrics, log);
+  const contacts = new ContactTask(state, connections, terms, metrics, log, notifyPeers);
+  const probes = new ProbeTask(state, dialect, connections, crashes, terms, contacts, log);
+  const liveness = new LivenessTask(state, dialect, connections, terms, contacts, metrics, log);
   let currentSettings = settings;
   // Starts anew with the process, whose former trials may still be known to its peers.
   let sequenceNumber = randomInteger(state.random, 2 ** 31);
@@ -133,6 +136,7 @@
     dialect,
     log,
     metrics,
+    contacts,
     probes,
     liveness,
     origins,
@@ -153,6 +157,7 @@
     request.resume();
     response.writeHead(isServing(state) ? 200 : 503, { 'content-length': 0 }).end();
   });
+  peers.setContactReport(() => ({ heardAt: contacts.listHeardAt(), openTransits: 0 }));
   const controlApi = createLazyControlApi({
     handleCall: (call) => peers.handleCall(call),
     dump,
@@ -174,6 +179,7 @@
     maintenanceCount += 1;
     publication.removeMissing();
     removeStaleDepartures(state.directory, instant);
+    contacts.maintain();
     probes.probeEjected();
     terms.departures.takeDueChecks().forEach((id) => probes.probe(id));
     callerServer.applyLimits();
@@ -184,6 +190,8 @@
     connections.closeRemoved(isRegistered);
     probes.forgetRemoved(isRegistered);
     dropStaleWork(state.scheduling, isRegistered, instant - PEER_LOAD_EXPIRY_MS, instant);
+    const isConfigured = (id: string) => state.routing.configuration?.services.has(id) ?? true;
+    removeStaleContacts(state.contacts, isConfigured, instant);
     removeExpiredCrashes(state.suspects, instant);
     removeExpiredTraces(state.suspects, instant);
     removeExpiredSegments(state.segmentSuspects, instant);
--- a/packages/router/src/gateway/gatewayContext.ts
+++ b/packages/router/src/gateway/gatewayContext.ts
@@ -1,5 +1,6 @@
 import type { AnswerBuffers } from './answerBuffers.js';
 import type { ConnectionTable } from './connectionTable.js';
+import type { ContactTask } from './contactTask.js';
 import type { CrashRecorder } from './crashRecorder.js';
 import type { Dialect } from './dialect.js';
 import type { EndpointTerms } from './endpointTerms.js';
@@ -17,6 +18,7 @@
   readonly dialect: Dialect;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
+  readonly contacts: ContactTask;
   readonly probes: ProbeTask;
   readonly liveness: LivenessTask;
   readonly origins: OriginTask;
--- a/packages/router/src/gateway/gatewayMetrics.ts
+++ b/packages/router/src/gateway/gatewayMetrics.ts
@@ -1,5 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
+import type { LinkState } from './endpointCheck.js';
+
 const METRIC_PREFIX = 'filbertlatch_';
 const MS_PER_SECOND = 1000;
 const LATENCY_BUCKETS_SECONDS = [0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 15];
@@ -68,6 +70,27 @@
     registers: [this.#registry],
   });
 
+  readonly #contactChanges = new Counter({
+    name: `${METRIC_PREFIX}contact_changes_total`,
+    help: 'Services whose endpoints this VM could reach no more, or again.',
+    labelNames: ['change'],
+    registers: [this.#registry],
+  });
+
+  readonly #linkChecks = new Counter({
+    name: `${METRIC_PREFIX}link_checks_total`,
+    help: 'Checks of the link to an endpoint, by result.',
+    labelNames: ['link'],
+    registers: [this.#registry],
+  });
+
+  readonly #transits = new Counter({
+    name: `${METRIC_PREFIX}transits_total`,
+    help: 'Requests sent by way of another VM, or carried for one, by outcome.',
+    labelNames: ['side', 'outcome'],
+    registers: [this.#registry],
+  });
+
   readonly #firstAnswer = new Histogram({
     name: `${METRIC_PREFIX}first_answer_seconds`,
     help: 'From arrival to the answer, or to the first event of a stream.',
@@ -129,6 +152,21 @@
     this.#livenessChecks.inc({ liveness });
   }
 
+  /** Counts a service that is lost to this VM, or regained. */
+  countContactChange(change: 'lost' | 'regained'): void {
+    this.#contactChanges.inc({ change });
+  }
+
+  /** Counts a check of the link to an endpoint. */
+  countLinkCheck(link: LinkState): void {
+    this.#linkChecks.inc({ link });
+  }
+
+  /** Counts a request by way of another VM, on either side. */
+  countTransit(side: 'sent' | 'carried', outcome: string): void {
+    this.#transits.inc({ side, outcome });
+  }
+
   /** Counts a completed request. */
   countRequest(route: string, outcome: string): void {
     this.#requests.inc({ route, outcome });
--- a/packages/router/src/gateway/gatewayState.ts
+++ b/packages/router/src/gateway/gatewayState.ts
@@ -1,4 +1,5 @@
 import {
+  createContactState,
   createDirectoryState,
   createHealthState,
   createPauseState,
@@ -9,6 +10,7 @@
   createSegmentSuspectState,
   createStreamOriginState,
   createSuspectState,
+  type ContactState,
   type DirectoryState,
   type HealthState,
   type PauseState,
@@ -46,6 +48,7 @@
   readonly zone: string;
   readonly random: Random;
   readonly routing: RoutingState;
+  readonly contacts: ContactState;
   readonly directory: DirectoryState;
   readonly scheduling: SchedulingState;
   readonly health: HealthState;
@@ -77,6 +80,7 @@
     zone: settings.vm.zone,
     random,
     routing: createRoutingState(),
+    contacts: createContactState(),
     directory: createDirectoryState(),
     scheduling: createSchedulingState(settings.vm.id),
     health: createHealthState(),
--- a/packages/router/src/gateway/gossipMessage.ts
+++ b/packages/router/src/gateway/gossipMessage.ts
@@ -1,6 +1,7 @@
 import {
   configurationVersion,
   listArrivals,
+  listLostServices,
   listOwnDepartures,
   listSeveralVersions,
   MAX_FAILED_TRIALS,
@@ -34,6 +35,7 @@
 } from '@filbertlatch/core';
 import * as z from 'zod';
 
+import { contactNewsSchema, createContactNews, type ContactReport } from './contactNews.js';
 import type { GatewayState } from './gatewayState.js';
 
 /** Oldest news that is told. */
@@ -144,6 +146,7 @@
     .array(z.tuple([text, z.number().nullable()]))
     .max(MAX_REPORTED_DEPARTURES)
     .default([]),
+  contact: contactNewsSchema,
 });
 
 /** A validated gossip message. */
@@ -173,10 +176,28 @@
   readonly reads: readonly SegmentRead[];
   /** Requests sent to endpoints with a limit since the last message. */
   readonly limitedSends: readonly SendReport[];
+  readonly contact: ContactReport;
 }
 
-function collectLoads({ scheduling }: GatewayState): GossipMessage['loads'] {
+/** Says whether this VM can tell of an endpoint's work: it sees none without links to it. */
+function createReachedFilter({ contacts, directory }: GatewayState) {
+  const lost = new Set(listLostServices(contacts));
+  const isServiceReached = (serviceId: string) => !lost.has(serviceId);
+  const isReached = (endpointId: string) => {
+    const endpoint = directory.endpoints.get(endpointId);
+    return endpoint === undefined || isServiceReached(endpoint.serviceId);
+  };
+  return { isReached, isServiceReached };
+}
+
+type ReachedFilter = ReturnType<typeof createReachedFilter>;
+
+function collectLoads(
+  { scheduling }: GatewayState,
+  { isReached }: ReachedFilter,
+): GossipMessage['loads'] {
   return [...scheduling.work]
+    .filter(([id]) => isReached(id))
     .filter(([, { own }]) => own.waiting + own.streaming > 0)
     .map(([id, { own }]) => [
       id,
@@ -188,8 +209,13 @@
     ]);
 }
 
-function collectPaces({ scheduling }: GatewayState, now: number): GossipMessage['paces'] {
+function collectPaces(
+  { scheduling }: GatewayState,
+  { isReached }: ReachedFilter,
+  now: number,
+): GossipMessage['paces'] {
   return [...scheduling.work]
+    .filter(([id]) => isReached(id))
     .map(([id, work]): GossipMessage['paces'][number] => {
       const { first, step } = ownPaceSums(work, now);
       return [id, ...first, ...step];
@@ -251,7 +277,11 @@
   };
 }
 
-function collectLimits({ requestLimits }: GatewayState, now: number) {
+function collectLimits(
+  { requestLimits }: GatewayState,
+  { isServiceReached }: ReachedFilter,
+  now: number,
+) {
   const arrivals = listArrivals(requestLimits, now);
   return {
     requestLimits: takeLimitReports(requestLimits, now).map(
@@ -261,7 +291,10 @@
         ageMs,
       ],
     ),
-    arrivals: arrivals === null ? null : [...arrivals].slice(0, MAX_ARRIVALS),
+    arrivals:
+      arrivals === null
+        ? null
+        : [...arrivals].filter(([id]) => isServiceReached(id)).slice(0, MAX_ARRIVALS),
   };
 }
 
@@ -281,6 +314,7 @@
   now: number,
 ): GossipMessage {
   const { vmId, isLeaving, routing, directory, scheduling, suspects } = state;
+  const reached = createReachedFilter(state);
   return {
     vmId,
     address: sender.address,
@@ -288,10 +322,12 @@
     hasStore: sender.hasStore,
     configurationVersion: configurationVersion(routing),
     directoryRevision: directory.revision,
-    loads: collectLoads(state),
-    paces: collectPaces(state, now),
-    borders: [...scheduling.borders],
-    demand: [...scheduling.demand.keys()].map((id) => [id, ...ownDemand(scheduling, id, now)]),
+    loads: collectLoads(state, reached),
+    paces: collectPaces(state, reached, now),
+    borders: [...scheduling.borders].filter(([id]) => reached.isServiceReached(id)),
+    demand: [...scheduling.demand.keys()]
+      .filter((id) => reached.isServiceReached(id))
+      .map((id) => [id, ...ownDemand(scheduling, id, now)]),
     reads: sender.reads.map(({ segmentId, endpointId }) => [segmentId, endpointId]),
     members: chooseMembers(state),
     crashes: collectCrashes(state),
@@ -299,12 +335,13 @@
     answered: takeAnswerReports(suspects).map(({ fingerprint, at }) => [fingerprint, at]),
     limitedSends: sender.limitedSends.map(({ endpointId, sends }) => [endpointId, sends]),
     ...collectSegmentNews(state, now),
-    ...collectLimits(state, now),
+    ...collectLimits(state, reached, now),
     versions: collectVersions(state, now),
     departures: listOwnDepartures(directory).map(({ endpointId, startedAt }) => [
       endpointId,
       startedAt,
     ]),
+    contact: createContactNews(state, sender.contact, now),
   };
 }
 
--- a/packages/router/src/gateway/livenessTask.ts
+++ b/packages/router/src/gateway/livenessTask.ts
@@ -7,6 +7,7 @@
 import { now } from '../clock.js';
 import { splitAddress } from './address.js';
 import type { ConnectionTable } from './connectionTable.js';
+import type { ContactTask } from './contactTask.js';
 import type { Dialect } from './dialect.js';
 import type { EndpointTerms } from './endpointTerms.js';
 import type { GatewayLog } from './gatewayLog.js';
@@ -64,6 +65,8 @@
 
   readonly #terms: EndpointTerms;
 
+  readonly #contacts: ContactTask;
+
   readonly #metrics: GatewayMetrics;
 
   readonly #log: GatewayLog;
@@ -76,6 +79,7 @@
     dialect: Dialect,
     connections: ConnectionTable,
     terms: EndpointTerms,
+    contacts: ContactTask,
     metrics: GatewayMetrics,
     log: GatewayLog,
   ) {
@@ -83,6 +87,7 @@
     this.#dialect = dialect;
     this.#connections = connections;
     this.#terms = terms;
+    this.#contacts = contacts;
     this.#metrics = metrics;
     this.#log = log;
   }
@@ -103,7 +108,7 @@
   }
 
   async #run(endpoint: RegisteredEndpoint, askedAt: number): Promise<Liveness> {
-    const seen = await this.#look(endpoint);
+    const seen = await this.#look(endpoint, askedAt);
     // An endpoint that leaves ends after its last answer.
     const isPlanned = seen === 'ended' && !isTakingRequests(this.#state.directory, endpoint.id);
     const hasCrashed = this.#connections.lastBrokenAt(endpoint.id) > askedAt - CRASH_SPREAD_MS;
@@ -118,17 +123,19 @@
     return liveness;
   }
 
-  async #look(endpoint: RegisteredEndpoint, mayRepeat = true): Promise<Liveness> {
+  async #look(endpoint: RegisteredEndpoint, askedAt: number, mayRepeat = true): Promise<Liveness> {
     try {
       if (this.#mayAsk(endpoint)) return await this.#askHealth(endpoint);
       await openConnection(endpoint.address);
       return 'unknown';
     } catch (error) {
-      if (hasCode(error, ['ECONNREFUSED'])) return 'ended';
+      if (hasCode(error, ['ECONNREFUSED'])) {
+        return (await this.#contacts.hasEnded(endpoint, askedAt)) ? 'ended' : 'unknown';
+      }
       // An endpoint that is ending, or one with too many connections, closes a new one.
       if (!mayRepeat || !hasCode(error, CLOSED_CODES)) return 'unknown';
       await sleep(REPEAT_MS);
-      return this.#look(endpoint, false);
+      return this.#look(endpoint, askedAt, false);
     }
   }
 
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -4,6 +4,7 @@
   configurationVersion,
   recordPeerAnswers,
   recordPeerArrivals,
+  recordPeerContact,
   recordPeerCrashes,
   recordPeerDepartures,
   recordPeerFailedTrial,
@@ -29,6 +30,7 @@
 
 import { now } from '../clock.js';
 import { splitAddress } from './address.js';
+import { extractContact, type ContactReport } from './contactNews.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
 import {
@@ -113,6 +115,8 @@
 
   #timer: NodeJS.Timeout | null = null;
 
+  #reportContact: (() => ContactReport) | null = null;
+
   #notifyVersions: ((serviceIds: readonly string[]) => void) | null = null;
 
   #seeds: readonly string[];
@@ -178,6 +182,11 @@
     });
   }
 
+  /** Sets the source of what this VM tells of its links. */
+  setContactReport(report: () => ContactReport): void {
+    this.#reportContact = report;
+  }
+
   /** Sets the callback for services that have several versions by what a peer tells. */
   onSeveralVersions(notify: (serviceIds: readonly string[]) => void): void {
     this.#notifyVersions = notify;
@@ -223,13 +232,16 @@
     const sender = {
       address: this.#settings.listen.control,
       hasStore: this.#receiver.isConnected,
+      contact: this.#reportContact?.() ?? { heardAt: new Map(), openTransits: 0 },
       ...unsent,
     };
     return createGossipMessage(this.#state, sender, now());
   }
 
   #handleDatagram(bytes: Buffer): void {
-    void this.#server.receiveJSON(bytes.toString('utf8'));
+    this.#server.receiveJSON(bytes.toString('utf8')).then(undefined, (error: unknown) => {
+      this.#log.warn('peer_message_failed', { error: String(error) });
+    });
   }
 
   #handleMessage(params: unknown): void {
@@ -240,7 +252,7 @@
       return;
     }
     const message = checked.data;
-    const { vmId, peers, scheduling, suspects } = this.#state;
+    const { contacts, vmId, peers, scheduling, suspects } = this.#state;
     if (message.vmId === vmId) return;
     const instant = now();
     if (!peers.has(message.vmId)) this.#log.change('peer_found', { peer: message.vmId });
@@ -252,6 +264,8 @@
       hasStore: message.hasStore,
     });
     this.#removeExpiredPeers(instant);
+    const contact = extractContact(message.contact, message, instant);
+    if (contact !== null) recordPeerContact(contacts, message.vmId, contact);
     recordPeerWork(scheduling, message.vmId, extractWork(message, instant));
     recordPeerReads(scheduling.prefixCaches, extractReads(message), instant);
     recordPeerCrashes(suspects, extractCrashes(message), instant);
--- a/packages/router/src/gateway/probeTask.ts
+++ b/packages/router/src/gateway/probeTask.ts
@@ -3,6 +3,7 @@
 
 import { now } from '../clock.js';
 import type { ConnectionTable } from './connectionTable.js';
+import type { ContactTask } from './contactTask.js';
 import type { CrashRecorder } from './crashRecorder.js';
 import type { AnswerMetadata, Dialect } from './dialect.js';
 import type { EndpointTerms } from './endpointTerms.js';
@@ -41,6 +42,8 @@
 
   readonly #terms: EndpointTerms;
 
+  readonly #contacts: ContactTask;
+
   readonly #log: GatewayLog;
 
   readonly #progress = new Map<string, ProbeProgress>();
@@ -51,6 +54,7 @@
     connections: ConnectionTable,
     crashes: CrashRecorder,
     terms: EndpointTerms,
+    contacts: ContactTask,
     log: GatewayLog,
   ) {
     this.#state = state;
@@ -58,6 +62,8 @@
     this.#connections = connections;
     this.#crashes = crashes;
     this.#terms = terms;
+    this.#contacts = contacts;
+    contacts.onDoubt((endpointId) => this.probe(endpointId));
     this.#log = log;
   }
 
@@ -128,21 +134,27 @@
       const answer = this.#dialect.parseAnswer(statusCode, rawHeaders);
       this.#recordAnswer(endpoint, answer, statusCode, startedAt);
     } catch (error) {
-      this.#recordFailure(endpoint.id, startedAt, error);
+      await this.#recordFailure(endpoint, startedAt, error);
     } finally {
       void client.destroy();
     }
   }
 
-  #recordFailure(endpointId: string, startedAt: number, error: unknown): void {
-    const { health } = this.#state;
-    recordProbeResult(health, endpointId, false, now());
+  async #recordFailure(
+    endpoint: RegisteredEndpoint,
+    startedAt: number,
+    error: unknown,
+  ): Promise<void> {
+    const { id: endpointId } = endpoint;
+    recordProbeResult(this.#state.health, endpointId, false, now());
     // An endpoint whose queue is full may answer requests, but no health check in time.
     const hasTimedOut = error instanceof Error && error.name === 'TimeoutError';
     const isBusy = hasTimedOut && this.#connections.lastHeardAt(endpointId) > startedAt;
-    if (isBusy) this.#crashes.recordEndpointAlive(endpointId, startedAt);
-    else this.#crashes.recordEndpointEnd(endpointId, 'unreachable');
     this.#log.change('endpoint_unreachable', { endpointId, isBusy, error: String(error) });
+    if (isBusy) this.#crashes.recordEndpointAlive(endpointId, startedAt);
+    else if (await this.#contacts.hasEnded(endpoint, startedAt)) {
+      this.#crashes.recordEndpointEnd(endpointId, 'unreachable');
+    }
   }
 
   #recordAnswer(
@@ -153,6 +165,7 @@
   ): void {
     const { health } = this.#state;
     const { id: endpointId } = endpoint;
+    this.#contacts.recordAnswer(endpointId);
     const { endpointId: answeringId } = answer;
     const isReplaced = answeringId !== null && answeringId !== endpointId;
     recordProbeResult(health, endpointId, statusCode === OK_STATUS && !isReplaced, now());
