Refuse streams of an unknown version after a restart of all VMs

Cause: a VM took the versions that it saw at its start for all that had served, so that the one left looked like the only one.

A VM that starts now takes every service for one with several versions until it knows what served: from a peer that knows, from the history of the store as far back as that is kept, or by waiting for the longest time-out of a resumable route. Origins are kept and asked for meanwhile, and what nobody knows is refused as not run. The time that a history covers is measured by the renewals of entries in it, since the store tells no times; a compacted one covers little.

--- a/packages/core/src/streamOrigins/commands.ts
+++ b/packages/core/src/streamOrigins/commands.ts
@@ -72,6 +72,11 @@
     .map(({ serviceId }) => serviceId);
 }
 
+/** Records that all versions that served since an instant are known. */
+export function recordKnownSince(state: StreamOriginState, at: number): void {
+  state.knownSince = Math.min(state.knownSince, at);
+}
+
 /** Removes the origins of streams that no caller takes up any more, and versions that are gone. */
 export function removeExpiredOrigins(state: StreamOriginState, now: number): void {
   for (const [key, { at }] of state.origins) {
--- a/packages/core/src/streamOrigins/index.ts
+++ b/packages/core/src/streamOrigins/index.ts
@@ -1,4 +1,5 @@
 export {
+  recordKnownSince,
   recordOrigin,
   recordPeerVersions,
   recordServingVersions,
@@ -12,6 +13,7 @@
   hasSeveralVersions,
   listOwnOrigins,
   listSeveralVersions,
+  mayHaveUnknownVersions,
   streamKey,
   type KeyedOrigin,
   type SeenVersion,
--- a/packages/core/src/streamOrigins/state.ts
+++ b/packages/core/src/streamOrigins/state.ts
@@ -14,9 +14,11 @@
   readonly origins: Map<string, RecordedOrigin>;
   /** By service id and version, the time at which an endpoint of it was last seen; epoch milliseconds. */
   readonly versionsSeenAt: Map<string, Map<string | null, number>>;
+  /** Time since which all versions that served are known; epoch milliseconds, infinite for none. */
+  knownSince: number;
 }
 
 /** Creates the state of a VM that knows no stream. */
 export function createStreamOriginState(): StreamOriginState {
-  return { origins: new Map(), versionsSeenAt: new Map() };
+  return { origins: new Map(), versionsSeenAt: new Map(), knownSince: Number.POSITIVE_INFINITY };
 }
--- a/packages/router/__tests__/gateway/changingStore.ts
+++ b/packages/router/__tests__/gateway/changingStore.ts
@@ -2,10 +2,11 @@
 
 import type { Configuration, RegisteredEndpoint } from '@filbertlatch/core';
 
-import type {
-  PublicationBatch,
-  PublicationPart,
-  PublicationSource,
+import {
+  HistoryLostError,
+  type PublicationBatch,
+  type PublicationPart,
+  type PublicationSource,
 } from '../../src/gateway/index.js';
 
 /** How long the store holds back changes when it falls silent. */
@@ -23,6 +24,9 @@
 
   #isSilent = false;
 
+  /** Changes after this revision are kept. */
+  #historyFrom = 0;
+
   #configuration: Configuration;
 
   #configurationRevision = 10;
@@ -48,6 +52,11 @@
     this.#wakeWatches();
   }
 
+  /** Drops the changes so far; with `forever` also those to come, but for watches that wait. */
+  dropHistory(forever: boolean): void {
+    this.#historyFrom = forever ? Number.POSITIVE_INFINITY : this.#revision;
+  }
+
   /** Holds back changes for `STORE_SILENCE_MS`. */
   async fallSilent(): Promise<void> {
     this.#isSilent = true;
@@ -84,6 +93,7 @@
       }
       return this.#readAll(part);
     }
+    if (after < Math.min(this.#historyFrom, this.#revision)) throw new HistoryLostError('dropped');
     const list = () =>
       this.#isSilent ? [] : this.#changes.filter(({ revision }) => revision > after);
     while (list().length === 0) {
--- a/packages/router/__tests__/gateway/restartingEndpoint.ts
+++ b/packages/router/__tests__/gateway/restartingEndpoint.ts
@@ -156,6 +156,12 @@
     if (!this.#isStopped) await this.start();
   }
 
+  /** Ends for good; the store knows at once. */
+  end(): void {
+    this.#store.remove(this.#id);
+    this.stop();
+  }
+
   /** Ends the endpoint; it is back after a time, or at once for 0. */
   async crash(downMs: number): Promise<void> {
     const id = this.#id;
--- a/packages/router/__tests__/gateway/versionedFleet.ts
+++ b/packages/router/__tests__/gateway/versionedFleet.ts
@@ -52,17 +52,19 @@
 /** Further tries of a caller that is refused or whose connection breaks. */
 const RETRIES = 4;
 
-interface Reading {
+/** How one try of a caller ended. */
+export interface Reading {
   readonly status: number;
   readonly isComplete: boolean;
 }
 
-interface Stream {
+/** What a caller has of its stream. */
+export interface Stream {
   readonly events: { id: number; version: string }[];
 }
 
 /** Reads a stream as a caller that leaves after so many events. */
-function read(
+export function read(
   address: string,
   headers: Record<string, string>,
   stream: Stream,
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -121,7 +121,10 @@
   const peers = new PeerTask(settings, state, publication, log);
   const notifyPeers = () => peers.gossip();
   publication.onUpdate(notifyPeers);
-  const origins = new OriginTask(state, peers);
+  const origins = new OriginTask(state, peers, source, log);
+  publication.onFirstRead((revision) => {
+    void origins.readHistory(revision);
+  });
   peers.onSeveralVersions((serviceIds) => origins.sendOwn(serviceIds));
   const terms: EndpointTerms = {
     limits: new LimitRecorder(state, metrics, log),
@@ -233,6 +236,7 @@
     clearInterval(timer);
     publication.stop();
     peers.stop();
+    origins.stop();
     callerServer.close();
     transits.stop();
     readiness.close();
--- a/packages/router/src/gateway/gossipMessage.ts
+++ b/packages/router/src/gateway/gossipMessage.ts
@@ -141,6 +141,8 @@
     .array(z.tuple([text, text.nullable(), age]))
     .max(MAX_VERSIONS)
     .default([]),
+  /** Milliseconds for which the VM has known all versions that served; null for not at all. */
+  versionsKnownMs: z.number().min(0).nullable().default(null),
   /** Endpoint id, start of its lifetime; of endpoints that told the VM that they leave. */
   departures: z
     .array(z.tuple([text, z.number().nullable()]))
@@ -304,6 +306,11 @@
     .map(({ serviceId, version, at }) => [serviceId, version, Math.max(0, Math.round(now - at))]);
 }
 
+function ageOfKnowledge({ streamOrigins }: GatewayState, now: number): number | null {
+  const ageMs = now - streamOrigins.knownSince;
+  return ageMs < 0 ? null : Math.min(MAX_AGE_MS, Math.round(ageMs));
+}
+
 /**
  * Creates the next message that this VM sends to its peers. Long lists of crashes are sent in parts,
  * in turn.
@@ -337,6 +344,7 @@
     ...collectSegmentNews(state, now),
     ...collectLimits(state, reached, now),
     versions: collectVersions(state, now),
+    versionsKnownMs: ageOfKnowledge(state, now),
     departures: listOwnDepartures(directory).map(({ endpointId, startedAt }) => [
       endpointId,
       startedAt,
--- a/packages/router/src/gateway/originTask.ts
+++ b/packages/router/src/gateway/originTask.ts
@@ -6,6 +6,8 @@
   findOrigin,
   hasSeveralVersions,
   listOwnOrigins,
+  mayHaveUnknownVersions,
+  recordKnownSince,
   recordOrigin,
   recordServingVersions,
   streamKey,
@@ -15,8 +17,11 @@
 import * as z from 'zod';
 
 import { now } from '../clock.js';
+import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
 import type { PeerTask } from './peerTask.js';
+import type { PublicationSource } from './publication.js';
+import { readVersionHistory, type VersionHistory } from './versionHistory.js';
 
 /** VMs that keep the origin of a stream beside the one at which it began. */
 const KEEPER_COUNT = 4;
@@ -39,6 +44,12 @@
 /** Time after the start in which this VM may not have heard of its peers yet. */
 const JOIN_MS = 1500;
 
+/** Longest life of a stream without a configuration that tells the time-outs of routes. */
+const DEFAULT_STREAM_LIFE_MS = 60_000;
+
+/** Wait before the history is read again from a store that did not answer. */
+const HISTORY_RETRY_MS = 1000;
+
 const KEEP_METHOD = 'keepOrigins';
 const ASK_METHOD = 'askOrigin';
 
@@ -71,24 +82,88 @@
 
   readonly #peers: PeerTask;
 
+  readonly #source: PublicationSource;
+
+  readonly #log: GatewayLog;
+
+  readonly #stop = new AbortController();
+
   readonly #startedAt = now();
 
   /** Called when the origin of a stream arrives; by stream key. */
   readonly #waiting = new Map<string, Set<() => void>>();
 
-  constructor(state: GatewayState, peers: PeerTask) {
+  constructor(state: GatewayState, peers: PeerTask, source: PublicationSource, log: GatewayLog) {
     this.#state = state;
     this.#peers = peers;
+    this.#source = source;
+    this.#log = log;
     peers.onMessage(KEEP_METHOD, (params) => this.#handleKeep(params));
     peers.onMessage(ASK_METHOD, (params) => this.#handleAsk(params));
   }
 
+  /**
+   * Finds out which versions served before this VM started: a stream that began then may be taken up
+   * here. `revision` is that of the first endpoints.
+   */
+  async readHistory(revision: number): Promise<void> {
+    const { streamOrigins } = this.#state;
+    recordKnownSince(streamOrigins, now());
+    while (this.#mayHaveUnknown() && !this.#stop.signal.aborted) {
+      try {
+        const history = await readVersionHistory(this.#source, revision, this.#stop.signal);
+        this.#applyHistory(history);
+        return;
+      } catch (error) {
+        this.#log.decision('version_history_unread', { error: String(error) });
+        await sleep(HISTORY_RETRY_MS, undefined, { ref: false });
+      }
+    }
+  }
+
+  /** Stops to read the history. */
+  stop(): void {
+    this.#stop.abort();
+  }
+
+  #applyHistory({ entries, spanMs }: VersionHistory): void {
+    const { streamOrigins, directory } = this.#state;
+    const known = new Set(directory.endpoints.keys());
+    const seen = entries.flatMap((entry) => {
+      const endpoint =
+        entry.text === null ? null : this.#source.decodeEndpoint(entry.id, entry.text);
+      if (endpoint !== null) known.add(entry.id);
+      return endpoint === null ? [] : [endpoint];
+    });
+    this.sendOwn(recordServingVersions(streamOrigins, seen, now()));
+    // One that was there before the history, and left, may have had another version.
+    const isWhole = entries.every(({ id }) => known.has(id));
+    if (isWhole) recordKnownSince(streamOrigins, now() - spanMs);
+    this.#log.change('version_history_read', { changes: entries.length, spanMs, isWhole });
+  }
+
+  /** True while streams may come that began before this VM knew of the versions that served. */
+  #mayHaveUnknown(): boolean {
+    const { streamOrigins, routing } = this.#state;
+    const { routes } = routing.configuration ?? {};
+    const lifeMs =
+      routes === undefined
+        ? DEFAULT_STREAM_LIFE_MS
+        : Math.max(0, ...routes.map((route) => (route.isResumable ? route.timeoutMs : 0)));
+    return mayHaveUnknownVersions(streamOrigins, lifeMs, now());
+  }
+
+  #mustNameOrigins(serviceId: string): boolean {
+    const { streamOrigins } = this.#state;
+    return hasSeveralVersions(streamOrigins, serviceId, now()) || this.#mayHaveUnknown();
+  }
+
   /** Records where a stream of this VM began. */
   record(accountId: string | null, requestId: string, origin: StreamOrigin): void {
     const key = streamKey(accountId, requestId);
     const { streamOrigins } = this.#state;
     recordOrigin(streamOrigins, key, origin, true, now());
-    if (!hasSeveralVersions(streamOrigins, origin.serviceId, now())) return;
+    if (!this.#mustNameOrigins(origin.serviceId)) return;
     this.#send([{ key, ...origin }]);
   }
 
@@ -114,12 +189,18 @@
     const key = requestId === null ? null : streamKey(accountId, requestId);
     const known = key === null ? null : this.#findKnown(key);
     if (known !== null) return known;
-    const { streamOrigins } = this.#state;
-    if (this.#isInTouch() && !hasSeveralVersions(streamOrigins, serviceId, now())) {
-      const origin = findOnlyVersion(streamOrigins, serviceId, now());
-      return origin === undefined ? { kind: 'any' } : { kind: 'known', origin };
-    }
-    return (key === null ? null : await this.#ask(key)) ?? { kind: 'unknown' };
+    const only = this.#findOnlyVersion(serviceId);
+    if (only !== null) return only;
+    const answer = key === null ? null : await this.#ask(key);
+    // A VM that has just started may have heard from its peers meanwhile.
+    return answer ?? this.#findOnlyVersion(serviceId) ?? { kind: 'unknown' };
+  }
+
+  /** Returns where any stream of a service goes on; null while that depends on the stream. */
+  #findOnlyVersion(serviceId: string): OriginAnswer | null {
+    if (!this.#isInTouch() || this.#mustNameOrigins(serviceId)) return null;
+    const origin = findOnlyVersion(this.#state.streamOrigins, serviceId, now());
+    return origin === undefined ? { kind: 'any' } : { kind: 'known', origin };
   }
 
   #findKnown(key: string): OriginAnswer | null {
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -2,6 +2,7 @@
 
 import {
   configurationVersion,
+  recordKnownSince,
   recordPeerAnswers,
   recordPeerArrivals,
   recordPeerContact,
@@ -280,10 +281,19 @@
     );
     const versions = extractVersions(message, instant);
     this.#notifyVersions?.(recordPeerVersions(this.#state.streamOrigins, versions, instant));
+    this.#adoptKnowledge(message, instant);
     this.#gossipToUnknownMember(message.members);
     this.#fetchIfBehind(message);
   }
 
+  /** A peer that has read no less than this VM has named all versions that it has seen. */
+  #adoptKnowledge({ directoryRevision, versionsKnownMs }: GossipMessage, instant: number): void {
+    const { directory, streamOrigins } = this.#state;
+    if (versionsKnownMs === null || directory.revision < 0) return;
+    if (directoryRevision < directory.revision) return;
+    recordKnownSince(streamOrigins, instant - versionsKnownMs);
+  }
+
   #recordSegmentNews(message: GossipMessage, instant: number): void {
     const { segmentSuspects, vmId } = this.#state;
     const news = extractSegmentNews(message, instant);
--- a/packages/router/src/gateway/publication.ts
+++ b/packages/router/src/gateway/publication.ts
@@ -33,6 +33,8 @@
    * Waits for changes after a revision. Rejects with HistoryLostError when they are no longer kept.
    */
   watch(part: PublicationPart, after: number, signal: AbortSignal): Promise<PublicationBatch>;
+  /** Returns the time that passed between the first and last of these changes, at the least. */
+  measureSpan?(entries: readonly PublishedEntry[]): number;
   /** Parses a configuration; throws when it is invalid. */
   decodeConfiguration(text: string): Configuration;
   /** Parses the entry of an endpoint; null when it is invalid. */
--- a/packages/router/src/gateway/publicationTask.ts
+++ b/packages/router/src/gateway/publicationTask.ts
@@ -88,6 +88,8 @@
 
   #notifyPeers: (() => void) | null = null;
 
+  #notifyFirstRead: ((revision: number) => void) | null = null;
+
   readonly #positions: Record<PublicationPart, ReadPosition> = {
     configuration: { revision: -1, isLost: false },
     endpoints: { revision: -1, isLost: false },
@@ -126,6 +128,11 @@
     this.#notifyPeers = notify;
   }
 
+  /** Sets the callback for the first endpoints, from the store or a peer. */
+  onFirstRead(notify: (revision: number) => void): void {
+    this.#notifyFirstRead = notify;
+  }
+
   /** Starts to read and watch the store. */
   start(): void {
     this.#watchers.forEach((watcher) => {
@@ -231,11 +238,13 @@
     source: 'store' | 'peer',
   ): void {
     const { directory } = this.#state;
+    const isFirst = directory.revision < 0;
     const before = [...directory.endpoints.keys()].filter((id) => isTakingRequests(directory, id));
     this.#resetRestarted(replaceEntries(directory, endpoints, revision, now(), source));
     before.forEach((id) => {
       if (!directory.endpoints.has(id)) this.#crashes.recordEndpointEnd(id, 'removed');
     });
+    if (isFirst) this.#notifyFirstRead?.(revision);
   }
 
   #applyChanges({ entries, revision }: PublicationBatch): void {
--- a/packages/router/src/gateway/settings.ts
+++ b/packages/router/src/gateway/settings.ts
@@ -29,7 +29,16 @@
     .describe(
       'Control addresses of a few VMs, through which this VM joins the fleet; some may be stale.',
     ),
-  platform: z.object({ address }).describe('The store that publishes configuration and endpoints.'),
+  platform: z
+    .object({
+      address,
+      renewalMs: z
+        .number()
+        .positive()
+        .optional()
+        .describe('Interval at which endpoints renew their entries; absent when unknown.'),
+    })
+    .describe('The store that publishes configuration and endpoints.'),
   graceSeconds: z.number().positive().describe('Seconds between the signal to stop and the kill.'),
   repeats: z
     .object({
