Check links before a service counts as lost

Two endpoints that crashed within 1.5 s made a VM take their service for lost for some milliseconds, 18 times in one scenario of crashingRequests: requests went by way of other VMs for nothing.

--- a/packages/core/src/contacts/commands.ts
+++ b/packages/core/src/contacts/commands.ts
@@ -4,8 +4,14 @@
 /** A failure to reach an endpoint says nothing of the links after this time. */
 const FAILURE_TTL_MS = 1500;
 
-/** Endpoints that fail before their service counts as lost: one may have crashed. */
-const FAILED_ENDPOINTS_TO_LOSE = 2;
+/** Endpoints that fail before the links to their service are in doubt: one may have crashed. */
+const FAILED_ENDPOINTS_TO_DOUBT = 2;
+
+/** Endpoints that fail before their service counts as lost. */
+const FAILED_ENDPOINTS_TO_LOSE = 3;
+
+/** What a failure shows: nothing more, that the links are to be checked, or that there are none. */
+export type FailureSign = 'none' | 'doubtful' | 'lost';
 
 /** What a VM that tells nothing for so long knows is of no use. */
 const PEER_CONTACT_TTL_MS = 15_000;
@@ -34,8 +40,8 @@
 }
 
 /**
- * Records that an endpoint could not be reached; returns true when its service is lost from now on:
- * several of its `endpointCount` endpoints failed, and none was reached since.
+ * Records that an endpoint could not be reached. Its service is lost from now on when several of its
+ * `endpointCount` endpoints have failed and none was reached since.
  */
 export function recordFailedContact(
   state: ContactState,
@@ -43,17 +49,19 @@
   endpointId: string,
   endpointCount: number,
   now: number,
-): boolean {
+): FailureSign {
   const contact = getOrCreateContact(state, serviceId);
   const { failures } = contact;
   failures.forEach((at, id) => {
     if (at < now - FAILURE_TTL_MS) failures.delete(id);
   });
   failures.set(endpointId, now);
-  const isLost = failures.size >= Math.min(FAILED_ENDPOINTS_TO_LOSE, endpointCount);
-  if (contact.lostAt !== null || !isLost) return false;
-  contact.lostAt = now;
-  return true;
+  if (contact.lostAt !== null) return 'none';
+  if (failures.size >= Math.min(FAILED_ENDPOINTS_TO_LOSE, endpointCount)) {
+    contact.lostAt = now;
+    return 'lost';
+  }
+  return failures.size >= FAILED_ENDPOINTS_TO_DOUBT ? 'doubtful' : 'none';
 }
 
 /** Replaces what a peer tells of its links. */
--- a/packages/core/src/contacts/index.ts
+++ b/packages/core/src/contacts/index.ts
@@ -3,6 +3,7 @@
   recordFailedContact,
   recordPeerContact,
   removeStaleContacts,
+  type FailureSign,
 } from './commands.js';
 export {
   chooseTransitPeer,
--- a/packages/router/src/gateway/contactTask.ts
+++ b/packages/router/src/gateway/contactTask.ts
@@ -136,7 +136,9 @@
   recordFailure({ id, serviceId }: RegisteredEndpoint): void {
     const { contacts, directory } = this.#state;
     const { length } = listReadyEndpoints(directory, serviceId);
-    if (!recordFailedContact(contacts, serviceId, id, length, now())) return;
+    const sign = recordFailedContact(contacts, serviceId, id, length, now());
+    if (sign === 'doubtful') void this.#check(serviceId);
+    if (sign !== 'lost') return;
     this.#metrics.countContactChange('lost');
     this.#log.change('service_lost', { serviceId, endpoints: length });
     this.#notifyPeers();
@@ -151,6 +153,7 @@
     const { id, serviceId } = endpoint;
     this.recordFailure(endpoint);
     if (await this.#hasLinks(endpoint, since)) return true;
+    this.#log.decision('endpoint_end_doubtful', { endpointId: id });
     const doubtful = this.#doubtful.get(serviceId) ?? new Set();
     this.#doubtful.set(serviceId, doubtful.add(id));
     return false;
