Send brittle endpoints no more than they run at a time

Cause: the header was not read, requests were sent until endpoints turned them away, and then to the next one. Now the VMs deal out the slots of such endpoints among them, send no more, and let further requests wait here, by priority, as long as they can be sent in time.

--- a/packages/core/src/testing/describe.ts
+++ b/packages/core/src/testing/describe.ts
@@ -27,8 +27,3 @@
 export function itFails(title: string, implementation: ImplementationFn<[]>): void {
   test.failing(joinTitles(title), implementation);
 }
-
-/** Declares a test of a known fault that runs serially in its file; listed in KNOWN-RED.txt. */
-export function itSerialFails(title: string, implementation: ImplementationFn<[]>): void {
-  test.serial.failing(joinTitles(title), implementation);
-}
--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -63,6 +63,9 @@
 /** Name of the header of answers whose endpoint leaves. */
 export const LEAVING_HEADER = 'x-leaving';
 
+/** Name of the header of answers whose endpoint falls over when it turns more requests away. */
+export const BRITTLE_HEADER = 'x-brittle';
+
 /** Name of the header of refusals whose endpoint wants no request for some seconds. */
 export const PAUSE_HEADER = 'retry-after';
 
@@ -96,6 +99,7 @@
     load: null,
     limit: parseTestLimit(findHeader(headers, 'x-limit')),
     isLeaving: findHeader(headers, LEAVING_HEADER) === '1',
+    brittleness: Number(findHeader(headers, BRITTLE_HEADER)) || null,
     pauseMs: status === 503 ? parseTestPause(findHeader(headers, PAUSE_HEADER)) : null,
   }),
 };
--- a/packages/router/__tests__/gateway/peerTask.spec.ts
+++ b/packages/router/__tests__/gateway/peerTask.spec.ts
@@ -60,7 +60,6 @@
         hasStore: true,
         reads: [],
         limitedSends: [],
-        contact: { heardAt: new Map(), openTransits: 0 },
       };
       const { members } = createGossipMessage(state, sender, now());
       t.true(members.length <= 16);
--- a/packages/router/__tests__/gateway/restartingEndpoint.ts
+++ b/packages/router/__tests__/gateway/restartingEndpoint.ts
@@ -51,10 +51,13 @@
   /** Answers that have not ended. */
   #running = 0;
 
-  constructor(name: string, life: EndpointLifetime, store: ChangingStore) {
+  readonly #slots: number;
+
+  constructor(name: string, life: EndpointLifetime, store: ChangingStore, slots = 64) {
     this.#name = name;
     this.#life = life;
     this.#store = store;
+    this.#slots = slots;
   }
 
   /** Number of the present lifetime. */
@@ -100,7 +103,7 @@
       serviceId: 'desk',
       address: this.#address!,
       zone: 'zone-a',
-      slots: 64,
+      slots: this.#slots,
       state,
       startedAt: this.#lifetime,
       version: this.version,
--- a/packages/router/src/gateway/crashRecorder.ts
+++ b/packages/router/src/gateway/crashRecorder.ts
@@ -2,6 +2,7 @@
   countCrashes,
   describeSegment,
   endTrial,
+  hasTurnedAwayLately,
   isExplainedCrash,
   recordEndpointAlive,
   recordEndpointEnd,
@@ -46,6 +47,8 @@
     this.#log.decision('attempt_lost', fields);
     // It says nothing of its endpoint.
     if (wasCutOffSince(this.#state.contacts, attempt.serviceId, attempt.startedAt)) return;
+    // A brittle endpoint falls over by what it turns away, not by what it runs.
+    if (hasTurnedAwayLately(this.#state.brittleness, endpointId, now())) return;
     const crash = recordLostAttempt(this.#state.suspects, endpointId, attempt);
     if (crash !== null) this.#recordCrash(crash, 'found_before');
   }
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -59,6 +59,8 @@
   readonly limit: NamedLimit | null;
   /** True when the endpoint says that it leaves. */
   readonly isLeaving: boolean;
+  /** Requests that the endpoint may turn away in a second before it falls over; absent for others. */
+  readonly brittleness?: number | null;
   /** Time for which an endpoint that refuses a request wants none of this VM; null without one. */
   readonly pauseMs: number | null;
 }
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -29,6 +29,9 @@
 import { findHeader, isFramed } from './headers.js';
 import { StreamProgress } from './streamProgress.js';
 
+/** Outcomes after which the endpoint has the request no more. */
+const ANSWERED_OUTCOMES = new Set(['served', 'failed', 'turned-away']);
+
 const OK_STATUS = 200;
 const FIRST_REDIRECT_STATUS = 300;
 const FIRST_SERVER_ERROR_STATUS = 500;
@@ -102,6 +105,7 @@
     const { connections, countFleetVms, limits, state } = context;
     this.requestLimit = getRequestLimit(state.requestLimits, endpoint.id);
     limits.recordSend(endpoint.id);
+    context.brittle.begin(endpoint.id);
     const { maxConnections } = admitted.service;
     this.#request = new EndpointRequest(
       connections.getConnections(endpoint, maxConnections, countFleetVms()),
@@ -213,6 +217,7 @@
     limits.recordAnswer(answered, status, metadata);
     departures.recordAnswer(this.endpoint, status, metadata);
     pauses.recordAnswer(this.endpoint, status, metadata);
+    this.#context.brittle.recordAnswer(this.endpoint, this.sentAt, status, metadata);
   }
 
   #reject(message: string): void {
@@ -385,6 +390,8 @@
     this.#isSettled = true;
     this.#body.release();
     recordEnd(this.#context.state.scheduling, this.#work);
+    const isAnswered = ANSWERED_OUTCOMES.has(outcome);
+    this.#context.brittle.end(this.endpoint, isAnswered, now() - this.sentAt);
     this.#context.metrics.countAttempt(this.endpoint.id, outcome);
   }
 }
--- a/packages/router/src/gateway/endpointChoice.ts
+++ b/packages/router/src/gateway/endpointChoice.ts
@@ -115,7 +115,9 @@
   }
 
   #createPermits(): RequestPermits {
-    return createRequestPermits(this.#context.state.requestLimits, this.#admitted.job, now());
+    const { brittle, state } = this.#context;
+    const { job } = this.#admitted;
+    return brittle.restrict(createRequestPermits(state.requestLimits, job, now()), job.serviceId);
   }
 
   #chooseTrialEndpoint(candidates: readonly RegisteredEndpoint[]): RegisteredEndpoint[] {
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -56,6 +56,11 @@
 const FIRST_CLIENT_ERROR_STATUS = 400;
 const FIRST_SERVER_ERROR_STATUS = 500;
 
+type Refusal = Extract<Placement, { readonly kind: 'refuse' }>;
+
+/** Refusals that end when a slot becomes free. */
+const WAITING_REASONS: ReadonlySet<Refusal['reason']> = new Set(['full', 'limited', 'too-late']);
+
 /** Handles one request: places it, retries it, forwards the answer and enforces the deadline. */
 export class Exchange {
   readonly #context: GatewayContext;
@@ -85,6 +90,9 @@
 
   #resumeWaits = 0;
 
+  /** Ends the wait for a slot; null while the request does not wait. */
+  #stopWaiting: (() => void) | null = null;
+
   #attempt: Attempt | null = null;
 
   /** Attempts so far, without those that their endpoints did not run. */
@@ -210,7 +218,7 @@
     }
     const placement = this.#choice.place(remainingMs, permission.kind === 'trial');
     this.#placement = placement;
-    if (placement.kind === 'refuse') this.#endUnserved(placement.reason, placement.retryAfterMs);
+    if (placement.kind === 'refuse') this.#waitOrRefuse(placement, remainingMs);
     else {
       this.#choice.markTried(placement.endpoint.id);
       const observer = this.#createObserver();
@@ -219,6 +227,19 @@
     }
   }
 
+  /** Waits for a slot of endpoints that must not turn requests away, or refuses the request. */
+  #waitOrRefuse({ reason, retryAfterMs }: Refusal, remainingMs: number): void {
+    const { brittle } = this.#context;
+    const { job } = this.#admitted;
+    const mayWait = brittle.isBrittle(job.serviceId) && WAITING_REASONS.has(reason);
+    const refuse = () => this.#endUnserved(reason, retryAfterMs);
+    const waitedMs = now() - this.#arrivedAt;
+    this.#stopWaiting = mayWait
+      ? brittle.wait(job, waitedMs, remainingMs, { send: () => this.#send(), giveUp: refuse })
+      : null;
+    if (this.#stopWaiting === null) refuse();
+  }
+
   #createObserver(): AttemptObserver {
     return {
       streamed: (head, bytes) => this.#forwardChunk(head, bytes),
@@ -474,6 +495,7 @@
     this.#isFinished = true;
     if (this.#deadlineTimer !== null) clearTimeout(this.#deadlineTimer);
     if (this.#stuckTimer !== null) clearTimeout(this.#stuckTimer);
+    this.#stopWaiting?.();
     this.#crashGuard.unwatch();
     this.#segmentGuard.release();
     const { metrics, log, state } = this.#context;
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -27,6 +27,7 @@
 import { createLog } from '../log/index.js';
 import { splitAddress } from './address.js';
 import { AnswerBuffers } from './answerBuffers.js';
+import { BrittleTask } from './brittleTask.js';
 import { ConnectionTable } from './connectionTable.js';
 import { ContactTask } from './contactTask.js';
 import { CrashRecorder } from './crashRecorder.js';
@@ -132,6 +133,7 @@
     pauses: new PauseRecorder(state, log),
   };
   const contacts = new ContactTask(state, connections, terms, metrics, log, notifyPeers);
+  const brittle = new BrittleTask(state, log);
   const transits = new TransitTask(state, contacts);
   const probes = new ProbeTask(state, dialect, connections, crashes, terms, contacts, log);
   const liveness = new LivenessTask(state, dialect, connections, terms, contacts, metrics, log);
@@ -145,6 +147,7 @@
     dialect,
     log,
     metrics,
+    brittle,
     contacts,
     transits,
     probes,
@@ -198,6 +201,7 @@
     publication.removeMissing();
     removeStaleDepartures(state.directory, instant);
     contacts.maintain();
+    brittle.maintain();
     probes.probeEjected();
     terms.departures.takeDueChecks().forEach((id) => probes.probe(id));
     callerServer.applyLimits();
--- a/packages/router/src/gateway/gatewayContext.ts
+++ b/packages/router/src/gateway/gatewayContext.ts
@@ -1,4 +1,5 @@
 import type { AnswerBuffers } from './answerBuffers.js';
+import type { BrittleTask } from './brittleTask.js';
 import type { ConnectionTable } from './connectionTable.js';
 import type { ContactTask } from './contactTask.js';
 import type { CrashRecorder } from './crashRecorder.js';
@@ -19,6 +20,7 @@
   readonly dialect: Dialect;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
+  readonly brittle: BrittleTask;
   readonly contacts: ContactTask;
   readonly transits: TransitTask;
   readonly probes: ProbeTask;
--- a/packages/router/src/gateway/gatewayState.ts
+++ b/packages/router/src/gateway/gatewayState.ts
@@ -1,4 +1,5 @@
 import {
+  createBrittlenessState,
   createContactState,
   createDirectoryState,
   createHealthState,
@@ -10,6 +11,7 @@
   createSegmentSuspectState,
   createStreamOriginState,
   createSuspectState,
+  type BrittlenessState,
   type ContactState,
   type DirectoryState,
   type HealthState,
@@ -49,6 +51,7 @@
   readonly random: Random;
   readonly routing: RoutingState;
   readonly contacts: ContactState;
+  readonly brittleness: BrittlenessState;
   readonly directory: DirectoryState;
   readonly scheduling: SchedulingState;
   readonly health: HealthState;
@@ -81,6 +84,7 @@
     random,
     routing: createRoutingState(),
     contacts: createContactState(),
+    brittleness: createBrittlenessState(settings.vm.id),
     directory: createDirectoryState(),
     scheduling: createSchedulingState(settings.vm.id),
     health: createHealthState(),
--- a/packages/router/src/gateway/gossipMessage.ts
+++ b/packages/router/src/gateway/gossipMessage.ts
@@ -1,6 +1,7 @@
 import {
   configurationVersion,
   listArrivals,
+  listBrittle,
   listLostServices,
   listOwnDepartures,
   listSeveralVersions,
@@ -20,6 +21,7 @@
   takeSegmentAnswers,
   takeSegmentCrashes,
   takeTrialAnnouncements,
+  type BrittleReport,
   type CrashReport,
   type DepartureReport,
   type FailedTrial,
@@ -149,6 +151,11 @@
     .max(MAX_REPORTED_DEPARTURES)
     .default([]),
   contact: contactNewsSchema,
+  /** Service id, requests that an endpoint may turn away in a second, age of the answer that said so. */
+  brittle: z
+    .array(z.tuple([text, count, age]))
+    .max(256)
+    .default([]),
 });
 
 /** A validated gossip message. */
@@ -165,6 +172,9 @@
 /** Maximum services whose arrivals are in one message. */
 const MAX_ARRIVALS = 256;
 
+/** Maximum brittle services in one message. */
+const MAX_BRITTLE = 256;
+
 /** Maximum members in one message. */
 const MAX_MEMBERS = 16;
 
@@ -178,9 +188,11 @@
   readonly reads: readonly SegmentRead[];
   /** Requests sent to endpoints with a limit since the last message. */
   readonly limitedSends: readonly SendReport[];
-  readonly contact: ContactReport;
+  readonly contact?: ContactReport;
 }
 
+const NO_CONTACT: ContactReport = { heardAt: new Map(), openTransits: 0 };
+
 /** Says whether this VM can tell of an endpoint's work: it sees none without links to it. */
 function createReachedFilter({ contacts, directory }: GatewayState) {
   const lost = new Set(listLostServices(contacts));
@@ -349,7 +361,14 @@
       endpointId,
       startedAt,
     ]),
-    contact: createContactNews(state, sender.contact, now),
+    contact: createContactNews(state, sender.contact ?? NO_CONTACT, now),
+    brittle: listBrittle(state.brittleness, now)
+      .slice(0, MAX_BRITTLE)
+      .map(({ serviceId, brittleness, seenAt }) => [
+        serviceId,
+        brittleness,
+        Math.max(0, Math.round(now - seenAt)),
+      ]),
   };
 }
 
@@ -457,6 +476,15 @@
   return versions.map(([serviceId, version, ageMs]) => ({ serviceId, version, at: now - ageMs }));
 }
 
+/** Returns the brittle services in a message received at `now`. */
+export function extractBrittle({ brittle }: GossipMessage, now: number): BrittleReport[] {
+  return brittle.map(([serviceId, brittleness, ageMs]) => ({
+    serviceId,
+    brittleness,
+    seenAt: now - ageMs,
+  }));
+}
+
 /** Returns the limits in a message. */
 export function extractLimits({ requestLimits }: GossipMessage): LimitReport[] {
   return requestLimits.map(([endpointId, perSecond, ageMs]) => ({ endpointId, perSecond, ageMs }));
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -2,6 +2,7 @@
 
 import {
   configurationVersion,
+  recordBrittle,
   recordKnownSince,
   recordPeerAnswers,
   recordPeerArrivals,
@@ -37,6 +38,7 @@
 import {
   gossipMessageSchema,
   extractAnswers,
+  extractBrittle,
   extractCrashes,
   extractDepartures,
   extractLimits,
@@ -233,7 +235,7 @@
     const sender = {
       address: this.#settings.listen.control,
       hasStore: this.#receiver.isConnected,
-      contact: this.#reportContact?.() ?? { heardAt: new Map(), openTransits: 0 },
+      ...(this.#reportContact === null ? {} : { contact: this.#reportContact() }),
       ...unsent,
     };
     return createGossipMessage(this.#state, sender, now());
@@ -267,6 +269,9 @@
     this.#removeExpiredPeers(instant);
     const contact = extractContact(message.contact, message, instant);
     if (contact !== null) recordPeerContact(contacts, message.vmId, contact);
+    extractBrittle(message, instant).forEach(({ serviceId, brittleness, seenAt }) => {
+      recordBrittle(this.#state.brittleness, serviceId, brittleness, seenAt);
+    });
     recordPeerWork(scheduling, message.vmId, extractWork(message, instant));
     recordPeerReads(scheduling.prefixCaches, extractReads(message), instant);
     recordPeerCrashes(suspects, extractCrashes(message), instant);
