Confirm the end of an endpoint by bytes of another, and check links in steps

Cause: the end of an endpoint, which makes its lost attempts evidence, was believed only after a health check of another one answered.

Bytes of another endpoint now show links as well: a cut that resets connections leaves none, and one that only refuses new ones breaks no attempt. Only the check of an unframed end needs a new connection. Checks look at two endpoints first and at six more if these fail; eight failures (all endpoints, where there are fewer) lose a service; a time-out that is late itself is waited for again; an end in doubt is probed each second.

--- a/packages/core/src/contacts/index.ts
+++ b/packages/core/src/contacts/index.ts
@@ -1,4 +1,5 @@
 export {
+  FAILED_ENDPOINTS_TO_LOSE,
   recordContact,
   recordFailedContact,
   recordPeerContact,
@@ -7,6 +8,7 @@
 } from './commands.js';
 export {
   chooseTransitPeer,
+  hasFailed,
   isCutOff,
   lastContactAt,
   lastPeerContactAt,
--- a/packages/core/src/contacts/queries.ts
+++ b/packages/core/src/contacts/queries.ts
@@ -4,8 +4,11 @@
 /** A peer whose latest message is older gets no request: it may be gone. */
 const MAX_PEER_SILENCE_MS = 600;
 
-/** Time by which what a peer tells may be late: the interval of its messages and their way. */
-const PEER_LAG_MS = 150;
+/**
+ * Time after a loss in which a peer may still have heard from endpoints that all ended, and in which a
+ * check of endpoints that live ends the loss.
+ */
+const MIN_CUT_MS = 400;
 
 /** A peer that carries requests, and its VM id. */
 export interface TransitPeer extends PeerContact {
@@ -30,6 +33,15 @@
   return services.get(serviceId)?.lostAt ?? null;
 }
 
+/** Says whether an endpoint has failed since the latest contact with its service. */
+export function hasFailed(
+  { services }: ContactState,
+  serviceId: string,
+  endpointId: string,
+): boolean {
+  return services.get(serviceId)?.failures.has(endpointId) ?? false;
+}
+
 /** Lists the services whose endpoints this VM cannot reach. */
 export function listLostServices({ services }: ContactState): string[] {
   return [...services].filter(([, { lostAt }]) => lostAt !== null).map(([id]) => id);
@@ -51,7 +63,7 @@
  */
 export function isCutOff(state: ContactState, serviceId: string): boolean {
   const lostAt = lostSince(state, serviceId);
-  return lostAt !== null && lastPeerContactAt(state, serviceId) > lostAt + PEER_LAG_MS;
+  return lostAt !== null && lastPeerContactAt(state, serviceId) > lostAt + MIN_CUT_MS;
 }
 
 /** Says whether this VM was cut off from a service at some time since an instant. */
--- a/packages/router/src/gateway/contactTask.ts
+++ b/packages/router/src/gateway/contactTask.ts
@@ -1,4 +1,6 @@
 import {
+  FAILED_ENDPOINTS_TO_LOSE,
+  hasFailed,
   isCutOff,
   lastContactAt,
   lastPeerContactAt,
@@ -22,8 +24,14 @@
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { GatewayState } from './gatewayState.js';
 
-/** Endpoints that are checked at a time. */
-const CHECKED_ENDPOINTS = 3;
+/** Endpoints that are checked first; more when none of them answers. */
+const FIRST_CHECK_ENDPOINTS = 2;
+
+/** Endpoints of a lost service that are checked at a time. */
+const LOST_CHECK_ENDPOINTS = 3;
+
+/** Time after which an endpoint whose end is in doubt is probed again. */
+const DOUBT_RECHECK_MS = 1000;
 
 /** Interval between checks of a service that is lost. */
 const LOST_CHECK_INTERVAL_MS = 250;
@@ -44,6 +52,12 @@
 /** After a shorter loss, connections and health records are kept. */
 const MIN_RENEWED_LOSS_MS = 300;
 
+/**
+ * What shows that this VM has links: bytes of another endpoint, which break off where connections are
+ * reset, or an answer on a new connection.
+ */
+type LinkProof = 'bytes' | 'new-connection';
+
 /** What the silence of a service's endpoints has shown. */
 interface SilenceWatch {
   /** Time since which this VM has had requests there; null without any. */
@@ -81,6 +95,8 @@
   /** Endpoints that may have ended, to be looked at when there are links; by service id. */
   readonly #doubtful = new Map<string, Set<string>>();
 
+  #doubtedAt = 0;
+
   #probe: ((endpointId: string) => void) | null = null;
 
   constructor(
@@ -135,7 +151,9 @@
   /** Records that an endpoint could not be reached, or broke a connection off. */
   recordFailure({ id, serviceId }: RegisteredEndpoint): void {
     const { contacts, directory } = this.#state;
-    const { length } = listReadyEndpoints(directory, serviceId);
+    const { length } = listReadyEndpoints(directory, serviceId).filter((endpoint) =>
+      this.#mayAsk(endpoint),
+    );
     const sign = recordFailedContact(contacts, serviceId, id, length, now());
     if (sign === 'doubtful') void this.#check(serviceId);
     if (sign !== 'lost') return;
@@ -149,13 +167,18 @@
    * Finds out whether an endpoint that could not be reached since `since` has ended. Otherwise the
    * links of this VM may have failed, and the endpoint is probed again when it has some.
    */
-  async hasEnded(endpoint: RegisteredEndpoint, since: number): Promise<boolean> {
+  async hasEnded(
+    endpoint: RegisteredEndpoint,
+    since: number,
+    proof: LinkProof = 'bytes',
+  ): Promise<boolean> {
     const { id, serviceId } = endpoint;
     this.recordFailure(endpoint);
-    if (await this.#hasLinks(endpoint, since)) return true;
+    if (await this.#hasLinks(endpoint, since, proof)) return true;
     this.#log.decision('endpoint_end_doubtful', { endpointId: id });
     const doubtful = this.#doubtful.get(serviceId) ?? new Set();
     this.#doubtful.set(serviceId, doubtful.add(id));
+    this.#doubtedAt = now();
     return false;
   }
 
@@ -165,6 +188,7 @@
     if (lost.length > 0) this.#checkLost();
     lost.forEach((serviceId) => this.#dropEvidence(serviceId));
     this.#checkSilent();
+    if (now() - this.#doubtedAt < DOUBT_RECHECK_MS) return;
     this.#doubtful.forEach((_, serviceId) => {
       if (!this.isLost(serviceId)) this.#probeDoubtful(serviceId);
     });
@@ -180,16 +204,19 @@
     });
   }
 
-  async #hasLinks(endpoint: RegisteredEndpoint, since: number): Promise<boolean> {
+  async #hasLinks(endpoint: RegisteredEndpoint, since: number, proof: LinkProof): Promise<boolean> {
     const { serviceId } = endpoint;
     const { contacts, directory } = this.#state;
     const others = listReadyEndpoints(directory, serviceId).filter(({ id }) => id !== endpoint.id);
     if (others.length === 0) return listTransitPeers(contacts, serviceId, now()).length === 0;
+    const isHeard = () =>
+      proof === 'bytes' && others.some(({ id }) => this.#connections.lastHeardAt(id) >= since);
+    const isLinked = () => lastContactAt(contacts, serviceId) >= since || isHeard();
     // A check that was running may have begun before.
-    for (let tries = 0; tries < 2 && lastContactAt(contacts, serviceId) < since; tries += 1) {
+    for (let tries = 0; tries < 2 && !isLinked(); tries += 1) {
       await this.#check(serviceId, endpoint.id);
     }
-    return lastContactAt(contacts, serviceId) >= since;
+    return isLinked();
   }
 
   /** A VM that lost one service has perhaps lost those that it has not called lately, too. */
@@ -258,22 +285,33 @@
   }
 
   async #checkSome(serviceId: string, exceptId: string | null): Promise<void> {
-    const { directory, random, routing } = this.#state;
+    const { contacts, directory, random, routing } = this.#state;
     const askable = listReadyEndpoints(directory, serviceId).filter(
       (endpoint) => endpoint.id !== exceptId && this.#mayAsk(endpoint),
     );
     const first = randomInteger(random, Math.max(1, askable.length));
-    const chosen = [...askable.slice(first), ...askable.slice(0, first)].slice(
-      0,
-      CHECKED_ENDPOINTS,
-    );
+    const drawn = [...askable.slice(first), ...askable.slice(0, first)];
+    // One that has failed may have ended, which says nothing of the links.
+    const failed = drawn.filter(({ id }) => hasFailed(contacts, serviceId, id));
+    const others = drawn.filter((endpoint) => !failed.includes(endpoint));
+    const ordered = [...others, ...failed];
     const path = routing.configuration?.services.get(serviceId)?.healthPath ?? '/';
-    const checks = chosen.map((endpoint) => this.#checkOne(endpoint, path));
-    // One that answers suffices.
-    const reached = checks.map(async (check) => {
-      if ((await check) !== 'answers') throw new Error('not reached');
+    const check = (endpoints: readonly RegisteredEndpoint[]) => this.#checkAll(endpoints, path);
+    if (this.isLost(serviceId)) await check(ordered.slice(0, LOST_CHECK_ENDPOINTS));
+    else if (!(await check(ordered.slice(0, FIRST_CHECK_ENDPOINTS)))) {
+      await check(ordered.slice(FIRST_CHECK_ENDPOINTS, FAILED_ENDPOINTS_TO_LOSE));
+    }
+  }
+
+  /** Checks endpoints; resolves with true as soon as one answers. */
+  async #checkAll(endpoints: readonly RegisteredEndpoint[], path: string): Promise<boolean> {
+    const answered = endpoints.map(async (endpoint) => {
+      if ((await this.#checkOne(endpoint, path)) !== 'answers') throw new Error('not reached');
     });
-    await Promise.any(reached).catch(() => Promise.all(checks));
+    return Promise.any(answered).then(
+      () => true,
+      () => false,
+    );
   }
 
   async #checkOne(endpoint: RegisteredEndpoint, path: string): Promise<LinkState> {
--- a/packages/router/src/gateway/endpointCheck.ts
+++ b/packages/router/src/gateway/endpointCheck.ts
@@ -1,6 +1,8 @@
 import type { RegisteredEndpoint } from '@filbertlatch/core';
 import { buildConnector, Client } from 'undici';
 
+import { now } from '../clock.js';
+
 /**
  * What a check of the link to an endpoint shows: it answers; it can be reached but does not answer,
  * as when it is full; it cannot be reached.
@@ -13,6 +15,9 @@
 /** Time-out for the answer on an open connection. */
 const ANSWER_TIMEOUT_MS = 250;
 
+/** A time-out that is noticed later than this is waited for again. */
+const MAX_LAG_MS = 50;
+
 /** Sends a health check to an endpoint on a new connection; never rejects. */
 export async function checkLink(endpoint: RegisteredEndpoint, path: string): Promise<LinkState> {
   let isOpen = false;
@@ -23,9 +28,18 @@
   let client: Client | null = null;
   const startTimer = (ms: number) => {
     if (timer !== null) clearTimeout(timer);
+    const dueAt = now() + ms;
     timer = setTimeout(() => {
-      isLate = true;
-      void client?.destroy();
+      // This process was late itself.
+      if (now() - dueAt > MAX_LAG_MS) {
+        startTimer(ms);
+        return;
+      }
+      // After a poll for what has arrived meanwhile.
+      setImmediate(() => {
+        isLate = true;
+        void client?.destroy();
+      });
     }, ms);
   };
   client = new Client(`http://${endpoint.address}`, {
--- a/packages/router/src/gateway/livenessTask.ts
+++ b/packages/router/src/gateway/livenessTask.ts
@@ -130,7 +130,9 @@
       return 'unknown';
     } catch (error) {
       if (hasCode(error, ['ECONNREFUSED'])) {
-        return (await this.#contacts.hasEnded(endpoint, askedAt)) ? 'ended' : 'unknown';
+        return (await this.#contacts.hasEnded(endpoint, askedAt, 'new-connection'))
+          ? 'ended'
+          : 'unknown';
       }
       // An endpoint that is ending, or one with too many connections, closes a new one.
       if (!mayRepeat || !hasCode(error, CLOSED_CODES)) return 'unknown';
