Move the checks of links out of the contact task

The age of a failure that shows the end of an endpoint is bounded by 300 ms, since bytes that came before a cut within a probe of a second would count; evidence is dropped from 2 s before a loss, the longest time to notice one; a service whose endpoints all want nothing now is not lost by one failure.

--- a/packages/router/src/gateway/contactTask.ts
+++ b/packages/router/src/gateway/contactTask.ts
@@ -1,6 +1,4 @@
 import {
-  FAILED_ENDPOINTS_TO_LOSE,
-  hasFailed,
   isCutOff,
   lastContactAt,
   lastPeerContactAt,
@@ -8,7 +6,6 @@
   listReadyEndpoints,
   listTransitPeers,
   lostSince,
-  randomInteger,
   recordContact,
   recordFailedContact,
   removeLostAttempts,
@@ -18,17 +15,12 @@
 
 import { now } from '../clock.js';
 import type { ConnectionTable } from './connectionTable.js';
-import { checkLink, type LinkState } from './endpointCheck.js';
+import type { LinkState } from './checkLink.js';
 import type { EndpointTerms } from './endpointTerms.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { GatewayState } from './gatewayState.js';
-
-/** Endpoints that are checked first; more when none of them answers. */
-const FIRST_CHECK_ENDPOINTS = 2;
-
-/** Endpoints of a lost service that are checked at a time. */
-const LOST_CHECK_ENDPOINTS = 3;
+import { LinkChecks } from './linkChecks.js';
 
 /** Time after which an endpoint whose end is in doubt is probed again. */
 const DOUBT_RECHECK_MS = 1000;
@@ -47,7 +39,7 @@
 const MAX_SILENCE_CHECK_INTERVAL_MS = 4000;
 
 /** Time within which a cut is noticed. */
-const MAX_DETECTION_MS = 1000;
+const MAX_DETECTION_MS = 2000;
 
 /** After a shorter loss, connections and health records are kept. */
 const MIN_RENEWED_LOSS_MS = 300;
@@ -76,7 +68,7 @@
 
   readonly #connections: ConnectionTable;
 
-  readonly #terms: EndpointTerms;
+  readonly #checks: LinkChecks;
 
   readonly #metrics: GatewayMetrics;
 
@@ -86,9 +78,6 @@
 
   readonly #watches = new Map<string, SilenceWatch>();
 
-  /** Checks that run, by service id. */
-  readonly #checks = new Map<string, Promise<void>>();
-
   /** Time of the latest check of each lost service; epoch milliseconds. */
   readonly #checkedAt = new Map<string, number>();
 
@@ -109,10 +98,12 @@
   ) {
     this.#state = state;
     this.#connections = connections;
-    this.#terms = terms;
     this.#metrics = metrics;
     this.#log = log;
     this.#notifyPeers = notifyPeers;
+    this.#checks = new LinkChecks(state, terms, metrics, log, {
+      checked: (endpoint, link, startedAt) => this.#handleCheck(endpoint, link, startedAt),
+    });
     connections.onContact((endpointId) => this.recordAnswer(endpointId));
   }
 
@@ -151,16 +142,16 @@
   /** Records that an endpoint could not be reached, or broke a connection off. */
   recordFailure({ id, serviceId }: RegisteredEndpoint): void {
     const { contacts, directory } = this.#state;
-    const { length } = listReadyEndpoints(directory, serviceId).filter((endpoint) =>
-      this.#mayAsk(endpoint),
-    );
+    const ready = listReadyEndpoints(directory, serviceId).length;
+    // Of those that want nothing now only few can fail.
+    const length = Math.max(Math.min(2, ready), this.#checks.countAskable(serviceId));
     const sign = recordFailedContact(contacts, serviceId, id, length, now());
-    if (sign === 'doubtful') void this.#check(serviceId);
+    if (sign === 'doubtful') void this.#checks.check(serviceId);
     if (sign !== 'lost') return;
     this.#metrics.countContactChange('lost');
-    this.#log.change('service_lost', { serviceId, endpoints: length });
+    this.#log.change('service_lost', { serviceId, endpoints: ready });
     this.#notifyPeers();
-    void this.#check(serviceId);
+    void this.#checks.check(serviceId);
   }
 
   /**
@@ -214,7 +205,7 @@
     const isLinked = () => lastContactAt(contacts, serviceId) >= since || isHeard();
     // A check that was running may have begun before.
     for (let tries = 0; tries < 2 && !isLinked(); tries += 1) {
-      await this.#check(serviceId, endpoint.id);
+      await this.#checks.check(serviceId, endpoint.id);
     }
     return isLinked();
   }
@@ -227,7 +218,7 @@
       const dueAt = (this.#checkedAt.get(id) ?? 0) + LOST_CHECK_INTERVAL_MS;
       if (instant < dueAt || lastContactAt(this.#state.contacts, id) >= dueAt) return;
       this.#checkedAt.set(id, instant);
-      void this.#check(id);
+      void this.#checks.check(id);
     });
   }
 
@@ -266,71 +257,18 @@
   async #checkSilence(serviceId: string, watch: SilenceWatch): Promise<void> {
     const startedAt = now();
     watch.nextCheckAt = Number.POSITIVE_INFINITY;
-    await this.#check(serviceId);
+    await this.#checks.check(serviceId);
     const isSound = lastContactAt(this.#state.contacts, serviceId) >= startedAt;
     const longerMs = Math.min(MAX_SILENCE_CHECK_INTERVAL_MS, 2 * watch.intervalMs);
     watch.intervalMs = isSound ? longerMs : MIN_SILENCE_CHECK_INTERVAL_MS;
     watch.nextCheckAt = now() + watch.intervalMs;
   }
 
-  /** Checks the links to some endpoints of a service; at most one check of a service at a time. */
-  #check(serviceId: string, exceptId: string | null = null): Promise<void> {
-    const running = this.#checks.get(serviceId);
-    if (running !== undefined) return running;
-    const check = this.#checkSome(serviceId, exceptId).finally(() => {
-      this.#checks.delete(serviceId);
-    });
-    this.#checks.set(serviceId, check);
-    return check;
-  }
-
-  async #checkSome(serviceId: string, exceptId: string | null): Promise<void> {
-    const { contacts, directory, random, routing } = this.#state;
-    const askable = listReadyEndpoints(directory, serviceId).filter(
-      (endpoint) => endpoint.id !== exceptId && this.#mayAsk(endpoint),
-    );
-    const first = randomInteger(random, Math.max(1, askable.length));
-    const drawn = [...askable.slice(first), ...askable.slice(0, first)];
-    // One that has failed may have ended, which says nothing of the links.
-    const failed = drawn.filter(({ id }) => hasFailed(contacts, serviceId, id));
-    const others = drawn.filter((endpoint) => !failed.includes(endpoint));
-    const ordered = [...others, ...failed];
-    const path = routing.configuration?.services.get(serviceId)?.healthPath ?? '/';
-    const check = (endpoints: readonly RegisteredEndpoint[]) => this.#checkAll(endpoints, path);
-    if (this.isLost(serviceId)) await check(ordered.slice(0, LOST_CHECK_ENDPOINTS));
-    else if (!(await check(ordered.slice(0, FIRST_CHECK_ENDPOINTS)))) {
-      await check(ordered.slice(FIRST_CHECK_ENDPOINTS, FAILED_ENDPOINTS_TO_LOSE));
-    }
-  }
-
-  /** Checks endpoints; resolves with true as soon as one answers. */
-  async #checkAll(endpoints: readonly RegisteredEndpoint[], path: string): Promise<boolean> {
-    const answered = endpoints.map(async (endpoint) => {
-      if ((await this.#checkOne(endpoint, path)) !== 'answers') throw new Error('not reached');
-    });
-    return Promise.any(answered).then(
-      () => true,
-      () => false,
-    );
-  }
-
-  async #checkOne(endpoint: RegisteredEndpoint, path: string): Promise<LinkState> {
-    const startedAt = now();
-    this.#terms.limits.recordSend(endpoint.id);
-    const link = await checkLink(endpoint, path);
-    this.#metrics.countLinkCheck(link);
-    const tookMs = Math.round(now() - startedAt);
-    this.#log.decision('link_checked', { endpointId: endpoint.id, link, tookMs });
+  #handleCheck(endpoint: RegisteredEndpoint, link: LinkState, startedAt: number): void {
     // A full endpoint is silent, but not all of a service are to a VM that is in touch.
     const isHeard = (this.listHeardAt().get(endpoint.serviceId) ?? 0) >= startedAt;
     if (link === 'answers') this.recordAnswer(endpoint.id);
     else if (link === 'unreachable' || !isHeard) this.recordFailure(endpoint);
-    return link;
-  }
-
-  #mayAsk(endpoint: RegisteredEndpoint): boolean {
-    const { limits, pauses } = this.#terms;
-    return limits.timeToHealthCheck(endpoint.id) === 0 && pauses.leftMs(endpoint) === 0;
   }
 
   #regain(serviceId: string, lostAt: number, wasCutOff: boolean): void {
--- a/packages/router/src/gateway/gatewayMetrics.ts
+++ b/packages/router/src/gateway/gatewayMetrics.ts
@@ -1,6 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
-import type { LinkState } from './endpointCheck.js';
+import type { LinkState } from './checkLink.js';
 
 const METRIC_PREFIX = 'filbertlatch_';
 const MS_PER_SECOND = 1000;
--- a/packages/router/src/gateway/probeTask.ts
+++ b/packages/router/src/gateway/probeTask.ts
@@ -16,6 +16,9 @@
 /** Time after which a probe that waits for an endpoint's limit or pause looks at it again. */
 const TERMS_RECHECK_MS = 250;
 
+/** Time before the end of a probe from which on its failure is certain. */
+const MAX_FAILURE_AGE_MS = 300;
+
 /** Minimum time between the starts of two probes of an endpoint. */
 const MIN_PROBE_INTERVAL_MS = 100;
 
@@ -151,8 +154,10 @@
     const hasTimedOut = error instanceof Error && error.name === 'TimeoutError';
     const isBusy = hasTimedOut && this.#connections.lastHeardAt(endpointId) > startedAt;
     this.#log.change('endpoint_unreachable', { endpointId, isBusy, error: String(error) });
+    // Before, the links may have been sound.
+    const failedSince = Math.max(startedAt, now() - MAX_FAILURE_AGE_MS);
     if (isBusy) this.#crashes.recordEndpointAlive(endpointId, startedAt);
-    else if (await this.#contacts.hasEnded(endpoint, startedAt)) {
+    else if (await this.#contacts.hasEnded(endpoint, failedSince)) {
       this.#crashes.recordEndpointEnd(endpointId, 'unreachable');
     }
   }
