Refuse requests with malformed header names

Callers with `If-Match : x` or `If Match: x` in a request got 500 from the router, and 503 from the gateway after it had tried endpoints. Cause: the parser of the runtime here (v20.19.0) passes such names on, where others refuse them; the headers of fetch, and undici, then throw. Names are now checked by us, before anything else is done with a request, and refused with 400; the connection closes, since what follows may be part of the request.

--- a/packages/router/src/gateway/handleRequest.ts
+++ b/packages/router/src/gateway/handleRequest.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { now } from '../clock.js';
+import { hasValidHeaderNames } from '../headerNames.js';
 import { admitRequest } from './admitRequest.js';
 import type { CallerAnswer } from './callerAnswer.js';
 import { Exchange } from './exchange.js';
@@ -31,8 +32,16 @@
   received: ReceivedRequest,
 ): Promise<void> {
   const arrivedAt = now();
-  const { answer, request, transit } = received;
+  const { answer, request, response, transit } = received;
   const { state, metrics, log } = context;
+  if (!hasValidHeaderNames(request.rawHeaders)) {
+    metrics.countRequest('none', 'malformed_header');
+    // What follows on the connection may be part of it.
+    response.shouldKeepAlive = false;
+    answer.sendError(400, 'malformed_header');
+    request.resume();
+    return;
+  }
   const limits = state.routing.configuration?.limits ?? DEFAULT_LIMITS;
   const result = await readBody(request, limits.maxBodyBytes);
   if (result.kind === 'cut') {
--- a/packages/router/src/listen.ts
+++ b/packages/router/src/listen.ts
@@ -1,9 +1,14 @@
-import type { Server } from 'node:http';
-import { createServer as createTlsServer, type Server as TlsServer } from 'node:https';
+import { createServer, type RequestListener, type Server, type ServerOptions } from 'node:http';
+import {
+  createServer as createTlsServer,
+  type Server as TlsServer,
+  type ServerOptions as TlsServerOptions,
+} from 'node:https';
 import type { AddressInfo } from 'node:net';
 
 import { createAdaptorServer } from '@hono/node-server';
 
+import { hasValidHeaderNames } from './headerNames.js';
 import type { TlsMaterial } from './security/index.js';
 
 const MS_PER_SECOND = 1000;
@@ -44,6 +49,18 @@
   requestTimeoutSeconds: 60,
 };
 
+/** Refuses requests with malformed header names, which no app gets. */
+function checkHeaderNames(listener: RequestListener): RequestListener {
+  return (request, response) => {
+    if (hasValidHeaderNames(request.rawHeaders)) {
+      listener(request, response);
+      return;
+    }
+    request.resume();
+    response.writeHead(400, { 'content-length': 0, connection: 'close' }).end();
+  };
+}
+
 function createHttpServer(app: App, { tls, isMutual, limits }: ListenOptions): Server | TlsServer {
   const allLimits = { ...DEFAULT_LIMITS, ...limits };
   const httpOptions = {
@@ -59,10 +76,16 @@
   const server = isTls
     ? createAdaptorServer({
         fetch: app.fetch as never,
-        createServer: createTlsServer,
+        createServer: ((options: TlsServerOptions, listener: RequestListener) =>
+          createTlsServer(options, checkHeaderNames(listener))) as typeof createTlsServer,
         serverOptions: tlsOptions,
       })
-    : createAdaptorServer({ fetch: app.fetch as never, serverOptions: httpOptions });
+    : createAdaptorServer({
+        fetch: app.fetch as never,
+        createServer: ((options: ServerOptions, listener: RequestListener) =>
+          createServer(options, checkHeaderNames(listener))) as typeof createServer,
+        serverOptions: httpOptions,
+      });
   (server as Server).maxConnections = allLimits.maxConnections;
   return server as Server | TlsServer;
 }
