Measure the delay of the event loop

What existed could not tell whether a late request had stood unread, or had waited in the process: nothing says how late the loop is. `LoopDelay` keeps two instants between polls, the time that the loop was idle, and heartbeats (the maintenance timer): they bound the age of what is unread. The longest turn of each tenth of a second is a histogram at the metrics address. No decision changes but one: a process counts as paused after 1.4 s without a heartbeat that was due, as before after 1.5 s since the last.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * from './entry/index.js';
 export * from './health/index.js';
 export * from './limits/index.js';
+export * from './loopDelay/index.js';
 export * from './membership/index.js';
 export * from './orders/index.js';
 export * from './pauses/index.js';
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import {
+  BEAT_INTERVAL_MS,
   configurationVersion,
   countKnownCrashes,
   countLimitedEndpoints,
@@ -43,6 +44,7 @@
 import { countFleetVms, createGatewayState, isServing } from './gatewayState.js';
 import { dumpGateway, type GatewayDump } from './dumpGateway.js';
 import { createLazyControlApi } from './lazyControlApi.js';
+import { LoopDelay } from './loopDelay.js';
 import { OriginTask } from './originTask.js';
 import { PauseRecorder } from './pauseRecorder.js';
 import { PeerTask } from './peerTask.js';
@@ -53,11 +55,11 @@
 import { isTransit, TransitServer } from './transitServer.js';
 import { TransitTask } from './transitTask.js';
 
-/** Interval of the maintenance timer. */
-const MAINTENANCE_INTERVAL_MS = 100;
+/** Interval of the maintenance timer, which is the heartbeat too. */
+const MAINTENANCE_INTERVAL_MS = BEAT_INTERVAL_MS;
 
-/** Time between two maintenance runs from which the process counts as having been paused. */
-const MIN_PROCESS_PAUSE_MS = 1500;
+/** Length of a standstill from which the process counts as having been paused. */
+const MIN_PROCESS_PAUSE_MS = 1400;
 
 /**
  * Minimum drain: the load balancer sends connections until two readiness checks, a second apart,
@@ -117,6 +119,7 @@
     suspectedSegments: () => countSegments(state.segmentSuspects, now()).suspected,
     refusedSegments: () => countSegments(state.segmentSuspects, now()).refused,
   });
+  const loopDelay = new LoopDelay();
   const crashes = new CrashRecorder(state, metrics, log);
   const publication = new PublicationTask(state, source, crashes, log);
   const peers = new PeerTask(settings, state, publication, log);
@@ -147,6 +150,7 @@
     dialect,
     log,
     metrics,
+    loopDelay,
     brittle,
     contacts,
     transits,
@@ -188,15 +192,15 @@
 
   const isRegistered = (id: string) => state.directory.endpoints.has(id);
   const findServiceId = (id: string) => state.directory.endpoints.get(id)?.serviceId;
-  let maintainedAt = now();
   let maintenanceCount = 0;
   const maintain = () => {
     const instant = now();
-    if (instant - maintainedAt > MIN_PROCESS_PAUSE_MS) {
-      log.warn('process_paused', { pausedMs: Math.round(instant - maintainedAt) });
+    const standstillMs = loopDelay.beat();
+    metrics.observeLoopDelay(Math.max(standstillMs, loopDelay.takeLongestTurnMs()));
+    if (standstillMs > MIN_PROCESS_PAUSE_MS) {
+      log.warn('process_paused', { pausedMs: Math.round(standstillMs) });
       publication.restart();
     }
-    maintainedAt = instant;
     maintenanceCount += 1;
     publication.removeMissing();
     removeStaleDepartures(state.directory, instant);
--- a/packages/router/src/gateway/gatewayContext.ts
+++ b/packages/router/src/gateway/gatewayContext.ts
@@ -9,6 +9,7 @@
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { GatewayState } from './gatewayState.js';
 import type { LivenessTask } from './livenessTask.js';
+import type { LoopDelay } from './loopDelay.js';
 import type { OriginTask } from './originTask.js';
 import type { ProbeTask } from './probeTask.js';
 import type { TransitTask } from './transitTask.js';
@@ -20,6 +21,7 @@
   readonly dialect: Dialect;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
+  readonly loopDelay: LoopDelay;
   readonly brittle: BrittleTask;
   readonly contacts: ContactTask;
   readonly transits: TransitTask;
--- a/packages/router/src/gateway/gatewayMetrics.ts
+++ b/packages/router/src/gateway/gatewayMetrics.ts
@@ -4,6 +4,7 @@
 
 const METRIC_PREFIX = 'filbertlatch_';
 const MS_PER_SECOND = 1000;
+const DELAY_BUCKETS_SECONDS = [0.005, 0.01, 0.02, 0.04, 0.1, 0.2, 0.5, 1, 2];
 const LATENCY_BUCKETS_SECONDS = [0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 15];
 
 /** Values of the gauges, read at each scrape. */
@@ -99,6 +100,13 @@
     registers: [this.#registry],
   });
 
+  readonly #loopDelay = new Histogram({
+    name: `${METRIC_PREFIX}loop_delay_seconds`,
+    help: 'Longest time between two polls of the event loop, in each tenth of a second.',
+    buckets: DELAY_BUCKETS_SECONDS,
+    registers: [this.#registry],
+  });
+
   constructor(gauges: GatewayGauges) {
     this.#gauge('configuration_version', 'Version in force; -1 before the first.', () =>
       gauges.configurationVersion(),
@@ -182,6 +190,11 @@
     this.#firstAnswer.observe({ route }, ms / MS_PER_SECOND);
   }
 
+  /** Records the longest time between two polls since the last record, in milliseconds. */
+  observeLoopDelay(ms: number): void {
+    this.#loopDelay.observe(ms / MS_PER_SECOND);
+  }
+
   /** Renders all metrics in the Prometheus text format. */
   async render(): Promise<string> {
     return this.#registry.metrics();
