Send no request while its caller's close may stand unread

Cause: a VM takes the moment of reading for the moment of arrival. The close behind a late request is read in a later turn of the loop; libuv accepts one connection a turn, so a first request may be seconds old while each turn is short; the time left was counted from the read and written when an attempt began.

A request has a bound of its arrival now: the age of what was unread, and for the first on a connection the time since a turn that accepted none. A late one begins after a further poll; no bytes leave while unread bytes may be older than 200 ms, nor once the socket has ended, which is known some turns before the runtime reports the close. A connection whose request is not sent stays open. Time left is counted from the bound, and headers older than 50 ms are formatted anew when a connection is free. A request that must run once is dropped too if no byte of it has left, and by way of a peer the peer is told. Why this holds: all sends pass one check, at the last moment before the bytes, whatever they waited for.

--- a/packages/router/__tests__/gateway/endpointRequest.spec.ts
+++ b/packages/router/__tests__/gateway/endpointRequest.spec.ts
@@ -4,8 +4,11 @@
 import { describe, it } from '@filbertlatch/core/testing';
 
 import { EndpointRequest, type AttemptFailure } from '../../src/gateway/endpointRequest.js';
+import { LoopDelay } from '../../src/gateway/loopDelay.js';
 import { EndpointConnections } from '../../src/gateway/endpointConnections.js';
 
+const loopDelay = new LoopDelay();
+
 interface Outcome {
   status: number;
   body: string;
@@ -31,7 +34,7 @@
 ): Promise<Outcome> {
   return new Promise((resolve) => {
     const outcome: Outcome = { status: 0, body: '', failure: null };
-    const request = new EndpointRequest(connections, {
+    const request = new EndpointRequest(connections, loopDelay, {
       head: (status) => {
         outcome.status = status;
       },
@@ -43,7 +46,12 @@
       end: () => resolve(outcome),
       fail: (failure) => resolve({ ...outcome, failure }),
     });
-    request.start({ method: 'GET', path, headers: ['Host', 'desk.example'], body: null });
+    request.start({
+      method: 'GET',
+      path,
+      formatHeaders: () => ['Host', 'desk.example'],
+      body: null,
+    });
   });
 }
 
--- a/packages/router/__tests__/gateway/lateReads.spec.ts
+++ b/packages/router/__tests__/gateway/lateReads.spec.ts
@@ -1,4 +1,4 @@
-import { describe, itFails, itSerial } from '@filbertlatch/core/testing';
+import { describe, itSerial } from '@filbertlatch/core/testing';
 
 import { playLateScenario, type LateScenario } from './lateFleet.js';
 import { LEAST_WAITING_SERVED, MAX_FAULTY_REQUESTS, maxOverlongDeadlines } from './lateMeasures.js';
@@ -58,7 +58,7 @@
       t.true(outcome.waitingServed >= LEAST_WAITING_SERVED * outcome.waiting, 'served in time');
     });
     Object.entries(scenarios).forEach(([title, changes]) => {
-      itFails(`are not sent on after their callers left: ${title} (seed ${seed})`, async (t) => {
+      itSerial(`are not sent on after their callers left: ${title} (seed ${seed})`, async (t) => {
         const outcome = await playLateScenario({ ...basis, ...changes, seed });
         t.log(JSON.stringify(outcome));
         t.true(outcome.lateSends <= MAX_FAULTY_REQUESTS, 'late sends');
@@ -68,7 +68,7 @@
       });
     });
     Object.entries(transits).forEach(([title, changes]) => {
-      itFails(`are not sent on for another VM: ${title} (seed ${seed})`, async (t) => {
+      itSerial(`are not sent on for another VM: ${title} (seed ${seed})`, async (t) => {
         const transit = { isTransit: true, connections: ['new', 'kept'] } as const;
         const outcome = await playLateScenario({ ...basis, ...transit, ...changes, seed });
         t.log(JSON.stringify(outcome));
--- a/packages/router/src/gateway/admitRequest.ts
+++ b/packages/router/src/gateway/admitRequest.ts
@@ -13,6 +13,7 @@
   type RoutedService,
 } from '@filbertlatch/core';
 
+import type { Arrival } from './callerConnections.js';
 import type { RequestMetadata } from './dialect.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { TransitTerms } from './transitEnvelope.js';
@@ -25,6 +26,7 @@
   readonly accountId: string | null;
   readonly job: Job;
   readonly metadata: RequestMetadata;
+  readonly arrival: Arrival;
   /** True when the request may run more than once. */
   readonly isRepeatable: boolean;
   /** Terms of the VM that sent the request by way of this one; null when a caller did. */
@@ -61,6 +63,12 @@
 /** Retry delay told by a draining VM; short, because the next connection goes to another VM. */
 const DRAINING_RETRY_AFTER_MS = 50;
 
+/**
+ * Time left that a caller may have who has not closed its connection, however late its request was
+ * read.
+ */
+const OPEN_CALLER_TIME_MS = 400;
+
 /** A caller with less than this fraction of the route's time-out left has probably tried before. */
 const RETRIED_TIME_FRACTION = 0.94;
 
@@ -85,7 +93,7 @@
 export function admitRequest(
   { contacts, state, dialect }: GatewayContext,
   request: IncomingMessage,
-  arrivedAt: number,
+  arrival: Arrival,
   transit: TransitTerms | null,
 ): AdmittedRequest | RejectedRequest {
   const { routing, scheduling } = state;
@@ -113,11 +121,14 @@
   const isLost = contacts.isLost(service.id);
   // One hop only: the VM that sent the request looks for another.
   if (transit !== null && isLost) return reject(503, 'out_of_touch', route.id, 0);
-  const remainingMs = Math.min(
+  const announcedMs = Math.min(
     metadata.remainingMs ?? route.timeoutMs,
     transit?.remainingMs ?? route.timeoutMs,
     route.timeoutMs,
   );
+  const { earliestAt, readAt } = arrival;
+  const earliestLeftMs = announcedMs - (readAt - earliestAt);
+  const remainingMs = Math.max(earliestLeftMs, Math.min(announcedMs, OPEN_CALLER_TIME_MS));
   const job: Job = {
     id: requestId,
     routeId: route.id,
@@ -132,8 +143,8 @@
   };
   // A request that goes by way of another VM counts there.
   if (!isLost) {
-    recordArrival(scheduling, job, arrivedAt);
-    recordServiceArrival(state.requestLimits, service.id, job.priority, arrivedAt);
+    recordArrival(scheduling, job, readAt);
+    recordServiceArrival(state.requestLimits, service.id, job.priority, readAt);
   }
   return {
     kind: 'admitted',
@@ -142,11 +153,12 @@
     accountId: account?.id ?? null,
     job,
     metadata,
+    arrival,
     isRepeatable: isRepeatable(route),
     transit,
     // The VM that sent it makes the further attempts.
     maxAttempts: transit === null ? route.attempts : 1,
-    isReturning: remainingMs < route.timeoutMs * RETRIED_TIME_FRACTION,
-    deadlineAt: arrivedAt + remainingMs,
+    isReturning: announcedMs < route.timeoutMs * RETRIED_TIME_FRACTION,
+    deadlineAt: readAt + remainingMs,
   };
 }
--- a/packages/router/src/gateway/attempt.ts
+++ b/packages/router/src/gateway/attempt.ts
@@ -15,7 +15,6 @@
   /** The caller's headers without the hop-by-hop ones; flat list of names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer | null;
-  readonly remainingMs: number;
   /** Id of the last event that was sent to the caller; null for a new stream. */
   readonly lastEventId: string | null;
 }
@@ -27,8 +26,10 @@
   readonly retryAfterMs: number | null;
 }
 
-/** Receives the events of an attempt; each event but `streamed` and `livedOn` is the last one. */
+/** Receives the events of an attempt; each event but `streamed` and `livedOn` is the last. */
 export interface AttemptObserver {
+  /** Says whether the caller still waits. */
+  isAwaited(): boolean;
   /** Receives bytes of a stream; returns false to pause until `Attempt.resume`. */
   streamed(head: RawAnswerHead, bytes: Buffer): boolean;
   /** The endpoint still sends the stream some time after it began: it has not crashed. */
@@ -61,6 +62,8 @@
   readonly requestLimit: number | null;
   /** True when it has ended or was cancelled. */
   readonly isOver: boolean;
+  /** True when bytes of the request may have been sent. */
+  readonly mayHaveSent: boolean;
   /** True when the status and headers have arrived. */
   readonly hasAnswered: boolean;
   /** Sends the request. */
--- a/packages/router/src/gateway/callerServer.ts
+++ b/packages/router/src/gateway/callerServer.ts
@@ -34,6 +34,7 @@
       },
       (request, response) => this.#handle(request, response),
     );
+    context.callers.watch(this.#server);
   }
 
   /** Number of requests whose response is still open. */
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -23,6 +23,7 @@
 import { AnswerBody, MAX_ANSWER_BYTES } from './answerBody.js';
 import type { Attempt, AttemptObserver, AttemptRequest, RawAnswerHead } from './attempt.js';
 import { EndpointRequest, type AttemptFailure } from './endpointRequest.js';
+import { hasTimeToSend } from './hasTimeToSend.js';
 import type { AnswerMetadata } from './dialect.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { Liveness } from './livenessTask.js';
@@ -109,9 +110,13 @@
     const { maxConnections } = admitted.service;
     this.#request = new EndpointRequest(
       connections.getConnections(endpoint, maxConnections, countFleetVms()),
+      context.loopDelay,
       {
+        isAwaited: () => observer.isAwaited(),
         mayStart: () =>
-          isTakingRequests(state.directory, endpoint.id) && context.pauses.leftMs(endpoint) === 0,
+          isTakingRequests(state.directory, endpoint.id) &&
+          context.pauses.leftMs(endpoint) === 0 &&
+          hasTimeToSend(admitted.deadlineAt, now()),
         head: (status, headers) => this.#handleHead(status, headers),
         body: (chunk) => this.#handleBody(chunk),
         end: () => this.#handleEnd(),
@@ -134,6 +139,10 @@
     return originOf(this.endpoint);
   }
 
+  get mayHaveSent(): boolean {
+    return this.#request.mayHaveSent;
+  }
+
   /** True when the status and headers have arrived. */
   get hasAnswered(): boolean {
     return this.#metadata !== null;
@@ -160,13 +169,17 @@
   }
 
   /** Sends the request. */
-  send({ method, path, headers, body, remainingMs, lastEventId }: AttemptRequest): void {
-    const { accountId, job } = this.#admitted;
+  send({ method, path, headers, body, lastEventId }: AttemptRequest): void {
+    const { accountId, deadlineAt, job } = this.#admitted;
     const { dialect, state } = this.#context;
     const priority = job.size === null ? null : enginePriorityOfRank(state.routing, job.priority);
     const endpointId = this.endpoint.id;
-    const metadata = { endpointId, remainingMs, accountId, priority, lastEventId };
-    this.#request.start({ method, path, headers: dialect.formatRequest(headers, metadata), body });
+    const formatHeaders = () => {
+      const remainingMs = Math.max(0, deadlineAt - now());
+      const metadata = { endpointId, remainingMs, accountId, priority, lastEventId };
+      return dialect.formatRequest(headers, metadata);
+    };
+    this.#request.start({ method, path, formatHeaders, body });
   }
 
   /** Resumes a paused stream. */
--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -1,15 +1,20 @@
 import type { Verdict } from '@filbertlatch/core';
 import { errors } from 'undici';
 
+import { now } from '../clock.js';
 import type { EndpointConnections } from './endpointConnections.js';
 import { EndlessAnswerError } from './guardedClient.js';
+import type { LoopDelay } from './loopDelay.js';
+
+/** Age of formatted headers, which name the time left, above which they are formatted anew. */
+const MAX_HEADER_AGE_MS = 50;
 
 /** An HTTP request as it is sent to an endpoint. */
 export interface OutgoingRequest {
   readonly method: string;
   readonly path: string;
-  /** Flat list: name, value, name, value. */
-  readonly headers: string[];
+  /** Formats the headers as of now, as a flat list of names and values. */
+  readonly formatHeaders: () => string[];
   readonly body: Buffer | null;
 }
 
@@ -22,6 +27,8 @@
 
 /** Receives the events of an endpoint request; `end` or `fail` is the last one. */
 export interface EndpointRequestObserver {
+  /** Says whether the answer is still wanted; the request is dropped otherwise. */
+  isAwaited?(): boolean;
   /** Says whether to send the request, which may have waited for a connection. */
   mayStart?(): boolean;
   head(status: number, headers: string[]): void;
@@ -31,6 +38,21 @@
   fail(failure: AttemptFailure): void;
 }
 
+/** Why a request is not sent although a connection is free for it. */
+type Obstacle = 'cancelled' | 'withheld' | 'late' | 'outdated';
+
+/** Thrown instead of sending a request; the connection stays open. */
+class UnsentError extends Error {
+  override readonly name = 'UnsentError';
+
+  readonly obstacle: Obstacle;
+
+  constructor(obstacle: Obstacle) {
+    super(`request not sent: ${obstacle}`);
+    this.obstacle = obstacle;
+  }
+}
+
 function decodeHeaders(rawHeaders: readonly Buffer[]): string[] {
   return rawHeaders.map((header) => header.toString('latin1'));
 }
@@ -39,6 +61,8 @@
 export class EndpointRequest {
   readonly #connections: EndpointConnections;
 
+  readonly #loopDelay: LoopDelay;
+
   readonly #observer: EndpointRequestObserver;
 
   #abort: ((reason: Error) => void) | null = null;
@@ -49,49 +73,74 @@
 
   #isOver = false;
 
-  #isCancelled = false;
-
   #isWithheld = false;
 
-  constructor(connections: EndpointConnections, observer: EndpointRequestObserver) {
+  constructor(
+    connections: EndpointConnections,
+    loopDelay: LoopDelay,
+    observer: EndpointRequestObserver,
+  ) {
     this.#connections = connections;
+    this.#loopDelay = loopDelay;
     this.#observer = observer;
   }
 
-  /** Sends the request. */
+  /** True when bytes of the request may have been sent. */
+  get mayHaveSent(): boolean {
+    return this.#mayHaveSent;
+  }
+
+  /** Sends the request, once a connection is free and this process is on time. */
   start(outgoing: OutgoingRequest): void {
-    const { method, path, headers, body } = outgoing;
-    const options = { method, path, headers, body };
+    if (this.#isOver) return;
+    const { method, path, formatHeaders, body } = outgoing;
+    const formattedAt = now();
+    const options = { method, path, headers: formatHeaders(), body };
     this.#connections.pool.dispatch(options, {
       onConnect: (abort) => {
-        if (this.#isCancelled) {
-          abort(new Error('request cancelled before it was sent'));
-          return;
-        }
-        if (this.#observer.mayStart?.() === false) {
-          this.#isWithheld = true;
-          abort(new Error('endpoint takes no requests any more'));
-          return;
-        }
+        const obstacle = this.#findObstacle(formattedAt);
+        if (obstacle !== null) throw new UnsentError(obstacle);
         this.#mayHaveSent = true;
         this.#abort = abort;
       },
       onHeaders: (status, rawHeaders, resume) => {
         this.#resume = resume;
+        this.#loopDelay.markTurn();
         this.#connections.markHeard();
         if (status < 200) return true;
         this.#observer.head(status, decodeHeaders(rawHeaders));
         return true;
       },
       onData: (chunk) => {
+        this.#loopDelay.markTurn();
         this.#connections.markHeard();
         return this.#isOver || this.#observer.body(chunk);
       },
       onComplete: () => this.#complete(),
-      onError: (error) => this.#fail(error),
+      onError: (error) => {
+        if (error instanceof UnsentError) this.#handleObstacle(error, outgoing);
+        else this.#fail(error);
+      },
     });
   }
 
+  #findObstacle(formattedAt: number): Obstacle | null {
+    if (this.#isOver || this.#observer.isAwaited?.() === false) return 'cancelled';
+    // What the caller has sent since, a close among it, is read first.
+    if (this.#loopDelay.isBehind) return 'late';
+    if (this.#observer.mayStart?.() === false) return 'withheld';
+    return now() - formattedAt > MAX_HEADER_AGE_MS ? 'outdated' : null;
+  }
+
+  #handleObstacle(error: UnsentError, outgoing: OutgoingRequest): void {
+    if (error.obstacle === 'late') this.#loopDelay.whenOnTime(() => this.start(outgoing));
+    else if (error.obstacle === 'outdated') queueMicrotask(() => this.start(outgoing));
+    else if (error.obstacle === 'withheld') {
+      this.#isWithheld = true;
+      this.#fail(error);
+    }
+  }
+
   /** Resumes reading after backpressure. */
   resume(): void {
     this.#resume?.();
@@ -101,7 +150,6 @@
   cancel(): void {
     if (this.#isOver) return;
     this.#isOver = true;
-    this.#isCancelled = true;
     this.#abort?.(new Error('request cancelled'));
   }
 
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -11,6 +11,7 @@
 import type { CallerAnswer } from './callerAnswer.js';
 import { EventSplitter } from './eventSplitter.js';
 import type { GatewayContext } from './gatewayContext.js';
+import { hasTimeToSend } from './hasTimeToSend.js';
 import { dropHopByHopHeaders } from './headers.js';
 import type { OriginAnswer } from './originTask.js';
 import { SegmentGuard } from './segmentGuard.js';
@@ -18,9 +19,6 @@
 import type { ReceivedRequest } from './handleRequest.js';
 import { TransitAttempt } from './transitAttempt.js';
 
-/** A request is sent only with at least this time left: with less, no answer arrives in time. */
-const MIN_SEND_TIME_MS = 20;
-
 /** Attempts not run by their endpoints after which yet another endpoint is tried. */
 const MAX_NOT_RUN_ATTEMPTS = 3;
 
@@ -75,8 +73,6 @@
 
   readonly #body: Buffer | null;
 
-  readonly #arrivedAt: number;
-
   readonly #crashGuard: CrashGuard;
 
   readonly #segmentGuard: SegmentGuard;
@@ -90,6 +86,8 @@
 
   #resumeWaits = 0;
 
+  #stopWatching: (() => void) | null = null;
+
   /** Ends the wait for a slot; null while the request does not wait. */
   #stopWaiting: (() => void) | null = null;
 
@@ -124,7 +122,6 @@
     admitted: AdmittedRequest,
     { request, response, answer }: ReceivedRequest,
     body: Buffer | null,
-    arrivedAt: number,
   ) {
     this.#context = context;
     this.#admitted = admitted;
@@ -132,7 +129,6 @@
     this.#response = response;
     this.#answer = answer;
     this.#body = body;
-    this.#arrivedAt = arrivedAt;
     this.#choice = new EndpointChoice(context, admitted);
     this.#segmentGuard = new SegmentGuard(context, admitted);
     const { accountId } = admitted;
@@ -147,7 +143,9 @@
   /** Starts to handle the request. */
   start(): void {
     const { deadlineAt, job } = this.#admitted;
-    this.#response.on('close', () => this.#handleCallerLeft());
+    const handleCallerLeft = () => this.#handleCallerLeft();
+    this.#response.on('close', handleCallerLeft);
+    this.#stopWatching = this.#context.callers.onLeave(this.#request.socket, handleCallerLeft);
     this.#deadlineTimer = setTimeout(() => this.#handleDeadline(), Math.max(0, deadlineAt - now()));
     const { state } = this.#context;
     // The VM that carries the request credits it.
@@ -177,18 +175,23 @@
     else this.#send();
   }
 
+  #isAwaited(): boolean {
+    return !this.#isFinished && !this.#context.callers.hasLeft(this.#request.socket);
+  }
+
   #send(): void {
-    if (this.#isFinished) return;
+    if (!this.#isAwaited()) return;
     const peer = this.#choosePeer();
     // The VM that carries a request checks it.
     if (peer === undefined && this.#crashGuard.isRefused()) {
       this.#failRequest('crashes_endpoints', REFUSED_STATUS);
       return;
     }
-    const remainingMs = this.#admitted.deadlineAt - now();
-    if (remainingMs < MIN_SEND_TIME_MS) this.#endUnserved('too_late', 0);
-    else if (peer !== undefined) this.#sendByPeer(peer, remainingMs);
-    else this.#sendDirectly(remainingMs);
+    const { deadlineAt } = this.#admitted;
+    const instant = now();
+    if (!hasTimeToSend(deadlineAt, instant)) this.#endUnserved('too_late', 0);
+    else if (peer !== undefined) this.#sendByPeer(peer);
+    else this.#sendDirectly(deadlineAt - instant);
   }
 
   /** Returns the VM by way of which the request goes next; undefined when it goes directly. */
@@ -198,12 +201,12 @@
     return this.#context.transits.choosePeer(job.serviceId, this.#triedPeers);
   }
 
-  #sendByPeer(peer: TransitPeer, remainingMs: number): void {
+  #sendByPeer(peer: TransitPeer): void {
     this.#triedPeers.add(peer.id);
     this.#segmentGuard.release();
     const attempt = new TransitAttempt(this.#context, this.#admitted, peer, this.#createObserver());
     attempt.resumedOrigin = this.#choice.origin;
-    this.#startAttempt(attempt, remainingMs);
+    this.#startAttempt(attempt);
   }
 
   #sendDirectly(remainingMs: number): void {
@@ -223,7 +226,7 @@
       this.#choice.markTried(placement.endpoint.id);
       const observer = this.#createObserver();
       const attempt = new EndpointAttempt(this.#context, this.#admitted, placement, observer);
-      this.#startAttempt(attempt, remainingMs);
+      this.#startAttempt(attempt);
     }
   }
 
@@ -233,7 +236,7 @@
     const { job } = this.#admitted;
     const mayWait = brittle.isBrittle(job.serviceId) && WAITING_REASONS.has(reason);
     const refuse = () => this.#endUnserved(reason, retryAfterMs);
-    const waitedMs = now() - this.#arrivedAt;
+    const waitedMs = now() - this.#admitted.arrival.earliestAt;
     this.#stopWaiting = mayWait
       ? brittle.wait(job, waitedMs, remainingMs, { send: () => this.#send(), giveUp: refuse })
       : null;
@@ -242,6 +245,7 @@
 
   #createObserver(): AttemptObserver {
     return {
+      isAwaited: () => this.#isAwaited(),
       streamed: (head, bytes) => this.#forwardChunk(head, bytes),
       livedOn: () => this.#segmentGuard.recordAnswer(),
       streamEnded: (head) => this.#completeStream(head),
@@ -253,7 +257,7 @@
     };
   }
 
-  #startAttempt(attempt: Attempt, remainingMs: number): void {
+  #startAttempt(attempt: Attempt): void {
     this.#logResume(attempt);
     this.#attempt = attempt;
     this.#attemptCount += 1;
@@ -264,7 +268,6 @@
       path: this.#request.url ?? '/',
       headers: dropHopByHopHeaders(this.#request.rawHeaders),
       body: this.#body,
-      remainingMs,
       lastEventId: this.#eventSplitter?.lastEventId ?? null,
     });
   }
@@ -341,7 +344,8 @@
     if (this.#firstAnswerAt !== null) return;
     this.#firstAnswerAt = now();
     const { metrics } = this.#context;
-    metrics.observeFirstAnswer(this.#admitted.route.id, this.#firstAnswerAt - this.#arrivedAt);
+    const { arrival, route } = this.#admitted;
+    metrics.observeFirstAnswer(route.id, this.#firstAnswerAt - arrival.earliestAt);
   }
 
   #recordPause(): void {
@@ -484,9 +488,13 @@
   #handleCallerLeft(): void {
     if (this.#isFinished) return;
     const { isRepeatable, route } = this.#admitted;
-    if (this.#attempt?.isOver === false) this.#crashGuard.recordAbandoned(this.#attempt);
-    // A request that must not run twice may complete: its effect is what the caller asked for.
-    if (isRepeatable || route.repetition === 'streaming') this.#attempt?.cancel('abandoned');
+    const attempt = this.#attempt;
+    const mayRun = attempt?.isOver === false && attempt.mayHaveSent;
+    if (mayRun) this.#crashGuard.recordAbandoned(attempt);
+    // One that must not run twice may complete at its endpoint: its effect is what the caller asked for.
+    const mayComplete =
+      mayRun && attempt.peerId === null && !isRepeatable && route.repetition !== 'streaming';
+    if (!mayComplete) attempt?.cancel('abandoned');
     this.#finish('abandoned');
   }
 
@@ -495,11 +503,13 @@
     this.#isFinished = true;
     if (this.#deadlineTimer !== null) clearTimeout(this.#deadlineTimer);
     if (this.#stuckTimer !== null) clearTimeout(this.#stuckTimer);
+    this.#stopWatching?.();
     this.#stopWaiting?.();
     this.#crashGuard.unwatch();
     this.#segmentGuard.release();
     const { metrics, log, state } = this.#context;
-    const { route, job, isReturning } = this.#admitted;
+    const { arrival, route, job, isReturning } = this.#admitted;
+    const { earliestAt, readAt } = arrival;
     metrics.countRequest(route.id, outcome);
     log.decision('request_ended', {
       requestId: job.id,
@@ -517,10 +527,10 @@
       from: this.#admitted.transit?.from,
       requestLimit: this.#attempt?.requestLimit ?? undefined,
       ...this.#crashGuard.describe(),
-      firstMs:
-        this.#firstAnswerAt === null ? null : Math.round(this.#firstAnswerAt - this.#arrivedAt),
+      unreadMs: Math.round(readAt - earliestAt),
+      firstMs: this.#firstAnswerAt === null ? null : Math.round(this.#firstAnswerAt - earliestAt),
       longestPauseMs: Math.round(this.#longestPauseMs),
-      totalMs: Math.round(now() - this.#arrivedAt),
+      totalMs: Math.round(now() - earliestAt),
     });
   }
 }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -27,6 +27,7 @@
 import { now } from '../clock.js';
 import { createLog } from '../log/index.js';
 import { splitAddress } from './address.js';
+import { CallerConnections } from './callerConnections.js';
 import { AnswerBuffers } from './answerBuffers.js';
 import { BrittleTask } from './brittleTask.js';
 import { ConnectionTable } from './connectionTable.js';
@@ -120,6 +121,7 @@
     refusedSegments: () => countSegments(state.segmentSuspects, now()).refused,
   });
   const loopDelay = new LoopDelay();
+  const callerConnections = new CallerConnections(loopDelay);
   const crashes = new CrashRecorder(state, metrics, log);
   const publication = new PublicationTask(state, source, crashes, log);
   const peers = new PeerTask(settings, state, publication, log);
@@ -151,6 +153,7 @@
     log,
     metrics,
     loopDelay,
+    callers: callerConnections,
     brittle,
     contacts,
     transits,
@@ -189,6 +192,7 @@
     if (isTransit(request)) transitServer.handle(request, response);
     else controlApi(request, response);
   });
+  callerConnections.watch(control);
 
   const isRegistered = (id: string) => state.directory.endpoints.has(id);
   const findServiceId = (id: string) => state.directory.endpoints.get(id)?.serviceId;
--- a/packages/router/src/gateway/gatewayContext.ts
+++ b/packages/router/src/gateway/gatewayContext.ts
@@ -1,4 +1,5 @@
 import type { AnswerBuffers } from './answerBuffers.js';
+import type { CallerConnections } from './callerConnections.js';
 import type { BrittleTask } from './brittleTask.js';
 import type { ConnectionTable } from './connectionTable.js';
 import type { ContactTask } from './contactTask.js';
@@ -22,6 +23,7 @@
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
   readonly loopDelay: LoopDelay;
+  readonly callers: CallerConnections;
   readonly brittle: BrittleTask;
   readonly contacts: ContactTask;
   readonly transits: TransitTask;
--- a/packages/router/src/gateway/handleRequest.ts
+++ b/packages/router/src/gateway/handleRequest.ts
@@ -1,11 +1,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { now } from '../clock.js';
 import { hasValidHeaderNames } from '../headerNames.js';
-import { admitRequest } from './admitRequest.js';
+import { admitRequest, type RejectedRequest } from './admitRequest.js';
 import type { CallerAnswer } from './callerAnswer.js';
 import { Exchange } from './exchange.js';
 import type { GatewayContext } from './gatewayContext.js';
+import { MAX_UNREAD_AGE_MS } from './loopDelay.js';
 import { readBody } from './readBody.js';
 import type { TransitTerms } from './transitEnvelope.js';
 
@@ -26,14 +26,25 @@
   readonly transit: TransitTerms | null;
 }
 
+function reject(
+  { log, metrics, state }: GatewayContext,
+  answer: CallerAnswer,
+  { status, reason, retryAfterMs, routeId }: RejectedRequest,
+): void {
+  metrics.countRequest(routeId, reason);
+  const configuration = state.routing.configuration?.version ?? null;
+  log.decision('request_rejected', { status, reason, routeId, configuration });
+  answer.sendError(status, reason, retryAfterMs);
+}
+
 /** Reads, admits and answers a request; rejects on unexpected errors only. */
 export async function handleRequest(
   context: GatewayContext,
   received: ReceivedRequest,
 ): Promise<void> {
-  const arrivedAt = now();
   const { answer, request, response, transit } = received;
-  const { state, metrics, log } = context;
+  const { callers, loopDelay, metrics, state } = context;
+  const arrival = callers.readArrival(request.socket);
   if (!hasValidHeaderNames(request.rawHeaders)) {
     metrics.countRequest('none', 'malformed_header');
     // What follows on the connection may be part of it.
@@ -54,14 +65,16 @@
     request.resume();
     return;
   }
-  const admission = admitRequest(context, request, arrivedAt, transit);
+  const admission = admitRequest(context, request, arrival, transit);
   if (admission.kind === 'rejected') {
-    const { status, reason, retryAfterMs, routeId } = admission;
-    metrics.countRequest(routeId, reason);
-    const configuration = state.routing.configuration?.version ?? null;
-    log.decision('request_rejected', { status, reason, routeId, configuration });
-    answer.sendError(status, reason, retryAfterMs);
+    reject(context, answer, admission);
     return;
   }
-  new Exchange(context, admission, received, result.body, arrivedAt).start();
+  const { body } = result;
+  const begin = () => {
+    if (!callers.hasLeft(request.socket)) new Exchange(context, admission, received, body).start();
+  };
+  // A close of the caller may stand behind a request that came so long ago.
+  if (arrival.readAt - arrival.earliestAt > MAX_UNREAD_AGE_MS) loopDelay.afterPoll(begin);
+  else begin();
 }
--- a/packages/router/src/gateway/loopDelay.ts
+++ b/packages/router/src/gateway/loopDelay.ts
@@ -14,7 +14,7 @@
  * Age that unread bytes may have while requests are sent; the close of a caller is among them. Half a
  * second after it no endpoint may get the request.
  */
-const MAX_UNREAD_AGE_MS = 200;
+export const MAX_UNREAD_AGE_MS = 200;
 
 /** Returns the time that the loop has spent waiting for events, in milliseconds. */
 function readIdleMs(): number {
@@ -73,6 +73,11 @@
     return this.unreadAgeMs > MAX_UNREAD_AGE_MS;
   }
 
+  /** Time that the loop has spent waiting for events so far, in milliseconds. */
+  get idleMs(): number {
+    return this.#readIdleMs();
+  }
+
   /** Returns the time since an instant in which this process listened, in milliseconds. */
   listenedMs(since: number): number {
     return listenedMs(this.#state, since, now());
@@ -87,7 +92,7 @@
 
   /** Records a heartbeat; returns the length of a standstill that it ends, in milliseconds. */
   beat(): number {
-    this.#recordTurn();
+    this.markTurn();
     return recordBeat(this.#state, now());
   }
 
@@ -108,6 +113,12 @@
     this.markTurn();
   }
 
+  /** Calls back once the sockets have been polled and this process is on time. */
+  afterPoll(callback: () => void): void {
+    // The first is called in this turn, the second after the next poll.
+    setImmediate(() => setImmediate(() => this.whenOnTime(callback)));
+  }
+
   #createTurn(): LoopTurn {
     return { at: now(), idleMs: this.#readIdleMs() };
   }
@@ -116,13 +127,14 @@
     const turn = this.#createTurn();
     const { latest } = this.#state;
     this.#latestTurnMs = Math.max(0, turn.at - latest.at - (turn.idleMs - latest.idleMs));
-    this.#turnCount += 1;
     this.#longestTurnMs = Math.max(this.#longestTurnMs, this.#latestTurnMs);
     recordTurn(this.#state, turn);
   }
 
   #endTurn(): void {
     this.#isTurnMarked = false;
+    this.#turnCount += 1;
+    // Only here, once between two polls: the age of what is unread counts from the mark before the last.
     this.#recordTurn();
     if (this.#waiting.length === 0) return;
     if (this.isBehind) {
--- a/packages/router/src/gateway/transitAttempt.ts
+++ b/packages/router/src/gateway/transitAttempt.ts
@@ -7,6 +7,7 @@
 import type { AnswerNote } from './callerAnswer.js';
 import { EndpointRequest, type AttemptFailure } from './endpointRequest.js';
 import type { GatewayContext } from './gatewayContext.js';
+import { hasTimeToSend } from './hasTimeToSend.js';
 import { addTerms, readNote, removeEnvelope, TRANSIT_PATH } from './transitEnvelope.js';
 
 /** The peer gives up this long before this VM does, so that its answer arrives. */
@@ -63,7 +64,10 @@
     this.peerId = id;
     this.predictedMs = PREDICTED_TARGET_FACTOR * admitted.route.targetMs;
     this.#body = new AnswerBody(context.buffers, (message) => this.#reject(message));
-    this.#request = new EndpointRequest(context.transits.getConnections(address), {
+    const connections = context.transits.getConnections(address);
+    this.#request = new EndpointRequest(connections, context.loopDelay, {
+      isAwaited: () => observer.isAwaited(),
+      mayStart: () => hasTimeToSend(admitted.deadlineAt, now()),
       head: (status, headers) => this.#handleHead(status, headers),
       body: (chunk) => this.#handleBody(chunk),
       end: () => this.#handleEnd(),
@@ -76,6 +80,10 @@
     return this.#isSettled;
   }
 
+  get mayHaveSent(): boolean {
+    return this.#request.mayHaveSent;
+  }
+
   get hasAnswered(): boolean {
     return this.#note !== null;
   }
@@ -87,19 +95,21 @@
   /** Where the stream began that this attempt goes on with; set before it is sent. */
   resumedOrigin: StreamOrigin | null = null;
 
-  send({ method, path, headers, body, remainingMs, lastEventId }: AttemptRequest): void {
-    const terms = {
-      from: this.#context.state.vmId,
-      remainingMs: Math.max(0, Math.floor(remainingMs - ANSWER_MARGIN_MS)),
-      lastEventId,
-      origin: this.resumedOrigin,
-    };
-    const { id } = this.#admitted.job;
+  send({ method, path, headers, body, lastEventId }: AttemptRequest): void {
+    const { deadlineAt, job } = this.#admitted;
+    const { id } = job;
+    const formatHeaders = () =>
+      addTerms(headers, {
+        from: this.#context.state.vmId,
+        remainingMs: Math.max(0, Math.floor(deadlineAt - now() - ANSWER_MARGIN_MS)),
+        lastEventId,
+        origin: this.resumedOrigin,
+      });
     this.#context.log.decision('transit_sent', { requestId: id, peer: this.peerId });
     this.#request.start({
       method,
       path: `${TRANSIT_PATH}${path}`,
-      headers: addTerms(headers, terms),
+      formatHeaders,
       body,
     });
   }
@@ -182,7 +192,8 @@
       error: failure.message,
       sinceSentMs: Math.round(now() - this.#sentAt),
     });
-    if (failure.verdict === 'not-run') this.#observer.notRun(failure.message);
+    if (failure.cause === 'withheld') this.#observer.withheld();
+    else if (failure.verdict === 'not-run') this.#observer.notRun(failure.message);
     else this.#observer.failed(failure);
   }
 
