Do not take a standstill of this process for the silence of endpoints

Requests were sent once more although their endpoints had answered in time, and callers were told that time was over while their answers lay in the socket. Cause: timers run before sockets are read; after a standstill an attempt looks stuck, a stream stalled, a deadline missed, and a trial agreed on, before the VM has listened.

Stuck and stalled attempts and the wait before a trial count the time in which the process listened, and are concluded after a poll; a deadline is absolute, but what has arrived is read first.

--- a/packages/router/__tests__/gateway/lateDeadlines.spec.ts
+++ b/packages/router/__tests__/gateway/lateDeadlines.spec.ts
@@ -1,4 +1,4 @@
-import { describe, itFails } from '@filbertlatch/core/testing';
+import { describe, itSerial } from '@filbertlatch/core/testing';
 
 import { playLateScenario, type LateScenario } from './lateFleet.js';
 import { LEAST_WAITING_SERVED, MAX_FAULTY_REQUESTS, maxOverlongDeadlines } from './lateMeasures.js';
@@ -35,14 +35,17 @@
 describe('requests that wait in the sockets of a VM', () => {
   for (let seed = 1; seed <= SEEDS; seed += 1) {
     Object.entries(scenarios).forEach(([title, changes]) => {
-      itFails(`are not sent on with more time than is left: ${title} (seed ${seed})`, async (t) => {
-        const outcome = await playLateScenario({ ...basis, ...changes, seed });
-        t.log(JSON.stringify(outcome));
-        t.true(outcome.overlongDeadlines <= maxOverlongDeadlines(outcome), 'overlong deadlines');
-        t.true(outcome.repeatedAfterAnswer <= MAX_FAULTY_REQUESTS, 'sent once more');
-        t.true(outcome.ends.cut <= MAX_FAULTY_REQUESTS, 'lost');
-        t.true(outcome.waitingServed >= LEAST_WAITING_SERVED * outcome.waiting, 'served in time');
-      });
+      itSerial(
+        `are not sent on with more time than is left: ${title} (seed ${seed})`,
+        async (t) => {
+          const outcome = await playLateScenario({ ...basis, ...changes, seed });
+          t.log(JSON.stringify(outcome));
+          t.true(outcome.overlongDeadlines <= maxOverlongDeadlines(outcome), 'overlong deadlines');
+          t.true(outcome.repeatedAfterAnswer <= MAX_FAULTY_REQUESTS, 'sent once more');
+          t.true(outcome.ends.cut <= MAX_FAULTY_REQUESTS, 'lost');
+          t.true(outcome.waitingServed >= LEAST_WAITING_SERVED * outcome.waiting, 'served in time');
+        },
+      );
     });
   }
 });
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -16,6 +16,7 @@
 import type { OriginAnswer } from './originTask.js';
 import { SegmentGuard } from './segmentGuard.js';
 import { EndpointAttempt } from './endpointAttempt.js';
+import { SilenceTimer } from './silenceTimer.js';
 import type { ReceivedRequest } from './handleRequest.js';
 import { TransitAttempt } from './transitAttempt.js';
 
@@ -113,7 +114,10 @@
 
   #deadlineTimer: NodeJS.Timeout | null = null;
 
-  #stuckTimer: NodeJS.Timeout | null = null;
+  readonly #stuckTimer: SilenceTimer;
+
+  /** Waits for what peers say of trials. */
+  readonly #trialTimer: SilenceTimer;
 
   #placement: Placement | null = null;
 
@@ -130,6 +134,8 @@
     this.#answer = answer;
     this.#body = body;
     this.#choice = new EndpointChoice(context, admitted);
+    this.#stuckTimer = new SilenceTimer(context.loopDelay);
+    this.#trialTimer = new SilenceTimer(context.loopDelay);
     this.#segmentGuard = new SegmentGuard(context, admitted);
     const { accountId } = admitted;
     this.#crashGuard = new CrashGuard(context, this.#segmentGuard, accountId, request, body);
@@ -146,8 +152,10 @@
     const handleCallerLeft = () => this.#handleCallerLeft();
     this.#response.on('close', handleCallerLeft);
     this.#stopWatching = this.#context.callers.onLeave(this.#request.socket, handleCallerLeft);
-    this.#deadlineTimer = setTimeout(() => this.#handleDeadline(), Math.max(0, deadlineAt - now()));
-    const { state } = this.#context;
+    const { loopDelay, state } = this.#context;
+    // An answer may wait to be read.
+    const handleDeadline = () => loopDelay.whenOnTime(() => this.#handleDeadline());
+    this.#deadlineTimer = setTimeout(handleDeadline, Math.max(0, deadlineAt - now()));
     // The VM that carries the request credits it.
     if (this.#choosePeer() === undefined) creditRequest(state.retryBudget, job.serviceId, now());
     if (this.#isTakenUp()) void this.#takeUp();
@@ -212,7 +220,7 @@
   #sendDirectly(remainingMs: number): void {
     const permission = this.#segmentGuard.requestPermission();
     if (permission.kind === 'wait') {
-      setTimeout(() => this.#send(), permission.waitMs);
+      this.#trialTimer.start(permission.waitMs, () => this.#send());
       return;
     }
     if (permission.kind === 'refuse') {
@@ -292,7 +300,6 @@
    * that may run twice have one.
    */
   #restartStuckTimer(attempt: Attempt): void {
-    if (this.#stuckTimer !== null) clearTimeout(this.#stuckTimer);
     const { isRepeatable, route } = this.#admitted;
     if (!isRepeatable) return;
     const stallMs = Math.max(MIN_STALL_MS, (route.gapTargetMs ?? 0) * STALL_GAP_FACTOR);
@@ -300,7 +307,7 @@
     const streamFirstEventMs = Math.max(stallMs, stuckMs + attempt.predictedMs);
     const firstAnswerWaitMs = route.repetition === 'streaming' ? streamFirstEventMs : stuckMs;
     const waitMs = attempt.hasAnswered ? stallMs : firstAnswerWaitMs;
-    this.#stuckTimer = setTimeout(() => this.#replaceStuckAttempt(attempt), waitMs);
+    this.#stuckTimer.start(waitMs, () => this.#replaceStuckAttempt(attempt));
   }
 
   #replaceStuckAttempt(attempt: Attempt): void {
@@ -502,7 +509,8 @@
     if (this.#isFinished) return;
     this.#isFinished = true;
     if (this.#deadlineTimer !== null) clearTimeout(this.#deadlineTimer);
-    if (this.#stuckTimer !== null) clearTimeout(this.#stuckTimer);
+    this.#stuckTimer.stop();
+    this.#trialTimer.stop();
     this.#stopWatching?.();
     this.#stopWaiting?.();
     this.#crashGuard.unwatch();
