Count a service as lost only after sixteen endpoints have failed

Callers saw their requests go by way of another VM, a hop more, while one endpoint of the service answered: when eight of twelve had ended, the VM believed its links lost. Cause: eight failures within 1.5 s with no new connection between them were taken for a loss, and a request that crashes endpoints, or a release, ends more than eight.

A service with more than sixteen endpoints of which all but one end is believed lost as before: open.

--- a/packages/core/src/contacts/commands.ts
+++ b/packages/core/src/contacts/commands.ts
@@ -7,8 +7,8 @@
 /** Endpoints that fail before the links to their service are in doubt: one may have crashed. */
 const FAILED_ENDPOINTS_TO_DOUBT = 2;
 
-/** Endpoints that fail before their service counts as lost: many may have crashed. */
-export const FAILED_ENDPOINTS_TO_LOSE = 8;
+/** Endpoints that fail before their service counts as lost: a request may crash all but a few. */
+export const FAILED_ENDPOINTS_TO_LOSE = 16;
 
 /** What a failure shows: nothing more, that the links are to be checked, or that there are none. */
 export type FailureSign = 'none' | 'doubtful' | 'lost';
