Read the sockets before a silence counts

A wait of some tens of milliseconds was taken for silence though an answer stood in the socket: timers may run before the sockets are read, and a process that is no more than 200 ms late counts as on time. The timer polls once in any case now.

--- a/packages/router/__tests__/gateway/loopDelay.spec.ts
+++ b/packages/router/__tests__/gateway/loopDelay.spec.ts
@@ -67,6 +67,32 @@
     }),
   );
 
+  itSerial('does not call back before what arrived in a short standstill is read', (t) =>
+    withLoopDelay(async (loopDelay) => {
+      const server = createServer();
+      server.listen(0, '127.0.0.1');
+      await once(server, 'listening');
+      const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+      const [socket] = (await once(server, 'connection')) as [ReturnType<typeof connect>];
+      const events: string[] = [];
+      socket.on('data', () => events.push('data'));
+      const timer = new SilenceTimer(loopDelay);
+      await new Promise<void>((resolve) => {
+        timer.start(40, () => {
+          events.push('silent');
+          resolve();
+        });
+        setImmediate(() => {
+          caller.write('x');
+          block(100);
+        });
+      });
+      caller.destroy();
+      server.close();
+      t.deepEqual(events, ['data', 'silent']);
+    }),
+  );
+
   itSerial('that is stopped does not call back', (t) =>
     withLoopDelay(async (loopDelay) => {
       const timer = new SilenceTimer(loopDelay);
--- a/packages/router/src/gateway/silenceTimer.ts
+++ b/packages/router/src/gateway/silenceTimer.ts
@@ -35,13 +35,19 @@
 
   #wait(silenceMs: number, since: number, run: number, callback: () => void): void {
     const leftMs = Math.max(0, silenceMs - this.#loopDelay.listenedMs(since));
-    this.#timer = setTimeout(() => {
-      this.#loopDelay.whenOnTime(() => {
-        if (run !== this.#run) return;
-        const stillMs = silenceMs - this.#loopDelay.listenedMs(since);
-        if (stillMs > MIN_WAIT_MS) this.#wait(silenceMs, since, run, callback);
-        else callback();
-      });
-    }, leftMs);
+    // Timers may run before the sockets are read, also when the process is on time.
+    this.#timer = setTimeout(
+      () => setImmediate(() => this.#check(silenceMs, since, run, callback)),
+      leftMs,
+    );
+  }
+
+  #check(silenceMs: number, since: number, run: number, callback: () => void): void {
+    this.#loopDelay.whenOnTime(() => {
+      if (run !== this.#run) return;
+      const stillMs = silenceMs - this.#loopDelay.listenedMs(since);
+      if (stillMs > MIN_WAIT_MS) this.#wait(silenceMs, since, run, callback);
+      else callback();
+    });
   }
 }
