Do not take answers to health checks that are unread for silence

Callers saw sound requests refused with 500: after a standstill all health checks that ran at the time had timed out, bytes of any other endpoint showed that the VM has links, and the attempts that had broken at the checked endpoints became crashes of their requests. Cause: the time-out of a check ran by the clock, and ran out before the sockets were read. It counts the time now in which the process listened, and comes after a poll.

--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -138,7 +138,16 @@
   const contacts = new ContactTask(state, connections, terms, metrics, log, notifyPeers);
   const brittle = new BrittleTask(state, log);
   const transits = new TransitTask(state, contacts);
-  const probes = new ProbeTask(state, dialect, connections, crashes, terms, contacts, log);
+  const probes = new ProbeTask(
+    state,
+    dialect,
+    connections,
+    crashes,
+    terms,
+    contacts,
+    loopDelay,
+    log,
+  );
   const liveness = new LivenessTask(state, dialect, connections, terms, contacts, metrics, log);
   let currentSettings = settings;
   // Starts anew with the process, whose former trials may still be known to its peers.
--- a/packages/router/src/gateway/probeTask.ts
+++ b/packages/router/src/gateway/probeTask.ts
@@ -9,6 +9,8 @@
 import type { EndpointTerms } from './endpointTerms.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
+import type { LoopDelay } from './loopDelay.js';
+import { SilenceTimer } from './silenceTimer.js';
 
 /** Time-out of a health check; a healthy endpoint answers within it even when its queue is full. */
 const PROBE_TIMEOUT_MS = 1000;
@@ -47,6 +49,8 @@
 
   readonly #contacts: ContactTask;
 
+  readonly #loopDelay: LoopDelay;
+
   readonly #log: GatewayLog;
 
   readonly #progress = new Map<string, ProbeProgress>();
@@ -58,6 +62,7 @@
     crashes: CrashRecorder,
     terms: EndpointTerms,
     contacts: ContactTask,
+    loopDelay: LoopDelay,
     log: GatewayLog,
   ) {
     this.#state = state;
@@ -66,6 +71,7 @@
     this.#crashes = crashes;
     this.#terms = terms;
     this.#contacts = contacts;
+    this.#loopDelay = loopDelay;
     contacts.onDoubt((endpointId) => this.probe(endpointId));
     this.#log = log;
   }
@@ -127,9 +133,14 @@
     const path = routing.configuration?.services.get(endpoint.serviceId)?.healthPath ?? '/';
     const client = new Client(`http://${endpoint.address}`);
     const startedAt = now();
+    const timeout = new AbortController();
+    const timer = new SilenceTimer(this.#loopDelay);
+    timer.start(PROBE_TIMEOUT_MS, () => {
+      timeout.abort(new DOMException('no answer in time', 'TimeoutError'));
+    });
     this.#terms.limits.recordSend(endpoint.id);
     try {
-      const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
+      const { signal } = timeout;
       const options = { method: 'GET', path, signal, responseHeaders: 'raw' } as const;
       const { statusCode, headers, body } = await client.request(options);
       await body.dump();
@@ -139,6 +150,7 @@
     } catch (error) {
       await this.#recordFailure(endpoint, startedAt, error);
     } finally {
+      timer.stop();
       void client.destroy();
     }
   }
