Do not give a liveness check up because the process stood still

A caller got an answer as complete whose endpoint had ended with it: the answer ends with its connection, the check of the endpoint was given up as the process stood still while it connected, and an endpoint that could not be checked counts as alive. Cause: the time-out for connecting ran out before the sockets were read, and was carried out even though the connection opened in the poll after it. Each phase is waited for by the time in which the process listened, and the second ends the first.

Evidence: livenessTask.spec, the loop stands still for 0.2 s while the check connects, and another endpoint answers at the address: 200, complete, 3 of 3; 502 now, 4 of 4.

--- a/packages/router/src/gateway/livenessTask.ts
+++ b/packages/router/src/gateway/livenessTask.ts
@@ -13,6 +13,8 @@
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { GatewayState } from './gatewayState.js';
+import type { LoopDelay } from './loopDelay.js';
+import { SilenceTimer } from './silenceTimer.js';
 
 /** What a check tells of an endpoint; `unknown` when neither can be shown in time. */
 export type Liveness = 'alive' | 'ended' | 'unknown';
@@ -67,6 +69,8 @@
 
   readonly #contacts: ContactTask;
 
+  readonly #loopDelay: LoopDelay;
+
   readonly #metrics: GatewayMetrics;
 
   readonly #log: GatewayLog;
@@ -80,6 +84,7 @@
     connections: ConnectionTable,
     terms: EndpointTerms,
     contacts: ContactTask,
+    loopDelay: LoopDelay,
     metrics: GatewayMetrics,
     log: GatewayLog,
   ) {
@@ -88,6 +93,7 @@
     this.#connections = connections;
     this.#terms = terms;
     this.#contacts = contacts;
+    this.#loopDelay = loopDelay;
     this.#metrics = metrics;
     this.#log = log;
   }
@@ -152,15 +158,13 @@
     const { routing } = this.#state;
     const path = routing.configuration?.services.get(serviceId)?.healthPath ?? '/';
     const timeout = new AbortController();
-    // After a poll for what has arrived meanwhile, in case this process was late.
-    const abort = () => setImmediate(() => timeout.abort());
-    let timer = setTimeout(abort, CONNECT_TIMEOUT_MS);
+    const timer = new SilenceTimer(this.#loopDelay);
+    timer.start(CONNECT_TIMEOUT_MS, () => timeout.abort());
     const openSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
     const client = new Client(`http://${address}`, {
       connect: (target, callback) => {
         openSocket(target, (...result) => {
-          clearTimeout(timer);
-          timer = setTimeout(abort, ANSWER_TIMEOUT_MS);
+          timer.start(ANSWER_TIMEOUT_MS, () => timeout.abort());
           callback(...result);
         });
       },
@@ -176,7 +180,7 @@
       if (endpointId === null) return 'unknown';
       return endpointId === id ? 'alive' : 'ended';
     } finally {
-      clearTimeout(timer);
+      timer.stop();
       void client.destroy();
     }
   }
