Do not take answers of the store that are unread for silence

A VM that stood still believed the store lost, asked its peers for what it had, told them that it has no store, and kept endpoints whose entries lapsed; changes took effect later. Cause: the time-out of a watch (3.2 s, of which the store may wait 2.5 s) ran out before the sockets were read. It counts the time now in which the process listened, and comes after a poll.

--- a/packages/router/__tests__/gateway/publicationTask.spec.ts
+++ b/packages/router/__tests__/gateway/publicationTask.spec.ts
@@ -1,4 +1,5 @@
 import {
+  BEAT_INTERVAL_MS,
   createRandom,
   ejectEndpoint,
   getHealthPhase,
@@ -6,16 +7,19 @@
   type RegisteredEndpoint,
 } from '@filbertlatch/core';
 import { describe, it } from '@filbertlatch/core/testing';
+import { request } from 'undici';
 
 import { now } from '../../src/clock.js';
 import { CrashRecorder } from '../../src/gateway/crashRecorder.js';
 import { GatewayLog } from '../../src/gateway/gatewayLog.js';
 import { createGatewayState, type GatewayState } from '../../src/gateway/gatewayState.js';
 import { PublicationTask } from '../../src/gateway/publicationTask.js';
+import { LoopDelay } from '../../src/gateway/loopDelay.js';
 import { parseGatewaySettings } from '../../src/gateway/settings.js';
 import type { PublicationSource } from '../../src/gateway/index.js';
 import { createLog } from '../../src/log/index.js';
 import { createSource, createTestMetrics, waitUntil } from './fixtures.js';
+import { blockLoop, startThreadedEndpoint } from './threadedEndpoint.js';
 
 const settings = parseGatewaySettings({
   vm: { id: 'vm-1', zone: 'zone-a' },
@@ -66,7 +70,7 @@
   const log = new GatewayLog(createLog('vm-1', 'error'));
   const crashes = new CrashRecorder(state, createTestMetrics(), log);
   const source = new ChangingSource();
-  const task = new PublicationTask(state, source.source, crashes, log);
+  const task = new PublicationTask(state, source.source, crashes, new LoopDelay(), log);
   task.start();
   try {
     await waitUntil(() => state.directory.endpoints.has('e1'));
@@ -102,3 +106,33 @@
     });
   });
 });
+
+describe('a store that answers while the process stands still', () => {
+  it('is not lost', async (t) => {
+    const store = await startThreadedEndpoint('store', { answerDelayMs: 1000 });
+    const source: PublicationSource = {
+      ...createSource(null, []),
+      watch: async (_part, after, signal) => {
+        await request(`http://${store.endpoint.address}/watch`, { signal });
+        return { entries: [], revision: after + 1 };
+      },
+    };
+    const state = createGatewayState(settings, createRandom(1));
+    const log = new GatewayLog(createLog('vm-1', 'error'));
+    const crashes = new CrashRecorder(state, createTestMetrics(), log);
+    const loopDelay = new LoopDelay();
+    const timer = setInterval(() => loopDelay.beat(), BEAT_INTERVAL_MS);
+    const task = new PublicationTask(state, source, crashes, loopDelay, log);
+    task.start();
+    try {
+      await waitUntil(() => store.paths.length === 2);
+      blockLoop(3500);
+      await waitUntil(() => store.paths.length === 4);
+      t.true(task.isConnected);
+    } finally {
+      task.stop();
+      clearInterval(timer);
+      await store.close();
+    }
+  });
+});
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -121,7 +121,7 @@
   });
   const loopDelay = new LoopDelay();
   const crashes = new CrashRecorder(state, metrics, log);
-  const publication = new PublicationTask(state, source, crashes, log);
+  const publication = new PublicationTask(state, source, crashes, loopDelay, log);
   const peers = new PeerTask(settings, state, publication, log);
   const notifyPeers = () => peers.gossip();
   publication.onUpdate(notifyPeers);
--- a/packages/router/src/gateway/publicationTask.ts
+++ b/packages/router/src/gateway/publicationTask.ts
@@ -23,6 +23,8 @@
 import type { CrashRecorder } from './crashRecorder.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
+import type { LoopDelay } from './loopDelay.js';
+import { SilenceTimer } from './silenceTimer.js';
 import {
   HistoryLostError,
   type PublicationPart,
@@ -80,6 +82,8 @@
 
   readonly #crashes: CrashRecorder;
 
+  readonly #loopDelay: LoopDelay;
+
   readonly #log: GatewayLog;
 
   readonly #watchers: readonly LongPoller[];
@@ -99,11 +103,13 @@
     state: GatewayState,
     source: PublicationSource,
     crashes: CrashRecorder,
+    loopDelay: LoopDelay,
     log: GatewayLog,
   ) {
     this.#state = state;
     this.#source = source;
     this.#crashes = crashes;
+    this.#loopDelay = loopDelay;
     this.#log = log;
     const parts: readonly PublicationPart[] = ['configuration', 'endpoints'];
     this.#watchers = parts.map(
@@ -189,8 +195,12 @@
   async #poll(part: PublicationPart, callSignal: AbortSignal): Promise<boolean> {
     const position = this.#positions[part];
     const isFullRead = position.revision < 0;
-    const timeout = AbortSignal.timeout(isFullRead ? READ_TIMEOUT_MS : WATCH_TIMEOUT_MS);
-    const signal = AbortSignal.any([callSignal, this.#stop.signal, timeout]);
+    const timeout = new AbortController();
+    const timer = new SilenceTimer(this.#loopDelay);
+    timer.start(isFullRead ? READ_TIMEOUT_MS : WATCH_TIMEOUT_MS, () => {
+      timeout.abort(new DOMException('no answer in time', 'TimeoutError'));
+    });
+    const signal = AbortSignal.any([callSignal, this.#stop.signal, timeout.signal]);
     try {
       const batch = isFullRead
         ? await this.#source.read(part, signal)
@@ -205,6 +215,8 @@
       position.revision = -1;
       this.#log.warn('history_lost', { part });
       return true;
+    } finally {
+      timer.stop();
     }
   }
 
