Do not take peers that are unread for silent when streams go on

After a standstill of 1.5 s a VM had no peers until it had read their messages: the origin of a stream that began then was kept by none of them, also not when it was sent again, and a caller that took a stream up there got 503 as of an unknown stream, also when the answer of a peer stood in the socket. Cause: the silence of peers and the waits for answers ran by the clock. Both count the time now in which the process listened, the waits end after a poll; so does the time after the start in which peers may not have been heard (this one is changed by reading, no test shows it).

--- /dev/null
+++ b/packages/router/__tests__/gateway/originTask.spec.ts
@@ -0,0 +1,121 @@
+import { createSocket } from 'node:dgram';
+import { once } from 'node:events';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { BEAT_INTERVAL_MS, createRandom } from '@filbertlatch/core';
+import { describe, itSerial } from '@filbertlatch/core/testing';
+
+import { now } from '../../src/clock.js';
+import { GatewayLog } from '../../src/gateway/gatewayLog.js';
+import { createGatewayState, type GatewayState } from '../../src/gateway/gatewayState.js';
+import { LoopDelay } from '../../src/gateway/loopDelay.js';
+import { OriginTask } from '../../src/gateway/originTask.js';
+import type { PeerTask } from '../../src/gateway/peerTask.js';
+import { parseGatewaySettings } from '../../src/gateway/settings.js';
+import { createLog } from '../../src/log/index.js';
+import { createSource } from './fixtures.js';
+import { blockLoop } from './threadedEndpoint.js';
+
+const settings = parseGatewaySettings({
+  vm: { id: 'vm-1', zone: 'zone-a' },
+  listen: { callers: '127.0.0.1:1', ready: '127.0.0.1:2', control: '127.0.0.1:3' },
+  seeds: [],
+  platform: { address: '127.0.0.1:4' },
+  graceSeconds: 8,
+  repeats: { ratio: 0.2, slack: 56, windowSeconds: 10 },
+});
+
+const PEER_ADDRESS = '127.0.0.1:5';
+
+/** Passes on what the task sends to a peer as the test says. */
+class FakePeers {
+  readonly address = '127.0.0.1:3';
+
+  readonly hasStore = true;
+
+  readonly sent: string[] = [];
+
+  readonly #handlers = new Map<string, (params: unknown) => void>();
+
+  readonly #answer: (key: string) => void;
+
+  constructor(answer: (key: string) => void = () => {}) {
+    this.#answer = answer;
+  }
+
+  onMessage(method: string, handle: (params: unknown) => void): void {
+    this.#handlers.set(method, handle);
+  }
+
+  sendMessage(method: string, params: { key?: string }, addresses: readonly string[]): void {
+    if (addresses.length === 0) return;
+    this.sent.push(method);
+    if (params.key !== undefined) this.#answer(params.key);
+  }
+
+  receive(method: string, params: unknown): void {
+    this.#handlers.get(method)?.(params);
+  }
+}
+
+async function withTask(
+  peers: FakePeers,
+  use: (task: OriginTask, state: GatewayState) => Promise<void>,
+): Promise<void> {
+  const state = createGatewayState(settings, createRandom(1));
+  const loopDelay = new LoopDelay();
+  const timer = setInterval(() => loopDelay.beat(), BEAT_INTERVAL_MS);
+  const log = new GatewayLog(createLog('vm-1', 'error'));
+  const source = createSource(null, []);
+  const task = new OriginTask(state, peers as unknown as PeerTask, source, loopDelay, log);
+  const versions = { configurationVersion: 1, directoryRevision: 1 };
+  try {
+    await sleep(2 * BEAT_INTERVAL_MS);
+    state.peers.set('vm-2', { address: PEER_ADDRESS, heardAt: now(), hasStore: true, ...versions });
+    await use(task, state);
+  } finally {
+    task.stop();
+    clearInterval(timer);
+  }
+}
+
+describe('a stream, when the process stands still,', () => {
+  itSerial('is kept by peers that were heard before', async (t) => {
+    const peers = new FakePeers();
+    await withTask(peers, async (task) => {
+      blockLoop(1800);
+      task.record(null, 'request-1', { serviceId: 'desk', version: '1' });
+      t.deepEqual(peers.sent, ['keepOrigins']);
+    });
+  });
+
+  itSerial('goes on at the origin that a peer has told meanwhile', async (t) => {
+    const receiver = createSocket('udp4');
+    receiver.bind(0, '127.0.0.1');
+    await once(receiver, 'listening');
+    const sender = createSocket('udp4');
+    sender.connect(receiver.address().port, '127.0.0.1');
+    await once(sender, 'connect');
+    let asked = 0;
+    const peers = new FakePeers((key) => {
+      asked += 1;
+      // The first messages are lost.
+      if (asked < 3) return;
+      // After a poll and before timers.
+      setImmediate(() => {
+        sender.send(JSON.stringify({ origins: [[key, 'desk', '2']] }));
+        blockLoop(150);
+      });
+    });
+    receiver.on('message', (bytes) => peers.receive('keepOrigins', JSON.parse(bytes.toString())));
+    try {
+      await withTask(peers, async (task) => {
+        const answer = await task.find(null, 'request-1', 'desk');
+        t.is(answer.kind, 'known');
+      });
+    } finally {
+      receiver.close();
+      sender.close();
+    }
+  });
+});
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -125,7 +125,7 @@
   const peers = new PeerTask(settings, state, publication, log);
   const notifyPeers = () => peers.gossip();
   publication.onUpdate(notifyPeers);
-  const origins = new OriginTask(state, peers, source, log);
+  const origins = new OriginTask(state, peers, source, loopDelay, log);
   publication.onFirstRead((revision) => {
     void origins.readHistory(revision);
   });
--- a/packages/router/src/gateway/originTask.ts
+++ b/packages/router/src/gateway/originTask.ts
@@ -19,8 +19,10 @@
 import { now } from '../clock.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
+import type { LoopDelay } from './loopDelay.js';
 import type { PeerTask } from './peerTask.js';
 import type { PublicationSource } from './publication.js';
+import { SilenceTimer } from './silenceTimer.js';
 import { readVersionHistory, type VersionHistory } from './versionHistory.js';
 
 /** VMs that keep the origin of a stream beside the one at which it began. */
@@ -84,6 +86,8 @@
 
   readonly #source: PublicationSource;
 
+  readonly #loopDelay: LoopDelay;
+
   readonly #log: GatewayLog;
 
   readonly #stop = new AbortController();
@@ -93,10 +97,17 @@
   /** Called when the origin of a stream arrives; by stream key. */
   readonly #waiting = new Map<string, Set<() => void>>();
 
-  constructor(state: GatewayState, peers: PeerTask, source: PublicationSource, log: GatewayLog) {
+  constructor(
+    state: GatewayState,
+    peers: PeerTask,
+    source: PublicationSource,
+    loopDelay: LoopDelay,
+    log: GatewayLog,
+  ) {
     this.#state = state;
     this.#peers = peers;
     this.#source = source;
+    this.#loopDelay = loopDelay;
     this.#log = log;
     peers.onMessage(KEEP_METHOD, (params) => this.#handleKeep(params));
     peers.onMessage(ASK_METHOD, (params) => this.#handleAsk(params));
@@ -211,13 +222,12 @@
   /** True when another version would be known here: from the store, or from a peer. */
   #isInTouch(): boolean {
     if (this.#listPeers().length > 0) return true;
-    return this.#peers.hasStore && now() - this.#startedAt > JOIN_MS;
+    return this.#peers.hasStore && this.#loopDelay.listenedMs(this.#startedAt) > JOIN_MS;
   }
 
   #listPeers(): { id: string; address: string }[] {
-    const heardSince = now() - MAX_SILENCE_MS;
     return [...this.#state.peers]
-      .filter(([, { heardAt }]) => heardAt >= heardSince)
+      .filter(([, { heardAt }]) => this.#loopDelay.listenedMs(heardAt) <= MAX_SILENCE_MS)
       .map(([id, { address }]) => ({ id, address }));
   }
 
@@ -256,15 +266,18 @@
   }
 
   async #waitFor(key: string, waitMs: number): Promise<void> {
-    const timeout = new AbortController();
+    const timer = new SilenceTimer(this.#loopDelay);
     const waiting = this.#waiting.get(key) ?? new Set();
-    const stop = () => timeout.abort();
-    waiting.add(stop);
     this.#waiting.set(key, waiting);
-    await sleep(waitMs, undefined, { signal: timeout.signal }).catch(() => {
-      // The origin has arrived.
+    await new Promise<void>((resolve) => {
+      const stop = () => {
+        timer.stop();
+        waiting.delete(stop);
+        resolve();
+      };
+      waiting.add(stop);
+      timer.start(waitMs, stop);
     });
-    waiting.delete(stop);
     if (waiting.size === 0) this.#waiting.delete(key);
   }
 
