Do not look into endpoints whose answers are unread after a standstill

After a standstill each request with segments that was open for a second had its endpoint probed, counted as lost, and its trial ended without a verdict, though the answers stood in the sockets; callers that left meanwhile had the same effect. Cause: the watch of an attempt and the check after an answer without a length ran by the clock, before the sockets were read. They count the time in which the process listened, and come after a poll.

--- a/packages/router/src/gateway/crashGuard.ts
+++ b/packages/router/src/gateway/crashGuard.ts
@@ -15,6 +15,7 @@
 import type { GatewayContext } from './gatewayContext.js';
 import type { LogFields } from './gatewayLog.js';
 import type { SegmentGuard } from './segmentGuard.js';
+import { SilenceTimer } from './silenceTimer.js';
 
 /** Time without any byte of an answer after which an attempt that its caller left is looked into. */
 const MIN_SILENCE_MS = 1000;
@@ -45,7 +46,7 @@
 
   #fingerprint: string | null = null;
 
-  #silenceTimer: NodeJS.Timeout | null = null;
+  readonly #silenceTimer: SilenceTimer;
 
   constructor(
     context: GatewayContext,
@@ -59,6 +60,7 @@
     this.#segments = segments;
     this.#request = request;
     this.#body = body;
+    this.#silenceTimer = new SilenceTimer(context.loopDelay);
   }
 
   /** True when the request has crashed so many endpoints that no other may run it. */
@@ -88,7 +90,8 @@
     if (!(attempt instanceof EndpointAttempt)) return;
     const isTrial = this.#segments.trial !== null;
     this.#recordLost(attempt, false);
-    const isSilent = !attempt.hasAnswered && now() - attempt.sentAt >= MIN_SILENCE_MS;
+    const waitedMs = this.#context.loopDelay.listenedMs(attempt.sentAt);
+    const isSilent = !attempt.hasAnswered && waitedMs >= MIN_SILENCE_MS;
     if (isSilent || isTrial) this.#context.probes.probe(attempt.endpoint.id);
   }
 
@@ -100,12 +103,12 @@
     this.unwatch();
     if (this.#segments.segmentIds.length === 0) return;
     if (!(attempt instanceof EndpointAttempt)) return;
-    this.#silenceTimer = setTimeout(() => this.#checkSilence(attempt, SILENCE_MS), SILENCE_MS);
+    this.#silenceTimer.start(SILENCE_MS, () => this.#checkSilence(attempt, SILENCE_MS));
   }
 
   /** Ends the watch. */
   unwatch(): void {
-    if (this.#silenceTimer !== null) clearTimeout(this.#silenceTimer);
+    this.#silenceTimer.stop();
   }
 
   /**
@@ -135,7 +138,8 @@
       hasAnswer: true,
     });
     this.#segments.recordLost();
-    setTimeout(() => this.#checkEndpoint(endpoint.id, at), UNFRAMED_CHECK_MS);
+    const timer = new SilenceTimer(this.#context.loopDelay);
+    timer.start(UNFRAMED_CHECK_MS, () => this.#checkEndpoint(endpoint.id, at));
   }
 
   #checkEndpoint(endpointId: string, answeredAt: number): void {
@@ -170,9 +174,10 @@
 
   #checkSilence(attempt: EndpointAttempt, limitMs: number): void {
     if (attempt.isOver) return;
-    const { connections, probes } = this.#context;
+    const { connections, loopDelay, probes } = this.#context;
     const { id } = attempt.endpoint;
-    const silentMs = now() - Math.max(attempt.heardAt, connections.lastHeardAt(id));
+    const heardAt = Math.max(attempt.heardAt, connections.lastHeardAt(id));
+    const silentMs = loopDelay.listenedMs(heardAt);
     const isSilent = silentMs >= limitMs;
     if (isSilent) {
       this.#recordLost(attempt, false);
@@ -181,7 +186,7 @@
     // An endpoint that is only slow is asked less and less often.
     const nextLimitMs = isSilent ? 2 * limitMs : SILENCE_MS;
     const waitMs = Math.max(SILENCE_MS / 2, nextLimitMs - silentMs);
-    this.#silenceTimer = setTimeout(() => this.#checkSilence(attempt, nextLimitMs), waitMs);
+    this.#silenceTimer.start(waitMs, () => this.#checkSilence(attempt, nextLimitMs));
   }
 
   #recordLost(attempt: EndpointAttempt, isBroken: boolean): void {
