--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -123,11 +123,11 @@
   const loopDelay = new LoopDelay();
   const callerConnections = new CallerConnections(loopDelay);
   const crashes = new CrashRecorder(state, metrics, log);
-  const publication = new PublicationTask(state, source, crashes, log);
+  const publication = new PublicationTask(state, source, crashes, loopDelay, log);
   const peers = new PeerTask(settings, state, publication, log);
   const notifyPeers = () => peers.gossip();
   publication.onUpdate(notifyPeers);
-  const origins = new OriginTask(state, peers, source, log);
+  const origins = new OriginTask(state, peers, source, loopDelay, log);
   publication.onFirstRead((revision) => {
     void origins.readHistory(revision);
   });
@@ -137,11 +137,29 @@
     departures: new DepartureRecorder(state, log, notifyPeers),
     pauses: new PauseRecorder(state, log),
   };
-  const contacts = new ContactTask(state, connections, terms, metrics, log, notifyPeers);
+  const contacts = new ContactTask(state, connections, terms, loopDelay, metrics, log, notifyPeers);
   const brittle = new BrittleTask(state, log);
-  const transits = new TransitTask(state, contacts);
-  const probes = new ProbeTask(state, dialect, connections, crashes, terms, contacts, log);
-  const liveness = new LivenessTask(state, dialect, connections, terms, contacts, metrics, log);
+  const transits = new TransitTask(state, contacts, loopDelay);
+  const probes = new ProbeTask(
+    state,
+    dialect,
+    connections,
+    crashes,
+    terms,
+    contacts,
+    loopDelay,
+    log,
+  );
+  const liveness = new LivenessTask(
+    state,
+    dialect,
+    connections,
+    terms,
+    contacts,
+    loopDelay,
+    metrics,
+    log,
+  );
   let currentSettings = settings;
   // Starts anew with the process, whose former trials may still be known to its peers.
   let sequenceNumber = randomInteger(state.random, 2 ** 31);
