Keep the last readable version of an endpoint whose entry turns odd

What callers saw: while the store listed an entry that no socket can be reached at (port 70000, octets of 999) as ready, safe requests failed and the VM's process could end. An entry that turned unreadable removed an endpoint that still served.

Cause: the entry's address was checked by its digits only. The HTTP client throws on such an address; on a second attempt that happens in a callback, where nothing catches it.

Why the fix works: one check stands before the directory, for entries of the store and of peers. What does not pass it changes nothing: the version known before counts until the entry is readable again or removed.

--- a/packages/core/src/directory/commands.ts
+++ b/packages/core/src/directory/commands.ts
@@ -29,17 +29,21 @@
   return before !== undefined && before.startedAt !== endpoint.startedAt;
 }
 
-/** Applies a change of one entry; true when its endpoint has restarted under the same id. */
+/**
+ * Applies a change of one entry; true when its endpoint has restarted under the same id. An entry
+ * that cannot be read changes nothing: another writer may have left it.
+ */
 export function applyEntryChange(state: DirectoryState, change: EntryChange, now: number): boolean {
   if (change.endpoint !== null) return putEntry(state, change.endpoint);
-  removeEntry(state, change.id, change.isRemoved, now);
+  if (change.isRemoved) removeEntry(state, change.id, true, now);
   return false;
 }
 
 /**
  * Replaces all entries by those of a revision; an older revision is ignored. An endpoint that a
  * peer with a working store does not list is removed at once, even while this VM's own store is
- * lost. Returns the ids of endpoints that have restarted.
+ * lost. One whose entry cannot be read stays as it is known. Returns the ids of endpoints that have
+ * restarted.
  */
 export function replaceEntries(
   state: DirectoryState,
@@ -47,9 +51,10 @@
   revision: number,
   now: number,
   source: 'store' | 'peer' = 'store',
+  unreadableIds: readonly string[] = [],
 ): string[] {
   if (revision < state.revision) return [];
-  const listed = new Set(endpoints.map(({ id }) => id));
+  const listed = new Set([...endpoints.map(({ id }) => id), ...unreadableIds]);
   const restarted = endpoints.filter((endpoint) => putEntry(state, endpoint));
   for (const id of [...state.endpoints.keys()]) {
     if (!listed.has(id)) removeEntry(state, id, source === 'store', now);
--- a/packages/router/src/gateway/publicationTask.ts
+++ b/packages/router/src/gateway/publicationTask.ts
@@ -20,6 +20,7 @@
 
 import { now } from '../clock.js';
 import { LongPoller } from '../platform/index.js';
+import { checkEndpoint } from './checkEndpoint.js';
 import type { CrashRecorder } from './crashRecorder.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
@@ -52,17 +53,13 @@
 /** Time-out of a complete read. */
 const READ_TIMEOUT_MS = 2500;
 
-/** An endpoint as received from a peer. */
-const registeredEndpointSchema = z.object({
-  id: z.string(),
-  serviceId: z.string(),
-  address: z.string(),
-  zone: z.string(),
-  slots: z.number().int().positive(),
-  state: z.enum(['ready', 'draining']),
-  startedAt: z.number().nullable(),
-  version: z.string().nullable().default(null),
-});
+const identifiedSchema = z.object({ id: z.string() });
+
+/** An endpoint in a complete list; null when its entry cannot be read. */
+interface EndpointListing {
+  readonly id: string;
+  readonly endpoint: RegisteredEndpoint | null;
+}
 
 /** Progress of reading one part of the publication. */
 interface ReadPosition {
@@ -170,12 +167,14 @@
   offerEndpoints(endpoints: readonly unknown[], revision: number, source: string): void {
     const { directory } = this.#state;
     if (this.isConnected || revision <= directory.revision) return;
-    const checked = endpoints.map((endpoint) => registeredEndpointSchema.safeParse(endpoint));
-    const usable = checked.flatMap(({ data }) => (data === undefined ? [] : [data]));
-    this.#replaceEndpoints(usable, revision, 'peer');
+    const listings = endpoints.map((endpoint) => ({
+      id: identifiedSchema.safeParse(endpoint).data?.id ?? '',
+      endpoint: checkEndpoint(endpoint),
+    }));
+    this.#replaceEndpoints(listings, revision, 'peer');
     // After the outage the store is read completely: watching would bring back older entries.
     this.#positions.endpoints.revision = -1;
-    this.#log.change('endpoints_read', { endpoints: usable.length, revision, source });
+    this.#log.change('endpoints_read', { endpoints: listings.length, revision, source });
   }
 
   /** Removes the endpoints whose entries did not reappear after an outage of the store. */
@@ -225,22 +224,24 @@
   }
 
   #applyAll({ entries, revision }: PublicationBatch): void {
-    const endpoints = entries
-      .map((entry) => this.#decode(entry))
-      .filter((endpoint) => endpoint !== null);
-    this.#replaceEndpoints(endpoints, revision, 'store');
-    this.#log.change('endpoints_read', { endpoints: endpoints.length, revision });
+    const listings = entries.map((entry) => ({ id: entry.id, endpoint: this.#decode(entry) }));
+    this.#replaceEndpoints(listings, revision, 'store');
+    this.#log.change('endpoints_read', { endpoints: listings.length, revision });
   }
 
   #replaceEndpoints(
-    endpoints: readonly RegisteredEndpoint[],
+    listings: readonly EndpointListing[],
     revision: number,
     source: 'store' | 'peer',
   ): void {
     const { directory } = this.#state;
+    const endpoints = listings.flatMap(({ endpoint }) => endpoint ?? []);
+    const unreadableIds = listings.filter(({ endpoint }) => endpoint === null).map(({ id }) => id);
     const isFirst = directory.revision < 0;
     const before = [...directory.endpoints.keys()].filter((id) => isTakingRequests(directory, id));
-    this.#resetRestarted(replaceEntries(directory, endpoints, revision, now(), source));
+    this.#resetRestarted(
+      replaceEntries(directory, endpoints, revision, now(), source, unreadableIds),
+    );
     before.forEach((id) => {
       if (!directory.endpoints.has(id)) this.#crashes.recordEndpointEnd(id, 'removed');
     });
@@ -287,7 +288,7 @@
 
   #decode({ id, text }: PublishedEntry) {
     if (text === null) return null;
-    const endpoint = this.#source.decodeEndpoint(id, text);
+    const endpoint = checkEndpoint(this.#source.decodeEndpoint(id, text));
     if (endpoint === null) this.#log.warn('entry_unreadable', { endpointId: id });
     return endpoint;
   }
