Take no peer at an address that no socket can have

What callers would see: a VM's process ends in the next round of gossip after it has heard of a peer or a member with a port beyond range.

Cause: datagrams are sent to addresses as peers name them, and the socket throws on port 0, 70000 or none, in a timer.

Evidence, the test on the code before: RangeError [ERR_SOCKET_BAD_PORT]: Port should be > 0 and < 65536. Received type number (70000), at PeerTask.gossip peerTask.spec.js exited with a non-zero exit code: 1

Why the fix works: the addresses in messages of peers and the seeds in the settings are checked where they are read. A malformed member is left out; the rest of the message counts. Only listen addresses may still have port 0.

--- a/packages/router/__tests__/gateway/peerTask.spec.ts
+++ b/packages/router/__tests__/gateway/peerTask.spec.ts
@@ -1,5 +1,6 @@
 import { createSocket } from 'node:dgram';
 import { once } from 'node:events';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 import {
   createRandom,
@@ -70,6 +71,39 @@
 });
 
 describe('peer task', () => {
+  it('does not end its process for a peer or a member at an address that no socket can have', async (t) => {
+    const ports = await Promise.all([findFreePort(), findFreePort()]);
+    const odd = ['127.0.0.1:70000', '127.0.0.1:0', '999.1.1.1:80', 'nowhere', '127.0.0.1:x'];
+    const { state, task, control } = createPeer('vm-1', ports[0], []);
+    const sound = createPeer('vm-2', ports[1], [control]);
+    const sender = { hasStore: true, reads: [], limitedSends: [] };
+    const from = createPeer('vm-3', 9, []);
+    const outlet = createSocket('udp4');
+    const send = (change: object) => {
+      const message = createGossipMessage(from.state, { ...sender, address: control }, now());
+      const params = { ...message, ...change };
+      outlet.send(JSON.stringify({ jsonrpc: '2.0', method: 'news', params }), ports[0]);
+    };
+    task.start();
+    try {
+      odd.forEach((address, index) => send({ vmId: `odd-${index}`, address }));
+      odd.forEach((address, index) => send({ vmId: `vm-${index + 3}`, members: [address] }));
+      await waitUntil(() => state.peers.has(`vm-${odd.length + 2}`));
+      // Several rounds of gossip to all known peers.
+      await sleep(500);
+      sound.task.start();
+      await waitUntil(() => state.peers.has('vm-2') && sound.state.peers.has('vm-1'));
+      t.deepEqual(
+        [...state.peers.keys()].filter((id) => id.startsWith('odd-')),
+        [],
+      );
+    } finally {
+      outlet.close();
+      task.stop();
+      sound.task.stop();
+    }
+  });
+
   it('sends load and crashes in one message, so that a crash does not displace the load', async (t) => {
     const ports = await Promise.all([findFreePort(), findFreePort()]);
     const first = createPeer('vm-1', ports[0], []);
--- a/packages/router/src/gateway/gossipMessage.ts
+++ b/packages/router/src/gateway/gossipMessage.ts
@@ -37,6 +37,7 @@
 } from '@filbertlatch/core';
 import * as z from 'zod';
 
+import { isPeerAddress } from './address.js';
 import { contactNewsSchema, createContactNews, type ContactReport } from './contactNews.js';
 import type { GatewayState } from './gatewayState.js';
 
@@ -53,11 +54,12 @@
 const instant = z.number().min(0).describe('Epoch milliseconds.');
 const age = z.number().min(0).max(MAX_AGE_MS);
 const text = z.string().min(1).max(256);
+const controlAddress = text.refine(isPeerAddress);
 
 /** State that one VM gossips to the others several times a second; advisory only. */
 export const gossipMessageSchema = z.object({
   vmId: text,
-  address: text,
+  address: controlAddress,
   isLeaving: z.boolean(),
   hasStore: z.boolean(),
   configurationVersion: z.number().int(),
@@ -77,8 +79,11 @@
   demand: z.array(z.tuple([text, count, count])).max(256),
   /** Prompt segment id, id of the engine that it was sent to. */
   reads: z.array(z.tuple([text, text])).max(128),
-  /** Control addresses of known VMs. */
-  members: z.array(text).max(64),
+  /** Control addresses of known VMs; a malformed one does not spoil the message. */
+  members: z
+    .array(text)
+    .max(64)
+    .transform((addresses) => addresses.filter(isPeerAddress)),
   /**
    * Request fingerprint, endpoint id, instant of the crash, instant at which the request was sent.
    */
--- a/packages/router/src/gateway/originTask.ts
+++ b/packages/router/src/gateway/originTask.ts
@@ -17,6 +17,7 @@
 import * as z from 'zod';
 
 import { now } from '../clock.js';
+import { isPeerAddress } from './address.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
 import type { PeerTask } from './peerTask.js';
@@ -62,7 +63,7 @@
 
 const askSchema = z.object({
   /** Control address of the VM that asks. */
-  address: text,
+  address: text.refine(isPeerAddress),
   key: text,
 });
 
--- a/packages/router/src/gateway/settings.ts
+++ b/packages/router/src/gateway/settings.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod';
 
+import { isPeerAddress } from './address.js';
 import { checkSettings, readSettings } from '../settings/readSettings.js';
 
 const address = z
@@ -7,6 +8,11 @@
   .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'expected IP:PORT')
   .describe('IP:PORT.');
 
+const peerAddress = z
+  .string()
+  .refine(isPeerAddress, 'expected IP:PORT to which connections can be opened')
+  .describe('IP:PORT.');
+
 /** Settings of a gateway; JSON. Fields that are not named here are ignored. */
 export const gatewaySettingsSchema = z.object({
   vm: z
@@ -25,13 +31,13 @@
     })
     .describe('Addresses of this VM.'),
   seeds: z
-    .array(address)
+    .array(peerAddress)
     .describe(
       'Control addresses of a few VMs, through which this VM joins the fleet; some may be stale.',
     ),
   platform: z
     .object({
-      address,
+      address: peerAddress,
       renewalMs: z
         .number()
         .positive()
