--- a/packages/router/src/gateway/publicationTask.ts
+++ b/packages/router/src/gateway/publicationTask.ts
@@ -148,18 +148,20 @@
     this.#watchers.forEach((watcher) => watcher.stop());
   }
 
-  /** Adopts a configuration if it is valid and newer. */
-  offerConfiguration(text: string, source: string): void {
+  /** Adopts a configuration if it is valid and newer; false when it is invalid. */
+  offerConfiguration(text: string, source: string): boolean {
     const { routing } = this.#state;
     try {
       const configuration = this.#source.decodeConfiguration(text);
-      if (!adoptConfiguration(routing, configuration)) return;
+      if (!adoptConfiguration(routing, configuration)) return true;
       this.#state.configurationText = text;
       const { version, routes } = configuration;
       this.#log.change('configuration_adopted', { version, routes: routes.length, source });
+      return true;
     } catch (error) {
       const version = configurationVersion(routing);
       this.#log.warn('configuration_unreadable', { source, version, error: String(error) });
+      return false;
     }
   }
 
@@ -209,10 +211,7 @@
 
   #apply(part: PublicationPart, batch: PublicationBatch, isFullRead: boolean): void {
     if (part === 'configuration') {
-      const text = batch.entries.findLast((entry) => entry.text !== null)?.text ?? null;
-      if (text === null) return;
-      this.offerConfiguration(text, 'store');
-      this.#notifyPeers?.();
+      this.#applyConfiguration(batch);
       return;
     }
     if (isFullRead) {
@@ -223,6 +222,14 @@
     }
   }
 
+  /** Adopts the last version that can be read. */
+  #applyConfiguration({ entries }: PublicationBatch): void {
+    const texts = entries.flatMap(({ text }) => text ?? []);
+    if (texts.length === 0) return;
+    texts.findLast((text) => this.offerConfiguration(text, 'store'));
+    this.#notifyPeers?.();
+  }
+
   #applyAll({ entries, revision }: PublicationBatch): void {
     const listings = entries.map((entry) => ({ id: entry.id, endpoint: this.#decode(entry) }));
     this.#replaceEndpoints(listings, revision, 'store');
