Keep a VM's news readable whatever sizes its callers name

What callers would see: while one caller's request with an absurd number of tokens is open, the peers of its VM discard all news of it: its load, the endpoints that leave, limits, crashes.

Cause: numbers of tokens were taken from callers and the store's entries as they are, and peers refuse a whole message with a count above 1e9.

The history of versions checks entries like the directory, as long names would do the same.

--- a/packages/router/__tests__/gateway/peerTask.spec.ts
+++ b/packages/router/__tests__/gateway/peerTask.spec.ts
@@ -13,7 +13,7 @@
 
 import { now } from '../../src/clock.js';
 import { GatewayLog } from '../../src/gateway/gatewayLog.js';
-import { createGossipMessage } from '../../src/gateway/gossipMessage.js';
+import { createGossipMessage, gossipMessageSchema } from '../../src/gateway/gossipMessage.js';
 import { createGatewayState } from '../../src/gateway/gatewayState.js';
 import { PeerTask } from '../../src/gateway/peerTask.js';
 import { parseGatewaySettings } from '../../src/gateway/settings.js';
@@ -71,6 +71,23 @@
 });
 
 describe('peer task', () => {
+  it('is heard by its peers whatever sizes callers give to their requests', async (t) => {
+    for (const tokens of [1e12, 1e300, -1e300]) {
+      const { state } = createPeer('vm-0', 1, []);
+      const size = { promptTokens: tokens, outputTokens: tokens, segments: [] };
+      for (const kind of ['prefill', 'decode'] as const) {
+        recordSend(
+          state.scheduling,
+          { endpointId: 'e1', tokens, predictedMs: 100, kind, size },
+          now(),
+        );
+      }
+      const sender = { address: '127.0.0.1:1', hasStore: true, reads: [], limitedSends: [] };
+      const message = JSON.stringify(createGossipMessage(state, sender, now()));
+      t.deepEqual(gossipMessageSchema.safeParse(JSON.parse(message)).error?.issues ?? [], []);
+    }
+  });
+
   it('does not end its process for a peer or a member at an address that no socket can have', async (t) => {
     const ports = await Promise.all([findFreePort(), findFreePort()]);
     const odd = ['127.0.0.1:70000', '127.0.0.1:0', '999.1.1.1:80', 'nowhere', '127.0.0.1:x'];
--- a/packages/router/src/gateway/gossipMessage.ts
+++ b/packages/router/src/gateway/gossipMessage.ts
@@ -50,7 +50,9 @@
 /** Maximum software versions in one message. */
 const MAX_VERSIONS = 64;
 
-const count = z.number().min(0).max(1e9);
+const MAX_COUNT = 1e9;
+
+const count = z.number().min(0).max(MAX_COUNT);
 const instant = z.number().min(0).describe('Epoch milliseconds.');
 const age = z.number().min(0).max(MAX_AGE_MS);
 const text = z.string().min(1).max(256);
@@ -211,6 +213,11 @@
 
 type ReachedFilter = ReturnType<typeof createReachedFilter>;
 
+/** Returns a number as a message may have it, whatever callers said of their requests. */
+function toCount(value: number): number {
+  return Math.min(MAX_COUNT, Math.max(0, value)) || 0;
+}
+
 function collectLoads(
   { scheduling }: GatewayState,
   { isReached }: ReachedFilter,
@@ -222,8 +229,8 @@
       id,
       own.waiting,
       own.streaming,
-      Math.round(own.waitingTokens),
-      Math.round(own.heldTokens),
+      toCount(Math.round(own.waitingTokens)),
+      toCount(Math.round(own.heldTokens)),
       own.tight,
     ]);
 }
@@ -237,7 +244,8 @@
     .filter(([id]) => isReached(id))
     .map(([id, work]): GossipMessage['paces'][number] => {
       const { first, step } = ownPaceSums(work, now);
-      return [id, ...first, ...step];
+      const [firstRatios, firstSamples, stepRatios, stepSamples] = [...first, ...step].map(toCount);
+      return [id, firstRatios!, firstSamples!, stepRatios!, stepSamples!];
     })
     .filter(([, , firstSamples, , stepSamples]) => firstSamples + stepSamples > MIN_PACE_SAMPLES);
 }
@@ -351,7 +359,10 @@
     borders: [...scheduling.borders].filter(([id]) => reached.isServiceReached(id)),
     demand: [...scheduling.demand.keys()]
       .filter((id) => reached.isServiceReached(id))
-      .map((id) => [id, ...ownDemand(scheduling, id, now)]),
+      .map((id) => {
+        const [prefill, decode] = ownDemand(scheduling, id, now);
+        return [id, toCount(prefill), toCount(decode)];
+      }),
     reads: sender.reads.map(({ segmentId, endpointId }) => [segmentId, endpointId]),
     members: chooseMembers(state),
     crashes: collectCrashes(state),
--- a/packages/router/src/gateway/originTask.ts
+++ b/packages/router/src/gateway/originTask.ts
@@ -18,6 +18,7 @@
 
 import { now } from '../clock.js';
 import { isPeerAddress } from './address.js';
+import { checkEndpoint } from './checkEndpoint.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
 import type { PeerTask } from './peerTask.js';
@@ -132,7 +133,9 @@
     const known = new Set(directory.endpoints.keys());
     const seen = entries.flatMap((entry) => {
       const endpoint =
-        entry.text === null ? null : this.#source.decodeEndpoint(entry.id, entry.text);
+        entry.text === null
+          ? null
+          : checkEndpoint(this.#source.decodeEndpoint(entry.id, entry.text));
       if (endpoint !== null) known.add(entry.id);
       return endpoint === null ? [] : [endpoint];
     });
