Believe an answer without a request id on a new connection only

What callers saw: an endpoint writes an earlier refusal once more, without an id, before its answer to the next request on the connection. That request, which runs, is told 503 ("not run"), or is sent to a second endpoint. An error written once more reaches the caller of another request.

Cause: only an id that differs made an answer foreign; one without an id passed for the answer to whatever request its connection carried.

Why the fix works: on a connection that carried a request before, an answer without an id may belong to that one, and nothing tells. It counts as may-have-run, and its connection is closed. On a new connection there is no earlier request. A refusal without an id that is believed there closes the connection too, so that none is kept on which it could come once more, and the next refusal of such an endpoint is believed again.

--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -112,7 +112,7 @@
       {
         mayStart: () =>
           isTakingRequests(state.directory, endpoint.id) && context.pauses.leftMs(endpoint) === 0,
-        head: (status, headers) => this.#handleHead(status, headers),
+        head: (status, headers, isFirst) => this.#handleHead(status, headers, isFirst),
         body: (chunk) => this.#handleBody(chunk),
         end: () => this.#handleEnd(),
         fail: (failure) => this.#fail(failure),
@@ -189,7 +189,7 @@
     return this.#admitted.route.repetition === 'streaming' && this.#rawHead.status === OK_STATUS;
   }
 
-  #handleHead(status: number, headers: string[]): void {
+  #handleHead(status: number, headers: string[], isFirst: boolean): void {
     const { dialect } = this.#context;
     this.#heardAt = now();
     this.#rawHead = { status, headers };
@@ -199,10 +199,20 @@
       metadata.requestId !== null && metadata.requestId !== this.#admitted.metadata.requestId;
     const isSuccess = status < FIRST_REDIRECT_STATUS;
     const isForged = isSuccess && (!metadata.isSigned || metadata.requestId === null);
+    // It may be an earlier answer, written once more; nothing else tells it from the request's own.
+    const isUnproven = metadata.requestId === null && !isFirst;
     if (isForeign) this.#reject('answer carries the id of another request');
     else if (isForged) this.#reject('successful answer lacks a signature or request id');
+    else if (isUnproven) this.#reject('answer without a request id on a kept connection');
     else if (this.#isTooLong()) this.#reject('answer exceeds the size limit');
-    else this.#recordTerms(status, metadata);
+    else {
+      this.#recordTerms(status, metadata);
+      if (metadata.isNotRun && metadata.requestId === null) {
+        // Closes the connection, on which this refusal could come once more.
+        this.#request.cancel();
+        this.#turnAway(metadata);
+      }
+    }
   }
 
   #isTooLong(): boolean {
@@ -257,10 +267,7 @@
         message: 'stream ended inside an event',
       });
     } else if (this.#metadata?.isNotRun === true) {
-      this.#recordReplacement(this.#metadata);
-      this.#observeRefusal();
-      this.#end('turned-away');
-      this.#observer.notRun(`status ${status}`);
+      this.#turnAway(this.#metadata);
     } else if (isFramed(headers) || status >= FIRST_SERVER_ERROR_STATUS) {
       this.#complete();
     } else {
@@ -307,6 +314,13 @@
     });
   }
 
+  #turnAway(metadata: AnswerMetadata): void {
+    this.#recordReplacement(metadata);
+    this.#observeRefusal();
+    this.#end('turned-away');
+    this.#observer.notRun(`status ${this.#rawHead.status}`);
+  }
+
   /** Records the end of the endpoint when another one answers at its address. */
   #recordReplacement({ endpointId }: AnswerMetadata): void {
     if (endpointId === null || endpointId === this.endpoint.id) return;
--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -2,7 +2,7 @@
 import { errors } from 'undici';
 
 import type { EndpointConnections } from './endpointConnections.js';
-import { EndlessAnswerError } from './guardedClient.js';
+import { EndlessAnswerError, type GuardedHandler } from './guardedClient.js';
 
 /** An HTTP request as it is sent to an endpoint. */
 export interface OutgoingRequest {
@@ -24,7 +24,8 @@
 export interface EndpointRequestObserver {
   /** Says whether to send the request, which may have waited for a connection. */
   mayStart?(): boolean;
-  head(status: number, headers: string[]): void;
+  /** `isFirst` is true for the answer to the first request on a connection. */
+  head(status: number, headers: string[], isFirst: boolean): void;
   /** Returns false to pause reading until `EndpointRequest.resume`. */
   body(chunk: Buffer): boolean;
   end(): void;
@@ -62,7 +63,11 @@
   start(outgoing: OutgoingRequest): void {
     const { method, path, headers, body } = outgoing;
     const options = { method, path, headers, body };
-    this.#connections.pool.dispatch(options, {
+    let isFirst = false;
+    const handler: GuardedHandler = {
+      onConnection: (isNew) => {
+        isFirst = isNew;
+      },
       onConnect: (abort) => {
         if (this.#isCancelled) {
           abort(new Error('request cancelled before it was sent'));
@@ -80,7 +85,7 @@
         this.#resume = resume;
         this.#connections.markHeard();
         if (status < 200) return true;
-        this.#observer.head(status, decodeHeaders(rawHeaders));
+        this.#observer.head(status, decodeHeaders(rawHeaders), isFirst);
         return true;
       },
       onData: (chunk) => {
@@ -89,7 +94,8 @@
       },
       onComplete: () => this.#complete(),
       onError: (error) => this.#fail(error),
-    });
+    };
+    this.#connections.pool.dispatch(options, handler);
   }
 
   /** Resumes reading after backpressure. */
--- a/packages/router/src/gateway/guardedClient.ts
+++ b/packages/router/src/gateway/guardedClient.ts
@@ -11,6 +11,12 @@
 /** Above what the guard accepts, so that the parser does not report each further header. */
 const MAX_PARSED_HEAD_BYTES = 1_048_576;
 
+/** A handler that is told on which connection its request is sent. */
+export interface GuardedHandler extends Dispatcher.DispatchHandler {
+  /** `isNew` is true for the first request on the connection. */
+  onConnection?(isNew: boolean): void;
+}
+
 /** An endpoint sends bytes that do not make an answer. */
 export class EndlessAnswerError extends Error {
   override readonly name = 'EndlessAnswerError';
@@ -31,12 +37,15 @@
 
   #bodyBytes = 0;
 
+  #isNew = true;
+
   /** Resumes the paused answer; null while none is paused. */
   #resume: (() => void) | null = null;
 
   /** Begins to watch a new connection. */
   attach(socket: Socket): void {
     this.#socket = socket;
+    this.#isNew = true;
     this.#begin();
     // Before the parser reads, so that it gets no more than one block too many.
     socket.prependListener('readable', () => this.#check(socket));
@@ -45,7 +54,7 @@
   }
 
   /** Returns a handler that also counts the bytes of the body and knows when it is paused. */
-  watch(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
+  watch(handler: GuardedHandler): Dispatcher.DispatchHandler {
     let isOver = false;
     let resume = () => {};
     return {
@@ -61,6 +70,8 @@
       },
       onConnect: (abort) => {
         this.#begin();
+        handler.onConnection?.(this.#isNew);
+        this.#isNew = false;
         handler.onConnect?.(abort);
       },
       onData: (chunk) => {
