Take only a stream of events for a stream, or for its continuation

What callers saw: a stream had begun and broke off, the next endpoint answered 200 with an error text, a page or nothing. The text was appended, or the stream ended as if it were complete. A first answer of that kind, and one with a Content-Encoding, passed as complete too.

Cause: on a streaming route any 200 counted as the stream. The check that an answer ends after an event was left out for other types, and compared the beginning of the type only.

Why the fix works: the head of a successful answer is checked where its signature and id are. On a streaming route it must be a 200 of the type text/event-stream; an answer that goes on with another must name it. What is not counts as may-have-run: a resumable stream goes on elsewhere, others break off or fail. The same holds for answers by way of another VM. Callers ask for bodies without an encoding, so an encoded success is rejected.

--- a/packages/router/__tests__/gateway/transits.spec.ts
+++ b/packages/router/__tests__/gateway/transits.spec.ts
@@ -192,6 +192,17 @@
         t.deepEqual(resumed!.origin, { serviceId: 'desk', version: 'v1' });
       }));
 
+    it('does not go on with an answer that is no stream of events', (t) => {
+      const stray = (request: IncomingMessage, response: ServerResponse) => {
+        if (readTermsOf(request).lastEventId === null) breakAfterOneEvent(request, response);
+        else response.writeHead(200, answerHeaders(request)).end('it broke\n\n');
+      };
+      return checkAnswer(t, [stray, stray], '/resumed/', ({ body, isComplete }) => {
+        t.is(body, 'id: 1\n\n');
+        t.false(isComplete);
+      });
+    });
+
     it('ends without its end when it cannot be resumed', (t) =>
       checkAnswer(t, [breakAfterOneEvent, breakAfterOneEvent], '/stream/', (answer, peers) => {
         t.false(answer.isComplete);
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -24,6 +24,7 @@
 import type { Attempt, AttemptObserver, AttemptRequest, RawAnswerHead } from './attempt.js';
 import { EndpointRequest, type AttemptFailure } from './endpointRequest.js';
 import type { AnswerMetadata } from './dialect.js';
+import { findBodyFault } from './findBodyFault.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { Liveness } from './livenessTask.js';
 import { findHeader, isFramed } from './headers.js';
@@ -82,6 +83,9 @@
 
   #isSettled = false;
 
+  /** True when the answer goes on with a stream that another attempt has begun. */
+  #isResumed: boolean;
+
   #heardAt = this.sentAt;
 
   /** What showed whether the endpoint outlived its answer; null before, and for a framed answer. */
@@ -99,6 +103,7 @@
     this.#context = context;
     this.#admitted = admitted;
     this.#observer = observer;
+    this.#isResumed = admitted.metadata.lastEventId !== null;
     this.#body = new AnswerBody(context.buffers, (message) => this.#reject(message));
     this.endpoint = endpoint;
     this.predictedMs = predictedMs;
@@ -163,6 +168,7 @@
   send({ method, path, headers, body, remainingMs, lastEventId }: AttemptRequest): void {
     const { accountId, job } = this.#admitted;
     const { dialect, state } = this.#context;
+    this.#isResumed ||= lastEventId !== null;
     const priority = job.size === null ? null : enginePriorityOfRank(state.routing, job.priority);
     const endpointId = this.endpoint.id;
     const metadata = { endpointId, remainingMs, accountId, priority, lastEventId };
@@ -199,11 +205,15 @@
       metadata.requestId !== null && metadata.requestId !== this.#admitted.metadata.requestId;
     const isSuccess = status < FIRST_REDIRECT_STATUS;
     const isForged = isSuccess && (!metadata.isSigned || metadata.requestId === null);
+    const bodyFault = isSuccess
+      ? findBodyFault(this.#rawHead, this.#admitted.route, this.#isResumed)
+      : null;
     // It may be an earlier answer, written once more; nothing else tells it from the request's own.
     const isUnproven = metadata.requestId === null && !isFirst;
     if (isForeign) this.#reject('answer carries the id of another request');
     else if (isForged) this.#reject('successful answer lacks a signature or request id');
     else if (isUnproven) this.#reject('answer without a request id on a kept connection');
+    else if (bodyFault !== null) this.#reject(bodyFault);
     else if (this.#isTooLong()) this.#reject('answer exceeds the size limit');
     else {
       this.#recordTerms(status, metadata);
--- a/packages/router/src/gateway/streamProgress.ts
+++ b/packages/router/src/gateway/streamProgress.ts
@@ -1,5 +1,5 @@
 import { EventBoundary } from './eventBoundary.js';
-import { findHeader, isFramed } from './headers.js';
+import { isFramed } from './headers.js';
 
 /** An endpoint that still answers this long after the first bytes of a stream lives on. */
 const LIVED_ON_MS = 250;
@@ -7,8 +7,6 @@
 /** Maximum size of one event. */
 const MAX_EVENT_BYTES = 262_144;
 
-const EVENT_STREAM = 'text/event-stream';
-
 /** What has come of a stream of events. */
 export class StreamProgress {
   readonly #boundary = new EventBoundary();
@@ -47,8 +45,6 @@
 
   /** Says whether a stream with these headers that ended without an error lacks a part. */
   isBrokenOff(headers: readonly string[]): boolean {
-    const contentType = findHeader(headers, 'content-type') ?? EVENT_STREAM;
-    if (!contentType.toLowerCase().startsWith(EVENT_STREAM)) return false;
     if (!this.#boundary.isEmpty) return !this.#boundary.isAtEventEnd;
     // Without a length or chunks nothing but an event tells an answer from a crash.
     return !isFramed(headers);
--- a/packages/router/src/gateway/transitAttempt.ts
+++ b/packages/router/src/gateway/transitAttempt.ts
@@ -6,6 +6,7 @@
 import type { Attempt, AttemptObserver, AttemptRequest, RawAnswerHead } from './attempt.js';
 import type { AnswerNote } from './callerAnswer.js';
 import { EndpointRequest, type AttemptFailure } from './endpointRequest.js';
+import { findBodyFault } from './findBodyFault.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { addTerms, readNote, removeEnvelope, TRANSIT_PATH } from './transitEnvelope.js';
 
@@ -51,6 +52,9 @@
 
   #isSettled = false;
 
+  /** True when the answer goes on with a stream that another attempt has begun. */
+  #isResumed: boolean;
+
   constructor(
     context: GatewayContext,
     admitted: AdmittedRequest,
@@ -60,6 +64,7 @@
     this.#context = context;
     this.#admitted = admitted;
     this.#observer = observer;
+    this.#isResumed = admitted.metadata.lastEventId !== null;
     this.peerId = id;
     this.predictedMs = PREDICTED_TARGET_FACTOR * admitted.route.targetMs;
     this.#body = new AnswerBody(context.buffers, (message) => this.#reject(message));
@@ -95,6 +100,7 @@
       origin: this.resumedOrigin,
     };
     const { id } = this.#admitted.job;
+    this.#isResumed ||= lastEventId !== null;
     this.#context.log.decision('transit_sent', { requestId: id, peer: this.peerId });
     this.#request.start({
       method,
@@ -130,8 +136,13 @@
     const metadata = this.#context.dialect.parseAnswer(status, this.#head.headers);
     const isOfRequest = metadata.requestId === this.#admitted.metadata.requestId;
     const isForeign = metadata.requestId !== null && !isOfRequest;
-    const isForged = status < FIRST_REDIRECT_STATUS && (!metadata.isSigned || !isOfRequest);
+    const isSuccess = status < FIRST_REDIRECT_STATUS;
+    const isForged = isSuccess && (!metadata.isSigned || !isOfRequest);
+    const bodyFault = isSuccess
+      ? findBodyFault(this.#head, this.#admitted.route, this.#isResumed)
+      : null;
     if (isForeign || isForged) this.#reject('answer of a peer belongs to another request');
+    else if (bodyFault !== null) this.#reject(bodyFault);
   }
 
   #handleBody(chunk: Buffer): boolean {
