Close the connection to an engine after an error response

What callers would see, on the product's own interface: an engine writes an earlier refusal once more before its next answer. That request, which runs, counts as not run, and runs once more.

Cause: the events of an engine echo the attempt's id, its error responses do not, and a 429 or 503 was believed on a connection that had one before.

Why the fix works: on the connection of an error response nothing is sent any more, so that the response cannot come once more. Of its body only the first bytes that arrive are read and quoted. A chunked error response without a body leaves its connection open, as before.

--- a/packages/router/src/endpoints/streamReader.ts
+++ b/packages/router/src/endpoints/streamReader.ts
@@ -10,7 +10,7 @@
 import { errorOfStatus } from './errorOfStatus.js';
 import { hasToken, readEvent, type StreamEvent } from './streamEvent.js';
 
-/** Longest part of an error response's body that is read. */
+/** Longest part of an error response's body that is kept. */
 const MAX_ERROR_CHARACTERS = 2000;
 /** Longest event; a longer one fails the attempt. */
 const MAX_EVENT_CHARACTERS = 1_048_576;
@@ -30,6 +30,12 @@
   onPause(): void;
 }
 
+interface ErrorResponse {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  text: string;
+}
+
 function countTokens(events: readonly StreamEvent[]): number {
   let tokens = 0;
   for (const event of events) {
@@ -81,7 +87,7 @@
 
   #isDone = false;
 
-  #errorResponse: { status: number; headers: IncomingHttpHeaders; text: string } | null = null;
+  #errorResponse: ErrorResponse | null = null;
 
   constructor(
     attemptId: string,
@@ -106,19 +112,24 @@
   }
 
   onResponseStart(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
-    if (status >= FIRST_ERROR_STATUS) this.#errorResponse = { status, headers, text: '' };
-    else this.#progress.onAccepted();
+    if (status < FIRST_ERROR_STATUS) {
+      this.#progress.onAccepted();
+      return;
+    }
+    this.#errorResponse = { status, headers, text: '' };
+    if (headers['content-length'] === '0') this.#failWithResponse(controller, this.#errorResponse);
   }
 
   onResponseData(controller: Dispatcher.DispatchController, bytes: Buffer): void {
     this.#progress.onBytes();
     const text = this.#decoder.write(bytes);
     if (this.#errorResponse !== null) {
-      this.#errorResponse.text = (this.#errorResponse.text + text).slice(0, MAX_ERROR_CHARACTERS);
+      this.#errorResponse.text = text.slice(0, MAX_ERROR_CHARACTERS);
+      this.#failWithResponse(controller, this.#errorResponse);
       return;
     }
     if (this.#isDone) return;
@@ -170,6 +181,18 @@
     });
   }
 
+  /**
+   * Fails the attempt and closes its connection: an error response has no id, so that one written
+   * once more would pass for the response to the next request.
+   */
+  #failWithResponse(
+    controller: Dispatcher.DispatchController,
+    { status, headers, text }: ErrorResponse,
+  ): void {
+    this.#reject(errorOfStatus(status, headers, text));
+    controller.abort(new Error('the response is an error'));
+  }
+
   #finish(controller: Dispatcher.DispatchController): void {
     this.#resolve(this.#tokens);
     const abortUnended = () => controller.abort(new Error('the response has no end'));
