--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -24,7 +24,7 @@
 import type { Attempt, AttemptObserver, AttemptRequest, RawAnswerHead } from './attempt.js';
 import { EndpointRequest, type AttemptFailure } from './endpointRequest.js';
 import type { AnswerMetadata } from './dialect.js';
-import { findBodyFault } from './findBodyFault.js';
+import { findAnswerFault } from './findAnswerFault.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { Liveness } from './livenessTask.js';
 import { findHeader, isFramed } from './headers.js';
@@ -34,7 +34,6 @@
 const ANSWERED_OUTCOMES = new Set(['served', 'failed', 'turned-away']);
 
 const OK_STATUS = 200;
-const FIRST_REDIRECT_STATUS = 300;
 const FIRST_SERVER_ERROR_STATUS = 500;
 
 /** Endpoint of an attempt and its expected cost. */
@@ -201,19 +200,9 @@
     this.#rawHead = { status, headers };
     const metadata = dialect.parseAnswer(status, headers);
     this.#metadata = metadata;
-    const isForeign =
-      metadata.requestId !== null && metadata.requestId !== this.#admitted.metadata.requestId;
-    const isSuccess = status < FIRST_REDIRECT_STATUS;
-    const isForged = isSuccess && (!metadata.isSigned || metadata.requestId === null);
-    const bodyFault = isSuccess
-      ? findBodyFault(this.#rawHead, this.#admitted.route, this.#isResumed)
-      : null;
-    // It may be an earlier answer, written once more; nothing else tells it from the request's own.
-    const isUnproven = metadata.requestId === null && !isFirst;
-    if (isForeign) this.#reject('answer carries the id of another request');
-    else if (isForged) this.#reject('successful answer lacks a signature or request id');
-    else if (isUnproven) this.#reject('answer without a request id on a kept connection');
-    else if (bodyFault !== null) this.#reject(bodyFault);
+    const expected = { isResumed: this.#isResumed, isFirst };
+    const fault = findAnswerFault(this.#rawHead, metadata, this.#admitted, expected);
+    if (fault !== null) this.#reject(fault);
     else if (this.#isTooLong()) this.#reject('answer exceeds the size limit');
     else {
       this.#recordTerms(status, metadata);
