Pass over an endpoint that begins a stream again instead of going on

What callers would see: a stream that broke off goes on with its first events once more, and ends as complete.

Cause: the ids of the events that go on were never compared with the last one that the caller has.

Why the fix works: an attempt that goes on holds back its first event until it is whole; if its id is not after the last one, the attempt fails as one that may have run, and the stream goes on elsewhere or breaks off. Ids that are no decimal numbers do not tell.

--- a/packages/router/__tests__/gateway/strayAnswers.spec.ts
+++ b/packages/router/__tests__/gateway/strayAnswers.spec.ts
@@ -167,6 +167,32 @@
   });
 });
 
+describe('a stream of events that begins again instead of going on', () => {
+  const beginAgain: RequestListener = (request, response) => {
+    writeHead(request, response, EVENT_STREAM);
+    // Apart, so that no event arrives whole.
+    response.write(WHOLE.slice(0, 3));
+    setTimeout(() => response.end(WHOLE.slice(3)), 20);
+  };
+
+  it('is not appended to a stream that has begun', async (t) => {
+    const { answer } = await runTurns('/resumed/', [breakOff, beginAgain]);
+    t.is(answer.body, formatEvents(1, 2));
+    t.false(answer.isComplete);
+  });
+
+  it('is passed over for an endpoint that goes on with the stream', async (t) => {
+    const { answer } = await runTurns('/patient/', [breakOff, beginAgain, goOn]);
+    t.is(answer.body, WHOLE);
+    t.true(answer.isComplete);
+  });
+
+  it('is not passed on as the rest of a stream that its caller takes up', async (t) => {
+    const { answer } = await runTurns('/resumed/', [breakOff, goOn, beginAgain], true);
+    t.is(answer.status, 502);
+  });
+});
+
 describe('a stream of events', () => {
   const types = ['text/event-stream', 'Text/Event-Stream', 'text/event-stream;charset=utf-8'];
   for (const type of types) {
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -28,6 +28,7 @@
 import type { GatewayContext } from './gatewayContext.js';
 import type { Liveness } from './livenessTask.js';
 import { findHeader, isFramed } from './headers.js';
+import { ResumedEvents } from './resumedEvents.js';
 import { StreamProgress } from './streamProgress.js';
 
 /** Outcomes after which the endpoint has the request no more. */
@@ -82,8 +83,8 @@
 
   #isSettled = false;
 
-  /** True when the answer goes on with a stream that another attempt has begun. */
-  #isResumed: boolean;
+  /** Null unless the answer goes on with a stream that another attempt has begun. */
+  #resumedEvents: ResumedEvents | null = null;
 
   #heardAt = this.sentAt;
 
@@ -102,7 +103,6 @@
     this.#context = context;
     this.#admitted = admitted;
     this.#observer = observer;
-    this.#isResumed = admitted.metadata.lastEventId !== null;
     this.#body = new AnswerBody(context.buffers, (message) => this.#reject(message));
     this.endpoint = endpoint;
     this.predictedMs = predictedMs;
@@ -167,7 +167,8 @@
   send({ method, path, headers, body, remainingMs, lastEventId }: AttemptRequest): void {
     const { accountId, job } = this.#admitted;
     const { dialect, state } = this.#context;
-    this.#isResumed ||= lastEventId !== null;
+    const resumedAfter = lastEventId ?? this.#admitted.metadata.lastEventId;
+    if (resumedAfter !== null) this.#resumedEvents = new ResumedEvents(resumedAfter);
     const priority = job.size === null ? null : enginePriorityOfRank(state.routing, job.priority);
     const endpointId = this.endpoint.id;
     const metadata = { endpointId, remainingMs, accountId, priority, lastEventId };
@@ -200,7 +201,7 @@
     this.#rawHead = { status, headers };
     const metadata = dialect.parseAnswer(status, headers);
     this.#metadata = metadata;
-    const expected = { isResumed: this.#isResumed, isFirst };
+    const expected = { isResumed: this.#resumedEvents !== null, isFirst };
     const fault = findAnswerFault(this.#rawHead, metadata, this.#admitted, expected);
     if (fault !== null) this.#reject(fault);
     else if (this.#isTooLong()) this.#reject('answer exceeds the size limit');
@@ -236,20 +237,23 @@
 
   #handleBody(chunk: Buffer): boolean {
     if (this.#isSettled) return true;
-    if (this.#isStream()) {
-      this.#heardAt = now();
-      this.#markStreaming();
-      if (this.#stream.push(chunk, this.#heardAt)) this.#observer.livedOn();
-      if (this.#stream.isOverlong) {
-        this.#reject('event exceeds the size limit');
-        return true;
-      }
-      return this.#observer.streamed(this.#rawHead, chunk);
-    }
+    if (this.#isStream()) return this.#handleEvents(chunk);
     this.#body.push(chunk);
     return true;
   }
 
+  #handleEvents(chunk: Buffer): boolean {
+    this.#heardAt = now();
+    this.#markStreaming();
+    if (this.#stream.push(chunk, this.#heardAt)) this.#observer.livedOn();
+    const bytes = this.#resumedEvents?.push(chunk) ?? chunk;
+    const hasBegunAgain = this.#resumedEvents?.hasBegunAgain === true;
+    if (this.#stream.isOverlong) this.#reject('event exceeds the size limit');
+    else if (hasBegunAgain) this.#reject('stream begins again instead of going on');
+    else return this.#observer.streamed(this.#rawHead, bytes);
+    return true;
+  }
+
   #markStreaming(): void {
     if (this.#work.phase !== 'waiting') return;
     recordFirstEvent(this.#context.state.scheduling, this.#work, now());
