--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -25,16 +25,17 @@
 import { EndpointRequest, type AttemptFailure } from './endpointRequest.js';
 import { hasTimeToSend } from './hasTimeToSend.js';
 import type { AnswerMetadata } from './dialect.js';
+import { findAnswerFault } from './findAnswerFault.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { Liveness } from './livenessTask.js';
 import { findHeader, isFramed } from './headers.js';
+import { ResumedEvents } from './resumedEvents.js';
 import { StreamProgress } from './streamProgress.js';
 
 /** Outcomes after which the endpoint has the request no more. */
 const ANSWERED_OUTCOMES = new Set(['served', 'failed', 'turned-away']);
 
 const OK_STATUS = 200;
-const FIRST_REDIRECT_STATUS = 300;
 const FIRST_SERVER_ERROR_STATUS = 500;
 
 /** Endpoint of an attempt and its expected cost. */
@@ -83,6 +84,9 @@
 
   #isSettled = false;
 
+  /** Null unless the answer goes on with a stream that another attempt has begun. */
+  #resumedEvents: ResumedEvents | null = null;
+
   #heardAt = this.sentAt;
 
   /** What showed whether the endpoint outlived its answer; null before, and for a framed answer. */
@@ -117,7 +121,7 @@
           isTakingRequests(state.directory, endpoint.id) &&
           context.pauses.leftMs(endpoint) === 0 &&
           hasTimeToSend(admitted.deadlineAt, now()),
-        head: (status, headers) => this.#handleHead(status, headers),
+        head: (status, headers, isFirst) => this.#handleHead(status, headers, isFirst),
         body: (chunk) => this.#handleBody(chunk),
         end: () => this.#handleEnd(),
         fail: (failure) => this.#fail(failure),
@@ -172,6 +176,8 @@
   send({ method, path, headers, body, lastEventId }: AttemptRequest): void {
     const { accountId, deadlineAt, job } = this.#admitted;
     const { dialect, state } = this.#context;
+    const resumedAfter = lastEventId ?? this.#admitted.metadata.lastEventId;
+    if (resumedAfter !== null) this.#resumedEvents = new ResumedEvents(resumedAfter);
     const priority = job.size === null ? null : enginePriorityOfRank(state.routing, job.priority);
     const endpointId = this.endpoint.id;
     const formatHeaders = () => {
@@ -202,20 +208,24 @@
     return this.#admitted.route.repetition === 'streaming' && this.#rawHead.status === OK_STATUS;
   }
 
-  #handleHead(status: number, headers: string[]): void {
+  #handleHead(status: number, headers: string[], isFirst: boolean): void {
     const { dialect } = this.#context;
     this.#heardAt = now();
     this.#rawHead = { status, headers };
     const metadata = dialect.parseAnswer(status, headers);
     this.#metadata = metadata;
-    const isForeign =
-      metadata.requestId !== null && metadata.requestId !== this.#admitted.metadata.requestId;
-    const isSuccess = status < FIRST_REDIRECT_STATUS;
-    const isForged = isSuccess && (!metadata.isSigned || metadata.requestId === null);
-    if (isForeign) this.#reject('answer carries the id of another request');
-    else if (isForged) this.#reject('successful answer lacks a signature or request id');
+    const expected = { isResumed: this.#resumedEvents !== null, isFirst };
+    const fault = findAnswerFault(this.#rawHead, metadata, this.#admitted, expected);
+    if (fault !== null) this.#reject(fault);
     else if (this.#isTooLong()) this.#reject('answer exceeds the size limit');
-    else this.#recordTerms(status, metadata);
+    else {
+      this.#recordTerms(status, metadata);
+      if (metadata.isNotRun && metadata.requestId === null) {
+        // Closes the connection, on which this refusal could come once more.
+        this.#request.cancel();
+        this.#turnAway(metadata);
+      }
+    }
   }
 
   #isTooLong(): boolean {
@@ -240,20 +250,23 @@
 
   #handleBody(chunk: Buffer): boolean {
     if (this.#isSettled) return true;
-    if (this.#isStream()) {
-      this.#heardAt = now();
-      this.#markStreaming();
-      if (this.#stream.push(chunk, this.#heardAt)) this.#observer.livedOn();
-      if (this.#stream.isOverlong) {
-        this.#reject('event exceeds the size limit');
-        return true;
-      }
-      return this.#observer.streamed(this.#rawHead, chunk);
-    }
+    if (this.#isStream()) return this.#handleEvents(chunk);
     this.#body.push(chunk);
     return true;
   }
 
+  #handleEvents(chunk: Buffer): boolean {
+    this.#heardAt = now();
+    this.#markStreaming();
+    if (this.#stream.push(chunk, this.#heardAt)) this.#observer.livedOn();
+    const bytes = this.#resumedEvents?.push(chunk) ?? chunk;
+    const hasBegunAgain = this.#resumedEvents?.hasBegunAgain === true;
+    if (this.#stream.isOverlong) this.#reject('event exceeds the size limit');
+    else if (hasBegunAgain) this.#reject('stream begins again instead of going on');
+    else return this.#observer.streamed(this.#rawHead, bytes);
+    return true;
+  }
+
   #markStreaming(): void {
     if (this.#work.phase !== 'waiting') return;
     recordFirstEvent(this.#context.state.scheduling, this.#work, now());
@@ -270,10 +283,7 @@
         message: 'stream ended inside an event',
       });
     } else if (this.#metadata?.isNotRun === true) {
-      this.#recordReplacement(this.#metadata);
-      this.#observeRefusal();
-      this.#end('turned-away');
-      this.#observer.notRun(`status ${status}`);
+      this.#turnAway(this.#metadata);
     } else if (isFramed(headers) || status >= FIRST_SERVER_ERROR_STATUS) {
       this.#complete();
     } else {
@@ -320,6 +330,13 @@
     });
   }
 
+  #turnAway(metadata: AnswerMetadata): void {
+    this.#recordReplacement(metadata);
+    this.#observeRefusal();
+    this.#end('turned-away');
+    this.#observer.notRun(`status ${this.#rawHead.status}`);
+  }
+
   /** Records the end of the endpoint when another one answers at its address. */
   #recordReplacement({ endpointId }: AnswerMetadata): void {
     if (endpointId === null || endpointId === this.endpoint.id) return;
--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -3,7 +3,7 @@
 
 import { now } from '../clock.js';
 import type { EndpointConnections } from './endpointConnections.js';
-import { EndlessAnswerError } from './guardedClient.js';
+import { EndlessAnswerError, type GuardedHandler } from './guardedClient.js';
 import type { LoopDelay } from './loopDelay.js';
 
 /** Age of formatted headers, which name the time left, above which they are formatted anew. */
@@ -31,7 +31,8 @@
   isAwaited?(): boolean;
   /** Says whether to send the request, which may have waited for a connection. */
   mayStart?(): boolean;
-  head(status: number, headers: string[]): void;
+  /** `isFirst` is true for the answer to the first request on a connection. */
+  head(status: number, headers: string[], isFirst: boolean): void;
   /** Returns false to pause reading until `EndpointRequest.resume`. */
   body(chunk: Buffer): boolean;
   end(): void;
@@ -96,7 +97,11 @@
     const { method, path, formatHeaders, body } = outgoing;
     const formattedAt = now();
     const options = { method, path, headers: formatHeaders(), body };
-    this.#connections.pool.dispatch(options, {
+    let isFirst = false;
+    const handler: GuardedHandler = {
+      onConnection: (isNew) => {
+        isFirst = isNew;
+      },
       onConnect: (abort) => {
         const obstacle = this.#findObstacle(formattedAt);
         if (obstacle !== null) throw new UnsentError(obstacle);
@@ -108,7 +113,7 @@
         this.#loopDelay.markTurn();
         this.#connections.markHeard();
         if (status < 200) return true;
-        this.#observer.head(status, decodeHeaders(rawHeaders));
+        this.#observer.head(status, decodeHeaders(rawHeaders), isFirst);
         return true;
       },
       onData: (chunk) => {
@@ -121,7 +126,8 @@
         if (error instanceof UnsentError) this.#handleObstacle(error, outgoing);
         else this.#fail(error);
       },
-    });
+    };
+    this.#connections.pool.dispatch(options, handler);
   }
 
   #findObstacle(formattedAt: number): Obstacle | null {
--- a/packages/router/src/gateway/transitAttempt.ts
+++ b/packages/router/src/gateway/transitAttempt.ts
@@ -6,6 +6,7 @@
 import type { Attempt, AttemptObserver, AttemptRequest, RawAnswerHead } from './attempt.js';
 import type { AnswerNote } from './callerAnswer.js';
 import { EndpointRequest, type AttemptFailure } from './endpointRequest.js';
+import { findBodyFault } from './findBodyFault.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { hasTimeToSend } from './hasTimeToSend.js';
 import { addTerms, readNote, removeEnvelope, TRANSIT_PATH } from './transitEnvelope.js';
@@ -52,6 +53,9 @@
 
   #isSettled = false;
 
+  /** True when the answer goes on with a stream that another attempt has begun. */
+  #isResumed: boolean;
+
   constructor(
     context: GatewayContext,
     admitted: AdmittedRequest,
@@ -61,6 +65,7 @@
     this.#context = context;
     this.#admitted = admitted;
     this.#observer = observer;
+    this.#isResumed = admitted.metadata.lastEventId !== null;
     this.peerId = id;
     this.predictedMs = PREDICTED_TARGET_FACTOR * admitted.route.targetMs;
     this.#body = new AnswerBody(context.buffers, (message) => this.#reject(message));
@@ -98,6 +103,7 @@
   send({ method, path, headers, body, lastEventId }: AttemptRequest): void {
     const { deadlineAt, job } = this.#admitted;
     const { id } = job;
+    this.#isResumed ||= lastEventId !== null;
     const formatHeaders = () =>
       addTerms(headers, {
         from: this.#context.state.vmId,
@@ -140,8 +146,13 @@
     const metadata = this.#context.dialect.parseAnswer(status, this.#head.headers);
     const isOfRequest = metadata.requestId === this.#admitted.metadata.requestId;
     const isForeign = metadata.requestId !== null && !isOfRequest;
-    const isForged = status < FIRST_REDIRECT_STATUS && (!metadata.isSigned || !isOfRequest);
+    const isSuccess = status < FIRST_REDIRECT_STATUS;
+    const isForged = isSuccess && (!metadata.isSigned || !isOfRequest);
+    const bodyFault = isSuccess
+      ? findBodyFault(this.#head, this.#admitted.route, this.#isResumed)
+      : null;
     if (isForeign || isForged) this.#reject('answer of a peer belongs to another request');
+    else if (bodyFault !== null) this.#reject(bodyFault);
   }
 
   #handleBody(chunk: Buffer): boolean {
