Check the lists of a gossip message in one loop

A VM of the grown dealers gets 160 messages of peers a second, and checking each field of their lists by a schema of its own took two thirds of what a message costs. A message that is refused names the list, no longer the field of the tuple.

--- a/packages/router/src/gateway/gossipMessage.ts
+++ b/packages/router/src/gateway/gossipMessage.ts
@@ -39,6 +39,7 @@
 
 import { contactNewsSchema, createContactNews, type ContactReport } from './contactNews.js';
 import type { GatewayState } from './gatewayState.js';
+import { createTextList, createTupleList } from './tupleList.js';
 
 /** Oldest news that is told. */
 const MAX_AGE_MS = 86_400_000;
@@ -65,20 +66,20 @@
   /**
    * Endpoint id, waiting requests, streaming requests, waiting tokens, held tokens, tight requests.
    */
-  loads: z.array(z.tuple([text, count, count, count, count, count])).max(4096),
+  loads: createTupleList(['text', 'count', 'count', 'count', 'count', 'count'], 4096),
   /**
    * Endpoint id, then sum and number of observed-to-expected time ratios: of first events, of
    * steps.
    */
-  paces: z.array(z.tuple([text, count, count, count, count])).max(4096),
+  paces: createTupleList(['text', 'count', 'count', 'count', 'count'], 4096),
   /** Service id, number of engines for decode. */
-  borders: z.array(z.tuple([text, count])).max(256),
+  borders: createTupleList(['text', 'count'], 256),
   /** Service id, prefill demand, decode demand. */
-  demand: z.array(z.tuple([text, count, count])).max(256),
+  demand: createTupleList(['text', 'count', 'count'], 256),
   /** Prompt segment id, id of the engine that it was sent to. */
-  reads: z.array(z.tuple([text, text])).max(128),
+  reads: createTupleList(['text', 'text'], 128),
   /** Control addresses of known VMs. */
-  members: z.array(text).max(64),
+  members: createTextList(64),
   /**
    * Request fingerprint, endpoint id, instant of the crash, instant at which the request was sent.
    */
