Count the slots of an engine in what a stream demands of it

The engine time of a token was that of a batch of 128 requests. With 16 slots a step is shared by 16, so decode demanded well under half of what it does, and its engines had fewer slots than there were streams. The time is the step time of a full batch divided by the slots now; with 128 slots it stays 0.13 ms.

The test failed before with 8 and 16 slots (12 engines for 256 streams).

--- a/packages/core/__tests__/gateway/fixtures.ts
+++ b/packages/core/__tests__/gateway/fixtures.ts
@@ -89,6 +89,7 @@
     serviceId: 'engines',
     priority: 1,
     size: createDraftSize('digest-1'),
+    slots: 128,
     kvTokens: 600_000,
     tokensPerEvent: 5,
     targetMs: 500,
--- a/packages/core/__tests__/gateway/placement.spec.ts
+++ b/packages/core/__tests__/gateway/placement.spec.ts
@@ -23,6 +23,7 @@
   type SchedulingState,
   type WorkKind,
 } from '../../src/index.js';
+import { prefillMs, stepMs } from '../../src/scheduling/costs.js';
 import { describe, it } from '../../src/testing/index.js';
 import { createEndpoint, createJob, createDraftSize, headlineSize } from './fixtures.js';
 
@@ -35,6 +36,7 @@
   gapTargetMs: 250,
 });
 const draft = createJob();
+const FLEET_ENGINES = 64;
 
 function place(
   state: SchedulingState,
@@ -96,6 +98,30 @@
       t.true(count(many, manyNow) < engines.length);
     });
 
+    [8, 16, 32, 64, 128].forEach((slots) => {
+      it(`gives decode slots for the streams that run at once, with ${slots} an engine`, (t) => {
+        const state = createSchedulingState('vm-1');
+        // As many streams as fill a quarter of the engines; prompts take up nearly half of them.
+        const streams = (FLEET_ENGINES / 4) * slots;
+        const headlinesPerSecond = streams / (headlineSize.outputTokens * stepMs(slots, 0) * 0.001);
+        const draftsPerSecond = (0.45 * FLEET_ENGINES * 1000) / prefillMs(draft.size!.promptTokens);
+        const fleet = Array.from({ length: FLEET_ENGINES }, (_, index) =>
+          createEndpoint(`engine-${index}`, { slots }),
+        );
+        for (let now = 0; now < 5000; now += 10) {
+          const arrived = (perSecond: number) =>
+            Math.floor((perSecond * (now + 10)) / 1000) - Math.floor((perSecond * now) / 1000);
+          const arrive = (job: Job, count: number) =>
+            Array.from({ length: count }, () => recordArrival(state, { ...job, slots }, now));
+          arrive(draft, arrived(draftsPerSecond));
+          arrive(headline, arrived(headlinesPerSecond));
+        }
+        const { own } = divideEngines(state, 'engines', fleet, 'decode', 5000);
+        t.true(own.length * slots >= streams, `${own.length} engines for ${streams} streams`);
+        t.true(own.length <= FLEET_ENGINES / 2);
+      });
+    });
+
     it('adopts the border of a VM with a lower id, but not of one with a higher id', (t) => {
       const state = createSchedulingState('vm-2');
       const now = recordArrivals(state, 40, 40);
--- a/packages/core/src/scheduling/commands.ts
+++ b/packages/core/src/scheduling/commands.ts
@@ -60,13 +60,14 @@
 
 /** Adds an arrived request to its service's demand; those to plain services are not counted. */
 export function recordArrival(state: SchedulingState, job: Job, now: number): void {
-  if (job.size === null) return;
+  if (job.size === null || job.slots === null) return;
   updateRouteProfile(state, job, job.size);
   const demand = state.demand.get(job.serviceId) ?? createDemand();
   state.demand.set(job.serviceId, demand);
   const kind = kindOfRoute(state, job);
   const uncached = minUncachedTokens(state.prefixCaches, job.size, now);
-  addToRate(kind === 'prefill' ? demand.prefill : demand.decode, engineMs(job.size, uncached), now);
+  const demanded = kind === 'prefill' ? demand.prefill : demand.decode;
+  addToRate(demanded, engineMs(job.size, uncached, job.slots), now);
 }
 
 /** Records whether a request was sent, or refused for its predicted time. */
--- a/packages/core/src/scheduling/costs.ts
+++ b/packages/core/src/scheduling/costs.ts
@@ -3,9 +3,6 @@
 /** Prefill time of one prompt token; large accelerators read 100 to 160 tokens per millisecond. */
 const PREFILL_MS_PER_TOKEN = 0.0095;
 
-/** Engine time of one output token in a full batch: the step time divided by the slots. */
-const DECODE_MS_PER_TOKEN = 0.13;
-
 /** Time from dispatch to the first event on an idle engine, without prefill. */
 export const IDLE_FIRST_EVENT_MS = 45;
 
@@ -37,11 +34,6 @@
   return own + size.outputTokens + SHARED_HELD_FRACTION * (size.promptTokens - own);
 }
 
-/** Returns the engine time of a generation, in milliseconds; `uncached` is in prompt tokens. */
-export function engineMs({ outputTokens }: GenerationSize, uncached: number): number {
-  return prefillMs(uncached) + outputTokens * DECODE_MS_PER_TOKEN;
-}
-
 /** Fixed part of the time of a decode step without prefill. */
 const EMPTY_STEP_MS = 4;
 
@@ -59,3 +51,15 @@
   const prefillFraction = Math.min(1, prefillWaitMs / PREFILL_SATURATION_MS);
   return EMPTY_STEP_MS + STEP_MS_PER_REQUEST * batch + PREFILL_CHUNK_MS * prefillFraction;
 }
+
+/**
+ * Returns the engine time of a generation, in milliseconds; `uncached` is in prompt tokens. The
+ * requests of a full batch share each step, so a token costs more on engines with few slots.
+ */
+export function engineMs(
+  { outputTokens }: GenerationSize,
+  uncached: number,
+  slots: number,
+): number {
+  return prefillMs(uncached) + (outputTokens * stepMs(slots, 0)) / slots;
+}
--- a/packages/core/src/scheduling/job.ts
+++ b/packages/core/src/scheduling/job.ts
@@ -22,6 +22,8 @@
   readonly priority: number;
   /** Token counts; null for a request to a plain service. */
   readonly size: GenerationSize | null;
+  /** Requests that one engine of the service runs at once; null for a plain service. */
+  readonly slots: number | null;
   /** KV cache memory of one engine of the service, in tokens; null when not configured. */
   readonly kvTokens: number | null;
   /** Output tokens per event in the service's streams. */
--- a/packages/router/src/gateway/admitRequest.ts
+++ b/packages/router/src/gateway/admitRequest.ts
@@ -124,6 +124,7 @@
     serviceId: service.id,
     priority: rankOfRequest(account, route),
     size: service.engine === null ? null : metadata.size,
+    slots: service.engine?.slots ?? null,
     kvTokens: service.engine?.kvTokens ?? null,
     tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
     targetMs: route.targetMs,
