Draw the engine of a stream by the requests that are not seen yet

In a fleet of 85 VMs each hears of a peer's streams once in 525 ms, in which 60 more are sent. All VMs sent theirs to the engines that seemed least busy, so that some ran out of slots while others had room. The engine is drawn now so that the requests which peers have probably sent since their reports fill up the least loaded ones evenly (load interpretation); with few VMs, or few requests, it is the least loaded one as before, and the jitter goes.

--- a/packages/core/src/scheduling/costs.ts
+++ b/packages/core/src/scheduling/costs.ts
@@ -57,7 +57,7 @@
  * requests of a full batch share each step, so a token costs more on engines with few slots.
  */
 export function engineMs(
-  { outputTokens }: GenerationSize,
+  { outputTokens }: Pick<GenerationSize, 'outputTokens'>,
   uncached: number,
   slots: number,
 ): number {
--- a/packages/core/src/scheduling/placeJob.ts
+++ b/packages/core/src/scheduling/placeJob.ts
@@ -11,10 +11,11 @@
   stepMs,
 } from './costs.js';
 import { divideEngines } from './divideEngines.js';
+import { drawByLoad } from './drawByLoad.js';
 import type { GenerationSize, Job } from './job.js';
 import { meanFirstEventPace, meanStepPace } from './pace.js';
 import { listSegmentHolders, uncachedTokens } from './prefixCacheEstimate.js';
-import { kindOfRoute, minGapTargetMs, totalLoad } from './queries.js';
+import { kindOfRoute, minGapTargetMs, totalLoad, unseenDecodeRequests } from './queries.js';
 import { isWithinGapTarget } from './isWithinGapTarget.js';
 import { isBelowFloor } from './sizeGroups.js';
 import type { SchedulingState, WorkLoad } from './state.js';
@@ -214,7 +215,7 @@
 
 /** Scores engines for a decode-bound request by batch size, scaled by the engine's step pace. */
 function scoreDecode(
-  { state, random, now }: PlacementContext,
+  { state, now }: PlacementContext,
   engines: readonly RegisteredEndpoint[],
   size: GenerationSize,
 ): Candidate[] {
@@ -226,9 +227,8 @@
     const waitMs = prefillMs(load.waitingTokens) * pace;
     const predictedMs = IDLE_FIRST_EVENT_MS * pace + waitMs;
     const busy = load.waiting + load.streaming;
-    // The jitter is below one request; it keeps VMs with the same view off the same engine.
     const batch = (busy + 1) * meanStepPace(state, endpoint.id, now);
-    const cost = batch + (DECODE_WAIT_WEIGHT * predictedMs) / IDLE_FIRST_EVENT_MS + random.next();
+    const cost = batch + (DECODE_WAIT_WEIGHT * predictedMs) / IDLE_FIRST_EVENT_MS;
     return { endpoint, load, tokens, predictedMs, wholeMs: predictedMs, pace, cost };
   });
 }
@@ -239,9 +239,10 @@
   const { own, fallback } = divideEngines(state, job.serviceId, usable, 'decode', now);
   const isFree = (candidate: Candidate) =>
     hasCapacity(context, candidate, job) && context.permits.isPermitted(candidate.endpoint.id);
+  const unseen = unseenDecodeRequests(state, job, now);
   const best =
-    findCheapest(scoreDecode(context, own, size).filter(isFree)) ??
-    findCheapest(scoreDecode(context, fallback, size).filter(isFree));
+    drawByLoad(scoreDecode(context, own, size).filter(isFree), unseen, random) ??
+    drawByLoad(scoreDecode(context, fallback, size).filter(isFree), unseen, random);
   if (best !== undefined) return { kind: 'send', ...best };
   const retryAfterMs = computeRetryAfterMs(job, job.targetMs, random);
   return { kind: 'refuse', reason: 'full', predictedMs: job.targetMs, retryAfterMs };
@@ -293,18 +294,19 @@
 
 /** Places a stream that goes on: it may use the room that new requests leave. */
 function placeResumed(context: PlacementContext, job: Job, size: GenerationSize): Placement {
-  const { state, random } = context;
+  const { state, random, now } = context;
   const usable = excludeFailing(context);
-  const scored =
+  const hasRoom = ({ endpoint, load }: Candidate) =>
+    load.waiting + load.streaming < endpoint.slots && context.permits.isPermitted(endpoint.id);
+  const ranked = () => rankMembers(affinityKey(size), usable);
+  const best =
     kindOfRoute(state, job) === 'prefill'
-      ? scorePrefill(context, rankMembers(affinityKey(size), usable), size)
-      : scoreDecode(context, usable, size);
-  const best = findCheapest(
-    scored.filter(
-      ({ endpoint, load }) =>
-        load.waiting + load.streaming < endpoint.slots && context.permits.isPermitted(endpoint.id),
-    ),
-  );
+      ? findCheapest(scorePrefill(context, ranked(), size).filter(hasRoom))
+      : drawByLoad(
+          scoreDecode(context, usable, size).filter(hasRoom),
+          unseenDecodeRequests(state, job, now),
+          random,
+        );
   if (best !== undefined) return { kind: 'send', ...best };
   const retryAfterMs = computeRetryAfterMs(job, job.targetMs, random);
   return { kind: 'refuse', reason: 'full', predictedMs: job.targetMs, retryAfterMs };
--- a/packages/core/src/scheduling/queries.ts
+++ b/packages/core/src/scheduling/queries.ts
@@ -1,5 +1,5 @@
 import { hashText, ratePerMs } from '../shared/index.js';
-import { PREFILL_BOUND_RATIO } from './costs.js';
+import { engineMs, PREFILL_BOUND_RATIO } from './costs.js';
 import type { Job } from './job.js';
 import {
   createWorkLoad,
@@ -84,6 +84,25 @@
   return [prefill, decode];
 }
 
+/**
+ * Returns how many decode-bound requests like one of this route peers have probably sent since
+ * their latest reports.
+ */
+export function unseenDecodeRequests(
+  { peers, profiles }: SchedulingState,
+  { routeId, serviceId, slots }: Pick<Job, 'routeId' | 'serviceId' | 'slots'>,
+  now: number,
+): number {
+  const profile = profiles.get(routeId);
+  if (profile === undefined || slots === null) return 0;
+  let unseenMs = 0;
+  for (const peer of peers.values()) {
+    if (!isFreshReport(peer, now)) continue;
+    unseenMs += (peer.demand.get(serviceId)?.[1] ?? 0) * (now - peer.at);
+  }
+  return unseenMs / engineMs(profile, profile.unsharedTokens, slots);
+}
+
 function listProfiles({ profiles }: SchedulingState, serviceId: string): RouteProfile[] {
   return [...profiles.values()].filter((profile) => profile.serviceId === serviceId);
 }
