--- a/packages/router/src/gateway/gossipMessage.ts
+++ b/packages/router/src/gateway/gossipMessage.ts
@@ -224,6 +224,11 @@
     ]);
 }
 
+/** Rounds to a thousandth: all digits of a sum would make up most of a message. */
+function roundSum(value: number): number {
+  return Math.round(value * 1000) / 1000;
+}
+
 function collectPaces(
   { scheduling }: GatewayState,
   { isReached }: ReachedFilter,
@@ -233,7 +238,9 @@
     .filter(([id]) => isReached(id))
     .map(([id, work]): GossipMessage['paces'][number] => {
       const { first, step } = ownPaceSums(work, now);
-      return [id, ...first, ...step];
+      const [firstRatios, firstSamples] = first.map(roundSum) as [number, number];
+      const [stepRatios, stepSamples] = step.map(roundSum) as [number, number];
+      return [id, firstRatios, firstSamples, stepRatios, stepSamples];
     })
     .filter(([, , firstSamples, , stepSamples]) => firstSamples + stepSamples > MIN_PACE_SAMPLES);
 }
@@ -347,7 +354,10 @@
     borders: [...scheduling.borders].filter(([id]) => reached.isServiceReached(id)),
     demand: [...scheduling.demand.keys()]
       .filter((id) => reached.isServiceReached(id))
-      .map((id) => [id, ...ownDemand(scheduling, id, now)]),
+      .map((id) => {
+        const [prefill, decode] = ownDemand(scheduling, id, now);
+        return [id, roundSum(prefill), roundSum(decode)];
+      }),
     reads: sender.reads.map(({ segmentId, endpointId }) => [segmentId, endpointId]),
     members: chooseMembers(state),
     crashes: collectCrashes(state),
