--- a/packages/core/src/scheduling/queries.ts
+++ b/packages/core/src/scheduling/queries.ts
@@ -1,5 +1,5 @@
 import { hashText, ratePerMs } from '../shared/index.js';
-import { PREFILL_BOUND_RATIO } from './costs.js';
+import { engineMs, PREFILL_BOUND_RATIO } from './costs.js';
 import type { Job } from './job.js';
 import {
   createWorkLoad,
@@ -84,6 +84,25 @@
   return [prefill, decode];
 }
 
+/**
+ * Returns how many decode-bound requests like one of this route peers have probably sent since
+ * their latest reports.
+ */
+export function unseenDecodeRequests(
+  { peers, profiles }: SchedulingState,
+  { routeId, serviceId, slots }: Pick<Job, 'routeId' | 'serviceId' | 'slots'>,
+  now: number,
+): number {
+  const profile = profiles.get(routeId);
+  if (profile === undefined || slots === null) return 0;
+  let unseenMs = 0;
+  for (const peer of peers.values()) {
+    if (!isFreshReport(peer, now)) continue;
+    unseenMs += (peer.demand.get(serviceId)?.[1] ?? 0) * (now - peer.at);
+  }
+  return unseenMs / engineMs(profile, profile.unsharedTokens, slots);
+}
+
 function listProfiles({ profiles }: SchedulingState, serviceId: string): RouteProfile[] {
   return [...profiles.values()].filter((profile) => profile.serviceId === serviceId);
 }
@@ -107,9 +126,21 @@
   return Math.min(...gaps);
 }
 
+/** Hot path: each placement orders all endpoints, and hashing takes most of its time. */
+const idHashes = new WeakMap<object, number>();
+
+function hashOfId(endpoint: { readonly id: string }): number {
+  let hash = idHashes.get(endpoint);
+  if (hash === undefined) {
+    hash = hashText(endpoint.id);
+    idHashes.set(endpoint, hash);
+  }
+  return hash;
+}
+
 /** Returns the endpoints in the order of their ids' hashes, which is the same on every VM. */
 export function orderByIdHash<T extends { readonly id: string }>(endpoints: readonly T[]): T[] {
-  const keyed = endpoints.map((endpoint) => ({ endpoint, key: hashText(endpoint.id) }));
+  const keyed = endpoints.map((endpoint) => ({ endpoint, key: hashOfId(endpoint) }));
   keyed.sort((a, b) => a.key - b.key || (a.endpoint.id < b.endpoint.id ? -1 : 1));
   return keyed.map(({ endpoint }) => endpoint);
 }
--- a/packages/router/src/gateway/gossipMessage.ts
+++ b/packages/router/src/gateway/gossipMessage.ts
@@ -40,6 +40,7 @@
 import { isPeerAddress } from './address.js';
 import { contactNewsSchema, createContactNews, type ContactReport } from './contactNews.js';
 import type { GatewayState } from './gatewayState.js';
+import { createTextList, createTupleList } from './tupleList.js';
 
 /** Oldest news that is told. */
 const MAX_AGE_MS = 86_400_000;
@@ -69,23 +70,20 @@
   /**
    * Endpoint id, waiting requests, streaming requests, waiting tokens, held tokens, tight requests.
    */
-  loads: z.array(z.tuple([text, count, count, count, count, count])).max(4096),
+  loads: createTupleList(['text', 'count', 'count', 'count', 'count', 'count'], 4096),
   /**
    * Endpoint id, then sum and number of observed-to-expected time ratios: of first events, of
    * steps.
    */
-  paces: z.array(z.tuple([text, count, count, count, count])).max(4096),
+  paces: createTupleList(['text', 'count', 'count', 'count', 'count'], 4096),
   /** Service id, number of engines for decode. */
-  borders: z.array(z.tuple([text, count])).max(256),
+  borders: createTupleList(['text', 'count'], 256),
   /** Service id, prefill demand, decode demand. */
-  demand: z.array(z.tuple([text, count, count])).max(256),
+  demand: createTupleList(['text', 'count', 'count'], 256),
   /** Prompt segment id, id of the engine that it was sent to. */
-  reads: z.array(z.tuple([text, text])).max(128),
+  reads: createTupleList(['text', 'text'], 128),
   /** Control addresses of known VMs; a malformed one does not spoil the message. */
-  members: z
-    .array(text)
-    .max(64)
-    .transform((addresses) => addresses.filter(isPeerAddress)),
+  members: createTextList(64).transform((addresses) => addresses.filter(isPeerAddress)),
   /**
    * Request fingerprint, endpoint id, instant of the crash, instant at which the request was sent.
    */
@@ -235,6 +233,11 @@
     ]);
 }
 
+/** Rounds to a thousandth: all digits of a sum would make up most of a message. */
+function roundSum(value: number): number {
+  return Math.round(value * 1000) / 1000;
+}
+
 function collectPaces(
   { scheduling }: GatewayState,
   { isReached }: ReachedFilter,
@@ -244,7 +247,8 @@
     .filter(([id]) => isReached(id))
     .map(([id, work]): GossipMessage['paces'][number] => {
       const { first, step } = ownPaceSums(work, now);
-      const [firstRatios, firstSamples, stepRatios, stepSamples] = [...first, ...step].map(toCount);
+      const sums = [...first, ...step].map((sum) => roundSum(toCount(sum)));
+      const [firstRatios, firstSamples, stepRatios, stepSamples] = sums;
       return [id, firstRatios!, firstSamples!, stepRatios!, stepSamples!];
     })
     .filter(([, , firstSamples, , stepSamples]) => firstSamples + stepSamples > MIN_PACE_SAMPLES);
@@ -361,7 +365,7 @@
       .filter((id) => reached.isServiceReached(id))
       .map((id) => {
         const [prefill, decode] = ownDemand(scheduling, id, now);
-        return [id, toCount(prefill), toCount(decode)];
+        return [id, roundSum(toCount(prefill)), roundSum(toCount(decode))];
       }),
     reads: sender.reads.map(({ segmentId, endpointId }) => [segmentId, endpointId]),
     members: chooseMembers(state),
