Hold requests that are read and not begun, and refuse early those that cannot begin in time

Cause: processor time is a resource that nothing divides. Evidence: overload.spec on.

Requests begin at once while the process is on time, and from a backlog otherwise: by priority, accounts in turn, the one that must begin first ahead, within a part of each turn that shrinks with the work of open requests. One that cannot begin within half of its latency target is refused when it is read, with a short Retry-After. A VM whose connections wait for half a second is not ready. Bounds: 1,024 requests, 16 MB.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from './admission/index.js';
+export * from './backlog/index.js';
 export * from './brittleness/index.js';
 export * from './claims/index.js';
 export * from './contacts/index.js';
--- a/packages/router/__tests__/gateway/overload.spec.ts
+++ b/packages/router/__tests__/gateway/overload.spec.ts
@@ -1,4 +1,4 @@
-import { describe, itFails } from '@filbertlatch/core/testing';
+import { describe, itSerial } from '@filbertlatch/core/testing';
 
 import { isInTime, playOverload, sumWorth, TARGET_MS, type Outcome } from './overloadScenario.js';
 
@@ -38,7 +38,7 @@
 // A VM short of processor time reads requests faster than it can send them. Begun in the order in
 // which they are read, all are late, and a flood of one account takes the time of all others.
 describe('a VM with three times the requests that its processor can send', () => {
-  itFails('serves what matters most and refuses the rest early', async (t) => {
+  itSerial('serves what matters most and refuses the rest early', async (t) => {
     const [before, during] = await playOverload([
       { ...peak, seconds: SECONDS, seed: SEED },
       { ...overload, seconds: SECONDS, seed: SEED },
--- a/packages/router/src/gateway/callerConnections.ts
+++ b/packages/router/src/gateway/callerConnections.ts
@@ -55,6 +55,12 @@
     return () => callbacks.delete(callback);
   }
 
+  /** Time for which connections may have waited to be accepted, in milliseconds. */
+  get acceptDelayMs(): number {
+    const run = this.#acceptRun;
+    return run !== null && this.#goesOn(run) ? now() - run.since : 0;
+  }
+
   /** True when the caller has closed the connection. */
   hasLeft(socket: Socket): boolean {
     return socket.destroyed || this.#left.has(socket);
--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -7,7 +7,7 @@
 import type { LoopDelay } from './loopDelay.js';
 
 /** Age of formatted headers, which name the time left, above which they are formatted anew. */
-const MAX_HEADER_AGE_MS = 50;
+const MAX_HEADER_AGE_MS = 200;
 
 /** An HTTP request as it is sent to an endpoint. */
 export interface OutgoingRequest {
@@ -119,7 +119,10 @@
       onData: (chunk) => {
         this.#loopDelay.markTurn();
         this.#connections.markHeard();
-        return this.#isOver || this.#observer.body(chunk);
+        const startedAt = now();
+        const isRead = this.#isOver || this.#observer.body(chunk);
+        this.#loopDelay.addWork(now() - startedAt);
+        return isRead;
       },
       onComplete: () => this.#complete(),
       onError: (error) => {
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -44,6 +44,7 @@
 import { LivenessTask } from './livenessTask.js';
 import { countFleetVms, createGatewayState, isServing } from './gatewayState.js';
 import { dumpGateway, type GatewayDump } from './dumpGateway.js';
+import { IntakeTask } from './intakeTask.js';
 import { createLazyControlApi } from './lazyControlApi.js';
 import { LoopDelay } from './loopDelay.js';
 import { OriginTask } from './originTask.js';
@@ -59,6 +60,9 @@
 /** Interval of the maintenance timer, which is the heartbeat too. */
 const MAINTENANCE_INTERVAL_MS = BEAT_INTERVAL_MS;
 
+/** Time for which connections may wait to be accepted while the VM is ready for more. */
+const MAX_ACCEPT_DELAY_MS = 500;
+
 /** Length of a standstill from which the process counts as having been paused. */
 const MIN_PROCESS_PAUSE_MS = 1400;
 
@@ -172,6 +176,7 @@
     metrics,
     loopDelay,
     callers: callerConnections,
+    intake: new IntakeTask(loopDelay, callerConnections, state.random),
     brittle,
     contacts,
     transits,
@@ -199,7 +204,8 @@
 
   const readiness = createServer((request, response) => {
     request.resume();
-    response.writeHead(isServing(state) ? 200 : 503, { 'content-length': 0 }).end();
+    const isReady = isServing(state) && callerConnections.acceptDelayMs < MAX_ACCEPT_DELAY_MS;
+    response.writeHead(isReady ? 200 : 503, { 'content-length': 0 }).end();
   });
   const controlApi = createLazyControlApi({
     handleCall: (call) => peers.handleCall(call),
--- a/packages/router/src/gateway/gatewayContext.ts
+++ b/packages/router/src/gateway/gatewayContext.ts
@@ -9,6 +9,7 @@
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { GatewayState } from './gatewayState.js';
+import type { IntakeTask } from './intakeTask.js';
 import type { LivenessTask } from './livenessTask.js';
 import type { LoopDelay } from './loopDelay.js';
 import type { OriginTask } from './originTask.js';
@@ -24,6 +25,7 @@
   readonly metrics: GatewayMetrics;
   readonly loopDelay: LoopDelay;
   readonly callers: CallerConnections;
+  readonly intake: IntakeTask;
   readonly brittle: BrittleTask;
   readonly contacts: ContactTask;
   readonly transits: TransitTask;
--- a/packages/router/src/gateway/handleRequest.ts
+++ b/packages/router/src/gateway/handleRequest.ts
@@ -5,7 +5,6 @@
 import type { CallerAnswer } from './callerAnswer.js';
 import { Exchange } from './exchange.js';
 import type { GatewayContext } from './gatewayContext.js';
-import { MAX_UNREAD_AGE_MS } from './loopDelay.js';
 import { readBody } from './readBody.js';
 import type { TransitTerms } from './transitEnvelope.js';
 
@@ -43,7 +42,7 @@
   received: ReceivedRequest,
 ): Promise<void> {
   const { answer, request, response, transit } = received;
-  const { callers, loopDelay, metrics, state } = context;
+  const { callers, intake, metrics, state } = context;
   const arrival = callers.readArrival(request.socket);
   if (!hasValidHeaderNames(request.rawHeaders)) {
     metrics.countRequest('none', 'malformed_header');
@@ -71,10 +70,12 @@
     return;
   }
   const { body } = result;
-  const begin = () => {
-    if (!callers.hasLeft(request.socket)) new Exchange(context, admission, received, body).start();
-  };
-  // A close of the caller may stand behind a request that came so long ago.
-  if (arrival.readAt - arrival.earliestAt > MAX_UNREAD_AGE_MS) loopDelay.afterPoll(begin);
-  else begin();
+  const routeId = admission.route.id;
+  const reason = transit === null ? 'overloaded' : 'busy';
+  intake.accept(admission, body?.length ?? 0, response, {
+    hasLeft: () => callers.hasLeft(request.socket),
+    begin: () => new Exchange(context, admission, received, body).start(),
+    refuse: (retryAfterMs) =>
+      reject(context, answer, { kind: 'rejected', status: 503, reason, retryAfterMs, routeId }),
+  });
 }
--- a/packages/router/src/gateway/loopDelay.ts
+++ b/packages/router/src/gateway/loopDelay.ts
@@ -15,7 +15,7 @@
  * Age that unread bytes may have while requests are sent; the close of a caller is among them. Half a
  * second after it no endpoint may get the request.
  */
-export const MAX_UNREAD_AGE_MS = 200;
+export const MAX_UNREAD_AGE_MS = 300;
 
 /** Returns the time that the loop has spent waiting for events, in milliseconds. */
 function readIdleMs(): number {
@@ -38,7 +38,9 @@
 
   #turnCount = 0;
 
-  #latestTurnMs = 0;
+  #workMs = 0;
+
+  #latestWorkMs = 0;
 
   #longestTurnMs = 0;
 
@@ -64,9 +66,14 @@
     return this.#turnCount;
   }
 
-  /** Time for which the loop was busy in its latest turn, in milliseconds. */
-  get latestTurnMs(): number {
-    return this.#latestTurnMs;
+  /** Time that answers took in the latest turn, in milliseconds. */
+  get latestWorkMs(): number {
+    return this.#latestWorkMs;
+  }
+
+  /** Adds time that bytes of an answer took in this turn, in milliseconds. */
+  addWork(ms: number): void {
+    this.#workMs += ms;
   }
 
   /** True when a close that is unread may be older than requests are sent after one. */
@@ -132,8 +139,10 @@
   #recordTurn(): void {
     const turn = this.#createTurn();
     const { latest } = this.#state;
-    this.#latestTurnMs = Math.max(0, turn.at - latest.at - (turn.idleMs - latest.idleMs));
-    this.#longestTurnMs = Math.max(this.#longestTurnMs, this.#latestTurnMs);
+    const turnMs = turn.at - latest.at - (turn.idleMs - latest.idleMs);
+    this.#longestTurnMs = Math.max(this.#longestTurnMs, turnMs);
+    this.#latestWorkMs = this.#workMs;
+    this.#workMs = 0;
     recordTurn(this.#state, turn);
   }
 
@@ -143,10 +152,9 @@
     // Only here, once between two polls: the age of what is unread counts from the mark before the last.
     this.#recordTurn();
     if (this.#waiting.length === 0) return;
-    if (this.isBehind) {
-      this.markTurn();
-      return;
-    }
+    // Before what the callbacks schedule for the end of the next turn, which asks for its age.
+    this.markTurn();
+    if (this.isBehind) return;
     const waiting = this.#waiting;
     this.#waiting = [];
     waiting.forEach((callback) => this.whenOnTime(callback));
