Do not give the slots of peers that are unread to the VM that is late

A VM that stood still for some four seconds took the slots of all other VMs at brittle endpoints, which fall over when they are sent more than they run. Cause: the silence of peers ran by the clock. It is counted in the time in which the process listened.

Evidence: brittleTask.spec, a standstill of 4.5 s: the peer had no part, 1 of 1; has its part now, 1 of 1.

--- a/packages/router/src/gateway/brittleTask.ts
+++ b/packages/router/src/gateway/brittleTask.ts
@@ -25,6 +25,7 @@
 import type { AnswerMetadata } from './dialect.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
+import type { LoopDelay } from './loopDelay.js';
 
 /** An endpoint may still have a request for this long after it was given up. */
 const GIVE_UP_MS = 300;
@@ -55,10 +56,13 @@
 export class BrittleTask {
   readonly #state: GatewayState;
 
+  readonly #loopDelay: LoopDelay;
+
   readonly #log: GatewayLog;
 
-  constructor(state: GatewayState, log: GatewayLog) {
+  constructor(state: GatewayState, loopDelay: LoopDelay, log: GatewayLog) {
     this.#state = state;
+    this.#loopDelay = loopDelay;
     this.#log = log;
   }
 
@@ -167,7 +171,7 @@
   /** Updates the VMs that share slots, and wakes what waits for slots that became free by it. */
   maintain(): void {
     const { brittleness, peers } = this.#state;
-    const heardSince = now() - MAX_PEER_SILENCE_MS;
+    const heardSince = this.#loopDelay.listenedSince(MAX_PEER_SILENCE_MS);
     const heard = [...peers].filter(([, { heardAt }]) => heardAt >= heardSince);
     setSharingVms(
       brittleness,
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -136,7 +136,7 @@
     pauses: new PauseRecorder(state, log),
   };
   const contacts = new ContactTask(state, connections, terms, loopDelay, metrics, log, notifyPeers);
-  const brittle = new BrittleTask(state, log);
+  const brittle = new BrittleTask(state, loopDelay, log);
   const transits = new TransitTask(state, contacts, loopDelay);
   const probes = new ProbeTask(
     state,
