Do not remove endpoints whose renewed entries are unread

Two seconds after the store was back, endpoints whose entries had lapsed were removed although they had been written again: the process had stood still and not read it. They got no requests, and what they had not answered before counted as their crash. Cause: the grace ran by the clock. It ends once the process has listened for so long since the store's return.

--- a/packages/core/src/directory/commands.ts
+++ b/packages/core/src/directory/commands.ts
@@ -3,7 +3,7 @@
 /**
  * Time after the store's return in which entries that lapsed in its outage may be written again.
  */
-const LAPSE_GRACE_MS = 2000;
+export const LAPSE_GRACE_MS = 2000;
 
 /** A change of one registry entry; `endpoint` is null when it was removed or cannot be read. */
 export interface EntryChange {
--- a/packages/core/src/directory/index.ts
+++ b/packages/core/src/directory/index.ts
@@ -2,6 +2,7 @@
   replaceEntries,
   applyEntryChange,
   removeLapsed,
+  LAPSE_GRACE_MS,
   markStoreLost,
   advanceRevision,
   markStoreRegained,
--- a/packages/router/__tests__/gateway/publicationTask.spec.ts
+++ b/packages/router/__tests__/gateway/publicationTask.spec.ts
@@ -1,12 +1,18 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
 import {
+  applyEntryChange,
   BEAT_INTERVAL_MS,
   createRandom,
   ejectEndpoint,
   getHealthPhase,
   countCrashes,
+  markStoreLost,
+  markStoreRegained,
+  replaceEntries,
   type RegisteredEndpoint,
 } from '@filbertlatch/core';
-import { describe, it } from '@filbertlatch/core/testing';
+import { describe, it, itSerial } from '@filbertlatch/core/testing';
 import { request } from 'undici';
 
 import { now } from '../../src/clock.js';
@@ -108,7 +114,7 @@
 });
 
 describe('a store that answers while the process stands still', () => {
-  it('is not lost', async (t) => {
+  itSerial('is not lost', async (t) => {
     const store = await startThreadedEndpoint('store', { answerDelayMs: 1000 });
     const source: PublicationSource = {
       ...createSource(null, []),
@@ -136,3 +142,27 @@
     }
   });
 });
+
+describe('an endpoint whose entry lapsed in an outage of the store', () => {
+  itSerial('is not removed before what was written in a standstill is read', async (t) => {
+    const state = createGatewayState(settings, createRandom(1));
+    const log = new GatewayLog(createLog('vm-1', 'error'));
+    const crashes = new CrashRecorder(state, createTestMetrics(), log);
+    const loopDelay = new LoopDelay();
+    const timer = setInterval(() => loopDelay.beat(), BEAT_INTERVAL_MS);
+    const task = new PublicationTask(state, createSource(null, []), crashes, loopDelay, log);
+    const { directory } = state;
+    await sleep(2 * BEAT_INTERVAL_MS);
+    replaceEntries(directory, [createEndpoint(1)], 1, now());
+    markStoreLost(directory);
+    applyEntryChange(directory, { id: 'e1', endpoint: null, isRemoved: true }, now());
+    markStoreRegained(directory, now());
+    blockLoop(2500);
+    task.removeMissing();
+    t.true(directory.endpoints.has('e1'));
+    await sleep(2300);
+    task.removeMissing();
+    t.false(directory.endpoints.has('e1'));
+    clearInterval(timer);
+  });
+});
--- a/packages/router/src/gateway/publicationTask.ts
+++ b/packages/router/src/gateway/publicationTask.ts
@@ -5,6 +5,7 @@
   replaceEntries,
   applyEntryChange,
   isTakingRequests,
+  LAPSE_GRACE_MS,
   configurationVersion,
   removeLapsed,
   resetEndpointHealth,
@@ -186,7 +187,9 @@
 
   /** Removes the endpoints whose entries did not reappear after an outage of the store. */
   removeMissing(): void {
-    removeLapsed(this.#state.directory, now()).forEach((endpointId) => {
+    // After a standstill entries that were written again may be unread.
+    const listenedUntil = this.#loopDelay.listenedSince(LAPSE_GRACE_MS) + LAPSE_GRACE_MS;
+    removeLapsed(this.#state.directory, listenedUntil).forEach((endpointId) => {
       this.#crashes.recordEndpointEnd(endpointId, 'removed');
       this.#log.change('endpoint_gone', { endpointId, reason: 'not_back_after_outage' });
     });
