--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -11,16 +11,15 @@
 import type { CallerAnswer } from './callerAnswer.js';
 import { EventSplitter } from './eventSplitter.js';
 import type { GatewayContext } from './gatewayContext.js';
+import { hasTimeToSend } from './hasTimeToSend.js';
 import { dropHopByHopHeaders } from './headers.js';
 import type { OriginAnswer } from './originTask.js';
 import { SegmentGuard } from './segmentGuard.js';
 import { EndpointAttempt } from './endpointAttempt.js';
+import { SilenceTimer } from './silenceTimer.js';
 import type { ReceivedRequest } from './handleRequest.js';
 import { TransitAttempt } from './transitAttempt.js';
 
-/** A request is sent only with at least this time left: with less, no answer arrives in time. */
-const MIN_SEND_TIME_MS = 20;
-
 /** Attempts not run by their endpoints after which yet another endpoint is tried. */
 const MAX_NOT_RUN_ATTEMPTS = 3;
 
@@ -75,8 +74,6 @@
 
   readonly #body: Buffer | null;
 
-  readonly #arrivedAt: number;
-
   readonly #crashGuard: CrashGuard;
 
   readonly #segmentGuard: SegmentGuard;
@@ -90,6 +87,8 @@
 
   #resumeWaits = 0;
 
+  #stopWatching: (() => void) | null = null;
+
   /** Ends the wait for a slot; null while the request does not wait. */
   #stopWaiting: (() => void) | null = null;
 
@@ -115,7 +114,10 @@
 
   #deadlineTimer: NodeJS.Timeout | null = null;
 
-  #stuckTimer: NodeJS.Timeout | null = null;
+  readonly #stuckTimer: SilenceTimer;
+
+  /** Waits for what peers say of trials. */
+  readonly #trialTimer: SilenceTimer;
 
   #placement: Placement | null = null;
 
@@ -124,7 +126,6 @@
     admitted: AdmittedRequest,
     { request, response, answer }: ReceivedRequest,
     body: Buffer | null,
-    arrivedAt: number,
   ) {
     this.#context = context;
     this.#admitted = admitted;
@@ -132,8 +133,9 @@
     this.#response = response;
     this.#answer = answer;
     this.#body = body;
-    this.#arrivedAt = arrivedAt;
     this.#choice = new EndpointChoice(context, admitted);
+    this.#stuckTimer = new SilenceTimer(context.loopDelay);
+    this.#trialTimer = new SilenceTimer(context.loopDelay);
     this.#segmentGuard = new SegmentGuard(context, admitted);
     const { accountId } = admitted;
     this.#crashGuard = new CrashGuard(context, this.#segmentGuard, accountId, request, body);
@@ -147,9 +149,13 @@
   /** Starts to handle the request. */
   start(): void {
     const { deadlineAt, job } = this.#admitted;
-    this.#response.on('close', () => this.#handleCallerLeft());
-    this.#deadlineTimer = setTimeout(() => this.#handleDeadline(), Math.max(0, deadlineAt - now()));
-    const { state } = this.#context;
+    const handleCallerLeft = () => this.#handleCallerLeft();
+    this.#response.on('close', handleCallerLeft);
+    this.#stopWatching = this.#context.callers.onLeave(this.#request.socket, handleCallerLeft);
+    const { loopDelay, state } = this.#context;
+    // An answer may wait to be read.
+    const handleDeadline = () => loopDelay.whenOnTime(() => this.#handleDeadline());
+    this.#deadlineTimer = setTimeout(handleDeadline, Math.max(0, deadlineAt - now()));
     // The VM that carries the request credits it.
     if (this.#choosePeer() === undefined) creditRequest(state.retryBudget, job.serviceId, now());
     if (this.#isTakenUp()) void this.#takeUp();
@@ -177,18 +183,23 @@
     else this.#send();
   }
 
+  #isAwaited(): boolean {
+    return !this.#isFinished && !this.#context.callers.hasLeft(this.#request.socket);
+  }
+
   #send(): void {
-    if (this.#isFinished) return;
+    if (!this.#isAwaited()) return;
     const peer = this.#choosePeer();
     // The VM that carries a request checks it.
     if (peer === undefined && this.#crashGuard.isRefused()) {
       this.#failRequest('crashes_endpoints', REFUSED_STATUS);
       return;
     }
-    const remainingMs = this.#admitted.deadlineAt - now();
-    if (remainingMs < MIN_SEND_TIME_MS) this.#endUnserved('too_late', 0);
-    else if (peer !== undefined) this.#sendByPeer(peer, remainingMs);
-    else this.#sendDirectly(remainingMs);
+    const { deadlineAt } = this.#admitted;
+    const instant = now();
+    if (!hasTimeToSend(deadlineAt, instant)) this.#endUnserved('too_late', 0);
+    else if (peer !== undefined) this.#sendByPeer(peer);
+    else this.#sendDirectly(deadlineAt - instant);
   }
 
   /** Returns the VM by way of which the request goes next; undefined when it goes directly. */
@@ -198,18 +209,18 @@
     return this.#context.transits.choosePeer(job.serviceId, this.#triedPeers);
   }
 
-  #sendByPeer(peer: TransitPeer, remainingMs: number): void {
+  #sendByPeer(peer: TransitPeer): void {
     this.#triedPeers.add(peer.id);
     this.#segmentGuard.release();
     const attempt = new TransitAttempt(this.#context, this.#admitted, peer, this.#createObserver());
     attempt.resumedOrigin = this.#choice.origin;
-    this.#startAttempt(attempt, remainingMs);
+    this.#startAttempt(attempt);
   }
 
   #sendDirectly(remainingMs: number): void {
     const permission = this.#segmentGuard.requestPermission();
     if (permission.kind === 'wait') {
-      setTimeout(() => this.#send(), permission.waitMs);
+      this.#trialTimer.start(permission.waitMs, () => this.#send());
       return;
     }
     if (permission.kind === 'refuse') {
@@ -223,7 +234,7 @@
       this.#choice.markTried(placement.endpoint.id);
       const observer = this.#createObserver();
       const attempt = new EndpointAttempt(this.#context, this.#admitted, placement, observer);
-      this.#startAttempt(attempt, remainingMs);
+      this.#startAttempt(attempt);
     }
   }
 
@@ -233,7 +244,7 @@
     const { job } = this.#admitted;
     const mayWait = brittle.isBrittle(job.serviceId) && WAITING_REASONS.has(reason);
     const refuse = () => this.#endUnserved(reason, retryAfterMs);
-    const waitedMs = now() - this.#arrivedAt;
+    const waitedMs = now() - this.#admitted.arrival.earliestAt;
     this.#stopWaiting = mayWait
       ? brittle.wait(job, waitedMs, remainingMs, { send: () => this.#send(), giveUp: refuse })
       : null;
@@ -242,6 +253,7 @@
 
   #createObserver(): AttemptObserver {
     return {
+      isAwaited: () => this.#isAwaited(),
       streamed: (head, bytes) => this.#forwardChunk(head, bytes),
       livedOn: () => this.#segmentGuard.recordAnswer(),
       streamEnded: (head) => this.#completeStream(head),
@@ -253,7 +265,7 @@
     };
   }
 
-  #startAttempt(attempt: Attempt, remainingMs: number): void {
+  #startAttempt(attempt: Attempt): void {
     this.#logResume(attempt);
     this.#attempt = attempt;
     this.#attemptCount += 1;
@@ -264,7 +276,6 @@
       path: this.#request.url ?? '/',
       headers: dropHopByHopHeaders(this.#request.rawHeaders),
       body: this.#body,
-      remainingMs,
       lastEventId: this.#eventSplitter?.lastEventId ?? null,
     });
   }
@@ -289,7 +300,6 @@
    * that may run twice have one.
    */
   #restartStuckTimer(attempt: Attempt): void {
-    if (this.#stuckTimer !== null) clearTimeout(this.#stuckTimer);
     const { isRepeatable, route } = this.#admitted;
     if (!isRepeatable) return;
     const stallMs = Math.max(MIN_STALL_MS, (route.gapTargetMs ?? 0) * STALL_GAP_FACTOR);
@@ -297,7 +307,7 @@
     const streamFirstEventMs = Math.max(stallMs, stuckMs + attempt.predictedMs);
     const firstAnswerWaitMs = route.repetition === 'streaming' ? streamFirstEventMs : stuckMs;
     const waitMs = attempt.hasAnswered ? stallMs : firstAnswerWaitMs;
-    this.#stuckTimer = setTimeout(() => this.#replaceStuckAttempt(attempt), waitMs);
+    this.#stuckTimer.start(waitMs, () => this.#replaceStuckAttempt(attempt));
   }
 
   #replaceStuckAttempt(attempt: Attempt): void {
@@ -341,7 +351,8 @@
     if (this.#firstAnswerAt !== null) return;
     this.#firstAnswerAt = now();
     const { metrics } = this.#context;
-    metrics.observeFirstAnswer(this.#admitted.route.id, this.#firstAnswerAt - this.#arrivedAt);
+    const { arrival, route } = this.#admitted;
+    metrics.observeFirstAnswer(route.id, this.#firstAnswerAt - arrival.earliestAt);
   }
 
   #recordPause(): void {
@@ -484,9 +495,13 @@
   #handleCallerLeft(): void {
     if (this.#isFinished) return;
     const { isRepeatable, route } = this.#admitted;
-    if (this.#attempt?.isOver === false) this.#crashGuard.recordAbandoned(this.#attempt);
-    // A request that must not run twice may complete: its effect is what the caller asked for.
-    if (isRepeatable || route.repetition === 'streaming') this.#attempt?.cancel('abandoned');
+    const attempt = this.#attempt;
+    const mayRun = attempt?.isOver === false && attempt.mayHaveSent;
+    if (mayRun) this.#crashGuard.recordAbandoned(attempt);
+    // One that must not run twice may complete at its endpoint: its effect is what the caller asked for.
+    const mayComplete =
+      mayRun && attempt.peerId === null && !isRepeatable && route.repetition !== 'streaming';
+    if (!mayComplete) attempt?.cancel('abandoned');
     this.#finish('abandoned');
   }
 
@@ -494,12 +509,15 @@
     if (this.#isFinished) return;
     this.#isFinished = true;
     if (this.#deadlineTimer !== null) clearTimeout(this.#deadlineTimer);
-    if (this.#stuckTimer !== null) clearTimeout(this.#stuckTimer);
+    this.#stuckTimer.stop();
+    this.#trialTimer.stop();
+    this.#stopWatching?.();
     this.#stopWaiting?.();
     this.#crashGuard.unwatch();
     this.#segmentGuard.release();
     const { metrics, log, state } = this.#context;
-    const { route, job, isReturning } = this.#admitted;
+    const { arrival, route, job, isReturning } = this.#admitted;
+    const { earliestAt, readAt } = arrival;
     metrics.countRequest(route.id, outcome);
     log.decision('request_ended', {
       requestId: job.id,
@@ -517,10 +535,10 @@
       from: this.#admitted.transit?.from,
       requestLimit: this.#attempt?.requestLimit ?? undefined,
       ...this.#crashGuard.describe(),
-      firstMs:
-        this.#firstAnswerAt === null ? null : Math.round(this.#firstAnswerAt - this.#arrivedAt),
+      unreadMs: Math.round(readAt - earliestAt),
+      firstMs: this.#firstAnswerAt === null ? null : Math.round(this.#firstAnswerAt - earliestAt),
       longestPauseMs: Math.round(this.#longestPauseMs),
-      totalMs: Math.round(now() - this.#arrivedAt),
+      totalMs: Math.round(now() - earliestAt),
     });
   }
 }
--- a/packages/router/src/gateway/gossipMessage.ts
+++ b/packages/router/src/gateway/gossipMessage.ts
@@ -37,8 +37,10 @@
 } from '@filbertlatch/core';
 import * as z from 'zod';
 
+import { isPeerAddress } from './address.js';
 import { contactNewsSchema, createContactNews, type ContactReport } from './contactNews.js';
 import type { GatewayState } from './gatewayState.js';
+import { createTextList, createTupleList } from './tupleList.js';
 
 /** Oldest news that is told. */
 const MAX_AGE_MS = 86_400_000;
@@ -49,15 +51,18 @@
 /** Maximum software versions in one message. */
 const MAX_VERSIONS = 64;
 
-const count = z.number().min(0).max(1e9);
+const MAX_COUNT = 1e9;
+
+const count = z.number().min(0).max(MAX_COUNT);
 const instant = z.number().min(0).describe('Epoch milliseconds.');
 const age = z.number().min(0).max(MAX_AGE_MS);
 const text = z.string().min(1).max(256);
+const controlAddress = text.refine(isPeerAddress);
 
 /** State that one VM gossips to the others several times a second; advisory only. */
 export const gossipMessageSchema = z.object({
   vmId: text,
-  address: text,
+  address: controlAddress,
   isLeaving: z.boolean(),
   hasStore: z.boolean(),
   configurationVersion: z.number().int(),
@@ -65,20 +70,20 @@
   /**
    * Endpoint id, waiting requests, streaming requests, waiting tokens, held tokens, tight requests.
    */
-  loads: z.array(z.tuple([text, count, count, count, count, count])).max(4096),
+  loads: createTupleList(['text', 'count', 'count', 'count', 'count', 'count'], 4096),
   /**
    * Endpoint id, then sum and number of observed-to-expected time ratios: of first events, of
    * steps.
    */
-  paces: z.array(z.tuple([text, count, count, count, count])).max(4096),
+  paces: createTupleList(['text', 'count', 'count', 'count', 'count'], 4096),
   /** Service id, number of engines for decode. */
-  borders: z.array(z.tuple([text, count])).max(256),
+  borders: createTupleList(['text', 'count'], 256),
   /** Service id, prefill demand, decode demand. */
-  demand: z.array(z.tuple([text, count, count])).max(256),
+  demand: createTupleList(['text', 'count', 'count'], 256),
   /** Prompt segment id, id of the engine that it was sent to. */
-  reads: z.array(z.tuple([text, text])).max(128),
-  /** Control addresses of known VMs. */
-  members: z.array(text).max(64),
+  reads: createTupleList(['text', 'text'], 128),
+  /** Control addresses of known VMs; a malformed one does not spoil the message. */
+  members: createTextList(64).transform((addresses) => addresses.filter(isPeerAddress)),
   /**
    * Request fingerprint, endpoint id, instant of the crash, instant at which the request was sent.
    */
@@ -206,6 +211,11 @@
 
 type ReachedFilter = ReturnType<typeof createReachedFilter>;
 
+/** Returns a number as a message may have it, whatever callers said of their requests. */
+function toCount(value: number): number {
+  return Math.min(MAX_COUNT, Math.max(0, value)) || 0;
+}
+
 function collectLoads(
   { scheduling }: GatewayState,
   { isReached }: ReachedFilter,
@@ -217,12 +227,17 @@
       id,
       own.waiting,
       own.streaming,
-      Math.round(own.waitingTokens),
-      Math.round(own.heldTokens),
+      toCount(Math.round(own.waitingTokens)),
+      toCount(Math.round(own.heldTokens)),
       own.tight,
     ]);
 }
 
+/** Rounds to a thousandth: all digits of a sum would make up most of a message. */
+function roundSum(value: number): number {
+  return Math.round(value * 1000) / 1000;
+}
+
 function collectPaces(
   { scheduling }: GatewayState,
   { isReached }: ReachedFilter,
@@ -232,7 +247,9 @@
     .filter(([id]) => isReached(id))
     .map(([id, work]): GossipMessage['paces'][number] => {
       const { first, step } = ownPaceSums(work, now);
-      return [id, ...first, ...step];
+      const sums = [...first, ...step].map((sum) => roundSum(toCount(sum)));
+      const [firstRatios, firstSamples, stepRatios, stepSamples] = sums;
+      return [id, firstRatios!, firstSamples!, stepRatios!, stepSamples!];
     })
     .filter(([, , firstSamples, , stepSamples]) => firstSamples + stepSamples > MIN_PACE_SAMPLES);
 }
@@ -346,7 +363,10 @@
     borders: [...scheduling.borders].filter(([id]) => reached.isServiceReached(id)),
     demand: [...scheduling.demand.keys()]
       .filter((id) => reached.isServiceReached(id))
-      .map((id) => [id, ...ownDemand(scheduling, id, now)]),
+      .map((id) => {
+        const [prefill, decode] = ownDemand(scheduling, id, now);
+        return [id, roundSum(toCount(prefill)), roundSum(toCount(decode))];
+      }),
     reads: sender.reads.map(({ segmentId, endpointId }) => [segmentId, endpointId]),
     members: chooseMembers(state),
     crashes: collectCrashes(state),
--- a/packages/router/src/gateway/originTask.ts
+++ b/packages/router/src/gateway/originTask.ts
@@ -17,6 +17,8 @@
 import * as z from 'zod';
 
 import { now } from '../clock.js';
+import { isPeerAddress } from './address.js';
+import { checkEndpoint } from './checkEndpoint.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
 import type { LoopDelay } from './loopDelay.js';
@@ -64,7 +66,7 @@
 
 const askSchema = z.object({
   /** Control address of the VM that asks. */
-  address: text,
+  address: text.refine(isPeerAddress),
   key: text,
 });
 
@@ -142,7 +144,9 @@
     const known = new Set(directory.endpoints.keys());
     const seen = entries.flatMap((entry) => {
       const endpoint =
-        entry.text === null ? null : this.#source.decodeEndpoint(entry.id, entry.text);
+        entry.text === null
+          ? null
+          : checkEndpoint(this.#source.decodeEndpoint(entry.id, entry.text));
       if (endpoint !== null) known.add(entry.id);
       return endpoint === null ? [] : [endpoint];
     });
--- a/packages/router/src/gateway/transitAttempt.ts
+++ b/packages/router/src/gateway/transitAttempt.ts
@@ -6,7 +6,9 @@
 import type { Attempt, AttemptObserver, AttemptRequest, RawAnswerHead } from './attempt.js';
 import type { AnswerNote } from './callerAnswer.js';
 import { EndpointRequest, type AttemptFailure } from './endpointRequest.js';
+import { findBodyFault } from './findBodyFault.js';
 import type { GatewayContext } from './gatewayContext.js';
+import { hasTimeToSend } from './hasTimeToSend.js';
 import { addTerms, readNote, removeEnvelope, TRANSIT_PATH } from './transitEnvelope.js';
 
 /** The peer gives up this long before this VM does, so that its answer arrives. */
@@ -51,6 +53,9 @@
 
   #isSettled = false;
 
+  /** True when the answer goes on with a stream that another attempt has begun. */
+  #isResumed: boolean;
+
   constructor(
     context: GatewayContext,
     admitted: AdmittedRequest,
@@ -60,10 +65,14 @@
     this.#context = context;
     this.#admitted = admitted;
     this.#observer = observer;
+    this.#isResumed = admitted.metadata.lastEventId !== null;
     this.peerId = id;
     this.predictedMs = PREDICTED_TARGET_FACTOR * admitted.route.targetMs;
     this.#body = new AnswerBody(context.buffers, (message) => this.#reject(message));
-    this.#request = new EndpointRequest(context.transits.getConnections(address), {
+    const connections = context.transits.getConnections(address);
+    this.#request = new EndpointRequest(connections, context.loopDelay, {
+      isAwaited: () => observer.isAwaited(),
+      mayStart: () => hasTimeToSend(admitted.deadlineAt, now()),
       head: (status, headers) => this.#handleHead(status, headers),
       body: (chunk) => this.#handleBody(chunk),
       end: () => this.#handleEnd(),
@@ -76,6 +85,10 @@
     return this.#isSettled;
   }
 
+  get mayHaveSent(): boolean {
+    return this.#request.mayHaveSent;
+  }
+
   get hasAnswered(): boolean {
     return this.#note !== null;
   }
@@ -87,19 +100,22 @@
   /** Where the stream began that this attempt goes on with; set before it is sent. */
   resumedOrigin: StreamOrigin | null = null;
 
-  send({ method, path, headers, body, remainingMs, lastEventId }: AttemptRequest): void {
-    const terms = {
-      from: this.#context.state.vmId,
-      remainingMs: Math.max(0, Math.floor(remainingMs - ANSWER_MARGIN_MS)),
-      lastEventId,
-      origin: this.resumedOrigin,
-    };
-    const { id } = this.#admitted.job;
+  send({ method, path, headers, body, lastEventId }: AttemptRequest): void {
+    const { deadlineAt, job } = this.#admitted;
+    const { id } = job;
+    this.#isResumed ||= lastEventId !== null;
+    const formatHeaders = () =>
+      addTerms(headers, {
+        from: this.#context.state.vmId,
+        remainingMs: Math.max(0, Math.floor(deadlineAt - now() - ANSWER_MARGIN_MS)),
+        lastEventId,
+        origin: this.resumedOrigin,
+      });
     this.#context.log.decision('transit_sent', { requestId: id, peer: this.peerId });
     this.#request.start({
       method,
       path: `${TRANSIT_PATH}${path}`,
-      headers: addTerms(headers, terms),
+      formatHeaders,
       body,
     });
   }
@@ -130,8 +146,13 @@
     const metadata = this.#context.dialect.parseAnswer(status, this.#head.headers);
     const isOfRequest = metadata.requestId === this.#admitted.metadata.requestId;
     const isForeign = metadata.requestId !== null && !isOfRequest;
-    const isForged = status < FIRST_REDIRECT_STATUS && (!metadata.isSigned || !isOfRequest);
+    const isSuccess = status < FIRST_REDIRECT_STATUS;
+    const isForged = isSuccess && (!metadata.isSigned || !isOfRequest);
+    const bodyFault = isSuccess
+      ? findBodyFault(this.#head, this.#admitted.route, this.#isResumed)
+      : null;
     if (isForeign || isForged) this.#reject('answer of a peer belongs to another request');
+    else if (bodyFault !== null) this.#reject(bodyFault);
   }
 
   #handleBody(chunk: Buffer): boolean {
@@ -182,7 +203,8 @@
       error: failure.message,
       sinceSentMs: Math.round(now() - this.#sentAt),
     });
-    if (failure.verdict === 'not-run') this.#observer.notRun(failure.message);
+    if (failure.cause === 'withheld') this.#observer.withheld();
+    else if (failure.verdict === 'not-run') this.#observer.notRun(failure.message);
     else this.#observer.failed(failure);
   }
 
