--- a/packages/router/__tests__/gateway/acceptQueue.spec.ts
+++ b/packages/router/__tests__/gateway/acceptQueue.spec.ts
@@ -1,4 +1,4 @@
-import { describe, itFails } from '@filbertlatch/core/testing';
+import { describe, itSerial } from '@filbertlatch/core/testing';
 
 import { playLateScenario, type LateScenario } from './lateFleet.js';
 import { MAX_FAULTY_REQUESTS, maxOverlongDeadlines } from './lateMeasures.js';
@@ -31,7 +31,7 @@
 describe('requests that wait to be accepted by a VM', () => {
   for (let seed = 1; seed <= SEEDS; seed += 1) {
     Object.entries(scenarios).forEach(([title, changes]) => {
-      itFails(`are not sent on after their callers left: ${title} (seed ${seed})`, async (t) => {
+      itSerial(`are not sent on after their callers left: ${title} (seed ${seed})`, async (t) => {
         const outcome = await playLateScenario({ ...basis, ...changes, seed });
         t.log(JSON.stringify(outcome));
         t.true(outcome.lateSends <= MAX_FAULTY_REQUESTS, 'late sends');
