Do not take bytes that were unread in a standstill for a sign of life after it

What an endpoint had sent before it crashed, or before a cut, was read late and proved that it lived, or that the VM had links: a crash could pass for a slow endpoint, a segment that crashed one count as sound, and a cut make crashes of others. Cause: bytes were dated by the time at which they are read. Proofs use the earliest time at which they can have arrived; silence is still measured from the time of reading.

--- a/packages/router/src/gateway/connectionTable.ts
+++ b/packages/router/src/gateway/connectionTable.ts
@@ -18,8 +18,15 @@
 export class ConnectionTable {
   readonly #entries = new Map<string, ConnectionEntry>();
 
+  readonly #earliestArrivalAt: () => number;
+
   #notifyContact: ((endpointId: string) => void) | null = null;
 
+  /** `earliestArrivalAt` bounds the time at which bytes arrived that are read now. */
+  constructor(earliestArrivalAt: () => number) {
+    this.#earliestArrivalAt = earliestArrivalAt;
+  }
+
   /** Sets the callback for endpoints that answer on a new connection. */
   onContact(notify: (endpointId: string) => void): void {
     this.#notifyContact = notify;
@@ -43,6 +50,7 @@
       endpoint.address,
       Math.max(MIN_CONNECTIONS, connectionLimit),
       () => this.#notifyContact?.(endpoint.id),
+      this.#earliestArrivalAt,
     );
     const { address, startedAt } = endpoint;
     this.#entries.set(endpoint.id, { address, startedAt, connections });
@@ -54,11 +62,19 @@
     this.#entries.get(endpointId)?.connections.renew();
   }
 
-  /** Returns the time of an endpoint's latest bytes; epoch milliseconds, 0 without any. */
+  /** Returns when bytes of an endpoint were last read; epoch milliseconds, 0 without any. */
   lastHeardAt(endpointId: string): number {
     return this.#entries.get(endpointId)?.connections.heardAt ?? 0;
   }
 
+  /**
+   * Returns a time at which an endpoint lived for certain: what is read now may have been sent before
+   * a standstill of this process. Epoch milliseconds, 0 without any.
+   */
+  lastAliveAt(endpointId: string): number {
+    return this.#entries.get(endpointId)?.connections.aliveAt ?? 0;
+  }
+
   /** Returns when an endpoint last broke off an answer; epoch milliseconds, 0 when it never did. */
   lastBrokenAt(endpointId: string): number {
     return this.#entries.get(endpointId)?.connections.brokenAt ?? 0;
--- a/packages/router/src/gateway/contactTask.ts
+++ b/packages/router/src/gateway/contactTask.ts
@@ -210,7 +210,7 @@
       return listTransitPeers(contacts, serviceId, heardSince).length === 0;
     }
     const isHeard = () =>
-      proof === 'bytes' && others.some(({ id }) => this.#connections.lastHeardAt(id) >= since);
+      proof === 'bytes' && others.some(({ id }) => this.#connections.lastAliveAt(id) >= since);
     const isLinked = () => lastContactAt(contacts, serviceId) >= since || isHeard();
     // A check that was running may have begun before.
     for (let tries = 0; tries < 2 && !isLinked(); tries += 1) {
--- a/packages/router/src/gateway/crashGuard.ts
+++ b/packages/router/src/gateway/crashGuard.ts
@@ -146,7 +146,7 @@
     const { connections, crashes, probes, state } = this.#context;
     const { segmentIds, serviceId } = this.#segments;
     const instant = now();
-    if (connections.lastHeardAt(endpointId) > answeredAt + IN_FLIGHT_MS) {
+    if (connections.lastAliveAt(endpointId) > answeredAt + IN_FLIGHT_MS) {
       crashes.recordEndpointAlive(endpointId, answeredAt);
     } else if (!areAnsweredLately(state.segmentSuspects, serviceId, segmentIds, instant)) {
       probes.probe(endpointId);
--- a/packages/router/src/gateway/endpointConnections.ts
+++ b/packages/router/src/gateway/endpointConnections.ts
@@ -28,19 +28,32 @@
 
   readonly #notifyContact: () => void;
 
+  readonly #earliestArrivalAt: () => number;
+
   #pool: Pool;
 
   #isResetting = false;
 
   #heardAt = 0;
 
+  #aliveAt = 0;
+
   #brokenAt = 0;
 
-  /** `notifyContact` is called when the first bytes arrive on a new connection. */
-  constructor(address: string, connections: number, notifyContact: () => void = () => {}) {
+  /**
+   * `notifyContact` is called when the first bytes arrive on a new connection; `earliestArrivalAt`
+   * bounds the time at which bytes arrived that are read now.
+   */
+  constructor(
+    address: string,
+    connections: number,
+    notifyContact: () => void = () => {},
+    earliestArrivalAt: () => number = now,
+  ) {
     this.#origin = `http://${address}`;
     this.#maxConnections = connections;
     this.#notifyContact = notifyContact;
+    this.#earliestArrivalAt = earliestArrivalAt;
     this.#pool = this.#createPool();
   }
 
@@ -49,14 +62,20 @@
     return this.#pool;
   }
 
-  /** Time of the latest bytes of an answer; epoch milliseconds, 0 before the first. */
+  /** Time at which bytes of an answer were last read; epoch milliseconds, 0 before the first. */
   get heardAt(): number {
     return this.#heardAt;
   }
 
+  /** Time from which on the endpoint sent its latest bytes; epoch milliseconds, 0 before the first. */
+  get aliveAt(): number {
+    return this.#aliveAt;
+  }
+
   /** Records that bytes of an answer have arrived. */
   markHeard(): void {
     this.#heardAt = now();
+    this.#aliveAt = this.#earliestArrivalAt();
   }
 
   /** Time at which an answer was last broken off; epoch milliseconds, 0 before the first. */
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -108,7 +108,6 @@
   const seed = hashText(`${settings.vm.id}\n${now()}`);
   const state = createGatewayState(settings, createRandom(seed));
   const log = new GatewayLog(createLog(settings.vm.id, settings.logLevel, []));
-  const connections = new ConnectionTable();
   const metrics = new GatewayMetrics({
     configurationVersion: () => configurationVersion(state.routing),
     endpoints: () => state.directory.endpoints.size,
@@ -121,6 +120,7 @@
     refusedSegments: () => countSegments(state.segmentSuspects, now()).refused,
   });
   const loopDelay = new LoopDelay();
+  const connections = new ConnectionTable(() => loopDelay.earliestArrivalAt);
   const callerConnections = new CallerConnections(loopDelay);
   const crashes = new CrashRecorder(state, metrics, log);
   const publication = new PublicationTask(state, source, crashes, loopDelay, log);
--- a/packages/router/src/gateway/probeTask.ts
+++ b/packages/router/src/gateway/probeTask.ts
@@ -164,7 +164,7 @@
     recordProbeResult(this.#state.health, endpointId, false, now());
     // An endpoint whose queue is full may answer requests, but no health check in time.
     const hasTimedOut = error instanceof Error && error.name === 'TimeoutError';
-    const isBusy = hasTimedOut && this.#connections.lastHeardAt(endpointId) > startedAt;
+    const isBusy = hasTimedOut && this.#connections.lastAliveAt(endpointId) > startedAt;
     this.#log.change('endpoint_unreachable', { endpointId, isBusy, error: String(error) });
     // Before, the links may have been sound.
     const failedSince = Math.max(startedAt, now() - MAX_FAILURE_AGE_MS);
