Check the news of crashes in a gossip message in one loop too

Each peer repeats what it knows of crashes, answers and segments, and each field was checked by a schema of its own: a message with full lists of crashes took 1.73 ms to check, 160 times a second, on VMs with 324 ms of processor time a second.

--- a/packages/router/__tests__/gateway/tupleList.spec.ts
+++ b/packages/router/__tests__/gateway/tupleList.spec.ts
@@ -6,11 +6,14 @@
 
 const count = z.number().min(0).max(1e9);
 const text = z.string().min(1).max(256);
+const instant = z.number().min(0);
+const age = z.number().min(0).max(86_400_000);
 
 /** Values that a field may and may not hold. */
 const values: readonly unknown[] = [
   ...['e1', '', 'x'.repeat(256), 'x'.repeat(257), '1'],
   ...[0, -0, 1.5, 1e9, 1e9 + 1, -1, Number.NaN, Number.POSITIVE_INFINITY],
+  ...[86_400_000, 86_400_001, 1.8e12],
   ...[null, undefined, true, [], ['e1'], {}, { length: 2 }],
 ];
 
@@ -38,6 +41,17 @@
     t.true(accepted > DRAWN_LISTS / 4 && accepted < DRAWN_LISTS);
   });
 
+  it('holds each field to its own range', (t) => {
+    const fields = { text, count, instant, age };
+    (['text', 'count', 'instant', 'age'] as const).forEach((field) => {
+      const list = createTupleList([field], 1);
+      values.forEach((value) => {
+        const verdict = list.safeParse([[value]]).success;
+        t.is(verdict, fields[field].safeParse(value).success, `${field} ${String(value)}`);
+      });
+    });
+  });
+
   it('refuses what is no list of tuples', (t) => {
     const list = createTupleList(['text', 'count'], MAX_LENGTH);
     values.forEach((value) => {
--- a/packages/router/src/gateway/gossipMessage.ts
+++ b/packages/router/src/gateway/gossipMessage.ts
@@ -39,10 +39,7 @@
 
 import { contactNewsSchema, createContactNews, type ContactReport } from './contactNews.js';
 import type { GatewayState } from './gatewayState.js';
-import { createTextList, createTupleList } from './tupleList.js';
-
-/** Oldest news that is told. */
-const MAX_AGE_MS = 86_400_000;
+import { createTextList, createTupleList, MAX_AGE_MS } from './tupleList.js';
 
 /** Most failed trials that are told; more add nothing. */
 const MAX_TOLD_TRIALS = 64;
@@ -51,7 +48,6 @@
 const MAX_VERSIONS = 64;
 
 const count = z.number().min(0).max(1e9);
-const instant = z.number().min(0).describe('Epoch milliseconds.');
 const age = z.number().min(0).max(MAX_AGE_MS);
 const text = z.string().min(1).max(256);
 
@@ -83,30 +79,21 @@
   /**
    * Request fingerprint, endpoint id, instant of the crash, instant at which the request was sent.
    */
-  crashes: z.array(z.tuple([text, text, instant, instant])).max(32),
+  crashes: createTupleList(['text', 'text', 'instant', 'instant'], 32),
   /** Fingerprint of a request that crashed endpoints too often, instant of its latest crash. */
-  refused: z
-    .array(z.tuple([text, instant]))
-    .max(256)
-    .default([]),
+  refused: createTupleList(['text', 'instant'], 256).default([]),
   /** Fingerprint of a request that was answered after a crash, instant of the answer. */
-  answered: z
-    .array(z.tuple([text, instant]))
-    .max(256)
-    .default([]),
+  answered: createTupleList(['text', 'instant'], 256).default([]),
   /**
    * Prompt segment id, endpoint id, service id, milliseconds since the crash and since the request
    * was sent.
    */
-  segmentCrashes: z
-    .array(z.tuple([text, text, text, age, age]))
-    .max(MAX_SEGMENT_CRASHES)
-    .default([]),
+  segmentCrashes: createTupleList(
+    ['text', 'text', 'text', 'age', 'age'],
+    MAX_SEGMENT_CRASHES,
+  ).default([]),
   /** Prompt segment id, service id, milliseconds since an answer that refuted a suspicion. */
-  segmentAnswers: z
-    .array(z.tuple([text, text, age]))
-    .max(MAX_SEGMENT_ANSWERS)
-    .default([]),
+  segmentAnswers: createTupleList(['text', 'text', 'age'], MAX_SEGMENT_ANSWERS).default([]),
   /** Suspect, service id, endpoint id, trials that failed, milliseconds since the latest. */
   failedTrials: z
     .array(z.tuple([text, text, text, z.number().int().min(1).max(MAX_TOLD_TRIALS), age]))
--- a/packages/router/src/gateway/tupleList.ts
+++ b/packages/router/src/gateway/tupleList.ts
@@ -1,24 +1,28 @@
 import * as z from 'zod';
 
+/** Oldest news that is told. */
+export const MAX_AGE_MS = 86_400_000;
+
 const MAX_TEXT_LENGTH = 256;
-const MAX_COUNT = 1e9;
 
-/** What a field of a tuple may hold. */
-export type TupleField = 'text' | 'count';
+/**
+ * What a field of a tuple may hold: a text that is not empty, or a number of things, of epoch
+ * milliseconds, or of milliseconds since something.
+ */
+export type TupleField = 'text' | 'count' | 'instant' | 'age';
 
-interface FieldValue {
-  readonly text: string;
-  readonly count: number;
-}
+const MAX_NUMBERS = { count: 1e9, instant: Number.MAX_VALUE, age: MAX_AGE_MS };
 
 /** A tuple with these fields. */
 export type FieldTuple<T extends readonly TupleField[]> = {
-  -readonly [Index in keyof T]: FieldValue[T[Index]];
+  -readonly [Index in keyof T]: T[Index] extends 'text' ? string : number;
 };
 
 function isField(value: unknown, field: TupleField): boolean {
-  if (field === 'count') return typeof value === 'number' && value >= 0 && value <= MAX_COUNT;
-  return typeof value === 'string' && value.length >= 1 && value.length <= MAX_TEXT_LENGTH;
+  if (field === 'text') {
+    return typeof value === 'string' && value.length >= 1 && value.length <= MAX_TEXT_LENGTH;
+  }
+  return typeof value === 'number' && value >= 0 && value <= MAX_NUMBERS[field];
 }
 
 function isTuple(value: unknown, fields: readonly TupleField[]): boolean {
