End the checks of links on a process that hardly gets time

A VM that got 20 ms in 720 never ended a check of its links: each wait that was noticed over 50 ms late began again as a whole, and whoever asked for the service's links waited behind it.

--- a/packages/router/__tests__/gateway/contactTask.spec.ts
+++ b/packages/router/__tests__/gateway/contactTask.spec.ts
@@ -59,4 +59,47 @@
       t.is(await readMetric(vm, 'link_checks_total'), 0);
     }),
   );
+
+  itSerial('does not believe them lost when its process is late', async (t) => {
+    const endpoints = await Promise.all(
+      Array.from({ length: 4 }, (_, index) =>
+        startEndpoint(
+          `e${index}`,
+          (request, response) => {
+            request.resume();
+            const id = String(request.headers['x-request']);
+            setTimeout(() => {
+              response.writeHead(200, { 'x-request': id, 'x-mac': 'mac' }).end('answer');
+            }, 1500);
+          },
+          (_request, response) => {
+            setTimeout(() => response.writeHead(200, { 'x-instance': `e${index}` }).end(), 100);
+          },
+        ),
+      ),
+    );
+    const source = createSource(
+      testConfiguration,
+      endpoints.map(({ endpoint }) => endpoint),
+    );
+    const vm = await startGateway(source);
+    const peer = new FakePeer('peer', serve);
+    try {
+      await peer.start(vm.control);
+      await waitUntil(async () => (await call(vm.ready, '/')).status === 200);
+      const calls = Array.from({ length: 8 }, (_, index) =>
+        call(vm.callers, '/plain/', { headers: { 'x-request': `request-${index}` } }),
+      );
+      for (let blocks = 0; blocks < 8; blocks += 1) {
+        await sleep(20);
+        blockLoop(300);
+      }
+      await Promise.all(calls);
+      t.is(await readMetric(vm, 'change="lost"'), 0);
+    } finally {
+      vm.gateway.stop();
+      peer.stop();
+      endpoints.forEach((endpoint) => endpoint.close());
+    }
+  });
 });
--- a/packages/router/src/gateway/contactTask.ts
+++ b/packages/router/src/gateway/contactTask.ts
@@ -107,7 +107,7 @@
     this.#metrics = metrics;
     this.#log = log;
     this.#notifyPeers = notifyPeers;
-    this.#checks = new LinkChecks(state, terms, metrics, log, {
+    this.#checks = new LinkChecks(state, terms, loopDelay, metrics, log, {
       checked: (endpoint, link, startedAt) => this.#handleCheck(endpoint, link, startedAt),
     });
     connections.onContact((endpointId) => this.recordAnswer(endpointId));
--- a/packages/router/src/gateway/linkChecks.ts
+++ b/packages/router/src/gateway/linkChecks.ts
@@ -13,6 +13,7 @@
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { GatewayState } from './gatewayState.js';
+import type { LoopDelay } from './loopDelay.js';
 
 /** Endpoints that are checked first; more when none of them answers. */
 const FIRST_CHECK_ENDPOINTS = 2;
@@ -32,6 +33,8 @@
 
   readonly #terms: EndpointTerms;
 
+  readonly #loopDelay: LoopDelay;
+
   readonly #metrics: GatewayMetrics;
 
   readonly #log: GatewayLog;
@@ -44,12 +47,14 @@
   constructor(
     state: GatewayState,
     terms: EndpointTerms,
+    loopDelay: LoopDelay,
     metrics: GatewayMetrics,
     log: GatewayLog,
     observer: LinkObserver,
   ) {
     this.#state = state;
     this.#terms = terms;
+    this.#loopDelay = loopDelay;
     this.#metrics = metrics;
     this.#log = log;
     this.#observer = observer;
@@ -114,7 +119,8 @@
     const { id, serviceId } = endpoint;
     const { services } = this.#state.routing.configuration ?? {};
     this.#terms.limits.recordSend(id);
-    const link = await checkLink(endpoint, services?.get(serviceId)?.healthPath ?? '/');
+    const path = services?.get(serviceId)?.healthPath ?? '/';
+    const link = await checkLink(endpoint, path, this.#loopDelay);
     this.#metrics.countLinkCheck(link);
     const tookMs = Math.round(now() - startedAt);
     this.#log.decision('link_checked', { endpointId: id, link, tookMs });
