Begin requests that were read too late behind those that are on time

Under overload requests that had missed their targets already could begin first, at the cost of those that could still make it: within an account the backlog looked at the time by which a request must begin only. Priorities and, in one, late requests last are ranks now.

--- a/packages/core/__tests__/backlog.spec.ts
+++ b/packages/core/__tests__/backlog.spec.ts
@@ -43,6 +43,14 @@
     t.deepEqual(takeAll(backlog), ['urgent', 'sooner', 'later']);
   });
 
+  it('begin after others of their priority when they were read too late for their target', (t) => {
+    const backlog = createBacklog();
+    addToBacklog(backlog, createEntry('late', { isLate: true, beginBy: FAR - 1 }), START);
+    addToBacklog(backlog, createEntry('on time'), START);
+    addToBacklog(backlog, createEntry('less urgent', { priority: 2 }), START);
+    t.deepEqual(takeAll(backlog), ['on time', 'late', 'less urgent']);
+  });
+
   it('of a flood of one account do not hold up those of another', (t) => {
     const backlog = createBacklog();
     const flood = { accountId: 'flood' };
@@ -97,6 +105,7 @@
     const step = fc.record({
       kind: fc.constantFrom('add', 'take', 'leave', 'expire'),
       priority: fc.integer({ min: 0, max: 3 }),
+      isLate: fc.boolean(),
       account: fc.integer({ min: 0, max: 4 }),
       ms: fc.integer({ min: 0, max: 50 }),
     });
@@ -108,7 +117,7 @@
         const drop = (entry: BacklogEntry | undefined) => {
           waiting = waiting.filter((other) => other !== entry);
         };
-        steps.forEach(({ kind, priority, account, ms }) => {
+        steps.forEach(({ kind, priority, isLate, account, ms }) => {
           instant += ms;
           if (kind === 'take') drop(takeFromBacklog(backlog, instant));
           if (kind === 'expire') takeOverdue(backlog, instant).forEach(drop);
@@ -118,14 +127,15 @@
             drop(entry);
           }
           if (kind !== 'add') return;
-          const changes = { priority, accountId: `${account}`, bytes: ms, beginBy: instant + 200 };
+          const beginBy = instant + 200;
+          const changes = { priority, isLate, accountId: `${account}`, bytes: ms, beginBy };
           const entry = createEntry('x', changes);
           if (addToBacklog(backlog, entry, instant)) waiting.push(entry);
         });
         const bytes = waiting.reduce((sum, entry) => sum + entry.bytes, 0);
         if (backlog.size !== waiting.length || backlog.bytes !== bytes) return false;
         takeAll(backlog);
-        return backlog.size === 0 && backlog.bytes === 0 && backlog.priorities.size === 0;
+        return backlog.size === 0 && backlog.bytes === 0 && backlog.ranks.size === 0;
       }),
       { seed: 36, numRuns: 300 },
     );
--- a/packages/core/src/backlog/commands.ts
+++ b/packages/core/src/backlog/commands.ts
@@ -1,10 +1,10 @@
-import { leastServedAccount, mostUrgentPriority, predictBeginMs } from './queries.js';
+import { leastServedAccount, mostUrgentRank, predictBeginMs, rankOfEntry } from './queries.js';
 import {
   INITIAL_INTERVAL_MS,
   type AccountBacklog,
   type Backlog,
   type BacklogEntry,
-  type PriorityBacklog,
+  type RankBacklog,
 } from './state.js';
 
 /** Most requests that wait. */
@@ -17,28 +17,28 @@
 const INTERVAL_SMOOTHING = 0.1;
 const MAX_INTERVAL_FACTOR = 4;
 
-function getOrCreatePriority({ priorities }: Backlog, priority: number): PriorityBacklog {
-  const known = priorities.get(priority);
+function getOrCreateRank({ ranks }: Backlog, rank: number): RankBacklog {
+  const known = ranks.get(rank);
   if (known !== undefined) return known;
   const created = { accounts: new Map(), virtualTime: 0 };
-  priorities.set(priority, created);
+  ranks.set(rank, created);
   return created;
 }
 
-function getOrCreateAccount(priority: PriorityBacklog, id: string | null): AccountBacklog {
-  const known = priority.accounts.get(id);
+function getOrCreateAccount(ofRank: RankBacklog, id: string | null): AccountBacklog {
+  const known = ofRank.accounts.get(id);
   if (known !== undefined) return known;
-  const created = { entries: [], virtualTime: priority.virtualTime };
-  priority.accounts.set(id, created);
+  const created = { entries: [], virtualTime: ofRank.virtualTime };
+  ofRank.accounts.set(id, created);
   return created;
 }
 
-function takeAt(backlog: Backlog, priority: number, id: string | null, index: number) {
-  const ofPriority = backlog.priorities.get(priority)!;
-  const { entries } = ofPriority.accounts.get(id)!;
+function takeAt(backlog: Backlog, rank: number, id: string | null, index: number) {
+  const ofRank = backlog.ranks.get(rank)!;
+  const { entries } = ofRank.accounts.get(id)!;
   const [entry] = entries.splice(index, 1) as [BacklogEntry];
-  if (entries.length === 0) ofPriority.accounts.delete(id);
-  if (ofPriority.accounts.size === 0) backlog.priorities.delete(priority);
+  if (entries.length === 0) ofRank.accounts.delete(id);
+  if (ofRank.accounts.size === 0) backlog.ranks.delete(rank);
   backlog.size -= 1;
   backlog.bytes -= entry.bytes;
   return entry;
@@ -58,8 +58,8 @@
     backlog.steppedAt = now;
     backlog.meanIntervalMs = INITIAL_INTERVAL_MS;
   }
-  const priority = getOrCreatePriority(backlog, entry.priority);
-  const { entries } = getOrCreateAccount(priority, entry.accountId);
+  const ofRank = getOrCreateRank(backlog, rankOfEntry(entry));
+  const { entries } = getOrCreateAccount(ofRank, entry.accountId);
   const behind = entries.findIndex(({ beginBy }) => beginBy > entry.beginBy);
   entries.splice(behind < 0 ? entries.length : behind, 0, entry);
   backlog.size += 1;
@@ -69,40 +69,41 @@
 
 /** Removes a request; false when it does not wait. */
 export function removeFromBacklog(backlog: Backlog, entry: BacklogEntry): boolean {
-  const { accountId, priority } = entry;
-  const account = backlog.priorities.get(priority)?.accounts.get(accountId);
+  const { accountId } = entry;
+  const rank = rankOfEntry(entry);
+  const account = backlog.ranks.get(rank)?.accounts.get(accountId);
   const index = account?.entries.indexOf(entry) ?? -1;
   if (index < 0) return false;
-  takeAt(backlog, priority, accountId, index);
+  takeAt(backlog, rank, accountId, index);
   return true;
 }
 
 /**
- * Takes the next request to begin: of the most urgent priority, of the account that was served least,
+ * Takes the next request to begin: of the most urgent rank, of the account that was served least,
  * the one that must begin first. Undefined when none waits.
  */
 export function takeFromBacklog(backlog: Backlog, now: number): BacklogEntry | undefined {
-  const priority = mostUrgentPriority(backlog);
-  if (priority === undefined) return undefined;
-  const ofPriority = backlog.priorities.get(priority)!;
-  const [id, account] = leastServedAccount(ofPriority)!;
-  ofPriority.virtualTime = account.virtualTime;
+  const rank = mostUrgentRank(backlog);
+  if (rank === undefined) return undefined;
+  const ofRank = backlog.ranks.get(rank)!;
+  const [id, account] = leastServedAccount(ofRank)!;
+  ofRank.virtualTime = account.virtualTime;
   account.virtualTime += 1;
   const { meanIntervalMs } = backlog;
   const intervalMs = Math.max(0, now - backlog.steppedAt);
   const countedMs = Math.min(intervalMs, MAX_INTERVAL_FACTOR * meanIntervalMs);
   backlog.meanIntervalMs += INTERVAL_SMOOTHING * (countedMs - meanIntervalMs);
   backlog.steppedAt = now;
-  return takeAt(backlog, priority, id, 0);
+  return takeAt(backlog, rank, id, 0);
 }
 
 /** Takes the requests that it is too late to begin. */
 export function takeOverdue(backlog: Backlog, now: number): BacklogEntry[] {
   const overdue: BacklogEntry[] = [];
-  [...backlog.priorities].forEach(([priority, { accounts }]) => {
+  [...backlog.ranks].forEach(([rank, { accounts }]) => {
     [...accounts].forEach(([id, { entries }]) => {
       while (entries.length > 0 && entries[0]!.beginBy < now) {
-        overdue.push(takeAt(backlog, priority, id, 0));
+        overdue.push(takeAt(backlog, rank, id, 0));
       }
     });
   });
--- a/packages/core/src/backlog/index.ts
+++ b/packages/core/src/backlog/index.ts
@@ -1,3 +1,3 @@
 export { addToBacklog, removeFromBacklog, takeFromBacklog, takeOverdue } from './commands.js';
-export { mostUrgentPriority, predictBeginMs } from './queries.js';
+export { predictBeginMs } from './queries.js';
 export { createBacklog, type Backlog, type BacklogEntry } from './state.js';
--- a/packages/core/src/backlog/queries.ts
+++ b/packages/core/src/backlog/queries.ts
@@ -1,14 +1,14 @@
-import type { AccountBacklog, Backlog, BacklogEntry, PriorityBacklog } from './state.js';
+import type { AccountBacklog, Backlog, BacklogEntry, RankBacklog } from './state.js';
 
-/** Returns the most urgent priority of which requests wait; undefined without any. */
-export function mostUrgentPriority({ priorities }: Backlog): number | undefined {
-  return priorities.size === 0 ? undefined : Math.min(...priorities.keys());
+/** Returns the most urgent rank of which requests wait; undefined without any. */
+export function mostUrgentRank({ ranks }: Backlog): number | undefined {
+  return ranks.size === 0 ? undefined : Math.min(...ranks.keys());
 }
 
 /** Returns the account that is served next, with its id; undefined without any. */
 export function leastServedAccount({
   accounts,
-}: PriorityBacklog): [string | null, AccountBacklog] | undefined {
+}: RankBacklog): [string | null, AccountBacklog] | undefined {
   let least: [string | null, AccountBacklog] | undefined;
   accounts.forEach((account, id) => {
     if (least === undefined || account.virtualTime < least[1].virtualTime) least = [id, account];
@@ -16,15 +16,21 @@
   return least;
 }
 
+/** Returns the rank of a request, 0 for the first. */
+export function rankOfEntry({ isLate, priority }: BacklogEntry): number {
+  return 2 * priority + (isLate ? 1 : 0);
+}
+
 /** Counts the requests that would begin before one that is added now. */
-function countAhead({ priorities }: Backlog, { accountId, beginBy, priority }: BacklogEntry) {
+function countAhead({ ranks }: Backlog, entry: BacklogEntry): number {
+  const rank = rankOfEntry(entry);
   let ahead = 0;
-  priorities.forEach(({ accounts }, ofPriority) => {
-    if (ofPriority > priority) return;
-    const own = accounts.get(accountId)?.entries ?? [];
-    const ownAhead = own.filter((entry) => entry.beginBy <= beginBy).length;
+  ranks.forEach(({ accounts }, ofRank) => {
+    if (ofRank > rank) return;
+    const own = accounts.get(entry.accountId)?.entries ?? [];
+    const ownAhead = own.filter(({ beginBy }) => beginBy <= entry.beginBy).length;
     accounts.forEach(({ entries }) => {
-      if (ofPriority < priority) ahead += entries.length;
+      if (ofRank < rank) ahead += entries.length;
       else if (entries === own) ahead += ownAhead;
       else ahead += Math.min(entries.length, ownAhead + 1);
     });
--- a/packages/core/src/backlog/state.ts
+++ b/packages/core/src/backlog/state.ts
@@ -8,7 +8,7 @@
   readonly bytes: number;
   /** Latest time to begin it; epoch milliseconds. */
   readonly beginBy: number;
-  /** True when it was read too late for its latency target: it begins behind those that were not. */
+  /** True when it was read too late for its latency target: others of its priority begin before. */
   readonly isLate: boolean;
   /** Begins it. */
   readonly begin: () => void;
@@ -16,15 +16,15 @@
   readonly refuse: () => void;
 }
 
-/** Requests of one account with one priority, the one that must begin first ahead. */
+/** Requests of one account with one rank, the one that must begin first ahead. */
 export interface AccountBacklog {
   readonly entries: BacklogEntry[];
   /** Grows with each request that begins; the account with the least is next. */
   virtualTime: number;
 }
 
-/** Requests of one priority. */
-export interface PriorityBacklog {
+/** Requests of one rank. */
+export interface RankBacklog {
   /** By account id, only accounts with requests; requests without an account are under null. */
   readonly accounts: Map<string | null, AccountBacklog>;
   /** Virtual time of the account that was next last, at which another starts. */
@@ -33,8 +33,8 @@
 
 /** Requests that have been read and not begun. */
 export interface Backlog {
-  /** By priority; only priorities with requests. */
-  readonly priorities: Map<number, PriorityBacklog>;
+  /** By rank, which orders priorities and, in one, late requests last; only those with requests. */
+  readonly ranks: Map<number, RankBacklog>;
   size: number;
   /** Sum of the sizes of bodies. */
   bytes: number;
@@ -50,7 +50,7 @@
 /** Creates an empty backlog. */
 export function createBacklog(): Backlog {
   return {
-    priorities: new Map(),
+    ranks: new Map(),
     size: 0,
     bytes: 0,
     meanIntervalMs: INITIAL_INTERVAL_MS,
