Do not take the first request on an idle connection to be as old as the connection

What was there at the accept is read within two turns; later bytes have the bound of any read. Callers that close are also noticed by the close of the socket, so that queued pipelined requests end.

--- a/packages/router/src/gateway/callerConnections.ts
+++ b/packages/router/src/gateway/callerConnections.ts
@@ -12,6 +12,16 @@
   readonly earliestAt: number;
 }
 
+/** Turns after that of its accept in which the first bytes of a connection are read at the latest. */
+const MAX_TURNS_TO_READ = 2;
+
+/** The accept of a connection. */
+interface Accept {
+  readonly turn: number;
+  /** It did not wait before; epoch milliseconds. */
+  readonly since: number;
+}
+
 /** Connections accepted in one turn after the other, of which more may wait. */
 interface AcceptRun {
   /** Turn of the latest. */
@@ -27,8 +37,8 @@
 
   #acceptRun: AcceptRun | null = null;
 
-  /** Earliest time of the first bytes on connections that have brought no request yet. */
-  readonly #acceptedFrom = new WeakMap<Socket, number>();
+  /** Connections that have brought no request yet. */
+  readonly #accepted = new WeakMap<Socket, Accept>();
 
   /** Connections whose callers have closed them; the runtime reports it some turns later. */
   readonly #left = new WeakSet<Socket>();
@@ -43,8 +53,9 @@
   watch(server: Server): void {
     server.on('connection', (socket: Socket) => {
       this.#loopDelay.markTurn();
-      this.#acceptedFrom.set(socket, this.#boundAccept());
+      this.#accepted.set(socket, this.#boundAccept());
       socket.once('end', () => this.#handleEnd(socket));
+      socket.once('close', () => this.#handleEnd(socket));
     });
   }
 
@@ -69,9 +80,12 @@
   /** Bounds the arrival of a request whose headers have just been read. */
   readArrival(socket: Socket): Arrival {
     this.#loopDelay.markTurn();
-    const earliestAt = this.#acceptedFrom.get(socket) ?? this.#loopDelay.earliestArrivalAt;
-    this.#acceptedFrom.delete(socket);
-    return { readAt: now(), earliestAt };
+    const { earliestArrivalAt, turnCount } = this.#loopDelay;
+    const accept = this.#accepted.get(socket);
+    this.#accepted.delete(socket);
+    // Bytes that were there when the connection was accepted are read in the next turn.
+    const wasThere = accept !== undefined && turnCount - accept.turn <= MAX_TURNS_TO_READ;
+    return { readAt: now(), earliestAt: wasThere ? accept.since : earliestArrivalAt };
   }
 
   #handleEnd(socket: Socket): void {
@@ -80,12 +94,12 @@
   }
 
   /** The loop accepts one connection a turn; others wait until a turn has none, or it is idle. */
-  #boundAccept(): number {
+  #boundAccept(): Accept {
     const { earliestArrivalAt, idleMs, turnCount: turn } = this.#loopDelay;
     const run = this.#acceptRun;
     const since = run !== null && this.#goesOn(run) ? run.since : earliestArrivalAt;
     this.#acceptRun = { turn, idleMs, since };
-    return since;
+    return { turn, since };
   }
 
   #goesOn({ idleMs, turn }: AcceptRun): boolean {
