--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -1,5 +1,5 @@
 import type { Verdict } from '@filbertlatch/core';
-import { errors } from 'undici';
+import { errors, type Dispatcher } from 'undici';
 
 import { now } from '../clock.js';
 import type { EndpointConnections } from './endpointConnections.js';
@@ -93,14 +93,20 @@
 
   /** Sends the request, once a connection is free and this process is on time. */
   start(outgoing: OutgoingRequest): void {
+    this.#dispatch(outgoing, this.#connections.pool);
+  }
+
+  #dispatch(outgoing: OutgoingRequest, dispatcher: Dispatcher): void {
     if (this.#isOver) return;
     const { method, path, formatHeaders, body } = outgoing;
     const formattedAt = now();
     const options = { method, path, headers: formatHeaders(), body };
     let isFirst = false;
+    let freeClient = dispatcher;
     const handler: GuardedHandler = {
-      onConnection: (isNew) => {
+      onConnection: (isNew, client) => {
         isFirst = isNew;
+        freeClient = client;
       },
       onConnect: (abort) => {
         const obstacle = this.#findObstacle(formattedAt);
@@ -126,11 +132,11 @@
       },
       onComplete: () => this.#complete(),
       onError: (error) => {
-        if (error instanceof UnsentError) this.#handleObstacle(error, outgoing);
+        if (error instanceof UnsentError) this.#handleObstacle(error, outgoing, freeClient);
         else this.#fail(error);
       },
     };
-    this.#connections.pool.dispatch(options, handler);
+    dispatcher.dispatch(options, handler);
   }
 
   #findObstacle(formattedAt: number): Obstacle | null {
@@ -141,9 +147,10 @@
     return now() - formattedAt > MAX_HEADER_AGE_MS ? 'outdated' : null;
   }
 
-  #handleObstacle(error: UnsentError, outgoing: OutgoingRequest): void {
+  #handleObstacle(error: UnsentError, outgoing: OutgoingRequest, client: Dispatcher): void {
     if (error.obstacle === 'late') this.#loopDelay.whenOnTime(() => this.start(outgoing));
-    else if (error.obstacle === 'outdated') queueMicrotask(() => this.start(outgoing));
+    // On the connection that is free, ahead of requests that wait for one.
+    else if (error.obstacle === 'outdated') this.#dispatch(outgoing, client);
     else if (error.obstacle === 'withheld') {
       this.#isWithheld = true;
       this.#fail(error);
--- a/packages/router/src/gateway/guardedClient.ts
+++ b/packages/router/src/gateway/guardedClient.ts
@@ -13,8 +13,8 @@
 
 /** A handler that is told on which connection its request is sent. */
 export interface GuardedHandler extends Dispatcher.DispatchHandler {
-  /** `isNew` is true for the first request on the connection. */
-  onConnection?(isNew: boolean): void;
+  /** `isNew` is true for the first request on the connection, which `client` owns. */
+  onConnection?(isNew: boolean, client: Dispatcher): void;
 }
 
 /** An endpoint sends bytes that do not make an answer. */
@@ -54,7 +54,7 @@
   }
 
   /** Returns a handler that also counts the bytes of the body and knows when it is paused. */
-  watch(handler: GuardedHandler): Dispatcher.DispatchHandler {
+  watch(handler: GuardedHandler, client: Dispatcher): Dispatcher.DispatchHandler {
     let isOver = false;
     let resume = () => {};
     return {
@@ -70,7 +70,7 @@
       },
       onConnect: (abort) => {
         this.#begin();
-        handler.onConnection?.(this.#isNew);
+        handler.onConnection?.(this.#isNew, client);
         // Throws when the request is not sent after all.
         handler.onConnect?.(abort);
         this.#isNew = false;
@@ -136,6 +136,6 @@
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): boolean {
-    return super.dispatch(options, this.#guard.watch(handler));
+    return super.dispatch(options, this.#guard.watch(handler, this));
   }
 }
