Judge an endpoint by what it was sent, and by when its bytes can have come

Two events read 400 ms apart after a standstill showed that an endpoint had lived on, though it may have sent them at once; and an attempt that never left counted as a failure of its endpoint at the deadline. Bytes count from their earliest arrival, a time-out only once bytes were sent.

--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -200,7 +200,9 @@
     if (outcome === 'stuck') {
       this.#countFailure();
       this.#context.connections.renew(this.endpoint.id);
-    } else if (outcome === 'timed-out' && !this.hasAnswered) this.#observeOutcome(true);
+    } else if (outcome === 'timed-out' && !this.hasAnswered && this.mayHaveSent) {
+      this.#observeOutcome(true);
+    }
     this.#end(outcome);
   }
 
@@ -258,7 +260,8 @@
   #handleEvents(chunk: Buffer): boolean {
     this.#heardAt = now();
     this.#markStreaming();
-    if (this.#stream.push(chunk, this.#heardAt)) this.#observer.livedOn();
+    const earliestAt = () => this.#context.loopDelay.earliestArrivalAt;
+    if (this.#stream.push(chunk, this.#heardAt, earliestAt)) this.#observer.livedOn();
     const bytes = this.#resumedEvents?.push(chunk) ?? chunk;
     const hasBegunAgain = this.#resumedEvents?.hasBegunAgain === true;
     if (this.#stream.isOverlong) this.#reject('event exceeds the size limit');
--- a/packages/router/src/gateway/streamProgress.ts
+++ b/packages/router/src/gateway/streamProgress.ts
@@ -33,12 +33,16 @@
     return this.#boundary.openBytes > MAX_EVENT_BYTES;
   }
 
-  /** Adds bytes; returns true for the first ones that show that the endpoint has lived on. */
-  push(chunk: Buffer, now: number): boolean {
+  /**
+   * Adds bytes read `now`; returns true for the first ones that show that the endpoint has lived on.
+   * `earliestAt` returns a time before which they cannot have come.
+   */
+  push(chunk: Buffer, now: number, earliestAt: () => number): boolean {
     this.#chunks += 1;
     this.#boundary.push(chunk);
     this.#beganAt ??= now;
     if (this.#hasLivedOn || now - this.#beganAt < LIVED_ON_MS) return false;
+    if (earliestAt() - this.#beganAt < LIVED_ON_MS) return false;
     this.#hasLivedOn = true;
     return true;
   }
