Answer in time while each turn of the loop is late

Refusals, deadlines and verdicts of silence need one poll only; sends still need a process that is on time. A VM that is behind is not ready. A request whose begin throws is answered 500 as before, also from the backlog. A silence timer ends after the gateway has stopped: AVA waited for it.

--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -154,7 +154,7 @@
     this.#stopWatching = this.#context.callers.onLeave(this.#request.socket, handleCallerLeft);
     const { loopDelay, state } = this.#context;
     // An answer may wait to be read.
-    const handleDeadline = () => loopDelay.whenOnTime(() => this.#handleDeadline());
+    const handleDeadline = () => loopDelay.afterPoll(() => this.#handleDeadline());
     this.#deadlineTimer = setTimeout(handleDeadline, Math.max(0, deadlineAt - now()));
     // The VM that carries the request credits it.
     if (this.#choosePeer() === undefined) creditRequest(state.retryBudget, job.serviceId, now());
@@ -311,7 +311,10 @@
   }
 
   #replaceStuckAttempt(attempt: Attempt): void {
-    if (attempt !== this.#attempt || this.#isFinished || !this.#tryTakeRetry()) return;
+    if (attempt !== this.#attempt || this.#isFinished) return;
+    // One that still waits for a connection is not stuck at its endpoint.
+    if (!attempt.mayHaveSent) this.#restartStuckTimer(attempt);
+    if (!attempt.mayHaveSent || !this.#tryTakeRetry()) return;
     this.#crashGuard.recordUnanswered(attempt);
     attempt.cancel('stuck');
     this.#mayHaveRun = true;
@@ -483,9 +486,9 @@
     if (this.#isFinished) return;
     const attempt = this.#attempt;
     if (attempt !== null) {
-      if (!attempt.isOver) this.#crashGuard.recordUnanswered(attempt);
+      if (!attempt.isOver && attempt.mayHaveSent) this.#crashGuard.recordUnanswered(attempt);
       attempt.cancel('timed-out');
-      this.#mayHaveRun = true;
+      this.#mayHaveRun ||= attempt.mayHaveSent;
     }
     if (this.#response.headersSent) this.#failRequest('timed_out');
     else if (this.#mayHaveRun) this.#answerError(504, 'timed_out');
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -204,7 +204,8 @@
 
   const readiness = createServer((request, response) => {
     request.resume();
-    const isReady = isServing(state) && callerConnections.acceptDelayMs < MAX_ACCEPT_DELAY_MS;
+    const isLate = loopDelay.isBehind || callerConnections.acceptDelayMs >= MAX_ACCEPT_DELAY_MS;
+    const isReady = isServing(state) && !isLate;
     response.writeHead(isReady ? 200 : 503, { 'content-length': 0 }).end();
   });
   const controlApi = createLazyControlApi({
@@ -270,6 +271,7 @@
 
   const stop = () => {
     clearInterval(timer);
+    loopDelay.stop();
     publication.stop();
     peers.stop();
     origins.stop();
--- a/packages/router/src/gateway/handleRequest.ts
+++ b/packages/router/src/gateway/handleRequest.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { hasValidHeaderNames } from '../headerNames.js';
-import { admitRequest, type RejectedRequest } from './admitRequest.js';
+import { admitRequest, type AdmittedRequest, type RejectedRequest } from './admitRequest.js';
 import type { CallerAnswer } from './callerAnswer.js';
 import { Exchange } from './exchange.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -36,6 +36,20 @@
   answer.sendError(status, reason, retryAfterMs);
 }
 
+function begin(
+  context: GatewayContext,
+  admitted: AdmittedRequest,
+  received: ReceivedRequest,
+  body: Buffer | null,
+): void {
+  try {
+    new Exchange(context, admitted, received, body).start();
+  } catch (error) {
+    context.log.warn('request_crashed', { error: String(error) });
+    received.answer.sendError(500, 'internal');
+  }
+}
+
 /** Reads, admits and answers a request; rejects on unexpected errors only. */
 export async function handleRequest(
   context: GatewayContext,
@@ -74,7 +88,7 @@
   const reason = transit === null ? 'overloaded' : 'busy';
   intake.accept(admission, body?.length ?? 0, response, {
     hasLeft: () => callers.hasLeft(request.socket),
-    begin: () => new Exchange(context, admission, received, body).start(),
+    begin: () => begin(context, admission, received, body),
     refuse: (retryAfterMs) =>
       reject(context, answer, { kind: 'rejected', status: 503, reason, retryAfterMs, routeId }),
   });
--- a/packages/router/src/gateway/loopDelay.ts
+++ b/packages/router/src/gateway/loopDelay.ts
@@ -36,6 +36,8 @@
 
   #isTurnMarked = false;
 
+  #isStopped = false;
+
   #turnCount = 0;
 
   #workMs = 0;
@@ -88,7 +90,7 @@
 
   /** Returns the time since an instant in which this process listened, in milliseconds. */
   listenedMs(since: number): number {
-    return listenedMs(this.#state, since, now());
+    return this.#isStopped ? now() - since : listenedMs(this.#state, since, now());
   }
 
   /** Returns the instant since which this process has listened for a time, in milliseconds. */
@@ -103,6 +105,11 @@
     setImmediate(() => this.#endTurn());
   }
 
+  /** Ends the heartbeats: their absence is no standstill from now on. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
   /** Records a heartbeat; returns the length of a standstill that it ends, in milliseconds. */
   beat(): number {
     this.markTurn();
@@ -126,10 +133,14 @@
     this.markTurn();
   }
 
-  /** Calls back once the sockets have been polled and this process is on time. */
+  /** Calls back once the sockets have been polled, however late this process is. */
   afterPoll(callback: () => void): void {
+    this.markTurn();
     // The first is called in this turn, the second after the next poll.
-    setImmediate(() => setImmediate(() => this.whenOnTime(callback)));
+    setImmediate(() => {
+      this.markTurn();
+      setImmediate(callback);
+    });
   }
 
   #createTurn(): LoopTurn {
--- a/packages/router/src/gateway/silenceTimer.ts
+++ b/packages/router/src/gateway/silenceTimer.ts
@@ -43,11 +43,9 @@
   }
 
   #check(silenceMs: number, since: number, run: number, callback: () => void): void {
-    this.#loopDelay.whenOnTime(() => {
-      if (run !== this.#run) return;
-      const stillMs = silenceMs - this.#loopDelay.listenedMs(since);
-      if (stillMs > MIN_WAIT_MS) this.#wait(silenceMs, since, run, callback);
-      else callback();
-    });
+    if (run !== this.#run) return;
+    const stillMs = silenceMs - this.#loopDelay.listenedMs(since);
+    if (stillMs > MIN_WAIT_MS) this.#wait(silenceMs, since, run, callback);
+    else callback();
   }
 }
