Count no short delays of heartbeats as standstills

Under a steady load of turns of 21 to 100 ms every heartbeat was a standstill, though the loop polls between its turns: silences took up to twice as long, and a caller that left after a second of silence was no sign of a crash. A standstill is a heartbeat that is over 100 ms late.

--- a/packages/core/__tests__/loopDelay.spec.ts
+++ b/packages/core/__tests__/loopDelay.spec.ts
@@ -57,6 +57,12 @@
       t.is(listenedMs(state, START, START + 500), 500);
     });
 
+    it('with short delays of its heartbeats, between which it polls', (t) => {
+      const state = create();
+      for (let at = START + 180; at <= START + 1080; at += 180) recordBeat(state, at);
+      t.is(listenedMs(state, START, START + 1100), 1100);
+    });
+
     it('without a standstill that has ended, or goes on', (t) => {
       const state = create();
       t.is(recordBeat(state, START + 1600), 1500);
--- a/packages/core/src/loopDelay/commands.ts
+++ b/packages/core/src/loopDelay/commands.ts
@@ -1,4 +1,4 @@
-import { BEAT_TOLERANCE_MS, overdueMs } from './queries.js';
+import { MAX_BEAT_DELAY_MS, overdueMs } from './queries.js';
 import type { LoopDelayState, LoopTurn } from './state.js';
 
 /** Most standstills that are kept. */
@@ -17,7 +17,7 @@
 export function recordBeat(state: LoopDelayState, now: number): number {
   const lateMs = overdueMs(state, now);
   state.beatAt = now;
-  if (lateMs <= BEAT_TOLERANCE_MS) return 0;
+  if (lateMs <= MAX_BEAT_DELAY_MS) return 0;
   const { standstills } = state;
   standstills.push({ endedAt: now, lengthMs: lateMs });
   if (standstills.length > MAX_STANDSTILLS) standstills.shift();
--- a/packages/core/src/loopDelay/queries.ts
+++ b/packages/core/src/loopDelay/queries.ts
@@ -3,8 +3,11 @@
 /** Interval of the heartbeats, by which standstills are noticed. */
 export const BEAT_INTERVAL_MS = 100;
 
-/** Delay of a heartbeat that is no standstill. */
-export const BEAT_TOLERANCE_MS = 20;
+/** Delay of a heartbeat from which a process may not have been run while it waited. */
+const BEAT_TOLERANCE_MS = 20;
+
+/** Delay of a heartbeat that is no standstill: the loop polls between its turns. */
+export const MAX_BEAT_DELAY_MS = 100;
 
 /** Returns how late the next heartbeat is, in milliseconds; 0 before it is due. */
 export function overdueMs({ beatAt }: LoopDelayState, now: number): number {
@@ -28,7 +31,7 @@
 export function listenedMs(state: LoopDelayState, since: number, now: number): number {
   const { standstills } = state;
   const lateMs = overdueMs(state, now);
-  let lostMs = lateMs > BEAT_TOLERANCE_MS ? Math.min(lateMs, now - since) : 0;
+  let lostMs = lateMs > MAX_BEAT_DELAY_MS ? Math.min(lateMs, now - since) : 0;
   for (let index = standstills.length - 1; index >= 0; index -= 1) {
     const { endedAt, lengthMs } = standstills[index]!;
     if (endedAt <= since) break;
@@ -41,7 +44,7 @@
 export function listenedSince(state: LoopDelayState, forMs: number, now: number): number {
   const { standstills } = state;
   const lateMs = overdueMs(state, now);
-  let since = now - (lateMs > BEAT_TOLERANCE_MS ? lateMs : 0);
+  let since = now - (lateMs > MAX_BEAT_DELAY_MS ? lateMs : 0);
   let leftMs = forMs;
   for (let index = standstills.length - 1; index >= 0; index -= 1) {
     const { endedAt, lengthMs } = standstills[index]!;
