Review case 1: streams that a crash cuts off end as complete while runners are full

Callers saw status 200, a signature and a regular end of streams that had 7 or 8 of 20 events: their runner had crashed, and answers that only the end of the connection delimits were taken for whole.

Code at fault: livenessTask.ts believes a refused connection only if another endpoint answers a health check within 250 ms; full endpoints do not, the check ends as 'unknown', and endpointAttempt.ts completes such answers.

--- /dev/null
+++ b/review/lib/runner.js
@@ -0,0 +1,129 @@
+// Stand-in of one runner, in a process of its own. Its parent tells it its id and how it answers, and
+// is told what it has run.
+import { createServer } from 'node:http';
+
+import { listenOnFreePort } from './ports.js';
+
+const options = JSON.parse(process.argv[2]);
+const { id, healthPath } = options;
+
+let isLeaving = false;
+let running = 0;
+
+/** Requests that wait for a slot, in order. */
+const waiting = [];
+
+function tell(message) {
+  process.send({ at: Date.now(), runner: id, ...message });
+}
+
+function wait(ms) {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+function commonHeaders(attemptId) {
+  return {
+    'Attempt-Id': attemptId,
+    'Response-Signature': `${id}.${attemptId}`,
+    'Server-Load': `${running},${waiting.length},${options.slots}`,
+    ...(isLeaving ? { 'Server-Leaving': '1', Connection: 'close' } : {}),
+  };
+}
+
+/** Waits for one of the slots; a health check does so like any other request. */
+async function takeSlot() {
+  if (running < options.slots) running += 1;
+  else {
+    await new Promise((resolve) => {
+      waiting.push(resolve);
+    });
+  }
+}
+
+/** Frees a slot, or hands it to the request that waits longest. */
+function releaseSlot() {
+  const next = waiting.shift();
+  if (next === undefined) running -= 1;
+  else next();
+}
+
+async function answerHealth(response) {
+  await takeSlot();
+  releaseSlot();
+  response.writeHead(isLeaving ? 503 : 200, { 'Instance-Id': id, 'Content-Length': 0 });
+  response.end();
+}
+
+/** Answers with a body of a stated length once the work is done. */
+async function answerWhole(attemptId, response, { workMs, bytes = 200 }) {
+  await wait(workMs);
+  const body = `${id} ${attemptId} `.padEnd(bytes, 'answer ');
+  response.writeHead(200, {
+    ...commonHeaders(attemptId),
+    'Content-Type': 'text/plain',
+    'Content-Length': Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
+/** Answers with a stream of events, without a length or chunks if `isUnframed`. */
+async function answerStream(attemptId, response, { events, gapMs, isUnframed, firstEvent }) {
+  if (isUnframed) {
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+  }
+  response.writeHead(200, { ...commonHeaders(attemptId), 'Content-Type': 'text/event-stream' });
+  for (let event = firstEvent; event <= events; event += 1) {
+    response.write(`id: ${event}\ndata: ${attemptId} ${event} of ${events}\n\n`);
+    tell({ kind: 'event', attemptId, event });
+    if (event < events) await wait(gapMs);
+  }
+  response.end();
+}
+
+async function run(request, response) {
+  const { 'attempt-id': attemptId, 'expect-instance': expected } = request.headers;
+  if (expected !== undefined && expected !== id) {
+    response.writeHead(421, { 'Instance-Id': id, 'Not-Executed': '1', 'Content-Length': 0 }).end();
+    return;
+  }
+  if (attemptId === undefined) {
+    response.writeHead(400, { 'Not-Executed': '1', 'Content-Length': 0 }).end();
+    return;
+  }
+  await takeSlot();
+  tell({ kind: 'run', attemptId, method: request.method, path: request.url });
+  response.on('close', () => {
+    releaseSlot();
+    tell({ kind: 'ended', attemptId, isWhole: response.writableFinished });
+  });
+  const answer = options.answers.find(({ prefix }) => request.url.startsWith(prefix));
+  if (answer.kind === 'whole') await answerWhole(attemptId, response, answer);
+  else {
+    const firstEvent = Number(request.headers['last-event-id'] ?? 0) + 1;
+    await answerStream(attemptId, response, { ...answer, firstEvent });
+  }
+}
+
+const server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => {
+  const chunks = [];
+  request.on('data', (chunk) => chunks.push(chunk));
+  request.on('end', () => {
+    if (request.method === 'GET' && request.url === healthPath) void answerHealth(response);
+    else void run(request, response);
+  });
+});
+
+process.on('message', ({ kind }) => {
+  if (kind === 'leave') isLeaving = true;
+});
+process.on('disconnect', () => {
+  process.exitCode = 0;
+  server.close();
+  server.closeAllConnections();
+});
+
+const address = await listenOnFreePort(server);
+tell({ kind: 'listening', address });
--- /dev/null
+++ b/review/lib/runners.js
@@ -0,0 +1,82 @@
+import { fork } from 'node:child_process';
+import { once } from 'node:events';
+import { dirname, join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+const PROGRAM = join(dirname(fileURLToPath(import.meta.url)), 'runner.js');
+
+const HEARTBEAT_MS = 1200;
+
+/** A runner: its process, and its entry in the store, which it renews while it lives. */
+export class Runner {
+  #store;
+
+  #service;
+
+  #options;
+
+  #process = null;
+
+  #entry = null;
+
+  #timer = null;
+
+  /** What the process has told, in order. */
+  events;
+
+  constructor(store, service, events, options) {
+    this.#store = store;
+    this.#service = service;
+    this.events = events;
+    this.#options = { slots: 6, healthPath: '/health', ...options };
+    this.id = this.#options.id;
+  }
+
+  /** Starts the process and registers it. */
+  async start() {
+    this.#process = fork(PROGRAM, [JSON.stringify(this.#options)]);
+    const [{ address }] = await once(this.#process, 'message');
+    this.#process.on('message', (event) => this.events.push(event));
+    this.#entry = {
+      service: this.#service,
+      address,
+      zone: 'hall',
+      version: '1',
+      slots: this.#options.slots,
+      state: 'ready',
+      cold_left_ms: 0,
+      seq: 1,
+      born: Date.now(),
+    };
+    this.#write();
+    this.#timer = setInterval(() => this.#write(), HEARTBEAT_MS);
+  }
+
+  /** Says in the entry and in answers that the runner leaves. */
+  drain() {
+    this.#process.send({ kind: 'leave' });
+    this.#entry.state = 'draining';
+    this.#write();
+  }
+
+  /** Ends the process, which removes its entry if it `isPlanned`; otherwise the entry lapses. */
+  end(isPlanned) {
+    clearInterval(this.#timer);
+    this.#process?.kill('SIGKILL');
+    this.#process = null;
+    if (isPlanned) this.#store.remove(`servers/${this.id}`);
+    else setTimeout(() => this.#store.remove(`servers/${this.id}`), 3 * HEARTBEAT_MS).unref();
+  }
+
+  /** Ends the process without a word to the store. */
+  stop() {
+    clearInterval(this.#timer);
+    this.#process?.kill('SIGKILL');
+    this.#process = null;
+  }
+
+  #write() {
+    this.#entry.seq += 1;
+    this.#store.put(`servers/${this.id}`, this.#entry);
+  }
+}
--- /dev/null
+++ b/review/lib/store.js
@@ -0,0 +1,115 @@
+import { createServer } from 'node:http';
+
+import { listenOnFreePort } from './ports.js';
+
+const MAX_WAIT_MS = 30_000;
+const PAGE_ITEMS = 500;
+
+function toItem({ key, value, revision, created }) {
+  return { key, value: Buffer.from(value).toString('base64'), revision, created, lease: 0 };
+}
+
+function answer(response, status, body) {
+  response.writeHead(status, { 'Content-Type': 'application/json' });
+  response.end(JSON.stringify(body));
+}
+
+/** Stand-in of the platform's metadata store: key, range and watch calls as PROTOCOL.md has them. */
+export class Store {
+  revision = 100;
+
+  #items = new Map();
+
+  #history = [];
+
+  #watches = new Set();
+
+  #server = null;
+
+  /** `IP:PORT` of the store. */
+  address = null;
+
+  /** Starts to listen. */
+  async start() {
+    this.#server = createServer((request, response) => this.#handle(request, response));
+    this.address = await listenOnFreePort(this.#server);
+  }
+
+  /** Closes the store. */
+  stop() {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  /** Writes a value as JSON. */
+  put(key, value) {
+    this.revision += 1;
+    const created = this.#items.get(key)?.created ?? this.revision;
+    const item = { key, value: JSON.stringify(value), revision: this.revision, created };
+    this.#items.set(key, item);
+    this.#history.push(toItem(item));
+    this.#wake();
+  }
+
+  /** Removes a key. */
+  remove(key) {
+    if (!this.#items.delete(key)) return;
+    this.revision += 1;
+    this.#history.push({ key, revision: this.revision, removed: true });
+    this.#wake();
+  }
+
+  #wake() {
+    this.#watches.forEach((wake) => wake(false));
+  }
+
+  #handle(request, response) {
+    const { pathname, searchParams } = new URL(request.url, 'http://store');
+    if (pathname === '/kv-range') this.#answerRange(searchParams, response);
+    else if (pathname === '/kv-key') this.#answerKey(searchParams, response);
+    else if (pathname === '/kv-watch') this.#answerWatch(searchParams, request, response);
+    else answer(response, 404, {});
+  }
+
+  #answerKey(query, response) {
+    const item = this.#items.get(query.get('key'));
+    if (item === undefined) answer(response, 404, { as_of: this.revision });
+    else answer(response, 200, { ...toItem(item), as_of: this.revision });
+  }
+
+  #answerRange(query, response) {
+    const prefix = query.get('prefix') ?? '';
+    const after = query.get('after') ?? '';
+    const keys = [...this.#items.keys()].filter((key) => key.startsWith(prefix) && key > after);
+    const page = keys.sort().slice(0, PAGE_ITEMS);
+    answer(response, 200, {
+      items: page.map((key) => toItem(this.#items.get(key))),
+      truncated: page.length < keys.length,
+      as_of: this.revision,
+    });
+  }
+
+  #answerWatch(query, request, response) {
+    const prefix = query.get('prefix') ?? '';
+    const after = Number(query.get('after'));
+    const waitMs = Math.min(MAX_WAIT_MS, Number(query.get('wait_ms') ?? 0));
+    const listEvents = () =>
+      this.#history.filter(({ key, revision }) => revision > after && key.startsWith(prefix));
+    let timer = null;
+    const answerIfDue = (isDue) => {
+      const events = listEvents();
+      if (events.length === 0 && !isDue) return;
+      clearTimeout(timer);
+      this.#watches.delete(answerIfDue);
+      answer(response, 200, { events, as_of: this.revision });
+    };
+    this.#watches.add(answerIfDue);
+    timer = setTimeout(() => answerIfDue(true), waitMs);
+    request.on('close', () => {
+      if (response.writableEnded) return;
+      clearTimeout(timer);
+      this.#watches.delete(answerIfDue);
+    });
+    answerIfDue(false);
+  }
+}
