--- a/review/lib/client.js
+++ b/review/lib/client.js
@@ -12,20 +12,20 @@
 /**
  * Sends one client attempt on a channel of its own; resolves with what the client has seen: `answer`
  * is `whole`, `cut` (ended inside the answer) or `none`. The client reads no faster than its link, of
- * `bytesPerSecond`.
+ * `bytesPerSecond`. `channel` is an agent that keeps one channel open; without it a new one is used.
  */
 export function sendAttempt(
   address,
-  { method, host, path, headers = {}, body = null, bytesPerSecond = Infinity },
+  { method, host, path, headers = {}, body = null, bytesPerSecond = Infinity, channel = null },
 ) {
   const [hostname, port] = address.split(':');
   const id = headers['Attempt-Id'] ?? drawAttemptId();
   const sentAt = Date.now();
   return new Promise((resolve) => {
-    const agent = new Agent({ keepAlive: false });
+    const agent = channel ?? new Agent({ keepAlive: false });
     const seen = { id, sentAt, status: null, headers: {}, text: '', answer: 'none', error: null };
     const finish = (answer, error = null) => {
-      agent.destroy();
+      if (channel === null) agent.destroy();
       resolve({
         ...seen,
         answer,
--- a/review/lib/deployment.js
+++ b/review/lib/deployment.js
@@ -19,18 +19,21 @@
   async start(configuration, service, runnerCount, runnerOptions) {
     await this.store.start();
     this.store.put('op/config', configuration);
-    this.runners = Array.from(
-      { length: runnerCount },
-      (_, index) =>
-        new Runner(this.store, service.name, this.events, {
-          id: `i-${service.name}-${index + 1}`,
-          ...runnerOptions,
-        }),
-    );
-    await Promise.all(this.runners.map((runner) => runner.start()));
+    await this.addRunners(service, runnerCount, runnerOptions);
     await this.fleet.start(FLEET_SIZE, this.store.address);
   }
 
+  /** Starts runners of a service, and returns them. */
+  async addRunners(service, count, options) {
+    const added = Array.from({ length: count }, (_, index) => {
+      const id = `i-${service.name}-${this.runners.length + index + 1}`;
+      return new Runner(this.store, service.name, this.events, { id, ...options });
+    });
+    this.runners.push(...added);
+    await Promise.all(added.map((runner) => runner.start()));
+    return added;
+  }
+
   /** Returns the runner that has begun to work on a request; undefined if none has. */
   findRunner(attemptId) {
     const run = this.events.find((event) => event.kind === 'run' && event.attemptId === attemptId);
--- a/review/lib/record.js
+++ b/review/lib/record.js
@@ -57,5 +57,7 @@
     await stop();
   }
   await record.write(`${folder}/record.txt`);
-  process.exitCode = exitCode;
+  // Clients may still read.
+  // eslint-disable-next-line n/no-process-exit -- all processes have been ended
+  process.exit(exitCode);
 }
--- a/review/lib/runner.js
+++ b/review/lib/runner.js
@@ -1,5 +1,6 @@
 // Stand-in of one runner, in a process of its own. Its parent tells it its id and how it answers, and
 // is told what it has run.
+import { once } from 'node:events';
 import { createServer } from 'node:http';
 
 import { listenOnFreePort } from './ports.js';
@@ -83,6 +84,27 @@
   response.end();
 }
 
+/**
+ * Sends as many events at once as the request names bytes, then small ones; says that the channel will
+ * be closed.
+ */
+async function answerBurst(attemptId, response, { eventBytes, events, gapMs }) {
+  const { 'x-stream-bytes': bytes } = response.req.headers;
+  const burst = Math.floor(Number(bytes) / eventBytes);
+  response.writeHead(200, {
+    ...commonHeaders(attemptId),
+    'Content-Type': 'text/event-stream',
+    Connection: 'close',
+  });
+  for (let event = 1; event <= burst + events; event += 1) {
+    const data = event <= burst ? 'x'.repeat(eventBytes) : 'x';
+    const isTaken = response.write(`id: ${event}\ndata: ${data}\n\n`);
+    if (event > burst) await wait(gapMs);
+    else if (!isTaken) await once(response, 'drain');
+  }
+  response.end();
+}
+
 async function run(request, response) {
   const { 'attempt-id': attemptId, 'expect-instance': expected } = request.headers;
   if (expected !== undefined && expected !== id) {
@@ -101,6 +123,7 @@
   });
   const answer = options.answers.find(({ prefix }) => request.url.startsWith(prefix));
   if (answer.kind === 'whole') await answerWhole(attemptId, response, answer);
+  else if (answer.kind === 'burst') await answerBurst(attemptId, response, answer);
   else {
     const firstEvent = Number(request.headers['last-event-id'] ?? 0) + 1;
     await answerStream(attemptId, response, { ...answer, firstEvent });
@@ -116,8 +139,20 @@
   });
 });
 
+const sockets = new Set();
+server.on('connection', (socket) => {
+  sockets.add(socket);
+  socket.on('close', () => sockets.delete(socket));
+  socket.on('error', () => {});
+});
+
 process.on('message', ({ kind }) => {
   if (kind === 'leave') isLeaving = true;
+  if (kind === 'crash') {
+    sockets.forEach((socket) => socket.resetAndDestroy());
+    // eslint-disable-next-line n/no-process-exit -- it crashes
+    process.exit(1);
+  }
 });
 process.on('disconnect', () => {
   process.exitCode = 0;
--- a/review/lib/runners.js
+++ b/review/lib/runners.js
@@ -68,6 +68,14 @@
     else setTimeout(() => this.#store.remove(`servers/${this.id}`), 3 * HEARTBEAT_MS).unref();
   }
 
+  /** Resets all connections and ends the process; its entry lapses. */
+  crash() {
+    clearInterval(this.#timer);
+    this.#process.send({ kind: 'crash' });
+    this.#process = null;
+    setTimeout(() => this.#store.remove(`servers/${this.id}`), 3 * HEARTBEAT_MS).unref();
+  }
+
   /** Ends the process without a word to the store. */
   stop() {
     clearInterval(this.#timer);
