Review case 4: revoked keys stay in force after the store returns from a copy

Callers whose keys had been taken away were served by all processes, 8 s and more after the operator's changes were confirmed: the store had come back from a copy and had given out the revisions anew that the processes had read before.

Code at fault: storeClient.ts ignores the header Store-Era, and publicationTask.ts goes on after the revision that it had.

--- a/review/lib/configuration.js
+++ b/review/lib/configuration.js
@@ -34,6 +34,6 @@
 }
 
 /** Returns the operator's first configuration. */
-export function createConfiguration(routes, services) {
-  return { version: 3, routes, services, limits: LIMITS };
+export function createConfiguration(routes, services, fields = {}) {
+  return { version: 3, routes, services, limits: LIMITS, ...fields };
 }
--- a/review/lib/ports.js
+++ b/review/lib/ports.js
@@ -11,6 +11,15 @@
   return `${HOST}:${server.address().port}`;
 }
 
+/** Lets a server listen on an address that another one had. */
+export async function listenAgain(server, address) {
+  const [host, port] = address.split(':');
+  await new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(Number(port), host, resolve);
+  });
+}
+
 /** Finds free ports; returns them as `IP:PORT`. */
 export async function findFreeAddresses(count) {
   const servers = Array.from({ length: count }, () => createServer());
--- a/review/lib/runners.js
+++ b/review/lib/runners.js
@@ -21,6 +21,8 @@
 
   #timer = null;
 
+  #isWriting = false;
+
   /** What the process has told, in order. */
   events;
 
@@ -48,15 +50,17 @@
       seq: 1,
       born: Date.now(),
     };
-    this.#write();
-    this.#timer = setInterval(() => this.#write(), HEARTBEAT_MS);
+    await this.#write();
+    this.#timer = setInterval(() => {
+      void this.#write();
+    }, HEARTBEAT_MS);
   }
 
   /** Says in the entry and in answers that the runner leaves. */
   drain() {
     this.#process.send({ kind: 'leave' });
     this.#entry.state = 'draining';
-    this.#write();
+    void this.#write();
   }
 
   /** Ends the process, which removes its entry if it `isPlanned`; otherwise the entry lapses. */
@@ -83,8 +87,11 @@
     this.#process = null;
   }
 
-  #write() {
+  async #write() {
+    if (this.#isWriting) return;
+    this.#isWriting = true;
     this.#entry.seq += 1;
-    this.#store.put(`servers/${this.id}`, this.#entry);
+    await this.#store.write(`servers/${this.id}`, this.#entry);
+    this.#isWriting = false;
   }
 }
--- a/review/lib/store.js
+++ b/review/lib/store.js
@@ -1,19 +1,19 @@
 import { createServer } from 'node:http';
 
-import { listenOnFreePort } from './ports.js';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { listenAgain, listenOnFreePort } from './ports.js';
 
 const MAX_WAIT_MS = 30_000;
 const PAGE_ITEMS = 500;
 
+/** Time after which a writer tries again while the store is away. */
+const WRITE_RETRY_MS = 20;
+
 function toItem({ key, value, revision, created }) {
   return { key, value: Buffer.from(value).toString('base64'), revision, created, lease: 0 };
 }
 
-function answer(response, status, body) {
-  response.writeHead(status, { 'Content-Type': 'application/json' });
-  response.end(JSON.stringify(body));
-}
-
 /** Stand-in of the platform's metadata store: key, range and watch calls as PROTOCOL.md has them. */
 export class Store {
   revision = 100;
@@ -26,13 +26,49 @@
 
   #server = null;
 
+  #era = 1;
+
+  #isAway = false;
+
   /** `IP:PORT` of the store. */
   address = null;
 
+  #createServer() {
+    this.#server = createServer((request, response) => this.#handle(request, response));
+    return this.#server;
+  }
+
   /** Starts to listen. */
   async start() {
-    this.#server = createServer((request, response) => this.#handle(request, response));
-    this.address = await listenOnFreePort(this.#server);
+    this.address = await listenOnFreePort(this.#createServer());
+  }
+
+  /** Returns a copy of all that the store holds now. */
+  copy() {
+    return { revision: this.revision, items: new Map(this.#items), history: [...this.#history] };
+  }
+
+  /** Goes away: connections are closed, new ones refused, and writers have to try again. */
+  leave() {
+    this.#isAway = true;
+    this.#watches.clear();
+    this.stop();
+  }
+
+  /** Comes back from a copy. */
+  async comeBack({ revision, items, history }) {
+    this.revision = revision;
+    this.#items = new Map(items);
+    this.#history = [...history];
+    this.#era += 1;
+    await listenAgain(this.#createServer(), this.address);
+    this.#isAway = false;
+  }
+
+  /** Writes a value as soon as the store is there; resolves when it has. */
+  async write(key, value) {
+    while (this.#isAway) await sleep(WRITE_RETRY_MS);
+    this.put(key, value);
   }
 
   /** Closes the store. */
@@ -59,6 +95,14 @@
     this.#wake();
   }
 
+  #answer(response, status, body) {
+    response.writeHead(status, {
+      'Content-Type': 'application/json',
+      'Store-Era': String(this.#era),
+    });
+    response.end(JSON.stringify(body));
+  }
+
   #wake() {
     this.#watches.forEach((wake) => wake(false));
   }
@@ -68,13 +112,13 @@
     if (pathname === '/kv-range') this.#answerRange(searchParams, response);
     else if (pathname === '/kv-key') this.#answerKey(searchParams, response);
     else if (pathname === '/kv-watch') this.#answerWatch(searchParams, request, response);
-    else answer(response, 404, {});
+    else this.#answer(response, 404, {});
   }
 
   #answerKey(query, response) {
     const item = this.#items.get(query.get('key'));
-    if (item === undefined) answer(response, 404, { as_of: this.revision });
-    else answer(response, 200, { ...toItem(item), as_of: this.revision });
+    if (item === undefined) this.#answer(response, 404, { as_of: this.revision });
+    else this.#answer(response, 200, { ...toItem(item), as_of: this.revision });
   }
 
   #answerRange(query, response) {
@@ -82,7 +126,7 @@
     const after = query.get('after') ?? '';
     const keys = [...this.#items.keys()].filter((key) => key.startsWith(prefix) && key > after);
     const page = keys.sort().slice(0, PAGE_ITEMS);
-    answer(response, 200, {
+    this.#answer(response, 200, {
       items: page.map((key) => toItem(this.#items.get(key))),
       truncated: page.length < keys.length,
       as_of: this.revision,
@@ -92,6 +136,10 @@
   #answerWatch(query, request, response) {
     const prefix = query.get('prefix') ?? '';
     const after = Number(query.get('after'));
+    if (after > this.revision) {
+      this.#answer(response, 410, { as_of: this.revision });
+      return;
+    }
     const waitMs = Math.min(MAX_WAIT_MS, Number(query.get('wait_ms') ?? 0));
     const listEvents = () =>
       this.#history.filter(({ key, revision }) => revision > after && key.startsWith(prefix));
@@ -101,7 +149,7 @@
       if (events.length === 0 && !isDue) return;
       clearTimeout(timer);
       this.#watches.delete(answerIfDue);
-      answer(response, 200, { events, as_of: this.revision });
+      this.#answer(response, 200, { events, as_of: this.revision });
     };
     this.#watches.add(answerIfDue);
     timer = setTimeout(() => answerIfDue(true), waitMs);
