--- a/review/lib/runner.js
+++ b/review/lib/runner.js
@@ -8,7 +8,6 @@
 const options = JSON.parse(process.argv[2]);
 const { id, healthPath } = options;
 
-let isLeaving = false;
 let running = 0;
 
 /** Requests that wait for a slot, in order. */
@@ -29,7 +28,6 @@
     'Attempt-Id': attemptId,
     'Response-Signature': `${id}.${attemptId}`,
     'Server-Load': `${running},${waiting.length},${options.slots}`,
-    ...(isLeaving ? { 'Server-Leaving': '1', Connection: 'close' } : {}),
   };
 }
 
@@ -53,14 +51,14 @@
 async function answerHealth(response) {
   await takeSlot();
   releaseSlot();
-  response.writeHead(isLeaving ? 503 : 200, { 'Instance-Id': id, 'Content-Length': 0 });
+  response.writeHead(200, { 'Instance-Id': id, 'Content-Length': 0 });
   response.end();
 }
 
 /** Answers with a body of a stated length once the work is done. */
-async function answerWhole(attemptId, response, { workMs, bytes = 200 }) {
+async function answerWhole(attemptId, response, { workMs }) {
   await wait(workMs);
-  const body = `${id} ${attemptId} `.padEnd(bytes, 'answer ');
+  const body = `${id} ${attemptId}`;
   response.writeHead(200, {
     ...commonHeaders(attemptId),
     'Content-Type': 'text/plain',
@@ -147,7 +145,6 @@
 });
 
 process.on('message', ({ kind }) => {
-  if (kind === 'leave') isLeaving = true;
   if (kind === 'crash') {
     sockets.forEach((socket) => socket.resetAndDestroy());
     // eslint-disable-next-line n/no-process-exit -- it crashes
--- a/review/lib/runners.js
+++ b/review/lib/runners.js
@@ -56,20 +56,10 @@
     }, HEARTBEAT_MS);
   }
 
-  /** Says in the entry and in answers that the runner leaves. */
-  drain() {
-    this.#process.send({ kind: 'leave' });
-    this.#entry.state = 'draining';
-    void this.#write();
-  }
-
-  /** Ends the process, which removes its entry if it `isPlanned`; otherwise the entry lapses. */
-  end(isPlanned) {
-    clearInterval(this.#timer);
-    this.#process?.kill('SIGKILL');
-    this.#process = null;
-    if (isPlanned) this.#store.remove(`servers/${this.id}`);
-    else setTimeout(() => this.#store.remove(`servers/${this.id}`), 3 * HEARTBEAT_MS).unref();
+  /** Ends the process, with its connections; its entry lapses. */
+  kill() {
+    this.stop();
+    this.#removeLater();
   }
 
   /** Resets all connections and ends the process; its entry lapses. */
@@ -77,7 +67,7 @@
     clearInterval(this.#timer);
     this.#process.send({ kind: 'crash' });
     this.#process = null;
-    setTimeout(() => this.#store.remove(`servers/${this.id}`), 3 * HEARTBEAT_MS).unref();
+    this.#removeLater();
   }
 
   /** Ends the process without a word to the store. */
@@ -87,6 +77,10 @@
     this.#process = null;
   }
 
+  #removeLater() {
+    setTimeout(() => this.#store.remove(`servers/${this.id}`), 3 * HEARTBEAT_MS).unref();
+  }
+
   async #write() {
     if (this.#isWriting) return;
     this.#isWriting = true;
