Tests: a server that listens again waits for its port

endingEndpoints failed with EADDRINUSE when a stand-in was started anew.

Cause, in the harness: a process that another spec forks at that moment holds a copy of the closed socket until it runs its own program. Endpoints that restart and links of VMs use it.

--- a/packages/router/__tests__/gateway/limitedEndpoint.ts
+++ b/packages/router/__tests__/gateway/limitedEndpoint.ts
@@ -1,4 +1,3 @@
-import { once } from 'node:events';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -7,6 +6,7 @@
 
 import type { ChangingStore } from './changingStore.js';
 import { findFreeAddress } from './fixtures.js';
+import { listenAgain } from './keptPort.js';
 import type { LimitScenario } from './limitScenario.js';
 import { VM_HEADER } from './restartableVm.js';
 
@@ -90,9 +90,7 @@
       socket.on('close', () => this.#sockets.delete(socket));
     });
     this.#address ??= await findFreeAddress();
-    const [host, port] = this.#address.split(':');
-    server.listen(Number(port), host);
-    await once(server, 'listening');
+    await listenAgain(server, this.#address);
     this.#server = server;
     this.#toldAt.clear();
     this.#lifetime += 1;
--- a/packages/router/__tests__/gateway/restartingEndpoint.ts
+++ b/packages/router/__tests__/gateway/restartingEndpoint.ts
@@ -1,10 +1,10 @@
-import { once } from 'node:events';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import type { ChangingStore } from './changingStore.js';
 import { findFreeAddress, LEAVING_HEADER } from './fixtures.js';
+import { listenAgain } from './keptPort.js';
 
 const DEFAULT_LEASE_MS = 900;
 
@@ -84,9 +84,7 @@
       socket.on('close', () => this.#sockets.delete(socket));
     });
     this.#address ??= await findFreeAddress();
-    const [host, port] = this.#address.split(':');
-    server.listen(Number(port), host);
-    await once(server, 'listening');
+    await listenAgain(server, this.#address);
     this.#server = server;
     this.#register();
   }
--- a/packages/router/__tests__/gateway/vmLink.ts
+++ b/packages/router/__tests__/gateway/vmLink.ts
@@ -1,7 +1,7 @@
-import { once } from 'node:events';
 import { connect, createServer, Socket, type Server } from 'node:net';
 
 import { findFreeAddress } from './fixtures.js';
+import { listenAgain } from './keptPort.js';
 
 /**
  * How a cut shows: connections are reset and new ones refused; all hang and new ones are not opened,
@@ -94,8 +94,7 @@
       this.#join(socket),
     );
     this.#server = server;
-    server.listen(this.#port, '127.0.0.1');
-    await once(server, 'listening');
+    await listenAgain(server, this.address);
   }
 
   #join(near: Socket): void {
