A drain writes answers to their end and keeps connections usable

A planned stop reset connections: an answer that its caller still read was cut, and requests on kept connections met a close and were lost.

Cause: the drain took a connection for idle when its response had been ended, although bytes of it waited to be written; it closed connections whose answer had not said `connection: close`, ones whose request head was half read, and did so in a timer, which runs before the poll, so that what had come meanwhile was not read.

Change: ServerConnections counts responses until they are written and knows half-read heads. Kept connections stay open to the end of the drain. Then the order is: accept what waits, stop listening, read what has come, close the write side, read on and drop. `stopped` has `crossedRequests`, the requests that came after a close; they are not sent on.

--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -297,6 +297,7 @@
 export async function startGateway(
   source: PublicationSource,
   dialect: Dialect = testDialect,
+  graceSeconds = 3.5,
 ): Promise<TestGateway> {
   const [callers, ready, control] = await Promise.all([
     findFreeAddress(),
@@ -308,7 +309,7 @@
     listen: { callers, ready, control },
     seeds: [],
     platform: { address: '127.0.0.1:1' },
-    graceSeconds: 3.5,
+    graceSeconds,
     repeats: { ratio: 0.2, slack: 50, windowSeconds: 10 },
     logLevel: 'error' as const,
   };
--- a/packages/router/__tests__/gateway/intakeTask.spec.ts
+++ b/packages/router/__tests__/gateway/intakeTask.spec.ts
@@ -76,7 +76,13 @@
   });
 
   itSerial('gets a true answer when the drain ends, and never begins', async (t) => {
-    const outcome = await playBacklog((_response, drain) => drain.run({ closeIdle: () => {} }));
+    const outcome = await playBacklog((_response, drain) =>
+      drain.run({
+        ...{ connectionCount: 0, isReading: false },
+        ...{ stopListening: async () => {}, readArrived: async () => {} },
+        ...{ endIdle: () => {}, endUnanswered: () => {} },
+      }),
+    );
     t.deepEqual(outcome, { status: 503, ends: [], waiting: 0 });
   });
 });
--- a/packages/router/src/gateway/callerServer.ts
+++ b/packages/router/src/gateway/callerServer.ts
@@ -1,9 +1,13 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { Server as ConnectionServer } from 'node:net';
+
+import { now } from '../clock.js';
 
 import { CallerAnswer } from './callerAnswer.js';
-import { DRAINING_RETRY_AFTER_MS } from './drain.js';
+import { DRAINING_RETRY_AFTER_MS, type DrainedServer } from './drain.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { DEFAULT_LIMITS, handleRequest } from './handleRequest.js';
+import { ServerConnections } from './serverConnections.js';
 
 /**
  * Idle connections are kept this much longer than callers reuse them, so that no request meets a
@@ -15,13 +19,17 @@
 const HEADER_TIMEOUT_CHECK_MS = 500;
 
 /** The HTTP server for callers. */
-export class CallerServer {
+export class CallerServer implements DrainedServer {
   readonly #server: Server;
 
   readonly #context: GatewayContext;
 
+  readonly #connections = new ServerConnections();
+
   #openRequests = 0;
 
+  #crossedRequests = 0;
+
   constructor(context: GatewayContext) {
     this.#context = context;
     this.#server = createServer(
@@ -36,6 +44,7 @@
       (request, response) => this.#handle(request, response),
     );
     context.callers.watch(this.#server);
+    this.#connections.watch(this.#server);
   }
 
   /** Number of requests whose response is still open. */
@@ -43,6 +52,16 @@
     return this.#openRequests;
   }
 
+  /** Number of requests that came after their connection had been closed; they were not read. */
+  get crossedRequests(): number {
+    return this.#crossedRequests;
+  }
+
+  /** Number of connections of callers. */
+  get connectionCount(): number {
+    return this.#connections.count;
+  }
+
   /** Starts to listen; rejects when the address cannot be used. */
   async listen(host: string, port: number): Promise<void> {
     await new Promise<void>((resolve, reject) => {
@@ -59,9 +78,35 @@
     this.#server.headersTimeout = limits.headerTimeoutMs;
   }
 
-  /** Closes the connections that have no request in progress. */
-  closeIdle(): void {
-    this.#server.closeIdleConnections();
+  /** Accepts the connections that wait, until `latestAt` at most, and stops listening. */
+  async stopListening(latestAt: number): Promise<void> {
+    // The loop accepts one a turn: none waits right after a turn without any.
+    do await this.readArrived();
+    while (this.#context.callers.acceptDelayMs > 0 && now() < latestAt);
+    // The method of the HTTP server closes connections, too.
+    ConnectionServer.prototype.close.call(this.#server);
+  }
+
+  /** Resolves directly after what has arrived on its connections is read. */
+  readArrived(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#context.loopDelay.afterPoll(resolve);
+    });
+  }
+
+  /** True while a part of a request's head has been read. */
+  get isReading(): boolean {
+    return this.#connections.isReading;
+  }
+
+  /** Closes the connections that have no request, no part of one and no answer to write. */
+  endIdle(): void {
+    this.#connections.endIdle();
+  }
+
+  /** Closes the connections that have no request in progress and no answer to write. */
+  endUnanswered(): void {
+    this.#connections.endUnanswered();
   }
 
   /** Stops listening and closes all connections. */
@@ -71,12 +116,16 @@
   }
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
+    if (request.socket.writableEnded) {
+      this.#crossedRequests += 1;
+      request.resume();
+      return;
+    }
     this.#openRequests += 1;
+    this.#connections.add(request.socket, response);
     response.sendDate = false;
     response.on('close', () => {
       this.#openRequests -= 1;
-      // An answer that began before the drain did not announce `connection: close`.
-      if (this.#context.state.isLeaving) request.socket.destroySoon();
     });
     response.on('error', () => {
       // The caller's connection failed; `close` follows and ends the exchange.
--- a/packages/router/src/gateway/drain.ts
+++ b/packages/router/src/gateway/drain.ts
@@ -23,13 +23,32 @@
 /** Time in which the answers are written that requests get at the end of the drain. */
 const LAST_ANSWERS_MS = 100;
 
+/** Time for the connections that wait to be accepted when the grace period is over. */
+const MIN_LAST_ACCEPTS_MS = 50;
+
+/** Time in which callers see that their connections are closed. */
+const CLOSING_MS = 150;
+
+/** Interval at which the drain checks whether callers have. */
+const CLOSING_CHECK_INTERVAL_MS = 10;
+
 /** Interval at which the drain checks whether it is over. */
 const CHECK_INTERVAL_MS = 100;
 
-/** What a drain asks of the servers. */
-export interface DrainObserver {
-  /** Called while new requests are refused, to close connections without a request. */
-  closeIdle(): void;
+/** The server for callers, as a drain closes it. */
+export interface DrainedServer {
+  /** Number of its connections. */
+  readonly connectionCount: number;
+  /** Accepts the connections that wait, until `latestAt` at most, and stops listening; epoch milliseconds. */
+  stopListening(latestAt: number): Promise<void>;
+  /** Resolves directly after what has arrived on its connections is read. */
+  readArrived(): Promise<void>;
+  /** True while a part of a request's head has been read. */
+  readonly isReading: boolean;
+  /** Closes the connections that have no request, no part of one and no answer to write. */
+  endIdle(): void;
+  /** Closes the connections that have no request in progress and no answer to write. */
+  endUnanswered(): void;
 }
 
 /**
@@ -83,18 +102,31 @@
     return longestMs <= leftMs;
   }
 
-  /** Waits until the open requests have ended, or ends them when the grace period does. */
-  async run(observer: DrainObserver): Promise<void> {
-    const startedAt = now();
-    this.#startedAt = startedAt;
+  /**
+   * Waits until the open requests have ended, or ends them when the grace period does; the signal to
+   * stop came `elapsedMs` milliseconds ago.
+   */
+  async run(server: DrainedServer, elapsedMs = 0): Promise<void> {
+    this.#startedAt = now() - elapsedMs;
     const isDone = () => this.#open.size === 0 && this.isRejecting;
-    while (!isDone() && now() < this.#endsAt) {
-      await sleep(CHECK_INTERVAL_MS);
-      if (this.isRejecting) observer.closeIdle();
-    }
-    if (this.#open.size === 0) return;
-    [...this.#open.values()].forEach((end) => end());
+    while (!isDone() && now() < this.#endsAt) await sleep(CHECK_INTERVAL_MS);
+    this.#endOpen();
+    await server.stopListening(Math.max(this.#endsAt, now() + MIN_LAST_ACCEPTS_MS));
+    // Until here what comes on a kept connection is read and refused.
     await sleep(LAST_ANSWERS_MS);
+    await server.readArrived();
+    this.#endOpen();
+    server.endIdle();
+    while (server.isReading && now() < this.#endsAt) await sleep(CLOSING_CHECK_INTERVAL_MS);
+    await server.readArrived();
+    this.#endOpen();
+    server.endUnanswered();
+    const closedAt = now() + CLOSING_MS;
+    while (server.connectionCount > 0 && now() < closedAt) await sleep(CLOSING_CHECK_INTERVAL_MS);
+  }
+
+  #endOpen(): void {
+    [...this.#open.values()].forEach((end) => end());
   }
 
   get #endsAt(): number {
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -82,8 +82,11 @@
   state(): GatewayDump;
   /** Applies reloaded settings; only the seeds take effect without a restart. */
   applySettings(settings: GatewaySettings): void;
-  /** Reports not ready, waits for open requests within the grace period, then stops. */
-  drain(): Promise<void>;
+  /**
+   * Reports not ready, waits for open requests within the grace period, then stops. The signal to stop
+   * came `elapsedMs` milliseconds ago.
+   */
+  drain(elapsedMs?: number): Promise<void>;
   /** Stops immediately and closes all connections. */
   stop(): void;
 }
@@ -293,12 +296,13 @@
     control.close();
     control.closeAllConnections();
     connections.closeRemoved(() => false);
-    log.change('stopped', { openRequests: countOpenRequests() });
+    const { crossedRequests } = callerServer;
+    log.change('stopped', { openRequests: countOpenRequests(), crossedRequests });
   };
-  const drain = async () => {
+  const drain = async (elapsedMs = 0) => {
     state.isLeaving = true;
     log.change('drain_began', { openRequests: countOpenRequests() });
-    await context.drain.run(callerServer);
+    await context.drain.run(callerServer, elapsedMs);
     stop();
   };
   return {
--- a/packages/router/src/gateway/transitServer.ts
+++ b/packages/router/src/gateway/transitServer.ts
@@ -62,7 +62,6 @@
     response.on('close', () => {
       this.#openRequests -= 1;
       metrics.countTransit('carried', response.writableFinished ? 'answered' : 'broken');
-      if (state.isLeaving) request.socket.destroySoon();
     });
     drain.setEnd(response, () => answer.sendError(503, 'leaving', DRAINING_RETRY_AFTER_MS));
     unwrapRequest(request);
