Every signal, in any number, order and moment, does what its phase says

FAULT: a second SIGTERM ended a process that drained, with the requests it had; a SIGTERM, SIGINT or SIGHUP during the start ended it with that signal.

Cause: handlers were set after the start, and the one for SIGTERM once. A signal without a handler ends a process.

Each program ends by process.exit after the drain, since a process that ends by itself takes its handlers away first.

--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -1,3 +1,7 @@
+// Before all else: without a handler a signal ends the process. The bundle sets its own ones in the
+// same turn, which get the signals that come before it ends.
+['SIGTERM', 'SIGINT', 'SIGHUP', 'SIGUSR2'].forEach((signal) => process.on(signal, () => {}));
+
 // Starts the bundle from the code cache that the build wrote; without it, compiling takes most of
 // the start-up time.
 const { readFileSync } = require('node:fs');
--- a/packages/cli/bin/filbertlatch.js
+++ b/packages/cli/bin/filbertlatch.js
@@ -1,4 +1,13 @@
 #!/usr/bin/env node
-import { main } from '../dist/src/main.js';
+/** Gives signals their handlers, if the process is to serve; a signal ends any other command. */
+async function createLife() {
+  if (process.argv[2] !== 'serve') return null;
+  const { ProcessLife } = await import('@filbertlatch/daemon/processLife');
+  return new ProcessLife();
+}
 
-process.exitCode = await main(import.meta);
+// The rest is loaded when signals have their handlers.
+const life = await createLife();
+const { main } = await import('../dist/src/main.js');
+
+process.exitCode = await main(import.meta, undefined, undefined, life);
--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -1,3 +1,5 @@
+import type { ProcessLife } from '@filbertlatch/daemon/processLife';
+
 /** A flag of a command; its key in `Command.flags` is the camelCase form of the option. */
 export interface Flag {
   readonly type: 'string' | 'boolean' | 'number';
@@ -22,6 +24,8 @@
   /** Values by flag name in camelCase; absent flags are undefined. */
   readonly flags: Readonly<Record<string, unknown>>;
   readonly output: Output;
+  /** Owns the signals of a process that is to serve; null in any other, which a signal ends. */
+  readonly life: ProcessLife | null;
 }
 
 /** One command of the command line. */
--- a/packages/cli/src/commands/serve.ts
+++ b/packages/cli/src/commands/serve.ts
@@ -11,5 +11,10 @@
   summary: 'run the router from a settings file',
   example: 'filbertlatch serve examples/newsroom/settings.json',
   flags: {},
-  run: ({ operands }) => runDaemon(operands[0]!),
+  run: async ({ operands, life }) => {
+    const exitCode = await runDaemon(operands[0]!, life ?? undefined);
+    // A process that ends by itself takes its signal handlers away before it has ended.
+    // eslint-disable-next-line n/no-process-exit -- a signal would be its end
+    process.exit(exitCode);
+  },
 };
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,3 +1,4 @@
+import type { ProcessLife } from '@filbertlatch/daemon/processLife';
 import { RouterError } from '@filbertlatch/router';
 
 import { EXIT_FAILED, EXIT_OK, EXIT_USAGE, type Command, type Output } from './command.js';
@@ -47,20 +48,25 @@
   argv: readonly string[],
   importMeta: ImportMeta,
   output: Output,
+  life: ProcessLife | null,
 ): Promise<number> {
   const { command, rest } = findCommand(argv);
   if (rest.includes('--help')) {
     output.write(formatHelp(command));
     return EXIT_OK;
   }
-  return command.run(parseCall(command, rest, importMeta, output));
+  return command.run({ ...parseCall(command, rest, importMeta, output), life });
 }
 
-/** Runs the command line; resolves with the exit code. Rejects only on unexpected errors. */
+/**
+ * Runs the command line; resolves with the exit code. Rejects only on unexpected errors. `life` owns
+ * the signals of a process that is to serve.
+ */
 export async function main(
   importMeta: ImportMeta,
   argv: readonly string[] = process.argv.slice(2),
   output: Output = standardOutput,
+  life: ProcessLife | null = null,
 ): Promise<number> {
   const [first] = argv;
   if (first === undefined || first === '--help' || first === 'help') {
@@ -68,7 +74,7 @@
     return first === undefined ? EXIT_USAGE : EXIT_OK;
   }
   try {
-    return await runCommand(argv, importMeta, output);
+    return await runCommand(argv, importMeta, output, life);
   } catch (error) {
     if (error instanceof UsageError || error instanceof RouterError) {
       output.writeError(`filbertlatch: ${error.message}`);
--- a/packages/cli/src/parseCall.ts
+++ b/packages/cli/src/parseCall.ts
@@ -34,7 +34,7 @@
   argv: readonly string[],
   importMeta: ImportMeta,
   output: Output,
-): Call {
+): Omit<Call, 'life'> {
   const { input, flags, unnormalizedFlags } = meow('', {
     importMeta,
     argv: [...argv],
--- a/packages/daemon/__tests__/daemonProcess.spec.ts
+++ b/packages/daemon/__tests__/daemonProcess.spec.ts
@@ -1,13 +1,14 @@
-import { spawn, type ChildProcessByStdio } from 'node:child_process';
+import { execFile, spawn, type ChildProcessByStdio } from 'node:child_process';
 import { createHash } from 'node:crypto';
 import { once } from 'node:events';
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { mkdtemp, open, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import type { Readable } from 'node:stream';
 import { text } from 'node:stream/consumers';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
+import { promisify } from 'node:util';
 
 import { checkTable } from '@filbertlatch/core';
 import { describe, it } from '@filbertlatch/core/testing';
@@ -36,10 +37,12 @@
   };
 }
 
-async function startDaemon(t: ExecutionContext, content: string): Promise<Daemon> {
+/** Starts a daemon with settings; with null it waits for them to be written to the path of `spawnargs`. */
+async function startDaemon(t: ExecutionContext, content: string | null): Promise<Daemon> {
   const folder = await mkdtemp(join(tmpdir(), 'filbertlatch-'));
   const path = join(folder, 'settings.json');
-  await writeFile(path, content);
+  if (content === null) await promisify(execFile)('mkfifo', [path]);
+  else await writeFile(path, content);
   const daemon = spawn(process.execPath, [DAEMON_PATH, path], {
     stdio: ['ignore', 'pipe', 'pipe'],
   });
@@ -109,8 +112,21 @@
   }
 }
 
+/** Signals that come one after the other, 50 ms apart. */
+const SIGNAL_SERIES: Readonly<Record<string, readonly NodeJS.Signals[]>> = {
+  SIGTERM: ['SIGTERM'],
+  'two SIGTERMs': ['SIGTERM', 'SIGTERM'],
+  'a SIGINT after SIGTERM': ['SIGTERM', 'SIGINT'],
+  'SIGHUPs and SIGTERMs in turn': ['SIGHUP', 'SIGTERM', 'SIGHUP', 'SIGTERM', 'SIGUSR2'],
+};
+
+const SIGNAL_INTERVAL_MS = 50;
+
+/** Time in which a process that waits for its settings has handled a signal. */
+const HANDLING_MS = 200;
+
 describe('the daemon as a process', () => {
-  it('finishes an open stream before it exits on SIGTERM', async (t) => {
+  const finishStream = async (t: ExecutionContext, signals: readonly NodeJS.Signals[]) => {
     const platform = await publishFleet(t);
     const daemon = await startDaemon(t, JSON.stringify(createSettings(platform.url)));
     const { callerUrl } = await readAddresses(daemon);
@@ -126,11 +142,54 @@
       }),
     });
     const ended = waitForExit(daemon);
-    daemon.kill('SIGTERM');
-    const answer = await body.text();
+    const received = body.text();
+    for (const signal of signals) {
+      daemon.kill(signal);
+      await sleep(SIGNAL_INTERVAL_MS);
+    }
+    const answer = await received;
     t.is(answer.split('"content":" w').length - 1, ANSWER_TOKENS);
     t.true(answer.endsWith('data: [DONE]\n\n'));
     t.is((await ended).code, 0);
+  };
+
+  Object.entries(SIGNAL_SERIES).forEach(([title, signals]) => {
+    it(`finishes an open stream before it exits on ${title}`, (t) => finishStream(t, signals));
+  });
+
+  it('exits with 0 whatever signals come until it has ended', async (t) => {
+    const daemon = await startDaemon(t, JSON.stringify(createSettings('http://127.0.0.1:9')));
+    await readAddresses(daemon);
+    const ended = waitForExit(daemon);
+    while (daemon.exitCode === null && daemon.signalCode === null) {
+      (['SIGTERM', 'SIGINT', 'SIGHUP', 'SIGUSR2'] as const).forEach((signal) =>
+        daemon.kill(signal),
+      );
+      await sleep(1);
+    }
+    t.is((await ended).code, 0);
+  });
+
+  it('is stopped by a SIGTERM that comes before its settings are read', async (t) => {
+    const daemon = await startDaemon(t, null);
+    const pipe = await open(daemon.spawnargs.at(-1)!, 'w');
+    daemon.kill('SIGTERM');
+    await sleep(HANDLING_MS);
+    const ended = waitForExit(daemon);
+    await pipe.write(JSON.stringify(createSettings('http://127.0.0.1:9'))).catch(() => undefined);
+    await pipe.close();
+    t.is((await ended).code, 0);
+  });
+
+  it('is not ended by a SIGHUP that comes before its settings are read', async (t) => {
+    const daemon = await startDaemon(t, null);
+    const pipe = await open(daemon.spawnargs.at(-1)!, 'w');
+    daemon.kill('SIGHUP');
+    await sleep(HANDLING_MS);
+    await pipe.write(JSON.stringify(createSettings('http://127.0.0.1:9'))).catch(() => undefined);
+    await pipe.close();
+    const { callerUrl } = await readAddresses(daemon);
+    t.regex(callerUrl, /^http/);
   });
 
   it('listens, answers callers, asks admin callers for a token and exits with 0 on SIGTERM', async (t) => {
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,2 @@
+export { ProcessLife } from './processLife.js';
 export { runDaemon } from './runDaemon.js';
--- /dev/null
+++ b/packages/daemon/src/reportError.ts
@@ -0,0 +1,10 @@
+import { RouterError } from '@filbertlatch/router/errors';
+
+/** Prints an error to standard error; one that is not ours with its stack. */
+export function reportError(error: unknown): void {
+  const text =
+    error instanceof RouterError
+      ? `${error.code}\n${error.message}`
+      : String(error instanceof Error ? error.stack : error);
+  process.stderr.write(`filbertlatchd: ${text}\n`);
+}
