An answer without a length is complete only if its endpoint has outlived it

Cause: `unknown`, a check of the endpoint without a result, was taken for a good end.

Change: `alive` and `open` are proofs; `ended`, `left` and `unknown` break the answer off. A port is open when a connection stays open for 40 ms after the end, or two in a row are reset, the second 30 ms or more after the end: a crash closes the port with the connections, and refuses later ones. A check that shows nothing is repeated (endCheck). Plain services of the product's own interface are checked by the same code, and an answer of a peer without a length or chunks is none. A refused check needs no proof that this VM has links: the end is not shown either way.

Open: a process that holds the port of an ended endpoint makes a crash look like a full one.

--- a/packages/router/__tests__/gateway/transits.spec.ts
+++ b/packages/router/__tests__/gateway/transits.spec.ts
@@ -147,6 +147,12 @@
       'the answer belongs to another request': (request, response) => {
         response.writeHead(200, { ...answerHeaders(request), 'x-request': 'other' }).end('other');
       },
+      'the answer has neither a length nor chunks': (request, response) => {
+        response.useChunkedEncodingByDefault = false;
+        response.writeHead(200, { ...answerHeaders(request), connection: 'close' });
+        response.flushHeaders();
+        response.end('answer');
+      },
       'the answer breaks off': (request, response) => {
         response.writeHead(200, { ...answerHeaders(request), 'content-length': '9' }).write('ans');
         setTimeout(() => reset(request), 20);
--- a/packages/router/__tests__/gateway/unframedEndpoint.ts
+++ b/packages/router/__tests__/gateway/unframedEndpoint.ts
@@ -18,6 +18,40 @@
   return Array.from({ length: PARTS }, (_, index) => formatPart(path, index + 1)).join('');
 }
 
+/** How an answer is sent. */
+export interface UnframedSending {
+  readonly gapMs: number;
+  /** Says whether the endpoint has ended. */
+  readonly isOver: () => boolean;
+}
+
+/** Sends an answer that ends with its connection; resolves with whether it was sent to its end. */
+export async function sendUnframedAnswer(
+  request: IncomingMessage,
+  response: ServerResponse,
+  { gapMs, isOver }: UnframedSending,
+): Promise<boolean> {
+  const path = request.url ?? '';
+  request.resume();
+  request.on('error', () => {});
+  response.useChunkedEncodingByDefault = false;
+  response.writeHead(200, {
+    'x-request': String(request.headers['x-request']),
+    'x-mac': 'mac',
+    'content-type': isStreamPath(path) ? 'text/event-stream' : 'text/plain',
+    connection: 'close',
+  });
+  response.flushHeaders();
+  const after = Number(request.headers['x-after'] ?? 0);
+  for (let part = after + 1; part <= PARTS; part += 1) {
+    response.write(formatPart(path, part));
+    await sleep(gapMs);
+    if (isOver() || response.destroyed) return false;
+  }
+  response.end();
+  return true;
+}
+
 /** When an endpoint ended whole answers, and how often it ran requests; by request id. */
 export interface AnswerRecords {
   readonly endedAt: Map<string, number>;
@@ -40,24 +74,9 @@
     const { lifetime } = this;
     const { endedAt, runs } = this.#records;
     const id = String(request.headers['x-request']);
-    const path = request.url ?? '';
-    request.resume();
-    request.on('error', () => {});
     runs.set(id, (runs.get(id) ?? 0) + 1);
-    response.useChunkedEncodingByDefault = false;
-    response.writeHead(200, {
-      'x-request': id,
-      'x-mac': 'mac',
-      'content-type': isStreamPath(path) ? 'text/event-stream' : 'text/plain',
-      connection: 'close',
-    });
-    const after = Number(request.headers['x-after'] ?? 0);
-    for (let part = after + 1; part <= PARTS; part += 1) {
-      response.write(formatPart(path, part));
-      await sleep(PART_GAP_MS);
-      if (lifetime !== this.lifetime || this.isDown || response.destroyed) return;
-    }
-    endedAt.set(id, performance.now());
-    response.end();
+    const isOver = () => lifetime !== this.lifetime || this.isDown;
+    const isWhole = await sendUnframedAnswer(request, response, { gapMs: PART_GAP_MS, isOver });
+    if (isWhole) endedAt.set(id, performance.now());
   }
 }
--- a/packages/router/src/endpoints/endpointTask.ts
+++ b/packages/router/src/endpoints/endpointTask.ts
@@ -5,6 +5,7 @@
 import type { Exchanges } from '../callers/exchanges.js';
 import { now } from '../clock.js';
 import type { Decider } from '../decider/index.js';
+import { checkEnd, checkPort } from '../gateway/endCheck.js';
 import { AttemptError, toAttemptError } from './attemptError.js';
 import { PRIORITY_HEADER, REQUEST_ID_HEADER, TIMEOUT_HEADER } from './engineProtocol.js';
 import { checkStatus, readServiceAnswer } from './readAnswer.js';
@@ -15,6 +16,11 @@
 /** Connections beyond the endpoint's slots. */
 const SPARE_CONNECTIONS = 8;
 
+const DEFAULT_PORTS: Readonly<Record<string, number>> = { 'http:': 80, 'https:': 443 };
+
+/** Takes this process for one that always listens. */
+const clock = { listenedMs: (since: number) => now() - since };
+
 interface RunningAttempt {
   readonly controller: AbortController;
   cancelled: boolean;
@@ -169,7 +175,24 @@
     });
     await checkStatus(response);
     progress.onAccepted();
-    return readServiceAnswer(action, response);
+    const answer = await readServiceAnswer(
+      action,
+      response,
+      async () => payload.method === 'HEAD' || this.#isPortOpen(),
+    );
+    signal.throwIfAborted();
+    return answer;
+  }
+
+  /** Says whether the service accepts connections after an answer that ended with its own. */
+  async #isPortOpen(): Promise<boolean> {
+    const { hostname, port, protocol } = new URL(this.#endpoint.url);
+    const target = {
+      host: hostname.replace(/^\[|\]$/g, ''),
+      port: Number(port) || DEFAULT_PORTS[protocol]!,
+    };
+    const connect = (timeoutMs: number) => checkPort(target, clock, timeoutMs);
+    return (await checkEnd(connect, now())) === 'open';
   }
 
   #attemptHeaders({ attempt, request }: ActionOf<'dispatch'>): Record<string, string> {
--- a/packages/router/src/endpoints/readAnswer.ts
+++ b/packages/router/src/endpoints/readAnswer.ts
@@ -2,12 +2,16 @@
 import type { Dispatcher } from 'undici';
 
 import type { ServiceAnswer } from '../callers/exchange.js';
+import { isFramed } from '../gateway/headers.js';
 import { AttemptError } from './attemptError.js';
 import { REQUEST_ID_HEADER } from './engineProtocol.js';
 import { errorOfStatus } from './errorOfStatus.js';
 
 const FIRST_SERVER_ERROR = 500;
 
+/** Statuses of answers without a body. */
+const BODILESS_STATUSES = new Set([204, 304]);
+
 /**
  * Throws AttemptError for a plain service's status of 500 or more. A lower status is part of its
  * answer. Unlike an engine's 503, a service's 503 does not promise that the request did not run.
@@ -28,13 +32,21 @@
   'content-length',
 ]);
 
+/** Says whether nothing but the end of the connection tells that an answer is whole. */
+function endsWithConnection({ statusCode, headers }: Dispatcher.ResponseData): boolean {
+  const names = Object.keys(headers).flatMap((name) => [name, '']);
+  return !BODILESS_STATUSES.has(statusCode) && !isFramed(names);
+}
+
 /**
- * Reads a plain service's complete answer. Throws AttemptError when the service did not echo the
- * attempt's id.
+ * Reads a plain service's complete answer. `hasOutlived` finds out whether the service has outlived an
+ * answer that ended with its connection. Throws AttemptError when it has not, and when the service did
+ * not echo the attempt's id.
  */
 export async function readServiceAnswer(
   { attempt }: ActionOf<'dispatch'>,
   response: Dispatcher.ResponseData,
+  hasOutlived: () => Promise<boolean>,
 ): Promise<ServiceAnswer> {
   const echoed = response.headers[REQUEST_ID_HEADER];
   if (echoed !== attempt.id) {
@@ -45,5 +57,8 @@
     if (typeof value === 'string' && !DROPPED_HEADERS.has(name)) headers[name] = value;
   }
   const body = Buffer.from(await response.body.arrayBuffer());
+  if (endsWithConnection(response) && !(await hasOutlived())) {
+    throw new AttemptError('reset', 'may-have-run', 'the end of the answer is not shown');
+  }
   return { status: response.statusCode, headers, body };
 }
--- a/packages/router/src/gateway/attempt.ts
+++ b/packages/router/src/gateway/attempt.ts
@@ -75,6 +75,6 @@
   resume(): void;
   /** Cancels the attempt; the observer receives no further events. */
   cancel(outcome: 'stuck' | 'timed-out' | 'abandoned'): void;
-  /** Ends an answer whose endpoint is being checked, when there is no time left for the check. */
+  /** Gives up an answer whose endpoint is being checked, when there is no time left for the check. */
   endUnchecked?(): void;
 }
--- a/packages/router/src/gateway/crashGuard.ts
+++ b/packages/router/src/gateway/crashGuard.ts
@@ -71,10 +71,11 @@
     return classifyRequest(suspects, this.#computeFingerprint(), now()) === 'refused';
   }
 
-  /** Records an attempt whose connection broke. */
+  /** Records an attempt whose connection broke, or whose answer is not shown to be whole. */
   recordBroken(attempt: Attempt): void {
     if (!(attempt instanceof EndpointAttempt)) return;
-    this.#recordLost(attempt, true);
+    // An endpoint that leaves ends without a crash.
+    if (attempt.liveness !== 'left') this.#recordLost(attempt, attempt.liveness !== 'unknown');
     this.#context.probes.probe(attempt.endpoint.id);
   }
 
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -36,6 +36,9 @@
 /** Outcomes after which the endpoint has the request no more. */
 const ANSWERED_OUTCOMES = new Set(['served', 'failed', 'turned-away']);
 
+/** What shows that an answer whose end only the connection tells is whole. */
+const PROVEN_ENDS: ReadonlySet<Liveness> = new Set<Liveness>(['alive', 'open']);
+
 const OK_STATUS = 200;
 const FIRST_SERVER_ERROR_STATUS = 500;
 
@@ -90,7 +93,6 @@
 
   #heardAt = this.sentAt;
 
-  /** What showed whether the endpoint outlived its answer; null before, and for a framed answer. */
   #liveness: Liveness | null = null;
 
   /** True while the end of the answer waits for a check of the endpoint. */
@@ -168,12 +170,17 @@
     return this.#stream.hasLivedOn;
   }
 
+  /** What a check has shown of the endpoint after its answer; null without a check. */
+  get liveness(): Liveness | null {
+    return this.#liveness;
+  }
+
   /** True when the whole answer has arrived for certain, not only as far as its connection tells. */
   get hasCertainEnd(): boolean {
     return isFramed(this.#rawHead.headers) || this.#liveness === 'alive';
   }
 
-  /** Ends an answer whose endpoint is being checked, when there is no time left for the check. */
+  /** Gives up an answer whose endpoint is being checked, when there is no time left for the check. */
   endUnchecked(): void {
     if (this.#isEnding) this.#handleCheckedEnd('unknown');
   }
@@ -308,11 +315,10 @@
     if (this.#isSettled) return;
     this.#isEnding = false;
     this.#liveness = liveness;
-    if (liveness !== 'ended') this.#complete();
-    else {
-      const message = 'endpoint ended with its answer';
+    if (!PROVEN_ENDS.has(liveness)) {
+      const message = `endpoint after the end of its answer: ${liveness}`;
       this.#fail({ verdict: 'may-have-run', cause: 'broken', message });
-    }
+    } else this.#complete();
   }
 
   #complete(): void {
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -164,16 +164,7 @@
     loopDelay,
     log,
   );
-  const liveness = new LivenessTask(
-    state,
-    dialect,
-    connections,
-    terms,
-    contacts,
-    loopDelay,
-    metrics,
-    log,
-  );
+  const liveness = new LivenessTask(state, dialect, connections, terms, loopDelay, metrics, log);
   let currentSettings = settings;
   // Starts anew with the process, whose former trials may still be known to its peers.
   let sequenceNumber = randomInteger(state.random, 2 ** 31);
--- a/packages/router/src/gateway/gatewayMetrics.ts
+++ b/packages/router/src/gateway/gatewayMetrics.ts
@@ -1,6 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 import type { LinkState } from './checkLink.js';
+import type { Liveness } from './livenessTask.js';
 import type { RequestPlace } from './requestTrace.js';
 
 const METRIC_PREFIX = 'filbertlatch_';
@@ -164,7 +165,7 @@
   }
 
   /** Counts a check of an endpoint after an answer that ended with its connection. */
-  countLivenessCheck(liveness: 'alive' | 'ended' | 'unknown'): void {
+  countLivenessCheck(liveness: Liveness): void {
     this.#livenessChecks.inc({ liveness });
   }
 
--- a/packages/router/src/gateway/livenessTask.ts
+++ b/packages/router/src/gateway/livenessTask.ts
@@ -1,14 +1,11 @@
-import { connect } from 'node:net';
-import { setTimeout as sleep } from 'node:timers/promises';
-
 import { isTakingRequests, type RegisteredEndpoint } from '@filbertlatch/core';
 import { buildConnector, Client } from 'undici';
 
 import { now } from '../clock.js';
 import { splitAddress } from './address.js';
 import type { ConnectionTable } from './connectionTable.js';
-import type { ContactTask } from './contactTask.js';
 import type { Dialect } from './dialect.js';
+import { ANSWER_TIMEOUT_MS, checkEnd, checkPort, type EndFinding } from './endCheck.js';
 import type { EndpointTerms } from './endpointTerms.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
@@ -16,44 +13,18 @@
 import type { LoopDelay } from './loopDelay.js';
 import { SilenceTimer } from './silenceTimer.js';
 
-/** What a check tells of an endpoint; `unknown` when neither can be shown in time. */
-export type Liveness = 'alive' | 'ended' | 'unknown';
+/**
+ * What a check tells of an endpoint: it answers; its port is open, but nothing answers in time; it has
+ * ended; it has ended and was leaving; none of these can be shown in time.
+ */
+export type Liveness = 'alive' | 'open' | 'ended' | 'left' | 'unknown';
 
 /** Time in which checks of an endpoint are gathered into one. */
 const GATHER_MS = 5;
 
-/** Time-out for opening the connection; nothing answers on a link that loses packets. */
-const CONNECT_TIMEOUT_MS = 150;
-
-/** Time-out for the answer on an open connection; a full endpoint takes longer. */
-const ANSWER_TIMEOUT_MS = 40;
-
 /** Time between the ends of connections that one crash ends. */
 const CRASH_SPREAD_MS = 50;
 
-/** Time before a check is repeated whose connection was closed. */
-const REPEAT_MS = 10;
-
-const CLOSED_CODES = ['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET'];
-
-function hasCode(error: unknown, codes: readonly string[]): boolean {
-  return error instanceof Error && codes.includes((error as NodeJS.ErrnoException).code ?? '');
-}
-
-/** Opens and closes a connection; rejects when it cannot be opened in time. */
-function openConnection(address: string): Promise<void> {
-  const { host, port } = splitAddress(address);
-  return new Promise((resolve, reject) => {
-    const socket = connect({ host, port, timeout: CONNECT_TIMEOUT_MS });
-    socket.on('timeout', () => socket.destroy(new Error('connection not opened in time')));
-    socket.on('error', reject);
-    socket.once('connect', () => {
-      socket.destroy();
-      resolve();
-    });
-  });
-}
-
 /**
  * Finds out whether an endpoint has outlived an answer that ended with its connection. A crash closes
  * connections as the end of an answer does, but also the endpoint's port.
@@ -67,8 +38,6 @@
 
   readonly #terms: EndpointTerms;
 
-  readonly #contacts: ContactTask;
-
   readonly #loopDelay: LoopDelay;
 
   readonly #metrics: GatewayMetrics;
@@ -83,7 +52,6 @@
     dialect: Dialect,
     connections: ConnectionTable,
     terms: EndpointTerms,
-    contacts: ContactTask,
     loopDelay: LoopDelay,
     metrics: GatewayMetrics,
     log: GatewayLog,
@@ -92,7 +60,6 @@
     this.#dialect = dialect;
     this.#connections = connections;
     this.#terms = terms;
-    this.#contacts = contacts;
     this.#loopDelay = loopDelay;
     this.#metrics = metrics;
     this.#log = log;
@@ -114,11 +81,13 @@
   }
 
   async #run(endpoint: RegisteredEndpoint, askedAt: number): Promise<Liveness> {
-    const seen = await this.#look(endpoint, askedAt);
-    // An endpoint that leaves ends after its last answer.
-    const isPlanned = seen === 'ended' && !isTakingRequests(this.#state.directory, endpoint.id);
+    const finding = await checkEnd(
+      (timeoutMs, wasReset) => this.#connect(endpoint, timeoutMs, wasReset),
+      askedAt,
+    );
+    const isPlanned = finding === 'ended' && !isTakingRequests(this.#state.directory, endpoint.id);
     const hasCrashed = this.#connections.lastBrokenAt(endpoint.id) > askedAt - CRASH_SPREAD_MS;
-    const liveness = isPlanned && !hasCrashed ? 'unknown' : seen;
+    const liveness = isPlanned && !hasCrashed ? 'left' : (finding ?? 'unknown');
     this.#metrics.countLivenessCheck(liveness);
     this.#log.decision('endpoint_checked', {
       endpointId: endpoint.id,
@@ -129,41 +98,43 @@
     return liveness;
   }
 
-  async #look(endpoint: RegisteredEndpoint, askedAt: number, mayRepeat = true): Promise<Liveness> {
-    try {
-      if (this.#mayAsk(endpoint)) return await this.#askHealth(endpoint);
-      await openConnection(endpoint.address);
-      return 'unknown';
-    } catch (error) {
-      if (hasCode(error, ['ECONNREFUSED'])) {
-        return (await this.#contacts.hasEnded(endpoint, askedAt, 'new-connection'))
-          ? 'ended'
-          : 'unknown';
-      }
-      // An endpoint that is ending, or one with too many connections, closes a new one.
-      if (!mayRepeat || !hasCode(error, CLOSED_CODES)) return 'unknown';
-      await sleep(REPEAT_MS);
-      return this.#look(endpoint, askedAt, false);
-    }
-  }
-
   #mayAsk(endpoint: RegisteredEndpoint): boolean {
     const { limits, pauses } = this.#terms;
     return limits.timeToHealthCheck(endpoint.id) === 0 && pauses.leftMs(endpoint) === 0;
   }
 
+  /** A port that is closed soon closes a new connection, too. */
+  async #connect(
+    endpoint: RegisteredEndpoint,
+    connectTimeoutMs: number,
+    wasReset: boolean,
+  ): Promise<EndFinding> {
+    const mayAsk = this.#mayAsk(endpoint);
+    if (mayAsk && !wasReset) return this.#askHealth(endpoint, connectTimeoutMs);
+    const target = splitAddress(endpoint.address);
+    const finding = await checkPort(target, this.#loopDelay, connectTimeoutMs);
+    // A request that is not read turns a close into a reset: this connection had none. One that stays
+    // open is asked for the id the next time.
+    return mayAsk ? null : finding;
+  }
+
   /** Asks who answers at the address: it may have another endpoint by now. */
-  async #askHealth({ id, serviceId, address }: RegisteredEndpoint): Promise<Liveness> {
+  async #askHealth(
+    { id, serviceId, address }: RegisteredEndpoint,
+    connectTimeoutMs: number,
+  ): Promise<EndFinding> {
     this.#terms.limits.recordSend(id);
     const { routing } = this.#state;
     const path = routing.configuration?.services.get(serviceId)?.healthPath ?? '/';
     const timeout = new AbortController();
     const timer = new SilenceTimer(this.#loopDelay);
-    timer.start(CONNECT_TIMEOUT_MS, () => timeout.abort());
-    const openSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    timer.start(connectTimeoutMs, () => timeout.abort());
+    const openSocket = buildConnector({ timeout: connectTimeoutMs });
+    let isOpen = false;
     const client = new Client(`http://${address}`, {
       connect: (target, callback) => {
         openSocket(target, (...result) => {
+          isOpen = result[0] === null;
           timer.start(ANSWER_TIMEOUT_MS, () => timeout.abort());
           callback(...result);
         });
@@ -177,8 +148,11 @@
       });
       const headers = answer.headers as unknown as readonly string[];
       const { endpointId } = this.#dialect.parseAnswer(answer.statusCode, headers);
-      if (endpointId === null) return 'unknown';
+      if (endpointId === null) return 'open';
       return endpointId === id ? 'alive' : 'ended';
+    } catch (error) {
+      if (isOpen && timeout.signal.aborted) return 'open';
+      throw error;
     } finally {
       timer.stop();
       void client.destroy();
--- a/packages/router/src/gateway/silenceTimer.ts
+++ b/packages/router/src/gateway/silenceTimer.ts
@@ -4,20 +4,23 @@
 /** Time left that is not waited for once more. */
 const MIN_WAIT_MS = 1;
 
+/** Tells how long this process has listened since an instant, in milliseconds. */
+export type ListeningClock = Pick<LoopDelay, 'listenedMs'>;
+
 /**
  * Calls back when something has been silent for a time in which this process listened, and after what
  * has arrived was read.
  */
 export class SilenceTimer {
-  readonly #loopDelay: LoopDelay;
+  readonly #clock: ListeningClock;
 
   #timer: NodeJS.Timeout | null = null;
 
   /** Differs for each start, so that a callback of an earlier one is ignored. */
   #run = 0;
 
-  constructor(loopDelay: LoopDelay) {
-    this.#loopDelay = loopDelay;
+  constructor(clock: ListeningClock) {
+    this.#clock = clock;
   }
 
   /** Starts to wait, in place of what it waits for now; the silence has begun at `since`. */
@@ -34,17 +37,17 @@
   }
 
   #wait(silenceMs: number, since: number, run: number, callback: () => void): void {
-    const leftMs = Math.max(0, silenceMs - this.#loopDelay.listenedMs(since));
-    // Timers may run before the sockets are read, also when the process is on time.
+    const leftMs = Math.max(0, silenceMs - this.#clock.listenedMs(since));
+    // Timers may run before the sockets are read, and a close that is read is reported after immediates.
     this.#timer = setTimeout(
-      () => setImmediate(() => this.#check(silenceMs, since, run, callback)),
+      () => setImmediate(() => setImmediate(() => this.#check(silenceMs, since, run, callback))),
       leftMs,
     );
   }
 
   #check(silenceMs: number, since: number, run: number, callback: () => void): void {
     if (run !== this.#run) return;
-    const stillMs = silenceMs - this.#loopDelay.listenedMs(since);
+    const stillMs = silenceMs - this.#clock.listenedMs(since);
     if (stillMs > MIN_WAIT_MS) this.#wait(silenceMs, since, run, callback);
     else callback();
   }
--- a/packages/router/src/gateway/transitAttempt.ts
+++ b/packages/router/src/gateway/transitAttempt.ts
@@ -8,6 +8,7 @@
 import { EndpointRequest, type AttemptFailure } from './endpointRequest.js';
 import { findBodyFault } from './findBodyFault.js';
 import type { GatewayContext } from './gatewayContext.js';
+import { isFramed } from './headers.js';
 import { hasTimeToSend } from './hasTimeToSend.js';
 import type { SendTimes } from './sendTimes.js';
 import { addTerms, readNote, removeEnvelope, TRANSIT_PATH } from './transitEnvelope.js';
@@ -23,6 +24,9 @@
 const FIRST_SERVER_ERROR_STATUS = 500;
 const REFUSED_STATUS = 503;
 
+/** Statuses of answers that have no body. */
+const BODILESS_STATUSES = new Set([204, 304]);
+
 /** Refusals that say nothing of the request: another VM may carry it. */
 const PEER_REASONS = new Set(['out_of_touch', 'busy', 'leaving', 'starting']);
 
@@ -48,6 +52,8 @@
 
   readonly #sentAt = now();
 
+  #method = '';
+
   #head: RawAnswerHead = { status: 0, headers: [] };
 
   #note: AnswerNote | null = null;
@@ -108,6 +114,7 @@
   send({ method, path, headers, body, lastEventId }: AttemptRequest): void {
     const { deadlineAt, job } = this.#admitted;
     const { id } = job;
+    this.#method = method;
     this.#isResumed ||= lastEventId !== null;
     const formatHeaders = () =>
       addTerms(headers, {
@@ -144,9 +151,16 @@
     this.#note = note;
     this.#head = { status, headers: removeEnvelope(headers) };
     if (note === null) this.#reject('answer of a peer lacks its note');
+    else if (!this.#isDelimited()) this.#reject('answer of a peer has neither a length nor chunks');
     else if (note.kind === 'answer') this.#checkAnswer(status);
   }
 
+  /** VMs frame each body: the end of a connection may be that of the peer. */
+  #isDelimited(): boolean {
+    const { status, headers } = this.#head;
+    return isFramed(headers) || BODILESS_STATUSES.has(status) || this.#method === 'HEAD';
+  }
+
   #checkAnswer(status: number): void {
     const metadata = this.#context.dialect.parseAnswer(status, this.#head.headers);
     const isOfRequest = metadata.requestId === this.#admitted.metadata.requestId;
