A cut stream does not look whole to a caller of HTTP/1.0

Such a caller has no chunks, so that the end of the connection is that of the answer: a stream that the gateway broke off looked complete.

--- a/packages/router/src/gateway/callerAnswer.ts
+++ b/packages/router/src/gateway/callerAnswer.ts
@@ -77,6 +77,14 @@
     this.#response.flushHeaders();
   }
 
+  /** Breaks off an answer that has begun; its receiver can tell that from its end. */
+  breakOff(): void {
+    const { req: request, socket } = this.#response;
+    // Without chunks the end of the connection is that of the answer, so only a reset tells.
+    if (request.httpVersion === '1.0') socket?.resetAndDestroy();
+    this.#response.destroy();
+  }
+
   #writeHead(status: number, headers: readonly string[], note: AnswerNote): void {
     const close = this.#state.isLeaving ? ['connection', 'close'] : [];
     const noted = this.#addNote === null ? headers : this.#addNote(headers, note);
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -492,7 +492,7 @@
 
   #failRequest(reason: string, status = FAILED_STATUS): void {
     if (this.#response.headersSent) {
-      this.#response.destroy();
+      this.#answer.breakOff();
       this.#finish(reason);
       return;
     }
