--- a/packages/core/__tests__/gateway/directory.spec.ts
+++ b/packages/core/__tests__/gateway/directory.spec.ts
@@ -10,9 +10,11 @@
 import { describe, it } from '../../src/testing/index.js';
 import { createEndpoint } from './fixtures.js';
 
+const at = (revision: number, era: number | null = null) => ({ era, revision });
+
 function createFilledDirectory() {
   const state = createDirectoryState();
-  replaceEntries(state, [createEndpoint('e1'), createEndpoint('e2')], 10, 0);
+  replaceEntries(state, [createEndpoint('e1'), createEndpoint('e2')], at(10), 0);
   return state;
 }
 
@@ -38,7 +40,7 @@
       const state = createFilledDirectory();
       applyEntryChange(state, { id: 'e2', endpoint: null, isRemoved: false }, 5000);
       t.deepEqual(readyIds(state), ['e1', 'e2']);
-      replaceEntries(state, [createEndpoint('e1')], 11, 5100, 'store', ['e2', 'e3']);
+      replaceEntries(state, [createEndpoint('e1')], at(11), 5100, 'store', ['e2', 'e3']);
       t.deepEqual(readyIds(state), ['e1', 'e2']);
       const drained = createEndpoint('e2', { state: 'draining' });
       applyEntryChange(state, { id: 'e2', endpoint: drained, isRemoved: false }, 5200);
@@ -52,7 +54,7 @@
       });
       applyEntryChange(state, { id: 'e1', endpoint: null, isRemoved: true }, 5100);
       t.deepEqual(readyIds(state), ['e2']);
-      replaceEntries(state, [], 11, 5200);
+      replaceEntries(state, [], at(11), 5200);
       t.deepEqual(readyIds(state), []);
     });
 
@@ -62,12 +64,12 @@
       t.true(applyEntryChange(state, { id: 'e1', endpoint, isRemoved: false }, 5000));
       t.false(applyEntryChange(state, { id: 'e1', endpoint, isRemoved: false }, 5100));
       const later = [createEndpoint('e1', { startedAt: 6 }), createEndpoint('e2')];
-      t.deepEqual(replaceEntries(state, later, 11, 5200), ['e1']);
+      t.deepEqual(replaceEntries(state, later, at(11), 5200), ['e1']);
     });
 
     it('ignores a listing older than the revision it has reached', (t) => {
       const state = createFilledDirectory();
-      replaceEntries(state, [], 9, 5000);
+      replaceEntries(state, [], at(9), 5000);
       t.deepEqual(readyIds(state), ['e1', 'e2']);
     });
   });
@@ -77,7 +79,7 @@
       const state = createFilledDirectory();
       markStoreLost(state);
       markStoreRegained(state, 20_000);
-      replaceEntries(state, [createEndpoint('e1')], 30, 20_000);
+      replaceEntries(state, [createEndpoint('e1')], at(30), 20_000);
       t.deepEqual(readyIds(state), ['e1', 'e2']);
       t.deepEqual(removeLapsed(state, 21_900), []);
       t.deepEqual(removeLapsed(state, 22_000), ['e2']);
@@ -88,7 +90,7 @@
       const state = createFilledDirectory();
       markStoreLost(state);
       markStoreRegained(state, 20_000);
-      replaceEntries(state, [], 30, 20_000);
+      replaceEntries(state, [], at(30), 20_000);
       const endpoint = createEndpoint('e2');
       applyEntryChange(state, { id: 'e2', endpoint, isRemoved: false }, 21_000);
       t.deepEqual(removeLapsed(state, 22_000), ['e1']);
@@ -107,7 +109,7 @@
     it('drops an endpoint that a peer with a working store does not list', (t) => {
       const state = createFilledDirectory();
       markStoreLost(state);
-      replaceEntries(state, [createEndpoint('e1')], 30, 6000, 'peer');
+      replaceEntries(state, [createEndpoint('e1')], at(30), 6000, 'peer');
       t.deepEqual(readyIds(state), ['e1']);
     });
   });
--- a/packages/core/__tests__/gateway/directoryOrder.spec.ts
+++ b/packages/core/__tests__/gateway/directoryOrder.spec.ts
@@ -49,6 +49,8 @@
   return history;
 }
 
+const positionAt = (revision: number) => ({ era: null, revision });
+
 function toEndpoints(entries: ReadonlyMap<string, Entry>): RegisteredEndpoint[] {
   return [...entries].flatMap(([id, state]) =>
     state === null ? [] : [createEndpoint(id, { state })],
@@ -84,7 +86,7 @@
     } else if (next.kind === 'peer') {
       const at = Math.min(next.at, last);
       if (!this.isLost || at <= state.revision) return;
-      replaceEntries(state, toEndpoints(this.#history[at]!), at, now, 'peer');
+      replaceEntries(state, toEndpoints(this.#history[at]!), positionAt(at), now, 'peer');
     } else if (!this.isLost) {
       this.#readStore(next, Math.min(next.kind === 'watch' ? next.to : next.at, last));
     }
@@ -93,7 +95,7 @@
   #readStore(next: Step, revision: number): void {
     const { state, now } = this;
     if (next.kind === 'read') {
-      replaceEntries(state, toEndpoints(this.#history[revision]!), revision, now);
+      replaceEntries(state, toEndpoints(this.#history[revision]!), positionAt(revision), now);
       return;
     }
     // A watch continues after the last complete listing.
@@ -104,7 +106,7 @@
         const endpoint = entry === null ? null : createEndpoint(id, { state: entry });
         applyEntryChange(state, { id, endpoint, isRemoved: entry === null }, now);
       });
-      advanceRevision(state, at);
+      advanceRevision(state, positionAt(at));
     }
   }
 }
--- a/packages/core/src/directory/commands.ts
+++ b/packages/core/src/directory/commands.ts
@@ -1,4 +1,5 @@
 import type { DirectoryState, RegisteredEndpoint } from './state.js';
+import { compareEras, comparePositions, type StorePosition } from './storePosition.js';
 
 /**
  * Time after the store's return in which entries that lapsed in its outage may be written again.
@@ -21,6 +22,14 @@
   else state.endpoints.delete(id);
 }
 
+/** True for an entry of a copy of the store that says less than what is known of the endpoint. */
+function isOutdated(state: DirectoryState, { id, startedAt, state: phase }: RegisteredEndpoint) {
+  const known = state.endpoints.get(id);
+  if (!state.isEraUnread || known === undefined) return false;
+  if (known.startedAt === startedAt) return known.state === 'draining' && phase === 'ready';
+  return (known.startedAt ?? 0) > (startedAt ?? 0);
+}
+
 // True when the endpoint has restarted under the same id.
 function putEntry(state: DirectoryState, endpoint: RegisteredEndpoint): boolean {
   const before = state.endpoints.get(endpoint.id);
@@ -40,32 +49,50 @@
 }
 
 /**
- * Replaces all entries by those of a revision; an older revision is ignored. An endpoint that a
+ * Replaces all entries by those of a position; an earlier position is ignored. An endpoint that a
  * peer with a working store does not list is removed at once, even while this VM's own store is
- * lost. One whose entry cannot be read stays as it is known. Returns the ids of endpoints that have
- * restarted.
+ * lost. One whose entry cannot be read stays as it is known, and so does one of which the store has
+ * come back with an older entry. Returns the ids of endpoints that have restarted.
  */
 export function replaceEntries(
   state: DirectoryState,
   endpoints: readonly RegisteredEndpoint[],
-  revision: number,
+  position: StorePosition,
   now: number,
   source: 'store' | 'peer' = 'store',
   unreadableIds: readonly string[] = [],
 ): string[] {
-  if (revision < state.revision) return [];
+  if (comparePositions(position, state) < 0) return [];
   const listed = new Set([...endpoints.map(({ id }) => id), ...unreadableIds]);
-  const restarted = endpoints.filter((endpoint) => putEntry(state, endpoint));
+  const restarted = endpoints
+    .filter((endpoint) => !isOutdated(state, endpoint))
+    .filter((endpoint) => putEntry(state, endpoint));
   for (const id of [...state.endpoints.keys()]) {
     if (!listed.has(id)) removeEntry(state, id, source === 'store', now);
   }
-  state.revision = revision;
+  state.revision = position.revision;
+  state.era = position.era ?? state.era;
+  state.isEraUnread = false;
   return restarted.map(({ id }) => id);
 }
 
-/** Records that the changes up to a revision were read; the revision never decreases. */
-export function advanceRevision(state: DirectoryState, revision: number): void {
-  state.revision = Math.max(state.revision, revision);
+/** Records that the changes up to a position were read; the position never goes back. */
+export function advanceRevision(state: DirectoryState, position: StorePosition): void {
+  if (comparePositions(position, state) > 0) state.revision = position.revision;
+}
+
+/**
+ * Records that the store is in an era. In a later one than before, revisions count anew, and entries
+ * that the store has lost may be written again for some time.
+ */
+export function startEra(state: DirectoryState, era: number, now: number): void {
+  const isLater = compareEras(era, state.era) > 0;
+  state.era ??= era;
+  if (!isLater) return;
+  state.era = era;
+  state.revision = Math.min(state.revision, 0);
+  state.isEraUnread = true;
+  state.graceEndsAt = Math.max(state.graceEndsAt, now + LAPSE_GRACE_MS);
 }
 
 /** Records that the store does not answer: entries of endpoints that still run may then lapse. */
--- a/packages/core/src/directory/index.ts
+++ b/packages/core/src/directory/index.ts
@@ -6,6 +6,7 @@
   markStoreLost,
   advanceRevision,
   markStoreRegained,
+  startEra,
   type EntryChange,
 } from './commands.js';
 export {
@@ -21,6 +22,7 @@
   type DepartureReport,
 } from './departures.js';
 export { listReadyEndpoints } from './queries.js';
+export { compareEras, comparePositions, type StorePosition } from './storePosition.js';
 export {
   createDirectoryState,
   type Departure,
--- a/packages/core/src/directory/state.ts
+++ b/packages/core/src/directory/state.ts
@@ -38,6 +38,10 @@
   readonly departures: Map<string, Departure>;
   /** Revision up to which changes were read; -1 before the first. */
   revision: number;
+  /** Era of the store that the revision belongs to; null when the store has named none. */
+  era: number | null;
+  /** True until the entries of a new era have been read. */
+  isEraUnread: boolean;
   /** True while the store does not answer. */
   isStoreLost: boolean;
   /** Until this instant a removed entry counts as lapsed; epoch milliseconds. */
@@ -51,6 +55,8 @@
     lapsed: new Map(),
     departures: new Map(),
     revision: -1,
+    era: null,
+    isEraUnread: false,
     isStoreLost: false,
     graceEndsAt: 0,
   };
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -1,4 +1,4 @@
-export { adoptConfiguration } from './commands.js';
+export { adoptConfiguration, type ConfigurationOrigin } from './commands.js';
 export {
   chooseService,
   configurationVersion,
--- a/packages/core/src/routing/state.ts
+++ b/packages/core/src/routing/state.ts
@@ -81,6 +81,8 @@
 /** The active configuration, with its routes indexed by lower-case host and prefix. */
 export interface RoutingState {
   configuration: Configuration | null;
+  /** Era of the store in which the configuration is known to be in force; null when it named none. */
+  era: number | null;
   routes: ReadonlyMap<string, ReadonlyMap<string, Route>>;
   /** Ranks that requests to engines can have, most urgent first. */
   engineRanks: readonly number[];
@@ -88,5 +90,5 @@
 
 /** Creates the routing state of a VM that knows no configuration yet. */
 export function createRoutingState(): RoutingState {
-  return { configuration: null, routes: new Map(), engineRanks: [] };
+  return { configuration: null, era: null, routes: new Map(), engineRanks: [] };
 }
--- a/packages/router/__tests__/gateway/peerTask.spec.ts
+++ b/packages/router/__tests__/gateway/peerTask.spec.ts
@@ -1,5 +1,7 @@
 import { createSocket } from 'node:dgram';
 import { once } from 'node:events';
+import { createServer, type Server } from 'node:http';
+import { json } from 'node:stream/consumers';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import {
@@ -8,6 +10,7 @@
   recordSend,
   takeCrashReports,
   totalLoad,
+  type StorePosition,
 } from '@filbertlatch/core';
 import { describe, it } from '@filbertlatch/core/testing';
 
@@ -15,10 +18,11 @@
 import { GatewayLog } from '../../src/gateway/gatewayLog.js';
 import { createGossipMessage, gossipMessageSchema } from '../../src/gateway/gossipMessage.js';
 import { createGatewayState } from '../../src/gateway/gatewayState.js';
-import { PeerTask } from '../../src/gateway/peerTask.js';
+import { splitAddress } from '../../src/gateway/address.js';
+import { PeerTask, type PublicationReceiver } from '../../src/gateway/peerTask.js';
 import { parseGatewaySettings } from '../../src/gateway/settings.js';
 import { createLog } from '../../src/log/index.js';
-import { waitUntil } from './fixtures.js';
+import { findFreeAddress, testConfiguration, waitUntil } from './fixtures.js';
 
 async function findFreePort(): Promise<number> {
   const socket = createSocket('udp4');
@@ -29,13 +33,24 @@
   return port;
 }
 
+/** Ports for servers, too; those that the system gives to connections may be taken. */
+async function findServerPorts(): Promise<[number, number]> {
+  const addresses = await Promise.all([findFreeAddress(), findFreeAddress()]);
+  return addresses.map((address) => splitAddress(address).port) as [number, number];
+}
+
 const receiver = {
   ...{ isConnected: true, endpointsReadAt: 0 },
   offerConfiguration: () => {},
   offerEndpoints: () => {},
 };
 
-function createPeer(id: string, port: number, seeds: readonly string[]) {
+function createPeer(
+  id: string,
+  port: number,
+  seeds: readonly string[],
+  publication: PublicationReceiver = receiver,
+) {
   const control = `127.0.0.1:${port}`;
   const settings = parseGatewaySettings({
     vm: { id, zone: 'zone-a' },
@@ -46,10 +61,20 @@
     repeats: { ratio: 0.2, slack: 56, windowSeconds: 10 },
   });
   const state = createGatewayState(settings, createRandom(1));
-  const task = new PeerTask(settings, state, receiver, new GatewayLog(createLog(id, 'error')));
+  const task = new PeerTask(settings, state, publication, new GatewayLog(createLog(id, 'error')));
   return { state, task, control };
 }
 
+/** Serves a VM's control address. */
+function serveCalls(task: PeerTask, port: number): Server {
+  return createServer((request, response) => {
+    void (async () => {
+      const answer = await task.handleCall((await json(request)) as never);
+      response.end(JSON.stringify(answer));
+    })();
+  }).listen(port, '127.0.0.1');
+}
+
 describe('a gossip message', () => {
   it('names each VM of a fleet larger than its list in one of a hundred messages', (t) => {
     const { state } = createPeer('vm-0', 1, []);
@@ -152,3 +177,76 @@
     }
   });
 });
+
+describe('endpoints of a peer that has the store, to a VM that does not', () => {
+  const cases = { later: [{ era: 2, revision: 3 }], earlier: [] };
+  Object.entries(cases).forEach(([order, expected]) => {
+    it(`are fetched only in a later era of the store: ${order}`, async (t) => {
+      const [port, peerPort] = await findServerPorts();
+      const offers: StorePosition[] = [];
+      const offerEndpoints = (_: unknown, position: StorePosition) => offers.push(position);
+      const publication = { ...receiver, isConnected: false, offerEndpoints };
+      const vm = createPeer('vm-1', port, [], publication);
+      const peer = createPeer('vm-2', peerPort, [vm.control]);
+      const isLater = order === 'later';
+      Object.assign(
+        vm.state.directory,
+        isLater ? { era: 1, revision: 9 } : { era: 3, revision: 1 },
+      );
+      Object.assign(peer.state.directory, { era: 2, revision: 3 });
+      const server = serveCalls(peer.task, peerPort);
+      vm.task.start();
+      peer.task.start();
+      try {
+        await waitUntil(() => vm.state.peers.has('vm-2'));
+        await sleep(300);
+        t.deepEqual(offers.slice(0, 1), expected);
+      } finally {
+        vm.task.stop();
+        peer.task.stop();
+        server.close();
+        server.closeAllConnections();
+      }
+    });
+  });
+});
+
+describe('a configuration that a peer has in force in a later era of the store', () => {
+  const cases = {
+    'a lower version, to a VM that has the store': { version: 4, isConnected: true, count: 0 },
+    'a lower version, to a VM that does not': { version: 4, isConnected: false, count: 1 },
+    'a version given out again, to a VM that does not': {
+      version: 5,
+      isConnected: false,
+      count: 1,
+    },
+    'a higher version, to a VM that has the store': { version: 6, isConnected: true, count: 1 },
+  };
+  Object.entries(cases).forEach(([title, { version, isConnected, count }]) => {
+    it(`is fetched unless the store tells it itself: ${title}`, async (t) => {
+      const [port, peerPort] = await findServerPorts();
+      const offers: (number | null)[] = [];
+      const offerConfiguration = (_: string, era: number | null) => offers.push(era);
+      const publication = { ...receiver, isConnected, offerConfiguration };
+      const vm = createPeer('vm-1', port, [], publication);
+      const peer = createPeer('vm-2', peerPort, [vm.control]);
+      const configurationOf = (of: number) => ({ ...testConfiguration, version: of });
+      Object.assign(vm.state.routing, { era: 1, configuration: configurationOf(5) });
+      Object.assign(peer.state.routing, { era: 2, configuration: configurationOf(version) });
+      peer.state.configurationText = 'text';
+      const server = serveCalls(peer.task, peerPort);
+      vm.task.start();
+      peer.task.start();
+      try {
+        await waitUntil(() => vm.state.peers.has('vm-2'));
+        await sleep(600);
+        t.deepEqual(offers.slice(0, 1), Array(count).fill(2));
+      } finally {
+        vm.task.stop();
+        peer.task.stop();
+        server.close();
+        server.closeAllConnections();
+      }
+    });
+  });
+});
--- a/packages/router/__tests__/gateway/publicationTask.spec.ts
+++ b/packages/router/__tests__/gateway/publicationTask.spec.ts
@@ -153,15 +153,15 @@
     const task = new PublicationTask(state, createSource(null, []), crashes, loopDelay, log);
     const { directory } = state;
     await sleep(2 * BEAT_INTERVAL_MS);
-    replaceEntries(directory, [createEndpoint(1)], 1, now());
+    replaceEntries(directory, [createEndpoint(1)], { era: null, revision: 1 }, now());
     markStoreLost(directory);
     applyEntryChange(directory, { id: 'e1', endpoint: null, isRemoved: true }, now());
     markStoreRegained(directory, now());
     blockLoop(2500);
-    task.removeMissing();
+    task.maintain();
     t.true(directory.endpoints.has('e1'));
     await sleep(2300);
-    task.removeMissing();
+    task.maintain();
     t.false(directory.endpoints.has('e1'));
     clearInterval(timer);
   });
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -127,6 +127,7 @@
   const peers = new PeerTask(settings, state, publication, log);
   const notifyPeers = () => peers.gossip();
   publication.onUpdate(notifyPeers);
+  publication.onReturn(() => metrics.countStoreReturn());
   const origins = new OriginTask(state, peers, source, loopDelay, log);
   publication.onFirstRead((revision) => {
     void origins.readHistory(revision);
@@ -235,7 +236,7 @@
       publication.restart();
     }
     maintenanceCount += 1;
-    publication.removeMissing();
+    publication.maintain();
     removeStaleDepartures(state.directory, instant);
     contacts.maintain();
     links.maintain();
--- a/packages/router/src/gateway/gatewayMetrics.ts
+++ b/packages/router/src/gateway/gatewayMetrics.ts
@@ -94,6 +94,12 @@
     registers: [this.#registry],
   });
 
+  readonly #storeReturns = new Counter({
+    name: `${METRIC_PREFIX}store_returns_total`,
+    help: 'Returns of the store from an older copy.',
+    registers: [this.#registry],
+  });
+
   readonly #abandoned = new Counter({
     name: `${METRIC_PREFIX}abandoned_requests_total`,
     help: 'Requests whose callers left before the end, by where the request was.',
@@ -184,6 +190,11 @@
     this.#transits.inc({ side, outcome });
   }
 
+  /** Counts a return of the store from an older copy. */
+  countStoreReturn(): void {
+    this.#storeReturns.inc();
+  }
+
   /** Counts a request whose caller left. */
   countAbandoned(place: RequestPlace): void {
     this.#abandoned.inc({ place });
--- a/packages/router/src/gateway/gossipMessage.ts
+++ b/packages/router/src/gateway/gossipMessage.ts
@@ -67,6 +67,10 @@
   hasStore: z.boolean(),
   configurationVersion: z.number().int(),
   directoryRevision: z.number().int(),
+  /** Era of the store to which the revision belongs; null when the store names none. */
+  storeEra: z.number().int().nullable().default(null),
+  /** Era in which the configuration is in force. */
+  configurationEra: z.number().int().nullable().default(null),
   /**
    * Endpoint id, waiting requests, streaming requests, waiting tokens, held tokens, tight requests.
    */
@@ -364,6 +368,8 @@
     hasStore: sender.hasStore,
     configurationVersion: configurationVersion(routing),
     directoryRevision: directory.revision,
+    storeEra: directory.era,
+    configurationEra: routing.era,
     loads: collectLoads(state, reached),
     paces: collectPaces(state, reached, now),
     borders: [...scheduling.borders].filter(([id]) => reached.isServiceReached(id)),
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -1,6 +1,8 @@
 import { createSocket, type Socket, type SocketOptions } from 'node:dgram';
 
 import {
+  compareEras,
+  comparePositions,
   configurationVersion,
   recordBrittle,
   recordKnownSince,
@@ -21,6 +23,7 @@
   recordPeerReads,
   takeSendReports,
   takeUnsentReads,
+  type StorePosition,
 } from '@filbertlatch/core';
 import {
   JSONRPCClient,
@@ -93,6 +96,10 @@
 export interface PeerPublication {
   readonly configurationText: string | null;
   readonly directoryRevision: number;
+  /** Era of the store to which the revision belongs; absent in messages of older software. */
+  readonly storeEra?: number | null;
+  /** Era in which the configuration is in force; absent in messages of older software. */
+  readonly configurationEra?: number | null;
   /** Endpoints registered at the peer; not validated. */
   readonly endpoints: readonly unknown[];
 }
@@ -104,9 +111,15 @@
   /** Time up to which the endpoints in the store are known; epoch milliseconds, 0 for none. */
   readonly endpointsReadAt: number;
   /** Adopts a configuration if it is valid and newer; `source` is logged. */
-  offerConfiguration(text: string, source: string): void;
+  offerConfiguration(text: string, era: number | null, source: string): void;
   /** Adopts endpoints if the store is unreachable and they are newer; `source` is logged. */
-  offerEndpoints(endpoints: readonly unknown[], revision: number, source: string): void;
+  offerEndpoints(endpoints: readonly unknown[], position: StorePosition, source: string): void;
+}
+
+function positionOf(
+  message: Pick<PeerPublication, 'directoryRevision' | 'storeEra'>,
+): StorePosition {
+  return { era: message.storeEra ?? null, revision: message.directoryRevision };
 }
 
 /** Communicates with the other VMs: gossip over UDP, fetches of the publication over HTTP. */
@@ -347,10 +360,11 @@
   }
 
   /** A peer that has read no less than this VM has named all versions that it has seen. */
-  #adoptKnowledge({ directoryRevision, versionsKnownMs }: GossipMessage, instant: number): void {
+  #adoptKnowledge(message: GossipMessage, instant: number): void {
     const { directory, streamOrigins } = this.#state;
+    const { versionsKnownMs } = message;
     if (versionsKnownMs === null || directory.revision < 0) return;
-    if (directoryRevision < directory.revision) return;
+    if (comparePositions(positionOf(message), directory) < 0) return;
     recordKnownSince(streamOrigins, instant - versionsKnownMs);
   }
 
@@ -398,11 +412,15 @@
   /** Fetches newer data from a peer when this VM will not read it from the store soon. */
   #fetchIfBehind(message: GossipMessage): void {
     const { routing, directory } = this.#state;
-    const isConfigurationBehind = message.configurationVersion > configurationVersion(routing);
+    const eraOrder = compareEras(message.configurationEra, routing.era);
+    const versionOrder = message.configurationVersion - configurationVersion(routing);
+    // The store itself tells when a version of a later era that is not higher comes into force.
+    const isConfigurationBehind =
+      eraOrder >= 0 && (versionOrder > 0 || (eraOrder > 0 && !this.#receiver.isConnected));
     const isDirectoryBehind =
       !this.#receiver.isConnected &&
       message.hasStore &&
-      message.directoryRevision > directory.revision;
+      comparePositions(positionOf(message), directory) > 0;
     if (!isConfigurationBehind && !isDirectoryBehind) {
       this.#behindSince = null;
       return;
@@ -430,18 +448,21 @@
       });
       const publication = (await client.request('publication', {})) as PeerPublication;
       if (publication.configurationText !== null) {
-        this.#receiver.offerConfiguration(publication.configurationText, vmId);
+        const era = publication.configurationEra ?? null;
+        this.#receiver.offerConfiguration(publication.configurationText, era, vmId);
       }
-      this.#receiver.offerEndpoints(publication.endpoints, publication.directoryRevision, vmId);
+      this.#receiver.offerEndpoints(publication.endpoints, positionOf(publication), vmId);
     } catch (error) {
       this.#log.warn('peer_unavailable', { peer: vmId, error: String(error) });
     }
   }
 
   #createPublication(): PeerPublication {
-    const { configurationText, directory } = this.#state;
+    const { configurationText, directory, routing } = this.#state;
     return {
       configurationText,
+      configurationEra: routing.era,
+      storeEra: directory.era,
       directoryRevision: directory.revision,
       endpoints: [...directory.endpoints.values()],
     };
--- a/packages/router/src/gateway/publication.ts
+++ b/packages/router/src/gateway/publication.ts
@@ -14,6 +14,11 @@
 export interface PublicationBatch {
   readonly entries: readonly PublishedEntry[];
   readonly revision: number;
+  /**
+   * Rises by one each time the store comes back from an older copy, in which revisions go back;
+   * absent when the store names none.
+   */
+  readonly era?: number;
 }
 
 /**
--- a/packages/router/src/gateway/publicationTask.ts
+++ b/packages/router/src/gateway/publicationTask.ts
@@ -1,37 +1,29 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import {
-  adoptConfiguration,
-  replaceEntries,
-  applyEntryChange,
-  isTakingRequests,
   LAPSE_GRACE_MS,
-  configurationVersion,
-  removeLapsed,
-  resetEndpointHealth,
-  resetRequestLimit,
-  resetEndpointWork,
   markStoreLost,
-  advanceRevision,
+  compareEras,
+  randomInteger,
+  startEra,
   markStoreRegained,
-  type RegisteredEndpoint,
+  type StorePosition,
 } from '@filbertlatch/core';
 
-import * as z from 'zod';
-
 import { now } from '../clock.js';
 import { LongPoller } from '../platform/index.js';
-import { checkEndpoint } from './checkEndpoint.js';
+import { CONFIGURATION_GRACE_MS, ConfigurationAdoption } from './configurationAdoption.js';
+import { EndpointAdoption } from './endpointAdoption.js';
 import type { CrashRecorder } from './crashRecorder.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
 import type { LoopDelay } from './loopDelay.js';
 import { SilenceTimer } from './silenceTimer.js';
+import { StoreEra } from './storeEra.js';
 import {
   HistoryLostError,
   type PublicationPart,
   type PublicationSource,
-  type PublishedEntry,
   type PublicationBatch,
 } from './publication.js';
 
@@ -53,21 +45,20 @@
  */
 const WATCH_TIMEOUT_MS = 3200;
 
+/** VMs that read the store completely after its return begin within this time of each other. */
+const RETURN_SPREAD_MS = 300;
+
 /** Time-out of a complete read. */
 const READ_TIMEOUT_MS = 2500;
 
-const identifiedSchema = z.object({ id: z.string() });
-
-/** An endpoint in a complete list; null when its entry cannot be read. */
-interface EndpointListing {
-  readonly id: string;
-  readonly endpoint: RegisteredEndpoint | null;
-}
+const parts: readonly PublicationPart[] = ['configuration', 'endpoints'];
 
 /** Progress of reading one part of the publication. */
 interface ReadPosition {
   /** Store revision read so far; -1 when the part must be read completely. */
   revision: number;
+  /** Era of the store to which the revision belongs; null when it has named none. */
+  era: number | null;
   /** True when the last call for the part failed. */
   isLost: boolean;
 }
@@ -78,13 +69,20 @@
 
   readonly #source: PublicationSource;
 
-  readonly #crashes: CrashRecorder;
-
   readonly #loopDelay: LoopDelay;
 
   readonly #log: GatewayLog;
 
-  readonly #watchers: readonly LongPoller[];
+  readonly #configurations: ConfigurationAdoption;
+
+  readonly #endpoints: EndpointAdoption;
+
+  readonly #era: StoreEra;
+
+  /** Epoch milliseconds; entries that the store has lost may be missing until then. */
+  #entriesSettleAt = 0;
+
+  readonly #watchers: Readonly<Record<PublicationPart, LongPoller>>;
 
   readonly #stop = new AbortController();
 
@@ -92,11 +90,11 @@
 
   #notifyPeers: (() => void) | null = null;
 
-  #notifyFirstRead: ((revision: number) => void) | null = null;
+  #notifyReturn: (() => void) | null = null;
 
   readonly #positions: Record<PublicationPart, ReadPosition> = {
-    configuration: { revision: -1, isLost: false },
-    endpoints: { revision: -1, isLost: false },
+    configuration: { revision: -1, era: null, isLost: false },
+    endpoints: { revision: -1, era: null, isLost: false },
   };
 
   constructor(
@@ -108,19 +106,24 @@
   ) {
     this.#state = state;
     this.#source = source;
-    this.#crashes = crashes;
     this.#loopDelay = loopDelay;
     this.#log = log;
-    const parts: readonly PublicationPart[] = ['configuration', 'endpoints'];
-    this.#watchers = parts.map(
-      (part) =>
-        new LongPoller(
-          (signal) => this.#poll(part, signal),
-          (error) => this.#markLost(part, error),
-          state.random,
-          () => true,
-          () => this.#maxBackoffMs(part),
-        ),
+    this.#configurations = new ConfigurationAdoption(state, source, log);
+    this.#endpoints = new EndpointAdoption(state, source, crashes, loopDelay, log);
+    this.#era = new StoreEra(log);
+    this.#watchers = {
+      configuration: this.#createWatcher('configuration'),
+      endpoints: this.#createWatcher('endpoints'),
+    };
+  }
+
+  #createWatcher(part: PublicationPart): LongPoller {
+    return new LongPoller(
+      (signal) => this.#poll(part, signal),
+      (error) => this.#markLost(part, error),
+      this.#state.random,
+      () => true,
+      () => this.#maxBackoffMs(part),
     );
   }
 
@@ -141,66 +144,51 @@
 
   /** Sets the callback for the first endpoints, from the store or a peer. */
   onFirstRead(notify: (revision: number) => void): void {
-    this.#notifyFirstRead = notify;
+    this.#endpoints.onFirstRead(notify);
+  }
+
+  /** Sets the callback for a return of the store from an older copy. */
+  onReturn(notify: () => void): void {
+    this.#notifyReturn = notify;
   }
 
   /** Starts to read and watch the store. */
   start(): void {
-    this.#watchers.forEach((watcher) => {
+    Object.values(this.#watchers).forEach((watcher) => {
       void watcher.run();
     });
   }
 
   /** Restarts the calls, whose connections may be dead after a pause of the process. */
   restart(): void {
-    this.#watchers.forEach((watcher) => watcher.restart());
+    Object.values(this.#watchers).forEach((watcher) => watcher.restart());
   }
 
   /** Aborts all calls. */
   stop(): void {
     this.#stop.abort();
-    this.#watchers.forEach((watcher) => watcher.stop());
+    Object.values(this.#watchers).forEach((watcher) => watcher.stop());
   }
 
-  /** Adopts a configuration if it is valid and newer; false when it is invalid. */
-  offerConfiguration(text: string, source: string): boolean {
-    const { routing } = this.#state;
-    try {
-      const configuration = this.#source.decodeConfiguration(text);
-      if (!adoptConfiguration(routing, configuration)) return true;
-      this.#state.configurationText = text;
-      const { version, routes } = configuration;
-      this.#log.change('configuration_adopted', { version, routes: routes.length, source });
-      return true;
-    } catch (error) {
-      const version = configurationVersion(routing);
-      this.#log.warn('configuration_unreadable', { source, version, error: String(error) });
-      return false;
-    }
+  /** Adopts a peer's configuration if it is valid and newer. */
+  offerConfiguration(text: string, era: number | null, source: string): void {
+    this.#configurations.offerOfPeer(text, era, source);
   }
 
   /** Adopts a peer's endpoints while the store is unreachable and they are newer. */
-  offerEndpoints(endpoints: readonly unknown[], revision: number, source: string): void {
-    const { directory } = this.#state;
-    if (this.isConnected || revision <= directory.revision) return;
-    const listings = endpoints.map((endpoint) => ({
-      id: identifiedSchema.safeParse(endpoint).data?.id ?? '',
-      endpoint: checkEndpoint(endpoint),
-    }));
-    this.#replaceEndpoints(listings, revision, 'peer');
+  offerEndpoints(endpoints: readonly unknown[], position: StorePosition, source: string): void {
+    if (this.isConnected || !this.#endpoints.adoptOfPeer(endpoints, position, source)) return;
     // After the outage the store is read completely: watching would bring back older entries.
     this.#positions.endpoints.revision = -1;
-    this.#log.change('endpoints_read', { endpoints: listings.length, revision, source });
   }
 
-  /** Removes the endpoints whose entries did not reappear after an outage of the store. */
-  removeMissing(): void {
-    // After a standstill entries that were written again may be unread.
-    const listenedUntil = this.#loopDelay.listenedSince(LAPSE_GRACE_MS) + LAPSE_GRACE_MS;
-    removeLapsed(this.#state.directory, listenedUntil).forEach((endpointId) => {
-      this.#crashes.recordEndpointEnd(endpointId, 'removed');
-      this.#log.change('endpoint_gone', { endpointId, reason: 'not_back_after_outage' });
-    });
+  /** Ends what is believed until the store has what it lost; called by the maintenance timer. */
+  maintain(): void {
+    this.#endpoints.removeMissing();
+    // What is written again is not read while the store is away, nor in a standstill.
+    if (this.#positions.configuration.isLost) return;
+    const listenedSince = this.#loopDelay.listenedSince(CONFIGURATION_GRACE_MS);
+    this.#configurations.maintain(listenedSince + CONFIGURATION_GRACE_MS);
   }
 
   async #poll(part: PublicationPart, callSignal: AbortSignal): Promise<boolean> {
@@ -216,8 +204,16 @@
       const batch = isFullRead
         ? await this.#source.read(part, signal)
         : await this.#source.watch(part, position.revision, signal);
+      this.#advanceEra(part, batch);
       this.#markRegained(part);
-      if (part === 'endpoints') this.#endpointsReadAt = this.#loopDelay.earliestArrivalAt;
+      if (!isFullRead && position.revision < 0) {
+        // The changes don't follow on what was read: the store has come back from a copy.
+        await sleep(randomInteger(this.#state.random, RETURN_SPREAD_MS), undefined, { signal });
+        return true;
+      }
+      if (part === 'endpoints' && now() >= this.#entriesSettleAt) {
+        this.#endpointsReadAt = this.#loopDelay.earliestArrivalAt;
+      }
       this.#apply(part, batch, isFullRead);
       position.revision = Math.max(position.revision, batch.revision);
       if (part === 'endpoints') await sleep(ENDPOINT_BATCH_MS, undefined, { signal: callSignal });
@@ -232,73 +228,50 @@
     }
   }
 
+  /** Has each part read completely that was read in an earlier era than that of an answer. */
+  #advanceEra(answered: PublicationPart, { era: named, revision }: PublicationBatch): void {
+    const { directory } = this.#state;
+    const era = this.#era.read(named);
+    if (era === null) return;
+    if (this.#era.advance(era)) {
+      const before = { eraBefore: directory.era, revisionBefore: directory.revision };
+      this.#log.change('store_returned', { era, revision, ...before });
+      this.#configurations.startEra();
+      this.#entriesSettleAt = now() + LAPSE_GRACE_MS;
+      this.#notifyReturn?.();
+    }
+    startEra(directory, era, now());
+    parts.forEach((part) => {
+      const position = this.#positions[part];
+      const isEarlier = compareEras(position.era, era) < 0;
+      position.era = era;
+      if (!isEarlier || position.revision < 0) return;
+      position.revision = -1;
+      if (part !== answered) this.#watchers[part].restart();
+    });
+  }
+
   #apply(part: PublicationPart, batch: PublicationBatch, isFullRead: boolean): void {
     if (part === 'configuration') {
       this.#applyConfiguration(batch);
       return;
     }
+    const position = { era: this.#positions.endpoints.era, revision: batch.revision };
     if (isFullRead) {
-      this.#applyAll(batch);
+      this.#endpoints.adoptAll(batch.entries, position);
       this.#notifyPeers?.();
     } else {
-      this.#applyChanges(batch);
+      this.#endpoints.adoptChanges(batch.entries, position);
     }
   }
 
-  /** Adopts the last version that can be read. */
   #applyConfiguration({ entries }: PublicationBatch): void {
     const texts = entries.flatMap(({ text }) => text ?? []);
     if (texts.length === 0) return;
-    texts.findLast((text) => this.offerConfiguration(text, 'store'));
+    this.#configurations.offerOfStore(texts, this.#positions.configuration.era);
     this.#notifyPeers?.();
   }
 
-  #applyAll({ entries, revision }: PublicationBatch): void {
-    const listings = entries.map((entry) => ({ id: entry.id, endpoint: this.#decode(entry) }));
-    this.#replaceEndpoints(listings, revision, 'store');
-    this.#log.change('endpoints_read', { endpoints: listings.length, revision });
-  }
-
-  #replaceEndpoints(
-    listings: readonly EndpointListing[],
-    revision: number,
-    source: 'store' | 'peer',
-  ): void {
-    const { directory } = this.#state;
-    const endpoints = listings.flatMap(({ endpoint }) => endpoint ?? []);
-    const unreadableIds = listings.filter(({ endpoint }) => endpoint === null).map(({ id }) => id);
-    const isFirst = directory.revision < 0;
-    const before = [...directory.endpoints.keys()].filter((id) => isTakingRequests(directory, id));
-    this.#resetRestarted(
-      replaceEntries(directory, endpoints, revision, now(), source, unreadableIds),
-    );
-    before.forEach((id) => {
-      if (!directory.endpoints.has(id)) this.#crashes.recordEndpointEnd(id, 'removed');
-    });
-    if (isFirst) this.#notifyFirstRead?.(revision);
-  }
-
-  #applyChanges({ entries, revision }: PublicationBatch): void {
-    const { directory } = this.#state;
-    for (const entry of entries) {
-      const before = directory.endpoints.get(entry.id)?.state ?? 'unknown';
-      const wasTakingRequests = isTakingRequests(directory, entry.id);
-      const isRemoved = entry.text === null;
-      const change = { id: entry.id, endpoint: this.#decode(entry), isRemoved };
-      if (applyEntryChange(directory, change, now())) this.#resetRestarted([entry.id]);
-      const after = directory.endpoints.get(entry.id)?.state ?? 'gone';
-      if (before !== after) {
-        const fields = { endpointId: entry.id, before, after, revision };
-        this.#log.change('endpoint_changed', fields);
-      }
-      // An endpoint that leaves as planned is draining first, or says so.
-      if (wasTakingRequests && after === 'gone') {
-        this.#crashes.recordEndpointEnd(entry.id, 'removed');
-      }
-    }
-    advanceRevision(directory, revision);
-  }
-
   #maxBackoffMs(part: PublicationPart): number {
     const { routing, directory } = this.#state;
     const isUnknown =
@@ -306,23 +279,6 @@
     return isUnknown ? MAX_STARTUP_BACKOFF_MS : MAX_BACKOFF_MS;
   }
 
-  #resetRestarted(endpointIds: readonly string[]): void {
-    endpointIds.forEach((endpointId) => {
-      resetEndpointWork(this.#state.scheduling, endpointId);
-      resetEndpointHealth(this.#state.health, endpointId);
-      resetRequestLimit(this.#state.requestLimits, endpointId);
-      this.#crashes.recordEndpointEnd(endpointId, 'restarted');
-      this.#log.change('endpoint_restarted', { endpointId });
-    });
-  }
-
-  #decode({ id, text }: PublishedEntry) {
-    if (text === null) return null;
-    const endpoint = checkEndpoint(this.#source.decodeEndpoint(id, text));
-    if (endpoint === null) this.#log.warn('entry_unreadable', { endpointId: id });
-    return endpoint;
-  }
-
   #markLost(part: PublicationPart, error: unknown): void {
     const position = this.#positions[part];
     if (part === 'endpoints') markStoreLost(this.#state.directory);
