A stream of before a restart joins no other version while callers may take it up

Cause: a VM that had just started gave up its doubt about unknown versions after the longest time-out of a route. Callers come when they like, and time-outs change while streams are open.

Change: the doubt lasts as long as others keep origins (60 s). originTask.spec takes up a stream 3, 5.2 and 59 s after the start, and after 60.1 s.

--- a/packages/core/src/streamOrigins/queries.ts
+++ b/packages/core/src/streamOrigins/queries.ts
@@ -64,16 +64,9 @@
   return listVersions(state, serviceId, now).length > 1;
 }
 
-/**
- * Says whether a stream may have begun at a version that this VM has never heard of; `lifeMs` is the
- * longest time for which a stream is taken up.
- */
-export function mayHaveUnknownVersions(
-  { knownSince }: StreamOriginState,
-  lifeMs: number,
-  now: number,
-): boolean {
-  return knownSince > now - Math.min(lifeMs, ORIGIN_TTL_MS);
+/** Says whether a stream that is taken up may have begun at a version that this VM has never heard of. */
+export function mayHaveUnknownVersions({ knownSince }: StreamOriginState, now: number): boolean {
+  return knownSince > now - ORIGIN_TTL_MS;
 }
 
 /** Returns the version of a service that has served lately, when there is one only. */
--- a/packages/router/__tests__/gateway/originTask.spec.ts
+++ b/packages/router/__tests__/gateway/originTask.spec.ts
@@ -2,18 +2,20 @@
 import { once } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { BEAT_INTERVAL_MS, createRandom } from '@filbertlatch/core';
+import { BEAT_INTERVAL_MS, createRandom, type RegisteredEndpoint } from '@filbertlatch/core';
 import { describe, itSerial } from '@filbertlatch/core/testing';
+import FakeTimers from '@sinonjs/fake-timers';
 
 import { now } from '../../src/clock.js';
 import { GatewayLog } from '../../src/gateway/gatewayLog.js';
 import { createGatewayState, type GatewayState } from '../../src/gateway/gatewayState.js';
 import { LoopDelay } from '../../src/gateway/loopDelay.js';
-import { OriginTask } from '../../src/gateway/originTask.js';
+import { OriginTask, type OriginAnswer } from '../../src/gateway/originTask.js';
 import type { PeerTask } from '../../src/gateway/peerTask.js';
 import { parseGatewaySettings } from '../../src/gateway/settings.js';
 import { createLog } from '../../src/log/index.js';
-import { createSource } from './fixtures.js';
+import { HistoryLostError } from '../../src/gateway/index.js';
+import { createRoute, createSource, testConfiguration } from './fixtures.js';
 import { blockLoop } from './threadedEndpoint.js';
 
 const settings = parseGatewaySettings({
@@ -119,3 +121,50 @@
     }
   });
 });
+
+const ENDPOINT: RegisteredEndpoint = {
+  ...{ id: 'e0', serviceId: 'desk', address: '127.0.0.1:6', zone: 'zone-a', slots: 6 },
+  ...{ state: 'ready', startedAt: null, version: '2' },
+};
+
+/** Starts a VM whose store tells no history, and takes up a stream of before after some time. */
+async function takeUpAfter(ms: number): Promise<OriginAnswer> {
+  const clock = FakeTimers.install({
+    toFake: ['setTimeout', 'clearTimeout', 'setImmediate', 'performance'],
+  });
+  try {
+    const routes = [createRoute({ isResumable: true, timeoutMs: 5000 })];
+    const state = createGatewayState(settings, createRandom(1));
+    state.routing.configuration = { ...testConfiguration, routes };
+    state.directory.endpoints.set(ENDPOINT.id, ENDPOINT);
+    const loopDelay = new LoopDelay(() => 0);
+    loopDelay.stop();
+    const watch = () => Promise.reject(new HistoryLostError('gone'));
+    const source = { ...createSource(null, [ENDPOINT]), watch };
+    const log = new GatewayLog(createLog('vm-1', 'error'));
+    const peers = new FakePeers() as unknown as PeerTask;
+    const task = new OriginTask(state, peers, source, loopDelay, log);
+    await task.readHistory(1);
+    await clock.tickAsync(ms);
+    const found = task.find(null, 'request-1', 'desk');
+    await clock.tickAsync(200);
+    task.stop();
+    return await found;
+  } finally {
+    clock.uninstall();
+  }
+}
+
+describe('a stream that began before all VMs were started anew, whose store tells no history,', () => {
+  [3000, 5200, 59_000].forEach((ms) => {
+    itSerial(`joins no other version when its caller comes after ${ms} ms`, async (t) => {
+      t.deepEqual(await takeUpAfter(ms), { kind: 'unknown' });
+    });
+  });
+
+  itSerial('goes on when none is taken up any more whose version is not known', async (t) => {
+    const origin = { serviceId: 'desk', version: '2' };
+    t.deepEqual(await takeUpAfter(60_100), { kind: 'known', origin });
+  });
+});
+
--- a/packages/router/src/gateway/originTask.ts
+++ b/packages/router/src/gateway/originTask.ts
@@ -57,9 +57,6 @@
 /** Time after the start in which this VM may not have heard of its peers yet. */
 const JOIN_MS = 1500;
 
-/** Longest life of a stream without a configuration that tells the time-outs of routes. */
-const DEFAULT_STREAM_LIFE_MS = 60_000;
-
 /** Wait before the history is read again from a store that did not answer. */
 const HISTORY_RETRY_MS = 1000;
 
@@ -182,11 +179,9 @@
   #mayHaveUnknown(): boolean {
     const { streamOrigins, routing } = this.#state;
     const { routes } = routing.configuration ?? {};
-    const lifeMs =
-      routes === undefined
-        ? DEFAULT_STREAM_LIFE_MS
-        : Math.max(0, ...routes.map((route) => (route.isResumable ? route.timeoutMs : 0)));
-    return mayHaveUnknownVersions(streamOrigins, lifeMs, now());
+    // Callers may come later than the time-outs of routes, which also change while streams are open.
+    const hasStreams = routes === undefined || routes.some(({ isResumable }) => isResumable);
+    return hasStreams && mayHaveUnknownVersions(streamOrigins, now());
   }
 
   #mustNameOrigins(serviceId: string): boolean {
