A VM that has just started hears its peers, and is told what it is to keep

streamVersions, after a restart of the VM that began them: streams were refused as unknown.

Change: a VM answers one that does not know it with a round of gossip, once a second at the most. Peers are chosen at each message, of asking and of telling. A VM that starts anew asks each peer that it hears first for the origins that it is to keep; the peer looks through its latest 480 and sends them with their ages.

Open: of over 480 recent origins it is told the latest 480 of each peer.

--- a/packages/core/__tests__/rendezvous.spec.ts
+++ b/packages/core/__tests__/rendezvous.spec.ts
@@ -1,6 +1,6 @@
 import { describe, it } from '@filbertlatch/core/testing';
 
-import { highestRankedMember, rankMembers } from '../src/index.js';
+import { highestRankedMember, isRankedAmong, rankMembers } from '../src/index.js';
 
 const MEMBERS = Array.from({ length: 8 }, (_, index) => ({ id: `vm-${index}` }));
 const KEYS = Array.from({ length: 2000 }, (_, index) => `key-${index}`);
@@ -15,6 +15,17 @@
     for (const key of KEYS) t.is(rankMembers(key, MEMBERS)[0], highestRankedMember(key, MEMBERS));
   });
 
+  it('puts those of isRankedAmong first', (t) => {
+    for (const key of KEYS) {
+      const first = rankMembers(key, MEMBERS).slice(0, 4);
+      const isAmong = ({ id }: { id: string }) => isRankedAmong(key, id, MEMBERS, 4);
+      t.deepEqual(
+        MEMBERS.filter((member) => first.includes(member)),
+        MEMBERS.filter(isAmong),
+      );
+    }
+  });
+
   it('moves only the keys of a member that leaves', (t) => {
     const remaining = MEMBERS.slice(1);
     for (const key of KEYS) {
--- a/packages/core/src/shared/index.ts
+++ b/packages/core/src/shared/index.ts
@@ -1,4 +1,4 @@
 export { digestText, hashText } from './hash.js';
 export { createRandom, randomInteger, randomLogNormal, type Random } from './random.js';
 export { addToRate, createDecayingRate, decayedSum, ratePerMs, type DecayingRate } from './rate.js';
-export { highestRankedMember, rankMembers } from './rendezvous.js';
+export { highestRankedMember, isRankedAmong, rankMembers } from './rendezvous.js';
--- a/packages/core/src/shared/rendezvous.ts
+++ b/packages/core/src/shared/rendezvous.ts
@@ -14,6 +14,23 @@
     .map(({ member }) => member);
 }
 
+/** Says whether a member is among the first `count` that `rankMembers` returns, without sorting them. */
+export function isRankedAmong(
+  key: string,
+  id: string,
+  members: readonly { readonly id: string }[],
+  count: number,
+): boolean {
+  const weight = hashText(`${key}\n${id}`);
+  let higher = 0;
+  for (const member of members) {
+    const other = member.id === id ? -1 : hashText(`${key}\n${member.id}`);
+    if (other > weight || (other === weight && member.id < id)) higher += 1;
+    if (higher === count) return false;
+  }
+  return true;
+}
+
 /** Returns the member that `rankMembers` puts first; undefined when there are no members. */
 export function highestRankedMember<T extends { readonly id: string }>(
   key: string,
--- a/packages/core/src/streamOrigins/commands.ts
+++ b/packages/core/src/streamOrigins/commands.ts
@@ -12,16 +12,16 @@
 /** Most services whose versions are kept. */
 const MAX_SERVICES = 1024;
 
-/** Records where a stream began; what is known already stays. */
+/** Records where a stream began and when that was first known; what is known already stays. */
 export function recordOrigin(
   state: StreamOriginState,
   key: string,
   { serviceId, version }: StreamOrigin,
   isOwn: boolean,
-  now: number,
+  at: number,
 ): void {
   if (state.origins.has(key)) return;
-  state.origins.set(key, { serviceId, version, at: now, isOwn });
+  state.origins.set(key, { serviceId, version, at, isOwn });
   if (state.origins.size <= MAX_ORIGINS) return;
   state.origins.delete(state.origins.keys().next().value!);
 }
@@ -79,11 +79,9 @@
 
 /** Removes the origins of streams that no caller takes up any more, and versions that are gone. */
 export function removeExpiredOrigins(state: StreamOriginState, now: number): void {
-  for (const [key, { at }] of state.origins) {
-    // The oldest come first.
-    if (at >= now - ORIGIN_TTL_MS) break;
-    state.origins.delete(key);
-  }
+  state.origins.forEach(({ at }, key) => {
+    if (at < now - ORIGIN_TTL_MS) state.origins.delete(key);
+  });
   state.versionsSeenAt.forEach((versions, serviceId) => {
     versions.forEach((at, version) => {
       if (at < now - ORIGIN_TTL_MS) versions.delete(version);
--- a/packages/core/src/streamOrigins/index.ts
+++ b/packages/core/src/streamOrigins/index.ts
@@ -11,12 +11,16 @@
   findOnlyVersion,
   findOrigin,
   hasSeveralVersions,
+  isOriginKeeper,
+  listLatestOrigins,
   listOwnOrigins,
   listSeveralVersions,
   listVersions,
   mayHaveUnknownVersions,
+  ORIGIN_TTL_MS,
   streamKey,
   type KeyedOrigin,
+  type RecordedStream,
   type SeenVersion,
 } from './queries.js';
 export { createStreamOriginState, type RecordedOrigin, type StreamOriginState } from './state.js';
--- a/packages/core/src/streamOrigins/queries.ts
+++ b/packages/core/src/streamOrigins/queries.ts
@@ -1,4 +1,4 @@
-import { digestText, rankMembers } from '../shared/index.js';
+import { digestText, isRankedAmong, rankMembers } from '../shared/index.js';
 import type { StreamOrigin } from './origin.js';
 import type { RecordedOrigin, StreamOriginState } from './state.js';
 
@@ -15,6 +15,9 @@
   readonly key: string;
 }
 
+/** A recorded origin and the key of its stream. */
+export type RecordedStream = KeyedOrigin & RecordedOrigin;
+
 /** A longer key is replaced by its digest. */
 const MAX_KEY_LENGTH = 128;
 
@@ -101,6 +104,18 @@
     .map(([key, { version }]) => ({ key, serviceId, version }));
 }
 
+/** Lists the origins that were recorded last, the oldest of them first. */
+export function listLatestOrigins(
+  { origins }: StreamOriginState,
+  count: number,
+  now: number,
+): RecordedStream[] {
+  return [...origins]
+    .slice(-count)
+    .filter(([, { at }]) => at >= now - ORIGIN_TTL_MS)
+    .map(([key, origin]) => ({ key, ...origin }));
+}
+
 /** Chooses the VMs that keep the origin of a stream, the same ones on every VM with the same peers. */
 export function chooseOriginKeepers<T extends { readonly id: string }>(
   key: string,
@@ -109,3 +124,13 @@
 ): T[] {
   return rankMembers(key, vms).slice(0, count);
 }
+
+/** Says whether `chooseOriginKeepers` chooses a VM, at less cost. */
+export function isOriginKeeper(
+  key: string,
+  vmId: string,
+  vms: readonly { readonly id: string }[],
+  count: number,
+): boolean {
+  return isRankedAmong(key, vmId, vms, count);
+}
--- a/packages/core/src/streamOrigins/state.ts
+++ b/packages/core/src/streamOrigins/state.ts
@@ -2,7 +2,7 @@
 
 /** The origin of a stream, as a VM knows it. */
 export interface RecordedOrigin extends StreamOrigin {
-  /** Time at which this VM recorded it; epoch milliseconds. */
+  /** Time at which a VM first recorded it; epoch milliseconds. */
   readonly at: number;
   /** True when the stream began at this VM. */
   readonly isOwn: boolean;
@@ -10,7 +10,7 @@
 
 /** Where streams began that callers may take up, and which software versions serve. */
 export interface StreamOriginState {
-  /** By stream key, oldest first. */
+  /** By stream key, in the order in which this VM recorded them. */
   readonly origins: Map<string, RecordedOrigin>;
   /** By service id and version, the time at which an endpoint of it was last seen; epoch milliseconds. */
   readonly versionsSeenAt: Map<string, Map<string | null, number>>;
--- a/packages/router/__tests__/gateway/originTask.spec.ts
+++ b/packages/router/__tests__/gateway/originTask.spec.ts
@@ -168,3 +168,75 @@
   });
 });
 
+const ORIGIN = { serviceId: 'desk', version: '2' };
+
+/** Runs a task of a VM that has just started and hears its first peer after 30 ms. */
+async function withFirstPeer(
+  peers: FakePeers,
+  use: (task: OriginTask, tick: (ms: number) => Promise<number>) => Promise<void>,
+): Promise<void> {
+  const clock = FakeTimers.install({
+    toFake: ['setTimeout', 'clearTimeout', 'setImmediate', 'performance'],
+  });
+  try {
+    const state = createGatewayState(settings, createRandom(1));
+    const loopDelay = new LoopDelay(() => 0);
+    loopDelay.stop();
+    const log = new GatewayLog(createLog('vm-1', 'error'));
+    const source = createSource(null, []);
+    const task = new OriginTask(state, peers as unknown as PeerTask, source, loopDelay, log);
+    const versions = { configurationVersion: 1, directoryRevision: 1 };
+    setTimeout(() => {
+      state.peers.set('vm-2', {
+        ...{ address: PEER_ADDRESS, heardAt: now(), hasStore: true, ...versions },
+      });
+    }, 30);
+    await use(task, (ms) => clock.tickAsync(ms));
+    task.stop();
+  } finally {
+    clock.uninstall();
+  }
+}
+
+describe('a VM that has heard no peer yet', () => {
+  itSerial('tells where its streams begin once it hears one', async (t) => {
+    const peers = new FakePeers();
+    await withFirstPeer(peers, async (task, tick) => {
+      task.record(null, 'request-1', ORIGIN);
+      await tick(100);
+      t.deepEqual(peers.sent, ['keepOrigins']);
+    });
+  });
+
+  itSerial('asks where a stream began once it hears one', async (t) => {
+    const peers: FakePeers = new FakePeers((key) => {
+      peers.receive('keepOrigins', { origins: [[key, 'desk', '2']] });
+    });
+    await withFirstPeer(peers, async (task, tick) => {
+      const found = task.find(null, 'request-1', 'desk');
+      await tick(200);
+      t.is((await found).kind, 'known');
+    });
+  });
+});
+
+describe('a VM that is asked for the origins that another is to keep', () => {
+  itSerial('tells them once a second at the most', async (t) => {
+    const peers = new FakePeers();
+    await withFirstPeer(peers, async (task, tick) => {
+      await tick(100);
+      task.record(null, 'request-1', ORIGIN);
+      await tick(100);
+      const tell = async () => {
+        const before = peers.sent.length;
+        peers.receive('handOrigins', { vmId: 'vm-2' });
+        await tick(100);
+        return peers.sent.length - before;
+      };
+      t.is(await tell(), 1);
+      t.is(await tell(), 0);
+      await tick(900);
+      t.is(await tell(), 1);
+    });
+  });
+});
--- a/packages/router/__tests__/gateway/peerTask.spec.ts
+++ b/packages/router/__tests__/gateway/peerTask.spec.ts
@@ -7,12 +7,15 @@
 import {
   createRandom,
   recordCrash,
+  recordSegmentCrash,
   recordSend,
   takeCrashReports,
+  takeSegmentCrashes,
   totalLoad,
   type StorePosition,
 } from '@filbertlatch/core';
-import { describe, it } from '@filbertlatch/core/testing';
+import { describe, it, itSerial } from '@filbertlatch/core/testing';
+import FakeTimers from '@sinonjs/fake-timers';
 
 import { now } from '../../src/clock.js';
 import { GatewayLog } from '../../src/gateway/gatewayLog.js';
@@ -150,6 +153,48 @@
     }
   });
 
+  itSerial('is heard by a VM that starts before its next round of messages', async (t) => {
+    const ports = await Promise.all([findFreePort(), findFreePort()]);
+    const clock = FakeTimers.install({ toFake: ['setInterval', 'clearInterval'] });
+    const running = createPeer('vm-1', ports[0], []);
+    const starting = createPeer('vm-2', ports[1], [running.control]);
+    try {
+      running.task.start();
+      starting.task.start();
+      starting.task.gossip();
+      await t.notThrowsAsync(waitUntil(() => starting.state.peers.has('vm-1')));
+    } finally {
+      running.task.stop();
+      starting.task.stop();
+      clock.uninstall();
+    }
+  });
+
+  itSerial('does not use up news for VMs that hear nobody', async (t) => {
+    const ports = await Promise.all([findFreePort(), findFreePort()]);
+    const clock = FakeTimers.install({ toFake: ['setInterval', 'clearInterval'] });
+    const running = createPeer('vm-1', ports[0], []);
+    const deaf = createPeer('vm-2', ports[1], [running.control]);
+    try {
+      running.task.start();
+      deaf.task.start();
+      const { segmentSuspects } = running.state;
+      const crash = { endpointId: 'e1', serviceId: 'desk', at: now(), startedAt: now() - 50 };
+      recordSegmentCrash(segmentSuspects, ['first'], crash);
+      for (let told = 0; told < 4; told += 1) {
+        deaf.task.gossip();
+        await waitUntil(() => running.state.peers.has('vm-2'));
+        running.state.peers.delete('vm-2');
+        deaf.state.peers.clear();
+      }
+      t.is(takeSegmentCrashes(segmentSuspects).length, 1);
+    } finally {
+      running.task.stop();
+      deaf.task.stop();
+      clock.uninstall();
+    }
+  });
+
   it('sends load and crashes in one message, so that a crash does not displace the load', async (t) => {
     const ports = await Promise.all([findFreePort(), findFreePort()]);
     const first = createPeer('vm-1', ports[0], []);
--- a/packages/router/__tests__/gateway/rejoinedFleet.ts
+++ b/packages/router/__tests__/gateway/rejoinedFleet.ts
@@ -23,6 +23,8 @@
   readonly store: 'sound' | 'compacted' | 'without-history';
   /** Times that the VMs are killed. */
   readonly kills: number;
+  /** Whether the VMs are killed at once, or one after the other is back. */
+  readonly order: 'at-once' | 'in-turn';
 }
 
 /** What a scenario showed. */
@@ -40,6 +42,9 @@
 const RETRY_MS = 250;
 const DOWN_MS = 150;
 
+/** Time that a VM has until the next one is killed. */
+const JOIN_MS = 300;
+
 const ROUTE_TIMEOUT_MS = 5000;
 
 function judge(begun: readonly Stream[], ended: readonly Reading[]): RejoinOutcome {
@@ -115,18 +120,24 @@
   }
 
   async #restart(): Promise<void> {
-    const { gone, kills, store, survivors } = this.#scenario;
+    const { gone, kills, order, store, survivors } = this.#scenario;
     if (gone === 'before') this.#endOlder();
     if (store !== 'sound') this.#store.dropHistory(store === 'without-history');
     const killed = this.#vms.slice(survivors);
     for (let kill = 0; kill < kills; kill += 1) {
-      killed.forEach((vm) => vm.stop());
-      await sleep(DOWN_MS);
-      await Promise.all(killed.map((vm) => vm.start()));
+      if (order === 'at-once') await this.#kill(killed);
+      else for (const vm of killed) await this.#kill([vm]);
     }
     if (gone === 'after') this.#endOlder();
   }
 
+  async #kill(vms: readonly RestartableVm[]): Promise<void> {
+    vms.forEach((vm) => vm.stop());
+    await sleep(DOWN_MS);
+    await Promise.all(vms.map((vm) => vm.start()));
+    if (this.#scenario.order === 'in-turn') await sleep(JOIN_MS);
+  }
+
   #endOlder(): void {
     const [older = []] = this.#endpoints.values();
     older.forEach((endpoint) => endpoint.end());
--- a/packages/router/__tests__/gateway/rejoinedStreams.spec.ts
+++ b/packages/router/__tests__/gateway/rejoinedStreams.spec.ts
@@ -14,6 +14,7 @@
   survivors: 0,
   store: 'sound',
   kills: 1,
+  order: 'at-once',
 };
 
 /** Streams of two versions; they may be refused, not joined. */
@@ -31,6 +32,7 @@
   'of the only version': { endpoints: { v1: 4 }, gone: 'never' },
   'of the only version, killed twice in a row': { endpoints: { v1: 4 }, gone: 'never', kills: 2 },
   'of two versions, while two VMs live on': { gone: 'never', survivors: 2 },
+  'of two versions, all VMs one after the other': { gone: 'never', order: 'in-turn' },
 };
 
 describe('streams that callers take up', () => {
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -132,6 +132,7 @@
   publication.onFirstRead((revision) => {
     void origins.readHistory(revision);
   });
+  peers.onPeerFound((address) => origins.askForKept(address));
   peers.onSeveralVersions((serviceIds) => origins.sendOwn(serviceIds));
   const terms: EndpointTerms = {
     limits: new LimitRecorder(state, metrics, log),
--- a/packages/router/src/gateway/gossipMessage.ts
+++ b/packages/router/src/gateway/gossipMessage.ts
@@ -189,7 +189,7 @@
 const MAX_BRITTLE = 256;
 
 /** Maximum members in one message. */
-const MAX_MEMBERS = 16;
+export const MAX_MEMBERS = 16;
 
 /** Fields of a message that are not part of the gateway's state. */
 export interface GossipSender {
--- a/packages/router/src/gateway/originTask.ts
+++ b/packages/router/src/gateway/originTask.ts
@@ -5,9 +5,12 @@
   findOnlyVersion,
   findOrigin,
   hasSeveralVersions,
-  listVersions,
+  isOriginKeeper,
+  listLatestOrigins,
   listOwnOrigins,
+  listVersions,
   mayHaveUnknownVersions,
+  ORIGIN_TTL_MS,
   recordKnownSince,
   recordOrigin,
   recordPeerVersions,
@@ -45,12 +48,18 @@
 /** Waits after each round of questions; a message or its answer may be lost. */
 const ASK_WAITS_MS = [20, 40, 60];
 
-/** Time after which an origin is sent again, in case the first message was lost. */
+/** Time after which an origin is sent again: the first message may be lost, or no peer known yet. */
 const RESEND_MS = 40;
 
 /** Most origins in one message. */
 const MAX_ORIGINS_PER_MESSAGE = 24;
 
+/** Origins that a VM looks through for one that has just started; the latest, whose callers come back. */
+const MAX_HANDED_ORIGINS = 480;
+
+/** Time in which one VM is told its origins only once; longer than the wait before it asks again. */
+const HAND_INTERVAL_MS = 1000;
+
 /** A peer that has been silent for longer keeps nothing and is not asked. */
 const MAX_SILENCE_MS = 1500;
 
@@ -63,6 +72,7 @@
 const KEEP_METHOD = 'keepOrigins';
 const ASK_METHOD = 'askOrigin';
 const REPLY_METHOD = 'tellVersions';
+const HAND_METHOD = 'handOrigins';
 
 /** A VM counts as part of the fleet for this long after its last message. */
 const FLEET_MS = 15_000;
@@ -72,8 +82,12 @@
 const keepSchema = z.object({
   /** Stream key, service id, software version. */
   origins: z.array(z.tuple([text, text, text.nullable()])).max(MAX_ORIGINS_PER_MESSAGE),
+  /** Milliseconds since each was first known to its sender; absent for those that are new. */
+  agesMs: z.array(z.number().min(0)).max(MAX_ORIGINS_PER_MESSAGE).default([]),
 });
 
+const handSchema = z.object({ vmId: text });
+
 const askSchema = z.object({
   /** Control address of the VM that asks. */
   address: text.refine(isPeerAddress),
@@ -89,6 +103,12 @@
 export type OriginAnswer =
   { readonly kind: 'known'; readonly origin: StreamOrigin } | { readonly kind: 'any' | 'unknown' };
 
+interface Peer {
+  readonly id: string;
+  /** Control address. */
+  readonly address: string;
+}
+
 /**
  * Knows where streams began that callers take up at any VM. While a service has several versions, the
  * origin of each of its streams is kept by a few VMs that its key names.
@@ -113,6 +133,9 @@
 
   #unnamedCount = 0;
 
+  /** Instants at which VMs that have just started were told their origins, by id. */
+  readonly #handedAt = new Map<string, number>();
+
   /** Questions that wait for answers; by stream key. */
   readonly #inquiries = new Map<string, VersionInquiry>();
 
@@ -131,6 +154,7 @@
     peers.onMessage(KEEP_METHOD, (params) => this.#handleKeep(params));
     peers.onMessage(ASK_METHOD, (params) => this.#handleAsk(params));
     peers.onMessage(REPLY_METHOD, (params) => this.#handleReply(params));
+    peers.onMessage(HAND_METHOD, (params) => this.#handleHand(params));
   }
 
   /**
@@ -210,6 +234,18 @@
     serviceIds.forEach((id) => this.#send(listOwnOrigins(streamOrigins, id, now())));
   }
 
+  /**
+   * Asks a peer that is heard for the first time for the origins that this VM is to keep: it kept them
+   * before it was started anew.
+   */
+  askForKept(address: string): void {
+    if (now() - this.#startedAt > ORIGIN_TTL_MS) return;
+    const question = { vmId: this.#state.vmId };
+    const ask = () => this.#peers.sendMessage(HAND_METHOD, question, [address]);
+    ask();
+    setTimeout(ask, RESEND_MS).unref();
+  }
+
   /** Finds where a stream may go on; `requestId` is that of its first event, null if not named. */
   async find(
     accountId: string | null,
@@ -268,7 +304,7 @@
     return this.#peers.hasStore && this.#loopDelay.listenedMs(this.#startedAt) > JOIN_MS;
   }
 
-  #listPeers(): { id: string; address: string }[] {
+  #listPeers(): Peer[] {
     return [...this.#state.peers]
       .filter(([, { heardAt }]) => this.#loopDelay.listenedMs(heardAt) <= MAX_SILENCE_MS)
       .map(([id, { address }]) => ({ id, address }));
@@ -276,6 +312,21 @@
 
   #send(origins: readonly KeyedOrigin[]): void {
     const peers = this.#listPeers();
+    const byAddress = this.#sendToKeepers(origins, peers);
+    setTimeout(() => {
+      const ids = new Set(peers.map(({ id }) => id));
+      const peersNow = this.#listPeers();
+      // A VM that has just started hears its first peers meanwhile.
+      if (peersNow.some(({ id }) => !ids.has(id))) this.#sendToKeepers(origins, peersNow);
+      else byAddress.forEach((kept, address) => this.#sendTo(address, kept));
+    }, RESEND_MS).unref();
+  }
+
+  /** Sends origins to those that keep them, and returns what each has got, by address. */
+  #sendToKeepers(
+    origins: readonly KeyedOrigin[],
+    peers: readonly Peer[],
+  ): ReadonlyMap<string, readonly KeyedOrigin[]> {
     const byAddress = new Map<string, KeyedOrigin[]>();
     origins.forEach((origin) => {
       chooseOriginKeepers(origin.key, peers, KEEPER_COUNT).forEach(({ address }) => {
@@ -283,16 +334,20 @@
       });
     });
     byAddress.forEach((kept, address) => this.#sendTo(address, kept));
-    setTimeout(() => {
-      byAddress.forEach((kept, address) => this.#sendTo(address, kept));
-    }, RESEND_MS).unref();
+    return byAddress;
   }
 
-  #sendTo(address: string, origins: readonly KeyedOrigin[]): void {
+  /** `ageOf` returns the age of an origin that is not new. */
+  #sendTo<T extends KeyedOrigin>(
+    address: string,
+    origins: readonly T[],
+    ageOf: ((origin: T) => number) | null = null,
+  ): void {
     for (let first = 0; first < origins.length; first += MAX_ORIGINS_PER_MESSAGE) {
       const part = origins.slice(first, first + MAX_ORIGINS_PER_MESSAGE);
       const tuples = part.map(({ key, serviceId, version }) => [key, serviceId, version]);
-      this.#peers.sendMessage(KEEP_METHOD, { origins: tuples }, [address]);
+      const ages = ageOf === null ? {} : { agesMs: part.map(ageOf) };
+      this.#peers.sendMessage(KEEP_METHOD, { origins: tuples, ...ages }, [address]);
     }
   }
 
@@ -301,14 +356,16 @@
    * be old, as it is cut off or was not run.
    */
   async #ask(key: string, serviceId: string): Promise<OriginAnswer> {
-    const asked = chooseOriginKeepers(key, this.#listPeers(), ASKED_COUNT);
-    const addresses = asked.map(({ address }) => address);
-    const answering = asked.filter(({ id }) => this.#isAnswering(id));
-    const inquiry = this.#inquiries.get(key) ?? this.#createInquiry(answering.length);
+    const inquiry = this.#inquiries.get(key) ?? new VersionInquiry(this.#storeAgeMs);
     this.#inquiries.set(key, inquiry);
     const question = { address: this.#peers.address, key, serviceId };
     try {
       for (const waitMs of ASK_WAITS_MS) {
+        // A VM that has just started hears its first peers meanwhile.
+        const asked = chooseOriginKeepers(key, this.#listPeers(), ASKED_COUNT);
+        const answering = asked.filter(({ id }) => this.#isAnswering(id));
+        inquiry.ask(answering.length, this.#isMajorityHeard());
+        const addresses = asked.map(({ address }) => address);
         this.#peers.sendMessage(ASK_METHOD, question, addresses);
         await this.#waitFor(key, waitMs);
         const known = this.#findKnown(key);
@@ -323,11 +380,11 @@
     return { kind: 'unknown' };
   }
 
-  #createInquiry(asked: number): VersionInquiry {
+  /** True when this VM hears more than half of the fleet. */
+  #isMajorityHeard(): boolean {
     const since = this.#loopDelay.listenedSince(FLEET_MS);
     const members = [...this.#state.peers.values()].filter(({ heardAt }) => heardAt >= since);
-    const isMajorityHeard = 2 * (this.#listPeers().length + 1) > members.length + 1;
-    return new VersionInquiry(asked, isMajorityHeard, this.#storeAgeMs);
+    return 2 * (this.#listPeers().length + 1) > members.length + 1;
   }
 
   async #waitFor(key: string, waitMs: number): Promise<void> {
@@ -348,12 +405,36 @@
 
   #handleKeep(params: unknown): void {
     const { data } = keepSchema.safeParse(params);
-    data?.origins.forEach(([key, serviceId, version]) => {
-      recordOrigin(this.#state.streamOrigins, key, { serviceId, version }, false, now());
+    data?.origins.forEach(([key, serviceId, version], index) => {
+      const ageMs = data.agesMs[index] ?? 0;
+      if (ageMs >= ORIGIN_TTL_MS) return;
+      recordOrigin(this.#state.streamOrigins, key, { serviceId, version }, false, now() - ageMs);
       this.#waiting.get(key)?.forEach((stop) => stop());
     });
   }
 
+  #handleHand(params: unknown): void {
+    const { data } = handSchema.safeParse(params);
+    const peers = this.#listPeers();
+    const asking = peers.find(({ id }) => id === data?.vmId);
+    const instant = now();
+    if (asking === undefined || !this.#mayHand(asking.id, instant)) return;
+    const kept = listLatestOrigins(this.#state.streamOrigins, MAX_HANDED_ORIGINS, instant)
+      .filter(({ serviceId }) => this.#mustNameOrigins(serviceId))
+      .filter(({ key }) => isOriginKeeper(key, asking.id, peers, KEEPER_COUNT));
+    this.#sendTo(asking.address, kept, ({ at }) => Math.max(0, Math.round(instant - at)));
+  }
+
+  /** Says whether a VM may be told its origins now, and takes it that it is. */
+  #mayHand(vmId: string, instant: number): boolean {
+    this.#handedAt.forEach((at, id) => {
+      if (at <= instant - HAND_INTERVAL_MS) this.#handedAt.delete(id);
+    });
+    if (this.#handedAt.has(vmId)) return false;
+    this.#handedAt.set(vmId, instant);
+    return true;
+  }
+
   #handleAsk(params: unknown): void {
     const { data } = askSchema.safeParse(params);
     if (data === undefined) return;
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -55,6 +55,7 @@
   extractWork,
   createGossipMessage,
   omitEmptyLists,
+  MAX_MEMBERS,
   type GossipMessage,
   type GossipSender,
 } from './gossipMessage.js';
@@ -88,6 +89,9 @@
  */
 const SEED_PROBABILITY = 0.2;
 
+/** Time in which one VM that does not know this one is answered only once; it may hear nobody. */
+const NEWCOMER_INTERVAL_MS = 1000;
+
 /** Resolves the host of a peer, which is an address. */
 const resolveAddress: SocketOptions['lookup'] = (host, _options, callback) =>
   callback(null, host, 4);
@@ -149,12 +153,17 @@
   /** Instant of the first message with newer data than this VM has; null after one without. */
   #behindSince: number | null = null;
 
+  /** Instants at which VMs that did not know this one were answered, by control address. */
+  readonly #answeredAt = new Map<string, number>();
+
   #socket: Socket | null = null;
 
   #timer: NodeJS.Timeout | null = null;
 
   #reportContact: (() => ContactReport) | null = null;
 
+  #notifyFound: ((address: string) => void) | null = null;
+
   #notifyVersions: ((serviceIds: readonly string[]) => void) | null = null;
 
   #seeds: readonly string[];
@@ -235,14 +244,20 @@
     this.#notifyVersions = notify;
   }
 
-  /** Sends this VM's state to its peers. */
-  gossip(): void {
+  /** Sets the callback for the first message of a peer; gets its control address. */
+  onPeerFound(notify: (address: string) => void): void {
+    this.#notifyFound = notify;
+  }
+
+  /** Sends this VM's state to its peers, and to further addresses. */
+  gossip(further: readonly string[] = []): void {
     // What is told once stays until there is room for a message.
     if (!this.#budget.has(this.#latestBytes, now())) return;
     const { scheduling, requestLimits } = this.#state;
     const reads = takeUnsentReads(scheduling.prefixCaches);
     const limitedSends = takeSendReports(requestLimits);
-    this.#send(this.#createMessage({ reads, limitedSends }), this.#chooseTargets());
+    const targets = new Set([...further, ...this.#chooseTargets()]);
+    this.#send(this.#createMessage({ reads, limitedSends }), [...targets]);
   }
 
   /** Stops gossiping and closes the sockets. */
@@ -324,7 +339,8 @@
     const { contacts, vmId, peers, scheduling, suspects } = this.#state;
     if (message.vmId === vmId) return;
     const instant = now();
-    if (!peers.has(message.vmId)) this.#log.change('peer_found', { peer: message.vmId });
+    const isNew = !peers.has(message.vmId);
+    if (isNew) this.#log.change('peer_found', { peer: message.vmId });
     peers.set(message.vmId, {
       address: message.address,
       heardAt: instant,
@@ -356,6 +372,8 @@
     this.#notifyVersions?.(recordPeerVersions(this.#state.streamOrigins, versions, instant));
     this.#adoptKnowledge(message, instant);
     this.#gossipToUnknownMember(message.members);
+    this.#answerNewcomer(message, instant);
+    if (isNew) this.#notifyFound?.(message.address);
     this.#fetchIfBehind(message);
   }
 
@@ -409,6 +427,21 @@
     if (unknownMember !== undefined) this.#send(this.#createMessage(), [unknownMember]);
   }
 
+  /**
+   * Gossips at once, to a VM that does not know this one as well: it has just started and hears nobody
+   * yet. It is a round of its own, since what is told a few times must reach other VMs, too.
+   */
+  #answerNewcomer({ address, members }: GossipMessage, instant: number): void {
+    const isWholeList = members.length < MAX_MEMBERS;
+    if (!isWholeList || members.includes(this.#settings.listen.control)) return;
+    this.#answeredAt.forEach((at, newcomer) => {
+      if (at <= instant - NEWCOMER_INTERVAL_MS) this.#answeredAt.delete(newcomer);
+    });
+    if (this.#answeredAt.has(address)) return;
+    this.#answeredAt.set(address, instant);
+    this.gossip([address]);
+  }
+
   /** Fetches newer data from a peer when this VM will not read it from the store soon. */
   #fetchIfBehind(message: GossipMessage): void {
     const { routing, directory } = this.#state;
--- a/packages/router/src/gateway/versionInquiry.ts
+++ b/packages/router/src/gateway/versionInquiry.ts
@@ -32,22 +32,26 @@
 
 /** What the answers to one question show. */
 export class VersionInquiry {
-  readonly #asked: number;
+  #asked = 0;
 
-  readonly #isMajorityHeard: boolean;
+  #isMajorityHeard = false;
 
   readonly #replies = new Set<string>();
 
   #isStoreCurrent: boolean;
 
+  /** `storeAgeMs` is the age of what this VM has read from the store. */
+  constructor(storeAgeMs: number) {
+    this.#isStoreCurrent = storeAgeMs <= MAX_STORE_AGE_MS;
+  }
+
   /**
-   * `asked` is the number of peers that are asked; `isMajorityHeard` is true when this VM hears more
-   * than half of the fleet, and `storeAgeMs` the age of what it has read from the store.
+   * Begins a round: `asked` is the number of peers that are asked from now on, and `isMajorityHeard`
+   * is true when this VM hears more than half of the fleet.
    */
-  constructor(asked: number, isMajorityHeard: boolean, storeAgeMs: number) {
+  ask(asked: number, isMajorityHeard: boolean): void {
     this.#asked = asked;
     this.#isMajorityHeard = isMajorityHeard;
-    this.#isStoreCurrent = storeAgeMs <= MAX_STORE_AGE_MS;
   }
 
   /** Adds the answer of a peer. */
