A silence of all endpoints is not a loss of links

LOST: streams were closed with status 200 about 0.9 s into a silence of sound endpoints.

Cause: an endpoint that opens a connection and does not answer has been reached, but counted as one that cannot be. All VMs drew the same conclusion at the same moment.

Change: silent and unreachable endpoints are told apart. A silent service is lost only by the word of a peer that has heard it meanwhile, 100 ms or more after the silence began and before a check that is not answered either. Else nothing is dropped or sent by way of peers, two endpoints are checked each 250 ms, the first byte ends the silence, and the failures of that time are forgotten (EndDoubts probes again what may have ended). A lost service is checked each 250 ms, too. Resets of full endpoints put links in doubt and are no loss (resetChannels).

Open: a cut that opens connections, of a service that no other VM uses, is taken for a silence.

--- a/packages/core/__tests__/contacts.spec.ts
+++ b/packages/core/__tests__/contacts.spec.ts
@@ -2,15 +2,20 @@
   chooseTransitPeer,
   createContactState,
   createRandom,
+  endSilence,
   isCutOff,
   listLostServices,
+  listSilentServices,
   listTransitPeers,
   lostSince,
   MAX_PEER_SILENCE_MS,
+  recordBrokenContact,
   recordContact,
   recordFailedContact,
   recordPeerContact,
   removeStaleContacts,
+  silenceOf,
+  startCheck,
   wasCutOffSince,
   type ContactState,
   type PeerContact,
@@ -33,8 +38,17 @@
   ...changes,
 });
 
-const fail = (state: ContactState, id: string, at: number, endpoints = 3) =>
-  recordFailedContact(state, SERVICE, id, endpoints, at);
+const fail = (state: ContactState, endpointId: string, at: number, endpointCount = 3) =>
+  recordFailedContact(state, SERVICE, { endpointId, endpointCount, unanswered: null }, at);
+
+const CHECK_MS = 250;
+
+/** Checks an endpoint, which opens a connection and does not answer; the service is heard at `heardAt`. */
+const failSilently = (state: ContactState, endpointId: string, startedAt: number, heardAt = 0) => {
+  const unanswered = { ...startCheck(state, SERVICE, startedAt), heardAt };
+  const report = { endpointId, endpointCount: 3, unanswered };
+  return recordFailedContact(state, SERVICE, report, startedAt + CHECK_MS);
+};
 
 const choose = (state: ContactState, tried: readonly string[] = []) =>
   chooseTransitPeer(
@@ -79,6 +93,18 @@
     t.is(lostSince(state, SERVICE), null);
   });
 
+  it('is in doubt, and not lost, when endpoints break connections', (t) => {
+    const state = createContactState();
+    t.is(recordBrokenContact(state, SERVICE, 'e1', START), 'none');
+    t.is(recordBrokenContact(state, SERVICE, 'e2', START + 10), 'doubtful');
+    t.is(recordBrokenContact(state, SERVICE, 'e3', START + 20), 'doubtful');
+    t.is(lostSince(state, SERVICE), null);
+    fail(state, 'e1', START + 30);
+    fail(state, 'e2', START + 30);
+    t.is(fail(state, 'e3', START + 40), 'lost');
+    t.is(recordBrokenContact(state, SERVICE, 'e1', START + 50), 'none');
+  });
+
   it('is lost by the only endpoint', (t) => {
     t.is(fail(createContactState(), 'e1', START, 1), 'lost');
   });
@@ -88,12 +114,96 @@
     fail(state, 'e1', START);
     fail(state, 'e2', START);
     fail(state, 'e3', START);
-    t.is(recordContact(state, SERVICE, START + 400), START);
-    t.is(recordContact(state, SERVICE, START + 500), null);
+    t.is(recordContact(state, SERVICE, START + 400).lostAt, START);
+    t.is(recordContact(state, SERVICE, START + 500).lostAt, null);
     t.is(lostSince(state, SERVICE), null);
   });
 });
 
+describe('a service whose endpoints open connections and do not answer', () => {
+  const silence = (state: ContactState, since = START) =>
+    ['e1', 'e2', 'e3'].map((id) => failSilently(state, id, since));
+  const tell = (state: ContactState, at: number) =>
+    recordPeerContact(state, 'vm-2', peer({ contactAt: new Map([[SERVICE, at]]) }));
+
+  it('is silent and not lost while no peer hears it', (t) => {
+    const state = createContactState();
+    t.deepEqual(silence(state), ['none', 'doubtful', 'silent']);
+    for (let at = START + CHECK_MS; at < START + 5000; at += CHECK_MS) {
+      t.is(failSilently(state, 'e1', at), 'none');
+    }
+    t.is(lostSince(state, SERVICE), null);
+    t.deepEqual(listSilentServices(state), [SERVICE]);
+    t.deepEqual(listLostServices(state), []);
+  });
+
+  it('is not lost by what a peer heard before, or as the silence began', (t) => {
+    const state = createContactState();
+    tell(state, START + 50);
+    silence(state);
+    t.is(failSilently(state, 'e1', START + 500), 'none');
+    t.is(lostSince(state, SERVICE), null);
+  });
+
+  it('is lost once a peer has heard it meanwhile and a later check is not answered', (t) => {
+    const state = createContactState();
+    silence(state);
+    tell(state, START + 400);
+    t.is(lostSince(state, SERVICE), null);
+    t.is(failSilently(state, 'e1', START + 500), 'lost');
+    t.is(lostSince(state, SERVICE), START + 500 + CHECK_MS);
+  });
+
+  it('is not lost by a peer that hears its end first', (t) => {
+    const state = createContactState();
+    silence(state);
+    const check = { ...startCheck(state, SERVICE, START + 500), heardAt: 0 };
+    tell(state, START + 700);
+    const report = { endpointId: 'e1', endpointCount: 3, unanswered: check };
+    t.is(recordFailedContact(state, SERVICE, report, START + 750), 'none');
+    t.is(lostSince(state, SERVICE), null);
+  });
+
+  it('is lost when all its endpoints cannot be reached any more', (t) => {
+    const state = createContactState();
+    silence(state);
+    const signs = ['e1', 'e2', 'e3'].map((id) => fail(state, id, START + 500));
+    t.is(signs.at(-1), 'lost');
+  });
+
+  it('is silent when some of its endpoints cannot be reached', (t) => {
+    const state = createContactState();
+    fail(state, 'e1', START);
+    fail(state, 'e2', START);
+    t.is(failSilently(state, 'e3', START), 'silent');
+    t.is(lostSince(state, SERVICE), null);
+    t.deepEqual(silenceOf(state, SERVICE)?.unreachable, new Set(['e1', 'e2']));
+  });
+
+  it('is heard again with the first bytes, and begins anew after them', (t) => {
+    const state = createContactState();
+    silence(state);
+    t.is(endSilence(state, SERVICE, START - 10), null);
+    t.deepEqual(endSilence(state, SERVICE, START + 600), {
+      heardAt: 0,
+      since: START,
+      unreachable: new Set(),
+    });
+    t.is(silenceOf(state, SERVICE), null);
+    tell(state, START + 600);
+    t.is(failSilently(state, 'e1', START + 700, START + 600), 'none');
+    t.is(lostSince(state, SERVICE), null);
+  });
+
+  it('tells what a contact has ended', (t) => {
+    const state = createContactState();
+    silence(state);
+    const ended = { lostAt: null, silence: { heardAt: 0, since: START, unreachable: new Set() } };
+    t.deepEqual(recordContact(state, SERVICE, START + 900), ended);
+    t.deepEqual(listSilentServices(state), []);
+  });
+});
+
 describe('a VM that lost a service', () => {
   const lose = () => {
     const state = createContactState();
--- a/packages/core/src/contacts/queries.ts
+++ b/packages/core/src/contacts/queries.ts
@@ -1,5 +1,5 @@
 import { randomInteger, type Random } from '../shared/index.js';
-import type { ContactState, PeerContact } from './state.js';
+import type { ContactState, PeerContact, ServiceSilence, StartedCheck } from './state.js';
 
 /** A peer that has been silent for longer gets no request: it may be gone. */
 export const MAX_PEER_SILENCE_MS = 600;
@@ -35,6 +35,18 @@
   return services.get(serviceId)?.lostAt ?? null;
 }
 
+/** Returns the silence of a service's endpoints; null while some are heard. */
+export function silenceOf({ services }: ContactState, serviceId: string): ServiceSilence | null {
+  return services.get(serviceId)?.silence ?? null;
+}
+
+/** Lists the services whose endpoints are silent and not lost. */
+export function listSilentServices({ services }: ContactState): string[] {
+  return [...services]
+    .filter(([, { lostAt, silence }]) => lostAt === null && silence !== null)
+    .map(([id]) => id);
+}
+
 /** Says whether an endpoint has failed since the latest contact with its service. */
 export function hasFailed(
   { services }: ContactState,
@@ -44,6 +56,15 @@
   return services.get(serviceId)?.failures.has(endpointId) ?? false;
 }
 
+/** Says whether an endpoint opened a connection and did not answer, at its latest failure. */
+export function isSilent(
+  { services }: ContactState,
+  serviceId: string,
+  endpointId: string,
+): boolean {
+  return services.get(serviceId)?.failures.get(endpointId)?.kind === 'silent';
+}
+
 /** Lists the services whose endpoints this VM cannot reach. */
 export function listLostServices({ services }: ContactState): string[] {
   return [...services].filter(([, { lostAt }]) => lostAt !== null).map(([id]) => id);
@@ -59,6 +80,11 @@
   return Math.max(0, ...[...peers.values()].map(({ contactAt }) => contactAt.get(serviceId) ?? 0));
 }
 
+/** Notes what is known of a service as a check of one of its endpoints starts. */
+export function startCheck(state: ContactState, serviceId: string, now: number): StartedCheck {
+  return { startedAt: now, peerContactAt: lastPeerContactAt(state, serviceId) };
+}
+
 /**
  * Says whether a service is lost to this VM while a peer has heard from it since: it is the links of
  * this VM that fail, not the endpoints.
--- a/packages/core/src/contacts/state.ts
+++ b/packages/core/src/contacts/state.ts
@@ -1,7 +1,40 @@
+/**
+ * How an endpoint failed: it could not be reached, its host opened a connection and nothing answered
+ * there, or an open connection broke.
+ */
+export type ContactFailure = 'unreachable' | 'silent' | 'broken';
+
+/** A failure of an endpoint, and its time in epoch milliseconds. */
+export interface FailedContact {
+  readonly kind: ContactFailure;
+  readonly at: number;
+}
+
+/** What is known as a check starts; times are in epoch milliseconds. */
+export interface StartedCheck {
+  readonly startedAt: number;
+  /** Time at which a peer had last heard from the service. */
+  readonly peerContactAt: number;
+}
+
+/** A silence of a service's endpoints to this VM. */
+export interface ServiceSilence {
+  /** Time at which the service was last heard before; epoch milliseconds. */
+  readonly heardAt: number;
+  /** Time since which checks were unanswered; epoch milliseconds. */
+  readonly since: number;
+  /** Ids of endpoints that could not be reached meanwhile. */
+  readonly unreachable: Set<string>;
+}
+
 /** What one VM knows of its links to the endpoints of a service. */
 export interface ServiceContact {
-  /** Latest failure to reach each endpoint since the latest contact; epoch milliseconds by id. */
-  readonly failures: Map<string, number>;
+  /** Latest failure of each endpoint since the latest contact, by id. */
+  readonly failures: Map<string, FailedContact>;
+  /** Start of the earliest unanswered check since the service was heard; null without any. */
+  unansweredSince: number | null;
+  /** Null unless several endpoints are silent; of a service that was lost by it, too. */
+  silence: ServiceSilence | null;
   /** Time at which an endpoint last answered on a new connection; epoch milliseconds. */
   contactAt: number;
   /** Time since which several endpoints have failed and none was reached; null while in touch. */
--- a/packages/core/src/health/commands.ts
+++ b/packages/core/src/health/commands.ts
@@ -36,6 +36,7 @@
   const durationMs = BASE_EJECTION_MS * 2 ** Math.min(health.ejections, 10);
   health.phase = 'ejected';
   health.cause = cause;
+  health.ejectedAt = now;
   health.ejectedUntil = now + Math.min(MAX_EJECTION_MS, durationMs);
   health.isProbing = false;
   health.ejections += 1;
@@ -57,6 +58,15 @@
   state.endpoints.delete(endpointId);
 }
 
+/** Forgets the failures of an endpoint since an instant, which had another cause. */
+export function forgetFailures(state: HealthState, endpointId: string, since: number): void {
+  const health = state.endpoints.get(endpointId);
+  if (health === undefined) return;
+  health.consecutiveFailures = 0;
+  const isEjectedSince = health.cause === 'failures' && health.ejectedAt >= since;
+  if (health.phase !== 'healthy' && isEjectedSince) restoreEndpoint(state, endpointId);
+}
+
 /** Records an answer, which ends a series of failures and a probation caused by failures. */
 export function recordSuccess(state: HealthState, endpointId: string): void {
   const health = getOrCreateHealth(state, endpointId);
--- a/packages/core/src/health/index.ts
+++ b/packages/core/src/health/index.ts
@@ -1,5 +1,6 @@
 export {
   ejectEndpoint,
+  forgetFailures,
   recordFailure,
   recordProbeResult,
   recordSuccess,
--- a/packages/core/src/health/state.ts
+++ b/packages/core/src/health/state.ts
@@ -10,6 +10,8 @@
   /** Cause of the latest ejection. */
   cause: EjectionCause;
   consecutiveFailures: number;
+  /** Time of the latest ejection; 0 before the first. */
+  ejectedAt: number;
   /** When the ejection time ends and a probe is due; while probing, when the probe began. */
   ejectedUntil: number;
   /** True while a probe is in progress. */
@@ -44,6 +46,7 @@
     phase: 'healthy',
     cause: 'failures',
     consecutiveFailures: 0,
+    ejectedAt: 0,
     ejectedUntil: 0,
     isProbing: false,
     ejections: 0,
--- a/packages/router/__tests__/gateway/contactTask.spec.ts
+++ b/packages/router/__tests__/gateway/contactTask.spec.ts
@@ -11,7 +11,9 @@
   startGateway,
   testConfiguration,
   waitUntil,
+  type TestGateway,
 } from './fixtures.js';
+import { SilentEndpoint } from './silentEndpoint.js';
 import { blockLoop } from './threadedEndpoint.js';
 import { readMetric, withThreadedEndpoints } from './threadedVm.js';
 
@@ -103,3 +105,98 @@
     }
   });
 });
+
+describe('a VM that lost a service', () => {
+  itSerial('checks its endpoints again and again, though it was in touch before', async (t) => {
+    const endpoints = await Promise.all(
+      ['e0', 'e1'].map((id) =>
+        startEndpoint(id, (request, response) => {
+          const requestId = String(request.headers['x-request']);
+          response.writeHead(200, { 'x-request': requestId, 'x-mac': 'mac' }).end('answer');
+        }),
+      ),
+    );
+    const listed = endpoints.map(({ endpoint }) => endpoint);
+    const vm = await startGateway(createSource(testConfiguration, listed));
+    try {
+      await waitUntil(async () => (await call(vm.ready, '/')).status === 200);
+      t.is((await call(vm.callers, '/safe/')).status, 200);
+      endpoints.forEach((endpoint) => endpoint.close());
+      await waitUntil(async () => {
+        await call(vm.callers, '/safe/');
+        return (await readMetric(vm, 'change="lost"')) > 0;
+      });
+      const before = await readMetric(vm, 'link_checks_total');
+      await sleep(2000);
+      const checks = (await readMetric(vm, 'link_checks_total')) - before;
+      t.true(checks >= 6, `${checks} checks`);
+    } finally {
+      vm.gateway.stop();
+      endpoints.forEach((endpoint) => endpoint.close());
+    }
+  });
+});
+
+describe('a VM whose endpoints open connections and do not answer', () => {
+  /** Silences the endpoints; a peer tells of contact that is `ageMs` old, given the silence's length. */
+  const play = async (
+    ageMs: (silentMs: number) => number,
+    use: (vm: TestGateway, peer: FakePeer, silentAt: number) => Promise<void>,
+  ) => {
+    const endpoints = Array.from({ length: 6 }, () => new SilentEndpoint());
+    await Promise.all(endpoints.map((endpoint, index) => endpoint.start(`e${index}`)));
+    const listed = endpoints.map(({ endpoint }) => endpoint.endpoint);
+    const vm = await startGateway(createSource(testConfiguration, listed));
+    const peer = new FakePeer('peer', serve);
+    try {
+      await peer.start(vm.control);
+      await waitUntil(async () => (await call(vm.ready, '/')).status === 200);
+      await call(vm.callers, '/safe/');
+      endpoints.forEach((endpoint) => endpoint.silence());
+      const silentAt = performance.now();
+      peer.contactAgeMs = () => ageMs(performance.now() - silentAt);
+      const calls = Array.from({ length: 6 }, (_, index) =>
+        call(vm.callers, '/safe/', { headers: { 'x-request': `request-${index}` } }),
+      );
+      const ended = Promise.allSettled(calls);
+      await use(vm, peer, silentAt);
+      endpoints.forEach((endpoint) => endpoint.goOn());
+      await ended;
+    } finally {
+      vm.gateway.stop();
+      peer.stop();
+      endpoints.forEach(({ endpoint }) => endpoint.close());
+    }
+  };
+
+  const oldContacts: Readonly<Record<string, (silentMs: number) => number>> = {
+    'from before the silence': (silentMs) => silentMs + 50,
+    'as old as the silence': (silentMs) => silentMs,
+  };
+  Object.entries(oldContacts).forEach(([title, ageMs]) => {
+    itSerial(`believes its links sound while peers tell of contact ${title}`, async (t) => {
+      await play(ageMs, async (vm, peer) => {
+        await sleep(3000);
+        t.is(await readMetric(vm, 'change="lost"'), 0);
+        t.is(await readMetric(vm, 'change="silent"'), 1);
+        t.is(peer.requests.length, 0);
+      });
+    });
+  });
+
+  // With older news it takes its age longer.
+  const lateness = { 10: 1300, 500: 1300 + 500 };
+  Object.entries(lateness).forEach(([ageMs, foundWithinMs]) => {
+    itSerial(`finds its links lost when a peer has heard them ${ageMs} ms ago`, async (t) => {
+      await play(
+        () => Number(ageMs),
+        async (vm, _peer, silentAt) => {
+          await waitUntil(async () => (await readMetric(vm, 'change="lost"')) > 0);
+          const foundMs = Math.round(performance.now() - silentAt);
+          t.log(`${foundMs} ms`);
+          t.true(foundMs <= foundWithinMs, `${foundMs} ms`);
+        },
+      );
+    });
+  });
+});
--- a/packages/router/__tests__/gateway/fakePeer.ts
+++ b/packages/router/__tests__/gateway/fakePeer.ts
@@ -6,6 +6,8 @@
 
 const GOSSIP_MS = 50;
 
+const recentContactMs = () => 10;
+
 /** A VM whose links a test describes, and which answers transits as the test says. */
 export class FakePeer {
   readonly id: string;
@@ -16,6 +18,9 @@
   /** Answers a request; null refuses connections. */
   answer: ((request: IncomingMessage, response: ServerResponse) => void) | null;
 
+  /** Returns the time since it last heard from the endpoints, in milliseconds. */
+  contactAgeMs: () => number = recentContactMs;
+
   #address = '';
 
   readonly #server = createServer((request, response) => {
@@ -72,7 +77,7 @@
         zone: 'zone-a',
         openTransits: 0,
         lostServices: [],
-        contacts: [['desk', 10]],
+        contacts: [['desk', this.contactAgeMs()]],
       },
     };
     return JSON.stringify({ jsonrpc: '2.0', method: 'news', params });
--- a/packages/router/src/gateway/checkLink.ts
+++ b/packages/router/src/gateway/checkLink.ts
@@ -1,12 +1,13 @@
 import type { RegisteredEndpoint } from '@filbertlatch/core';
 import { buildConnector, Client } from 'undici';
 
+import { isConnectionReset } from './isConnectionReset.js';
 import type { LoopDelay } from './loopDelay.js';
 import { SilenceTimer } from './silenceTimer.js';
 
 /**
- * What a check of the link to an endpoint shows: it answers; it can be reached but does not answer,
- * as when it is full; it cannot be reached.
+ * What a check of the link to an endpoint shows: it answers; it can be reached but does not answer, or
+ * resets the connection, as when it is full; it cannot be reached.
  */
 export type LinkState = 'answers' | 'silent' | 'unreachable';
 
@@ -23,19 +24,22 @@
   loopDelay: LoopDelay,
 ): Promise<LinkState> {
   let isOpen = false;
-  let isLate = false;
   // The library's own time-outs are about a second longer than they say.
   const openSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
   const timer = new SilenceTimer(loopDelay);
   let client: Client | null = null;
+  let endWait = () => {};
+  const late = new Promise<void>((resolve) => {
+    endWait = resolve;
+  });
   const giveUp = () => {
-    isLate = true;
+    endWait();
     void client?.destroy();
   };
   client = new Client(`http://${endpoint.address}`, {
     connect: (target, callback) => {
       openSocket(target, (...result) => {
-        isOpen = result[0] === null;
+        isOpen = result[0] === null || isConnectionReset(result[0]);
         timer.start(ANSWER_TIMEOUT_MS, giveUp);
         callback(...result);
       });
@@ -49,7 +53,10 @@
     });
     return 'answers';
   } catch {
-    return isOpen && isLate ? 'silent' : 'unreachable';
+    if (!isOpen) return 'unreachable';
+    // Of a full endpoint, bytes on other connections come meanwhile.
+    await late;
+    return 'silent';
   } finally {
     timer.stop();
     void client.destroy();
--- a/packages/router/src/gateway/contactNews.ts
+++ b/packages/router/src/gateway/contactNews.ts
@@ -51,21 +51,27 @@
   };
 }
 
-/** Returns what a message received at `now` tells of a peer's links; null when it tells nothing. */
+/** When a message was read, and when it can have arrived at the earliest; epoch milliseconds. */
+export interface MessageTimes {
+  readonly heardAt: number;
+  readonly arrivedAt: number;
+}
+
+/** Returns what a message tells of a peer's links; null when it tells nothing. */
 export function extractContact(
   news: ContactNews,
   { address, configurationVersion }: Pick<PeerContact, 'address' | 'configurationVersion'>,
-  now: number,
+  { arrivedAt, heardAt }: MessageTimes,
 ): PeerContact | null {
   if (news === null) return null;
   return {
     address,
     configurationVersion,
     zone: news.zone,
-    heardAt: now,
+    heardAt,
     takesTransits: news.openTransits !== null,
     openTransits: news.openTransits ?? 0,
     lostServices: new Set(news.lostServices),
-    contactAt: new Map(news.contacts.map(([id, age]) => [id, now - age])),
+    contactAt: new Map(news.contacts.map(([id, age]) => [id, arrivedAt - age])),
   };
 }
--- a/packages/router/src/gateway/contactTask.ts
+++ b/packages/router/src/gateway/contactTask.ts
@@ -1,22 +1,29 @@
 import {
+  endSilence,
   isCutOff,
   lastContactAt,
-  lastPeerContactAt,
   listLostServices,
   listReadyEndpoints,
+  listSilentServices,
   listTransitPeers,
   lostSince,
   MAX_PEER_SILENCE_MS,
+  recordBrokenContact,
   recordContact,
   recordFailedContact,
   removeLostAttempts,
-  resetEndpointHealth,
+  startCheck,
+  type ContactFailure,
   type RegisteredEndpoint,
+  type StartedCheck,
+  type UnansweredCheck,
 } from '@filbertlatch/core';
 
 import { now } from '../clock.js';
 import type { ConnectionTable } from './connectionTable.js';
 import type { LinkState } from './checkLink.js';
+import { ContactChanges } from './contactChanges.js';
+import { EndDoubts } from './endDoubts.js';
 import type { EndpointTerms } from './endpointTerms.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
@@ -24,44 +31,14 @@
 import { LinkChecks } from './linkChecks.js';
 import type { LoopDelay } from './loopDelay.js';
 import { MAX_ROUND_TRIP_MS } from './peerLinks.js';
-
-/** Time after which an endpoint whose end is in doubt is probed again. */
-const DOUBT_RECHECK_MS = 1000;
+import { SilenceWatch } from './silenceWatch.js';
 
 /** Interval between checks of a service that is lost. */
 const LOST_CHECK_INTERVAL_MS = 250;
 
-/** Time without a byte from a service that has requests of this VM after which links are checked. */
-const SILENCE_MS = 350;
-
-/** The same where peers have not heard from the service either. */
-const LONG_SILENCE_MS = 700;
-
-/** Shortest and longest time between two checks for silence; doubled while links prove sound. */
-const MIN_SILENCE_CHECK_INTERVAL_MS = 500;
-const MAX_SILENCE_CHECK_INTERVAL_MS = 4000;
-
 /** Time within which a cut is noticed. */
 const MAX_DETECTION_MS = 2000;
 
-/** After a shorter loss, connections and health records are kept. */
-const MIN_RENEWED_LOSS_MS = 300;
-
-/**
- * What shows that this VM has links: bytes of another endpoint, which break off where connections are
- * reset, or an answer on a new connection.
- */
-type LinkProof = 'bytes' | 'new-connection';
-
-/** What the silence of a service's endpoints has shown. */
-interface SilenceWatch {
-  /** Time since which this VM has had requests there; null without any. */
-  busySince: number | null;
-  /** Time before which no check is due. */
-  nextCheckAt: number;
-  intervalMs: number;
-}
-
 /**
  * Finds out whether this VM has links to the endpoints of each service. What it sees of endpoints
  * while it has none is no sign of their state.
@@ -75,27 +52,18 @@
 
   readonly #loopDelay: LoopDelay;
 
-  readonly #metrics: GatewayMetrics;
-
-  readonly #log: GatewayLog;
-
-  readonly #notifyPeers: () => void;
+  readonly #changes: ContactChanges;
 
-  readonly #watches = new Map<string, SilenceWatch>();
+  readonly #silences: SilenceWatch;
 
   /** Time of the latest check of each lost service; epoch milliseconds. */
   readonly #checkedAt = new Map<string, number>();
 
-  /** Endpoints that may have ended, to be looked at when there are links; by service id. */
-  readonly #doubtful = new Map<string, Set<string>>();
-
-  #doubtedAt = 0;
+  readonly #doubts: EndDoubts;
 
   /** Time of the latest check or request that an endpoint answered in time; epoch milliseconds. */
   #promptAt = 0;
 
-  #probe: ((endpointId: string) => void) | null = null;
-
   constructor(
     state: GatewayState,
     connections: ConnectionTable,
@@ -108,18 +76,18 @@
     this.#state = state;
     this.#connections = connections;
     this.#loopDelay = loopDelay;
-    this.#metrics = metrics;
-    this.#log = log;
-    this.#notifyPeers = notifyPeers;
     this.#checks = new LinkChecks(state, terms, loopDelay, metrics, log, {
-      checked: (endpoint, link, startedAt) => this.#handleCheck(endpoint, link, startedAt),
+      checked: (endpoint, link, check) => this.#handleCheck(endpoint, link, check),
     });
+    this.#doubts = new EndDoubts(log);
+    this.#changes = new ContactChanges(state, connections, this.#doubts, metrics, log, notifyPeers);
+    this.#silences = new SilenceWatch(state, this.#checks, loopDelay);
     connections.onContact((endpointId) => this.recordAnswer(endpointId));
   }
 
   /** Sets the callback for endpoints that are to be probed again. */
   onDoubt(probe: (endpointId: string) => void): void {
-    this.#probe = probe;
+    this.#doubts.onDue(probe);
   }
 
   /** True while no endpoint of a service can be reached. */
@@ -127,14 +95,27 @@
     return lostSince(this.#state.contacts, serviceId) !== null;
   }
 
+  /** True while links to a service are checked and none has proved sound. */
+  isChecking(serviceId: string): boolean {
+    return this.#checks.isRunning(serviceId);
+  }
+
   /** Returns when each service's endpoints were last heard; epoch milliseconds by service id. */
   listHeardAt(): Map<string, number> {
-    const heardAt = new Map<string, number>();
+    return this.#listLatest((id) => this.#connections.lastHeardAt(id));
+  }
+
+  /** Returns when an endpoint of each service last lived for certain, by what this VM has read. */
+  listAliveAt(): Map<string, number> {
+    return this.#listLatest((id) => this.#connections.lastAliveAt(id));
+  }
+
+  #listLatest(timeOf: (endpointId: string) => number): Map<string, number> {
+    const latest = new Map<string, number>();
     this.#state.directory.endpoints.forEach(({ id, serviceId }) => {
-      const at = this.#connections.lastHeardAt(id);
-      heardAt.set(serviceId, Math.max(at, heardAt.get(serviceId) ?? 0));
+      latest.set(serviceId, Math.max(timeOf(id), latest.get(serviceId) ?? 0));
     });
-    return heardAt;
+    return latest;
   }
 
   /** Time at which the latest was sent that an endpoint answered in time; epoch milliseconds. */
@@ -148,10 +129,14 @@
     this.#promptAt = Math.max(this.#promptAt, sentAt);
   }
 
+  /** Checks links to endpoints of a service other than the given one. */
+  checkOthers(serviceId: string, endpointId: string | null): void {
+    void this.#checks.check(serviceId, endpointId);
+  }
+
   /** Checks links to endpoints of every service. */
   checkAll(): void {
-    const { routing } = this.#state;
-    [...(routing.configuration?.services.keys() ?? [])].forEach((id) => {
+    this.#listServices().forEach((id) => {
       void this.#checks.check(id);
     });
   }
@@ -163,24 +148,36 @@
     const { serviceId } = endpoint;
     const { contacts } = this.#state;
     const wasCutOff = isCutOff(contacts, serviceId);
-    const lostAt = recordContact(contacts, serviceId, now());
-    if (lostAt !== null) this.#regain(serviceId, lostAt, wasCutOff);
-    this.#probeDoubtful(serviceId);
+    const { lostAt, silence } = recordContact(contacts, serviceId, now());
+    if (lostAt !== null) this.#changes.regain(serviceId, { lostAt, silence, wasCutOff });
+    if (silence !== null && !wasCutOff) this.#changes.endSilence(serviceId, silence);
+    this.#doubts.probe(serviceId);
   }
 
-  /** Records that an endpoint could not be reached, or broke a connection off. */
-  recordFailure({ id, serviceId }: RegisteredEndpoint): void {
-    const { contacts, directory } = this.#state;
-    const ready = listReadyEndpoints(directory, serviceId).length;
-    // Of those that want nothing now only few can fail.
-    const length = Math.max(Math.min(2, ready), this.#checks.countAskable(serviceId));
-    const sign = recordFailedContact(contacts, serviceId, id, length, now());
+  /** Records that an endpoint could not be reached. */
+  recordFailure(endpoint: RegisteredEndpoint): void {
+    this.#recordFailedContact(endpoint, null);
+  }
+
+  /** Records that an endpoint broke a connection off. */
+  recordBroken({ id, serviceId }: RegisteredEndpoint): void {
+    const sign = recordBrokenContact(this.#state.contacts, serviceId, id, now());
     if (sign === 'doubtful') void this.#checks.check(serviceId);
-    if (sign !== 'lost') return;
-    this.#metrics.countContactChange('lost');
-    this.#log.change('service_lost', { serviceId, endpoints: ready });
-    this.#notifyPeers();
-    void this.#checks.check(serviceId);
+  }
+
+  /** Records that an endpoint opened a connection for a check and did not answer. */
+  recordUnanswered(endpoint: RegisteredEndpoint, check: StartedCheck): void {
+    const heardAt = this.listHeardAt();
+    this.#endSilences(heardAt);
+    // A full endpoint is silent, but not all of a service are to a VM that is in touch.
+    const serviceHeardAt = heardAt.get(endpoint.serviceId) ?? 0;
+    if (serviceHeardAt >= check.startedAt) return;
+    this.#recordFailedContact(endpoint, { ...check, heardAt: serviceHeardAt });
+  }
+
+  /** Notes what is known as a check of an endpoint starts. */
+  startCheck({ serviceId }: RegisteredEndpoint): StartedCheck {
+    return startCheck(this.#state.contacts, serviceId, now());
   }
 
   /**
@@ -190,28 +187,53 @@
   async hasEnded(
     endpoint: RegisteredEndpoint,
     since: number,
-    proof: LinkProof = 'bytes',
+    failure: ContactFailure = 'unreachable',
   ): Promise<boolean> {
-    const { id, serviceId } = endpoint;
-    this.recordFailure(endpoint);
-    if (await this.#hasLinks(endpoint, since, proof)) return true;
-    this.#log.decision('endpoint_end_doubtful', { endpointId: id });
-    const doubtful = this.#doubtful.get(serviceId) ?? new Set();
-    this.#doubtful.set(serviceId, doubtful.add(id));
-    this.#doubtedAt = now();
+    // That of a silent one has been recorded.
+    if (failure === 'unreachable') this.recordFailure(endpoint);
+    if (await this.hasLinks(endpoint, since)) return true;
+    this.recordDoubt(endpoint);
     return false;
   }
 
+  /** Has an endpoint probed again that may have ended, at the next contact with its service. */
+  recordDoubt(endpoint: RegisteredEndpoint): void {
+    this.#doubts.record(endpoint);
+  }
+
+  /** Finds out whether other endpoints of the service answer since an instant; asks some if need be. */
+  async hasLinks(endpoint: RegisteredEndpoint, since: number): Promise<boolean> {
+    const { serviceId } = endpoint;
+    const { contacts } = this.#state;
+    const others = this.#listOthers(endpoint);
+    if (others.length === 0) {
+      const heardSince = this.#loopDelay.listenedSince(MAX_PEER_SILENCE_MS);
+      return listTransitPeers(contacts, serviceId, heardSince).length === 0;
+    }
+    const isHeard = () => others.some(({ id }) => this.#connections.lastAliveAt(id) >= since);
+    const isLinked = () => lastContactAt(contacts, serviceId) >= since || isHeard();
+    // A check that was running may have begun before.
+    for (let tries = 0; tries < 2 && !isLinked(); tries += 1) {
+      await this.#checks.check(serviceId, endpoint.id);
+    }
+    return isLinked();
+  }
+
+  #listOthers({ id, serviceId }: RegisteredEndpoint): RegisteredEndpoint[] {
+    const ready = listReadyEndpoints(this.#state.directory, serviceId);
+    return ready.filter((endpoint) => endpoint.id !== id);
+  }
+
   /** Checks links whose state is in doubt; called by the maintenance timer. */
   maintain(): void {
-    const lost = listLostServices(this.#state.contacts);
-    if (lost.length > 0) this.#checkLost();
+    const { contacts } = this.#state;
+    const lost = listLostServices(contacts);
+    const heardAt = this.listHeardAt();
+    this.#endSilences(heardAt);
+    this.#checkAgain(lost.length > 0 ? this.#listServices() : listSilentServices(contacts));
     lost.forEach((serviceId) => this.#dropEvidence(serviceId));
-    this.#checkSilent();
-    if (now() - this.#doubtedAt < DOUBT_RECHECK_MS) return;
-    this.#doubtful.forEach((_, serviceId) => {
-      if (!this.isLost(serviceId)) this.#probeDoubtful(serviceId);
-    });
+    this.#silences.maintain(heardAt);
+    this.#doubts.maintain((serviceId) => !this.isLost(serviceId));
   }
 
   /** Drops the lost attempts since shortly before an instant: the links of this VM ended them. */
@@ -232,107 +254,51 @@
     });
   }
 
-  async #hasLinks(endpoint: RegisteredEndpoint, since: number, proof: LinkProof): Promise<boolean> {
-    const { serviceId } = endpoint;
-    const { contacts, directory } = this.#state;
-    const others = listReadyEndpoints(directory, serviceId).filter(({ id }) => id !== endpoint.id);
-    if (others.length === 0) {
-      const heardSince = this.#loopDelay.listenedSince(MAX_PEER_SILENCE_MS);
-      return listTransitPeers(contacts, serviceId, heardSince).length === 0;
-    }
-    const isHeard = () =>
-      proof === 'bytes' && others.some(({ id }) => this.#connections.lastAliveAt(id) >= since);
-    const isLinked = () => lastContactAt(contacts, serviceId) >= since || isHeard();
-    // A check that was running may have begun before.
-    for (let tries = 0; tries < 2 && !isLinked(); tries += 1) {
-      await this.#checks.check(serviceId, endpoint.id);
-    }
-    return isLinked();
+  #listServices(): string[] {
+    return [...(this.#state.routing.configuration?.services.keys() ?? [])];
   }
 
   /** A VM that lost one service has perhaps lost those that it has not called lately, too. */
-  #checkLost(): void {
-    const { routing } = this.#state;
+  #checkAgain(serviceIds: readonly string[]): void {
     const instant = now();
-    [...(routing.configuration?.services.keys() ?? [])].forEach((id) => {
-      const dueAt = (this.#checkedAt.get(id) ?? 0) + LOST_CHECK_INTERVAL_MS;
-      if (instant < dueAt || lastContactAt(this.#state.contacts, id) >= dueAt) return;
+    serviceIds.forEach((id) => {
+      const latestAt = Math.max(
+        this.#checkedAt.get(id) ?? 0,
+        lastContactAt(this.#state.contacts, id),
+      );
+      if (instant < latestAt + LOST_CHECK_INTERVAL_MS) return;
       this.#checkedAt.set(id, instant);
       void this.#checks.check(id);
     });
   }
 
-  #checkSilent(): void {
-    const heardAt = this.listHeardAt();
-    const busy = this.#listBusyServices();
-    const instant = now();
-    heardAt.forEach((heard, serviceId) => {
-      const watch = this.#watches.get(serviceId) ?? {
-        busySince: null,
-        nextCheckAt: 0,
-        intervalMs: MIN_SILENCE_CHECK_INTERVAL_MS,
-      };
-      this.#watches.set(serviceId, watch);
-      watch.busySince = busy.has(serviceId) ? (watch.busySince ?? instant) : null;
-      const quietSince = Math.max(heard, watch.busySince ?? instant);
-      const silentMs = this.#loopDelay.listenedMs(quietSince);
-      if (silentMs < SILENCE_MS || this.isLost(serviceId)) return;
-      // Where no peer hears anything either, the endpoints may be slow.
-      const peerHeard = lastPeerContactAt(this.#state.contacts, serviceId);
-      const isDoubtful = peerHeard > quietSince || silentMs >= LONG_SILENCE_MS;
-      if (instant < watch.nextCheckAt || !isDoubtful) return;
-      void this.#checkSilence(serviceId, watch);
-    });
-  }
-
-  #listBusyServices(): Set<string> {
-    const { directory, scheduling } = this.#state;
-    const busy = new Set<string>();
-    scheduling.work.forEach(({ own }, id) => {
-      const serviceId = directory.endpoints.get(id)?.serviceId;
-      if (serviceId !== undefined && own.waiting + own.streaming > 0) busy.add(serviceId);
-    });
-    return busy;
-  }
-
-  async #checkSilence(serviceId: string, watch: SilenceWatch): Promise<void> {
-    const startedAt = now();
-    watch.nextCheckAt = Number.POSITIVE_INFINITY;
-    await this.#checks.check(serviceId);
-    const isSound = lastContactAt(this.#state.contacts, serviceId) >= startedAt;
-    const longerMs = Math.min(MAX_SILENCE_CHECK_INTERVAL_MS, 2 * watch.intervalMs);
-    watch.intervalMs = isSound ? longerMs : MIN_SILENCE_CHECK_INTERVAL_MS;
-    watch.nextCheckAt = now() + watch.intervalMs;
-  }
-
-  #handleCheck(endpoint: RegisteredEndpoint, link: LinkState, startedAt: number): void {
-    // A full endpoint is silent, but not all of a service are to a VM that is in touch.
-    const isHeard = (this.listHeardAt().get(endpoint.serviceId) ?? 0) >= startedAt;
+  #handleCheck(endpoint: RegisteredEndpoint, link: LinkState, check: StartedCheck): void {
     if (link === 'answers') {
-      this.#promptAt = Math.max(this.#promptAt, startedAt);
+      this.#promptAt = Math.max(this.#promptAt, check.startedAt);
       this.recordAnswer(endpoint.id);
-    } else if (link === 'unreachable' || !isHeard) this.recordFailure(endpoint);
+    } else if (link === 'unreachable') this.recordFailure(endpoint);
+    else this.recordUnanswered(endpoint, check);
   }
 
-  #regain(serviceId: string, lostAt: number, wasCutOff: boolean): void {
-    const { directory, health } = this.#state;
-    const lostMs = Math.round(now() - lostAt);
-    this.#metrics.countContactChange('regained');
-    this.#log.change('service_regained', { serviceId, lostMs, wasCutOff });
-    this.#notifyPeers();
-    directory.endpoints.forEach((endpoint) => {
-      if (endpoint.serviceId !== serviceId) return;
-      if (lostMs < MIN_RENEWED_LOSS_MS) return;
-      if (wasCutOff) resetEndpointHealth(health, endpoint.id);
-      this.#connections.renew(endpoint.id);
-    });
-    if (wasCutOff) this.#doubtful.delete(serviceId);
+  #recordFailedContact(
+    { id, serviceId }: RegisteredEndpoint,
+    unanswered: UnansweredCheck | null,
+  ): void {
+    const { contacts, directory } = this.#state;
+    const ready = listReadyEndpoints(directory, serviceId).length;
+    // Of those that want nothing now only few can fail.
+    const endpointCount = Math.max(Math.min(2, ready), this.#checks.countAskable(serviceId));
+    const report = { endpointId: id, endpointCount, unanswered };
+    const sign = recordFailedContact(contacts, serviceId, report, now());
+    if (sign === 'none') return;
+    if (sign !== 'doubtful') this.#changes.begin(sign, serviceId, ready);
+    void this.#checks.check(serviceId);
   }
 
-  #probeDoubtful(serviceId: string): void {
-    const doubtful = this.#doubtful.get(serviceId);
-    if (doubtful === undefined) return;
-    this.#doubtful.delete(serviceId);
-    doubtful.forEach((id) => this.#probe?.(id));
+  #endSilences(heardAt: ReadonlyMap<string, number>): void {
+    listSilentServices(this.#state.contacts).forEach((serviceId) => {
+      const silence = endSilence(this.#state.contacts, serviceId, heardAt.get(serviceId) ?? 0);
+      if (silence !== null) this.#changes.endSilence(serviceId, silence);
+    });
   }
 }
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -383,10 +383,10 @@
     if (failure.cause !== 'withheld') this.#countFailure();
     this.#end(failure.cause);
     const { contacts, log, probes, state } = this.#context;
-    if (failure.cause === 'unreachable' || failure.cause === 'broken') {
-      contacts.recordFailure(this.endpoint);
-    }
-    if (failure.cause === 'unreachable' && hasLostAttempts(state.suspects, this.endpoint.id)) {
+    if (failure.cause === 'unreachable') contacts.recordFailure(this.endpoint);
+    if (failure.cause === 'broken') contacts.recordBroken(this.endpoint);
+    const isUnsent = failure.verdict === 'not-run' && failure.cause !== 'withheld';
+    if (isUnsent && hasLostAttempts(state.suspects, this.endpoint.id)) {
       probes.probe(this.endpoint.id);
     }
     log.decision('attempt_failed', {
--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -4,6 +4,7 @@
 import { now } from '../clock.js';
 import type { EndpointConnections } from './endpointConnections.js';
 import { EndlessAnswerError, type GuardedClient, type GuardedHandler } from './guardedClient.js';
+import { isConnectionReset } from './isConnectionReset.js';
 import type { LoopDelay } from './loopDelay.js';
 import { createSendTimes, type SendTimes } from './sendTimes.js';
 
@@ -199,8 +200,9 @@
     this.#abort?.(new Error('request cancelled'));
   }
 
-  get #unsentCause(): AttemptFailure['cause'] {
-    return this.#isWithheld ? 'withheld' : 'unreachable';
+  #unsentCause(error: Error): AttemptFailure['cause'] {
+    if (this.#isWithheld) return 'withheld';
+    return isConnectionReset(error) ? 'broken' : 'unreachable';
   }
 
   #complete(): void {
@@ -221,7 +223,7 @@
     const brokenCause = isMalformed ? 'malformed' : 'broken';
     this.#observer.fail({
       verdict: this.#mayHaveSent ? 'may-have-run' : 'not-run',
-      cause: this.#mayHaveSent ? brokenCause : this.#unsentCause,
+      cause: this.#mayHaveSent ? brokenCause : this.#unsentCause(error),
       message: error.message,
     });
   }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -124,7 +124,7 @@
   const callerConnections = new CallerConnections(loopDelay);
   const crashes = new CrashRecorder(state, metrics, log);
   const publication = new PublicationTask(state, source, crashes, loopDelay, log);
-  const peers = new PeerTask(settings, state, publication, log);
+  const peers = new PeerTask(settings, state, publication, log, () => loopDelay.earliestArrivalAt);
   const notifyPeers = () => peers.gossip();
   publication.onUpdate(notifyPeers);
   publication.onReturn(() => metrics.countStoreReturn());
@@ -202,7 +202,7 @@
   const transitServer = new TransitServer(context);
   const countOpenRequests = () => callerServer.openRequests + transitServer.openRequests;
   peers.setContactReport(() => ({
-    heardAt: contacts.listHeardAt(),
+    heardAt: contacts.listAliveAt(),
     openTransits: transitServer.openRequests,
   }));
   const dump = () => dumpGateway(state, countOpenRequests(), now());
--- a/packages/router/src/gateway/gatewayMetrics.ts
+++ b/packages/router/src/gateway/gatewayMetrics.ts
@@ -75,7 +75,7 @@
 
   readonly #contactChanges = new Counter({
     name: `${METRIC_PREFIX}contact_changes_total`,
-    help: 'Services whose endpoints this VM could reach no more, or again.',
+    help: 'Services whose endpoints this VM could reach no more or fell silent, or again.',
     labelNames: ['change'],
     registers: [this.#registry],
   });
@@ -175,8 +175,8 @@
     this.#livenessChecks.inc({ liveness });
   }
 
-  /** Counts a service that is lost to this VM, or regained. */
-  countContactChange(change: 'lost' | 'regained'): void {
+  /** Counts a service that is lost to this VM or silent, and its end. */
+  countContactChange(change: 'lost' | 'regained' | 'silent' | 'heard'): void {
     this.#contactChanges.inc({ change });
   }
 
--- a/packages/router/src/gateway/linkChecks.ts
+++ b/packages/router/src/gateway/linkChecks.ts
@@ -4,7 +4,9 @@
   listReadyEndpoints,
   lostSince,
   randomInteger,
+  startCheck,
   type RegisteredEndpoint,
+  type StartedCheck,
 } from '@filbertlatch/core';
 
 import { now } from '../clock.js';
@@ -23,8 +25,8 @@
 
 /** Receives the results of checks. */
 export interface LinkObserver {
-  /** The check of an endpoint that began at `startedAt` has ended. */
-  checked(endpoint: RegisteredEndpoint, link: LinkState, startedAt: number): void;
+  /** A check of an endpoint has ended. */
+  checked(endpoint: RegisteredEndpoint, link: LinkState, check: StartedCheck): void;
 }
 
 /** Checks the links to some endpoints of a service, one check of a service at a time. */
@@ -65,6 +67,11 @@
     return this.#listAskable(serviceId).length;
   }
 
+  /** True while links to a service are checked. */
+  isRunning(serviceId: string): boolean {
+    return this.#running.has(serviceId);
+  }
+
   /** Checks links until one proves sound; resolves when one does, or all that were chosen failed. */
   check(serviceId: string, exceptId: string | null = null): Promise<void> {
     const running = this.#running.get(serviceId);
@@ -115,16 +122,16 @@
   }
 
   async #checkOne(endpoint: RegisteredEndpoint): Promise<LinkState> {
-    const startedAt = now();
     const { id, serviceId } = endpoint;
+    const check = startCheck(this.#state.contacts, serviceId, now());
     const { services } = this.#state.routing.configuration ?? {};
     this.#terms.limits.recordSend(id);
     const path = services?.get(serviceId)?.healthPath ?? '/';
     const link = await checkLink(endpoint, path, this.#loopDelay);
     this.#metrics.countLinkCheck(link);
-    const tookMs = Math.round(now() - startedAt);
+    const tookMs = Math.round(now() - check.startedAt);
     this.#log.decision('link_checked', { endpointId: id, link, tookMs });
-    this.#observer.checked(endpoint, link, startedAt);
+    this.#observer.checked(endpoint, link, check);
     return link;
   }
 }
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -153,6 +153,9 @@
   /** Instant of the first message with newer data than this VM has; null after one without. */
   #behindSince: number | null = null;
 
+  /** Bounds the time at which a message arrived that is read now. */
+  readonly #earliestArrivalAt: () => number;
+
   /** Instants at which VMs that did not know this one were answered, by control address. */
   readonly #answeredAt = new Map<string, number>();
 
@@ -173,8 +176,10 @@
     state: GatewayState,
     receiver: PublicationReceiver,
     log: GatewayLog,
+    earliestArrivalAt: () => number = now,
   ) {
     this.#settings = settings;
+    this.#earliestArrivalAt = earliestArrivalAt;
     this.#state = state;
     this.#receiver = receiver;
     this.#log = log;
@@ -351,7 +356,8 @@
       answersPings: message.answersPings,
     });
     this.#removeExpiredPeers(instant);
-    const contact = extractContact(message.contact, message, instant);
+    const arrivedAt = Math.min(instant, this.#earliestArrivalAt());
+    const contact = extractContact(message.contact, message, { heardAt: instant, arrivedAt });
     if (contact !== null) recordPeerContact(contacts, message.vmId, contact);
     extractBrittle(message, instant).forEach(({ serviceId, brittleness, seenAt }) => {
       recordBrittle(this.#state.brittleness, serviceId, brittleness, seenAt);
