What endpoints share is no crash, and a silent end is dated when it began

Cause: a probe without an answer was an end, though all others were silent too.

Change: an end by silence takes two probes in a row, 1 s and 0.6 s, while others of the service are heard; where nothing is heard two others are checked, and a shared silence says nothing. A probe that is reset listens for 300 ms first. An attempt that was given up before its endpoint was heard again did not end it. A crash is dated by the first probe without an answer. `crashes_total` by sign.

Mixed: the two concerns share suspects/lostAttempts.ts, crashRecorder.ts and probeTask.ts. Open: one endpoint that is silent alone for over 1.6 s is recorded as crashed; two VMs may date one silent end more than 250 ms apart.

--- a/packages/core/__tests__/lostAttempts.spec.ts
+++ b/packages/core/__tests__/lostAttempts.spec.ts
@@ -8,6 +8,7 @@
   recordCrash,
   recordEndpointAlive,
   recordEndpointEnd,
+  recordEndpointHeard,
   recordLostAttempt,
   removeExpiredCrashes,
   removeExpiredTraces,
@@ -67,6 +68,48 @@
     t.is(count(state, 4000), 1);
   });
 
+  const losses = { 'given up': false, broken: true };
+  Object.entries(losses).forEach(([title, isBroken]) => {
+    it(`that was ${title} is ${isBroken ? 'a' : 'no'} crash when its endpoint answers and ends later`, (t) => {
+      const state = createSuspectState();
+      lose(state, 1000, 1200, isBroken);
+      recordEndpointAlive(state, 'e1', 1300);
+      t.is(recordEndpointEnd(state, 'e1', 3000, 'recent').length, isBroken ? 1 : 0);
+    });
+  });
+
+  it('is a crash when its endpoint answered a check that began before, or has another lifetime', (t) => {
+    const state = createSuspectState();
+    lose(state, 1000, 1200);
+    recordEndpointAlive(state, 'e1', 1100);
+    t.is(recordEndpointEnd(state, 'e1', 3000, 'recent').length, 1);
+    lose(state, 4000, 4200);
+    recordEndpointHeard(state, 'e1', 4300);
+    t.is(recordEndpointEnd(state, 'e1', 5000).length, 1);
+  });
+
+  it('that is lost long after a silent end speaks against no segment that was answered since', (t) => {
+    const state = createSuspectState();
+    lose(state, 900, 2600);
+    const [found] = recordEndpointEnd(state, 'e1', 2700, 'recent', 1000);
+    const foundBefore = [2800, 4100].map((at) => lose(state, 950, at));
+    recordEndpointEnd(state, 'e1', 6000);
+    const later = lose(state, 950, 6900);
+    t.deepEqual(
+      [found, ...foundBefore, later].map((crashed) => crashed?.at),
+      [1000, 1000, 1000, 1000],
+    );
+    t.is(lose(state, 900, 990, true)?.at, 990);
+  });
+
+  it('is dated by the later end of an endpoint that was back between two', (t) => {
+    const state = createSuspectState();
+    recordEndpointEnd(state, 'e1', 2700, 'recent', 1000);
+    recordEndpointAlive(state, 'e1', 3000);
+    recordEndpointEnd(state, 'e1', 6000);
+    t.is(lose(state, 5000, 6900)?.at, 6000);
+  });
+
   it('counts as a crash of a request that has two until a health check succeeds', (t) => {
     const state = createSuspectState();
     crash(state, 0, 100);
--- a/packages/core/src/suspects/index.ts
+++ b/packages/core/src/suspects/index.ts
@@ -12,10 +12,12 @@
 export {
   recordEndpointAlive,
   recordEndpointEnd,
+  recordEndpointHeard,
   recordLostAttempt,
   removeExpiredTraces,
   removeLostAttempts,
   type EndedAttempt,
+  type EndTime,
 } from './lostAttempts.js';
 export {
   MAX_REPORTED_CRASHES,
@@ -26,6 +28,7 @@
 } from './crashReports.js';
 export {
   CRASH_TTL_MS,
+  hasBrokenAttempts,
   hasCrashedEndpoint,
   hasLostAttempts,
   hasRecordedCrashes,
@@ -43,6 +46,7 @@
   type CrashHistory,
   type EndpointTrace,
   type LostAttempt,
+  type TracedAttempt,
   type WaitingSuspect,
   type Isolation,
   type SuspectState,
--- a/packages/core/src/suspects/lostAttempts.ts
+++ b/packages/core/src/suspects/lostAttempts.ts
@@ -1,6 +1,12 @@
 import { recordCrash } from './commands.js';
 import type { CrashReport } from './queries.js';
-import type { AttemptTrial, EndpointTrace, LostAttempt, SuspectState } from './state.js';
+import type {
+  AttemptTrial,
+  EndpointTrace,
+  LostAttempt,
+  SuspectState,
+  TracedAttempt,
+} from './state.js';
 
 /**
  * How long an attempt is kept after its loss; longer than a store takes to drop or renew the entry
@@ -17,7 +23,7 @@
 function getOrCreateTrace(state: SuspectState, endpointId: string): EndpointTrace {
   let trace = state.endpointTraces.get(endpointId);
   if (trace === undefined) {
-    trace = { lostAttempts: [], endedAt: null };
+    trace = { lostAttempts: [], endedAt: null, silentSince: null, isSilent: false };
     state.endpointTraces.set(endpointId, trace);
   }
   return trace;
@@ -33,15 +39,19 @@
   readonly trial: AttemptTrial | null;
 }
 
-function createReport(
+/**
+ * Records the crash of a request and returns it dated by the end of its endpoint: attempts are lost long
+ * after a silent end, and answers between speak for their segments.
+ */
+function reportCrash(
+  state: SuspectState,
   endpointId: string,
-  { isPresumedCrash, hasAnswer, ...attempt }: LostAttempt,
+  { isPresumedCrash, hasAnswer, isBroken, isSurvived, ...attempt }: TracedAttempt,
+  silentSince: number,
 ): EndedAttempt {
-  return { ...attempt, endpointId, isAlone: false };
-}
-
-function recordRequestCrash(state: SuspectState, { fingerprint, ...crash }: EndedAttempt): void {
+  const { fingerprint, ...crash } = { ...attempt, endpointId, isAlone: false };
   if (fingerprint !== null) recordCrash(state, { fingerprint, ...crash });
+  return { fingerprint, ...crash, at: Math.min(attempt.at, silentSince) };
 }
 
 /**
@@ -53,34 +63,57 @@
   endpointId: string,
   attempt: LostAttempt,
 ): EndedAttempt | null {
-  const { lostAttempts, endedAt } = getOrCreateTrace(state, endpointId);
+  const { lostAttempts, endedAt, silentSince } = getOrCreateTrace(state, endpointId);
+  const traced = { ...attempt, isBroken: attempt.isPresumedCrash, isSurvived: false };
   if (endedAt !== null && endedAt >= attempt.startedAt) {
-    const report = createReport(endpointId, attempt);
-    recordRequestCrash(state, report);
-    return report;
+    return reportCrash(state, endpointId, traced, silentSince ?? endedAt);
   }
-  lostAttempts.push(attempt);
+  lostAttempts.push(traced);
   if (lostAttempts.length > MAX_LOST_ATTEMPTS) lostAttempts.shift();
   return null;
 }
 
 /**
- * Records that an endpoint was found to have ended, whether or not it is back. Its lost attempts
- * were ended by a crash; returns these crashes.
+ * When an endpoint has ended: `recent` when it gives no sign of life now, so that it lived when it was
+ * last heard; `unknown` when it may have been another one since, under its id.
+ */
+export type EndTime = 'recent' | 'unknown';
+
+/**
+ * Records that an endpoint was found to have ended, whether or not it is back; it has given no sign of
+ * life since `silentSince`. Its lost attempts were ended by a crash; returns these crashes.
  */
 export function recordEndpointEnd(
   state: SuspectState,
   endpointId: string,
   now: number,
+  time: EndTime = 'unknown',
+  silentSince = now,
 ): EndedAttempt[] {
   const trace = getOrCreateTrace(state, endpointId);
   trace.endedAt = now;
-  const reports = trace.lostAttempts
-    .splice(0)
+  // The entry of an endpoint that fell silent is removed later: it ended once.
+  const isKnown = time === 'unknown' && trace.isSilent;
+  const endedBy = isKnown ? (trace.silentSince ?? silentSince) : silentSince;
+  trace.silentSince = endedBy;
+  trace.isSilent = time === 'recent';
+  const attempts = trace.lostAttempts.splice(0);
+  const isEnded = ({ isSurvived }: TracedAttempt) => time === 'unknown' || !isSurvived;
+  trace.lostAttempts.push(...attempts.filter((attempt) => !isEnded(attempt)));
+  return attempts
     .filter(({ at }) => at >= now - LOST_ATTEMPT_TTL_MS)
-    .map((attempt) => createReport(endpointId, attempt));
-  reports.forEach((report) => recordRequestCrash(state, report));
-  return reports;
+    .filter(isEnded)
+    .map((attempt) => reportCrash(state, endpointId, attempt, endedBy));
+}
+
+/** Records that an endpoint sent something after `since`: attempts given up before did not end it. */
+export function recordEndpointHeard(state: SuspectState, endpointId: string, since: number): void {
+  const trace = state.endpointTraces.get(endpointId);
+  if (trace === undefined) return;
+  if (trace.silentSince !== null && trace.silentSince < since) trace.isSilent = false;
+  trace.lostAttempts.forEach((attempt) => {
+    attempt.isSurvived ||= !attempt.isBroken && attempt.at <= since;
+  });
 }
 
 /**
@@ -97,6 +130,7 @@
   survived.forEach((attempt) => {
     attempt.isPresumedCrash = false;
   });
+  recordEndpointHeard(state, endpointId, checkedAt);
   return survived;
 }
 
--- a/packages/core/src/suspects/queries.ts
+++ b/packages/core/src/suspects/queries.ts
@@ -67,6 +67,12 @@
   return (endpointTraces.get(endpointId)?.lostAttempts.length ?? 0) > 0;
 }
 
+/** Returns whether connections to an endpoint broke that has answered no health check since. */
+export function hasBrokenAttempts({ endpointTraces }: SuspectState, endpointId: string): boolean {
+  const { lostAttempts = [] } = endpointTraces.get(endpointId) ?? {};
+  return lostAttempts.some(({ isPresumedCrash }) => isPresumedCrash);
+}
+
 /** Decides whether a request may run with others (`innocent`), in isolation only, or not at all. */
 export function classifyRequest(
   state: SuspectState,
--- a/packages/core/src/suspects/state.ts
+++ b/packages/core/src/suspects/state.ts
@@ -48,12 +48,24 @@
   readonly hasAnswer: boolean;
 }
 
+/** A lost attempt, and what the endpoint has shown since. */
+export interface TracedAttempt extends LostAttempt {
+  /** True when its connection broke: the endpoint may have been back when it was next heard. */
+  readonly isBroken: boolean;
+  /** True when the endpoint was heard after it, without a break between. */
+  isSurvived: boolean;
+}
+
 /** What points to a crash of one endpoint. */
 export interface EndpointTrace {
   /** Oldest first. */
-  readonly lostAttempts: LostAttempt[];
+  readonly lostAttempts: TracedAttempt[];
   /** Time at which the endpoint was last found to have ended; epoch milliseconds, or null. */
   endedAt: number | null;
+  /** Time by which it had ended: since then it gave no sign of life; epoch milliseconds, or null. */
+  silentSince: number | null;
+  /** True while it is not known to have given a sign of life since then. */
+  isSilent: boolean;
 }
 
 /** A suspect that waits to run in isolation. */
--- a/packages/router/src/gateway/crashRecorder.ts
+++ b/packages/router/src/gateway/crashRecorder.ts
@@ -6,6 +6,7 @@
   isExplainedCrash,
   recordEndpointAlive,
   recordEndpointEnd,
+  recordEndpointHeard,
   recordFailedTrial,
   recordLostAttempt,
   recordSegmentAnswer,
@@ -14,6 +15,7 @@
   wasCutOffSince,
   type AttemptTrial,
   type EndedAttempt,
+  type EndTime,
   type LostAttempt,
 } from '@filbertlatch/core';
 
@@ -54,12 +56,23 @@
   }
 
   /** Records that an endpoint has ended; `sign` is what showed it, for the log. */
-  recordEndpointEnd(endpointId: string, sign: string): void {
-    recordEndpointEnd(this.#state.suspects, endpointId, now()).forEach((crash) => {
+  recordEndpointEnd(
+    endpointId: string,
+    sign: string,
+    time: EndTime = 'unknown',
+    silentSince = now(),
+  ): void {
+    const { suspects } = this.#state;
+    recordEndpointEnd(suspects, endpointId, now(), time, silentSince).forEach((crash) => {
       this.#recordCrash(crash, sign);
     });
   }
 
+  /** Records that an endpoint sent bytes after `since`. */
+  recordEndpointHeard(endpointId: string, since: number): void {
+    recordEndpointHeard(this.#state.suspects, endpointId, since);
+  }
+
   /** Records that an endpoint answered a health check that began at `checkedAt`. */
   recordEndpointAlive(endpointId: string, checkedAt: number): void {
     const { segmentSuspects, suspects } = this.#state;
@@ -85,6 +98,7 @@
     const segments = segmentIds
       .slice(0, MAX_LOGGED_SEGMENTS)
       .map((segmentId) => describeSegment(segmentSuspects, serviceId, segmentId, now()));
+    this.#metrics.countCrash(sign);
     const known = fingerprint === null ? {} : countCrashes(suspects, fingerprint, now());
     this.#log.decision('crash_recorded', { fingerprint, endpointId, sign, ...known, segments });
   }
--- a/packages/router/src/gateway/gatewayMetrics.ts
+++ b/packages/router/src/gateway/gatewayMetrics.ts
@@ -80,6 +80,13 @@
     registers: [this.#registry],
   });
 
+  readonly #crashes = new Counter({
+    name: `${METRIC_PREFIX}crashes_total`,
+    help: 'Attempts that the end of their endpoint ended, by what showed it.',
+    labelNames: ['sign'],
+    registers: [this.#registry],
+  });
+
   readonly #linkChecks = new Counter({
     name: `${METRIC_PREFIX}link_checks_total`,
     help: 'Checks of the link to an endpoint, by result.',
@@ -180,6 +187,11 @@
     this.#contactChanges.inc({ change });
   }
 
+  /** Counts an attempt that the end of its endpoint ended. */
+  countCrash(sign: string): void {
+    this.#crashes.inc({ sign });
+  }
+
   /** Counts a check of the link to an endpoint. */
   countLinkCheck(link: LinkState): void {
     this.#linkChecks.inc({ link });
--- a/packages/router/src/gateway/probeTask.ts
+++ b/packages/router/src/gateway/probeTask.ts
@@ -1,5 +1,11 @@
-import { recordProbeResult, takeDueProbes, type RegisteredEndpoint } from '@filbertlatch/core';
-import { Client } from 'undici';
+import {
+  hasBrokenAttempts,
+  recordProbeResult,
+  takeDueProbes,
+  type RegisteredEndpoint,
+  type StartedCheck,
+} from '@filbertlatch/core';
+import { buildConnector, Client } from 'undici';
 
 import { now } from '../clock.js';
 import type { ConnectionTable } from './connectionTable.js';
@@ -9,12 +15,25 @@
 import type { EndpointTerms } from './endpointTerms.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
+import { isConnectionReset } from './isConnectionReset.js';
 import type { LoopDelay } from './loopDelay.js';
 import { SilenceTimer } from './silenceTimer.js';
 
 /** Time-out of a health check; a healthy endpoint answers within it even when its queue is full. */
 const PROBE_TIMEOUT_MS = 1000;
 
+/** Time-out of one that follows one without an answer. */
+const REPEATED_PROBE_TIMEOUT_MS = 600;
+
+/** Probes in a row without an answer that show the end of an endpoint: it may stand still. */
+const UNANSWERED_PROBES_TO_END = 2;
+
+/** Time in which bytes arrive that an endpoint sent before it ended. */
+const IN_FLIGHT_MS = 100;
+
+/** Time in which a full endpoint, which resets a probe, sends bytes on other connections. */
+const RESET_LISTEN_MS = 300;
+
 /** Time after which a probe that waits for an endpoint's limit or pause looks at it again. */
 const TERMS_RECHECK_MS = 250;
 
@@ -33,6 +52,10 @@
   isRunning: boolean;
   /** True when another probe must follow. */
   isDue: boolean;
+  /** Latest probes without an answer while other endpoints of the service answered. */
+  unanswered: number;
+  /** Start of the first of these; epoch milliseconds. */
+  unansweredSince: number;
 }
 
 /** Checks the health of endpoints, each time on a new connection. */
@@ -82,6 +105,8 @@
       startedAt: 0,
       isRunning: false,
       isDue: false,
+      unanswered: 0,
+      unansweredSince: 0,
     };
     this.#progress.set(endpointId, progress);
     if (progress.isDue) return;
@@ -123,19 +148,28 @@
     if (endpoint === undefined) return;
     progress.startedAt = now();
     progress.isRunning = true;
-    await this.#checkHealth(endpoint);
+    await this.#checkHealth(endpoint, progress);
     progress.isRunning = false;
     if (progress.isDue) this.#schedule(endpointId, progress);
   }
 
-  async #checkHealth(endpoint: RegisteredEndpoint): Promise<void> {
+  async #checkHealth(endpoint: RegisteredEndpoint, progress: ProbeProgress): Promise<void> {
     const { routing } = this.#state;
     const path = routing.configuration?.services.get(endpoint.serviceId)?.healthPath ?? '/';
-    const client = new Client(`http://${endpoint.address}`);
-    const startedAt = now();
+    let isOpen = false;
+    const openSocket = buildConnector({ timeout: 2 * PROBE_TIMEOUT_MS });
+    const client = new Client(`http://${endpoint.address}`, {
+      connect: (target, callback) => {
+        openSocket(target, (...result) => {
+          isOpen = result[0] === null || isConnectionReset(result[0]);
+          callback(...result);
+        });
+      },
+    });
+    const check = this.#contacts.startCheck(endpoint);
     const timeout = new AbortController();
     const timer = new SilenceTimer(this.#loopDelay);
-    timer.start(PROBE_TIMEOUT_MS, () => {
+    timer.start(progress.unanswered > 0 ? REPEATED_PROBE_TIMEOUT_MS : PROBE_TIMEOUT_MS, () => {
       timeout.abort(new DOMException('no answer in time', 'TimeoutError'));
     });
     this.#terms.limits.recordSend(endpoint.id);
@@ -146,32 +180,76 @@
       await body.dump();
       const rawHeaders = headers as unknown as readonly string[];
       const answer = this.#dialect.parseAnswer(statusCode, rawHeaders);
-      this.#recordAnswer(endpoint, answer, statusCode, startedAt);
+      progress.unanswered = 0;
+      this.#recordAnswer(endpoint, answer, statusCode, check.startedAt);
     } catch (error) {
-      await this.#recordFailure(endpoint, startedAt, error);
+      const hasTimedOut = error instanceof Error && error.name === 'TimeoutError';
+      await this.#recordFailure(endpoint, check, error, hasTimedOut ? progress : null, isOpen);
     } finally {
       timer.stop();
       void client.destroy();
     }
   }
 
+  /** `unanswered` is the progress of an endpoint that was silent; null of one that refused or reset. */
   async #recordFailure(
     endpoint: RegisteredEndpoint,
-    startedAt: number,
+    check: StartedCheck,
     error: unknown,
+    unanswered: ProbeProgress | null,
+    isOpen: boolean,
   ): Promise<void> {
     const { id: endpointId } = endpoint;
+    const { startedAt } = check;
     recordProbeResult(this.#state.health, endpointId, false, now());
+    const isReset = unanswered === null && isOpen;
+    const aliveSince = isReset ? now() + IN_FLIGHT_MS : startedAt;
+    if (isReset) await this.#listen(RESET_LISTEN_MS);
     // An endpoint whose queue is full may answer requests, but no health check in time.
-    const hasTimedOut = error instanceof Error && error.name === 'TimeoutError';
-    const isBusy = hasTimedOut && this.#connections.lastAliveAt(endpointId) > startedAt;
+    const isAnswerless = unanswered !== null || isReset;
+    const isBusy = isAnswerless && this.#connections.lastAliveAt(endpointId) > aliveSince;
     this.#log.change('endpoint_unreachable', { endpointId, isBusy, error: String(error) });
     // Before, the links may have been sound.
     const failedSince = Math.max(startedAt, now() - MAX_FAILURE_AGE_MS);
-    if (isBusy) this.#crashes.recordEndpointAlive(endpointId, startedAt);
-    else if (await this.#contacts.hasEnded(endpoint, failedSince)) {
-      this.#crashes.recordEndpointEnd(endpointId, 'unreachable');
+    if (isBusy) {
+      if (unanswered !== null) unanswered.unanswered = 0;
+      this.#crashes.recordEndpointAlive(endpointId, startedAt);
+      return;
     }
+    if (isOpen) this.#contacts.recordUnanswered(endpoint, check);
+    if (unanswered !== null && unanswered.unanswered === 0) unanswered.unansweredSince = startedAt;
+    if (unanswered !== null && (await this.#mayStandStill(endpoint, unanswered, failedSince))) {
+      return;
+    }
+    const failure = isOpen ? 'silent' : 'unreachable';
+    if (!(await this.#contacts.hasEnded(endpoint, failedSince, failure))) return;
+    const heardAt = this.#connections.lastAliveAt(endpointId);
+    const sign = isReset ? 'unreachable' : failure;
+    const silentSince = Math.max(heardAt, unanswered?.unansweredSince ?? startedAt);
+    this.#crashes.recordEndpointHeard(endpointId, heardAt - IN_FLIGHT_MS);
+    this.#crashes.recordEndpointEnd(endpointId, sign, 'recent', silentSince);
+  }
+
+  #listen(listenMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      new SilenceTimer(this.#loopDelay).start(listenMs, resolve);
+    });
+  }
+
+  /** Finds out whether an endpoint that gave no answer must be asked again; it is, soon. */
+  async #mayStandStill(
+    endpoint: RegisteredEndpoint,
+    progress: ProbeProgress,
+    failedSince: number,
+  ): Promise<boolean> {
+    if (hasBrokenAttempts(this.#state.suspects, endpoint.id)) return false;
+    // Silent together, they say nothing of each other.
+    const isAlone = await this.#contacts.hasLinks(endpoint, failedSince);
+    progress.unanswered = isAlone ? progress.unanswered + 1 : 0;
+    if (progress.unanswered >= UNANSWERED_PROBES_TO_END) return false;
+    if (isAlone) this.probe(endpoint.id);
+    else this.#contacts.recordDoubt(endpoint);
+    return true;
   }
 
   #recordAnswer(
