A trial is sent where something was heard lately

crashingSegments: a sound segment was refused for 6 s.

Cause: its trial was sent to an endpoint that had ended unnoticed; it failed, and the segment stayed refused.

--- a/packages/core/src/scheduling/index.ts
+++ b/packages/core/src/scheduling/index.ts
@@ -26,7 +26,7 @@
   type SegmentRead,
   type PrefixCacheEstimate,
 } from './prefixCacheEstimate.js';
-export { kindOfRoute, listIdleHalf, ownDemand, totalDemand, totalLoad } from './queries.js';
+export { kindOfRoute, listTrialEndpoints, ownDemand, totalDemand, totalLoad } from './queries.js';
 export {
   createSchedulingState,
   createWorkLoad,
--- a/packages/core/src/scheduling/queries.ts
+++ b/packages/core/src/scheduling/queries.ts
@@ -44,8 +44,10 @@
   return total;
 }
 
-/** Lists the half of the endpoints that has fewer requests. */
-export function listIdleHalf<T extends { readonly id: string }>(
+/** Time within which an endpoint for a trial was heard, where one was; it may have ended since. */
+const TRIAL_CONTACT_MS = 1000;
+
+function listIdleHalf<T extends { readonly id: string }>(
   state: SchedulingState,
   endpoints: readonly T[],
   now: number,
@@ -58,6 +60,21 @@
   return endpoints.filter((_, index) => requests[index]! <= median!);
 }
 
+/**
+ * Lists the endpoints for a trial: of the half with fewer requests those that were heard lately. A
+ * trial at one that has ended unnoticed fails, and its segments stay refused.
+ */
+export function listTrialEndpoints<T extends { readonly id: string }>(
+  state: SchedulingState,
+  endpoints: readonly T[],
+  heardAt: (endpointId: string) => number,
+  now: number,
+): T[] {
+  const idle = listIdleHalf(state, endpoints, now);
+  const heard = idle.filter(({ id }) => heardAt(id) >= now - TRIAL_CONTACT_MS);
+  return heard.length > 0 ? heard : idle;
+}
+
 /** Returns the prefill and decode demand that this VM saw for a service, in engines. */
 export function ownDemand(
   state: SchedulingState,
--- a/packages/router/src/gateway/endpointChoice.ts
+++ b/packages/router/src/gateway/endpointChoice.ts
@@ -2,8 +2,8 @@
   canGoOn,
   createRequestPermits,
   hasSeveralVersions,
-  listIdleHalf,
   listReadyEndpoints,
+  listTrialEndpoints,
   listUsableEndpoints,
   placeJob,
   randomInteger,
@@ -121,9 +121,12 @@
   }
 
   #chooseTrialEndpoint(candidates: readonly RegisteredEndpoint[]): RegisteredEndpoint[] {
-    const { scheduling, random } = this.#context.state;
-    const idle = listIdleHalf(scheduling, candidates, now());
+    const { connections, state } = this.#context;
+    const heardAt = (endpointId: string) => connections.lastAliveAt(endpointId);
+    const endpoints = listTrialEndpoints(state.scheduling, candidates, heardAt, now());
     // At random, since the crash of an endpoint speaks against all that are on trial there.
-    return idle.length === 0 ? [] : [idle[randomInteger(random, idle.length)]!];
+    return endpoints.length === 0
+      ? []
+      : [endpoints[randomInteger(state.random, endpoints.length)]!];
   }
 }
