A peer says when a request that it carries is at an endpoint

Cause: a peer that says nothing counted as one that carries the request; it may wait as well.

Change: the VM that carries a request sends status 102 when it leaves for an endpoint, before its answer; callers are told nothing. Attempt.isAtEndpoint has it.

--- a/packages/router/src/gateway/attempt.ts
+++ b/packages/router/src/gateway/attempt.ts
@@ -27,10 +27,12 @@
   readonly retryAfterMs: number | null;
 }
 
-/** Receives the events of an attempt; each event but `streamed` and `livedOn` is the last. */
+/** Receives the events of an attempt; each event but `sent`, `streamed` and `livedOn` is the last. */
 export interface AttemptObserver {
   /** Says whether the caller still waits. */
   isAwaited(): boolean;
+  /** The request leaves for an endpoint. */
+  sent(): void;
   /** Receives bytes of a stream; returns false to pause until `Attempt.resume`. */
   streamed(head: RawAnswerHead, bytes: Buffer): boolean;
   /** The endpoint still sends the stream some time after it began: it has not crashed. */
@@ -65,6 +67,8 @@
   readonly isOver: boolean;
   /** True when bytes of the request may have been sent. */
   readonly mayHaveSent: boolean;
+  /** True when the request was sent to an endpoint: by this VM, or by a peer that has said so. */
+  readonly isAtEndpoint: boolean;
   /** True when the status and headers have arrived. */
   readonly hasAnswered: boolean;
   /** When it left this process and was answered. */
--- a/packages/router/src/gateway/callerAnswer.ts
+++ b/packages/router/src/gateway/callerAnswer.ts
@@ -37,6 +37,12 @@
     return this.#response.headersSent;
   }
 
+  /** Tells a VM that its request is sent to an endpoint; callers are told nothing. */
+  confirmSend(): void {
+    if (this.#addNote === null || this.#response.headersSent || this.#response.destroyed) return;
+    this.#response.writeProcessing();
+  }
+
   /**
    * Sends the gateway's own error as JSON, with a retry delay in milliseconds if the caller may
    * retry.
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -125,6 +125,7 @@
           context.pauses.leftMs(endpoint) === 0 &&
           !context.links.isLate &&
           hasTimeToSend(admitted.deadlineAt, now()),
+        sent: () => observer.sent(),
         head: (status, headers, isFirst) => this.#handleHead(status, headers, isFirst),
         body: (chunk) => this.#handleBody(chunk),
         end: () => this.#handleEnd(),
@@ -151,6 +152,10 @@
     return this.#request.mayHaveSent;
   }
 
+  get isAtEndpoint(): boolean {
+    return this.mayHaveSent;
+  }
+
   get times(): SendTimes {
     return this.#request.times;
   }
--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -11,6 +11,9 @@
 /** Age of formatted headers, which name the time left, above which they are formatted anew. */
 const MAX_HEADER_AGE_MS = 200;
 
+const PROCESSING_STATUS = 102;
+const FIRST_ANSWER_STATUS = 200;
+
 /** An HTTP request as it is sent to an endpoint. */
 export interface OutgoingRequest {
   readonly method: string;
@@ -33,6 +36,10 @@
   isAwaited?(): boolean;
   /** Says whether to send the request, which may have waited for a connection. */
   mayStart?(): boolean;
+  /** The request leaves this process. */
+  sent?(): void;
+  /** What answers has said that it handles the request (status 102). */
+  processing?(): void;
   /** `isFirst` is true for the answer to the first request on a connection. */
   head(status: number, headers: string[], isFirst: boolean): void;
   /** Returns false to pause reading until `EndpointRequest.resume`. */
@@ -127,13 +134,15 @@
         this.#abort = abort;
         this.#client = freeClient;
         this.#recordSend(freeClient);
+        this.#observer.sent?.();
       },
       onHeaders: (status, rawHeaders, resume) => {
         this.#resume = resume;
         this.#loopDelay.markTurn();
         this.#connections.markHeard();
+        if (status === PROCESSING_STATUS && !this.#isOver) this.#observer.processing?.();
+        if (status < FIRST_ANSWER_STATUS) return true;
         this.#times.answeredAt ??= now();
-        if (status < 200) return true;
         this.#observer.head(status, decodeHeaders(rawHeaders), isFirst);
         return true;
       },
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -268,6 +268,7 @@
     return {
       isAwaited: () => this.#isAwaited(),
       streamed: (head, bytes) => this.#forwardChunk(head, bytes),
+      sent: () => this.#answer.confirmSend(),
       livedOn: () => this.#segmentGuard.recordAnswer(),
       streamEnded: (head) => this.#completeStream(head),
       answered: (head, body) => this.#completeAnswer(head, body),
--- a/packages/router/src/gateway/transitAttempt.ts
+++ b/packages/router/src/gateway/transitAttempt.ts
@@ -60,6 +60,8 @@
 
   #isSettled = false;
 
+  #isAtEndpoint = false;
+
   /** True when the answer goes on with a stream that another attempt has begun. */
   #isResumed: boolean;
 
@@ -80,6 +82,9 @@
     this.#request = new EndpointRequest(connections, context.loopDelay, {
       isAwaited: () => observer.isAwaited(),
       mayStart: () => context.transits.isPrompt(id) && hasTimeToSend(admitted.deadlineAt, now()),
+      processing: () => {
+        this.#isAtEndpoint = true;
+      },
       head: (status, headers) => this.#handleHead(status, headers),
       body: (chunk) => this.#handleBody(chunk),
       end: () => this.#handleEnd(),
@@ -96,6 +101,10 @@
     return this.#request.mayHaveSent;
   }
 
+  get isAtEndpoint(): boolean {
+    return this.#isAtEndpoint;
+  }
+
   get times(): SendTimes {
     return this.#request.times;
   }
