--- a/packages/router/__tests__/gateway/transits.spec.ts
+++ b/packages/router/__tests__/gateway/transits.spec.ts
@@ -143,6 +143,7 @@
     const broken: Readonly<Record<string, Answer>> = {
       'the connection is reset': (request) => reset(request),
       'the endpoint failed': fail(502, 'endpoint_failed'),
+      'that VM ends first': fail(504, 'leaving'),
       'the answer lacks its note': (_request, response) => response.end('answer'),
       'the answer belongs to another request': (request, response) => {
         response.writeHead(200, { ...answerHeaders(request), 'x-request': 'other' }).end('other');
--- a/packages/router/src/gateway/endpointChoice.ts
+++ b/packages/router/src/gateway/endpointChoice.ts
@@ -30,6 +30,9 @@
 
   readonly #triedIds = new Set<string>();
 
+  /** Endpoints that the request was sent to since it could go to any. */
+  readonly #excludedIds = new Set<string>();
+
   constructor(context: GatewayContext, admitted: AdmittedRequest) {
     this.#context = context;
     this.#admitted = admitted;
@@ -40,13 +43,33 @@
     return [...this.#triedIds];
   }
 
-  /** Records that the request is sent to an endpoint, which gets it no more. */
+  /** Records that the request is sent to an endpoint, which gets it no more until `allowTried`. */
   markTried(endpointId: string): void {
     this.#triedIds.add(endpointId);
+    this.#excludedIds.add(endpointId);
+  }
+
+  /** Lets the request go to endpoints again that it was sent to, where no other can serve it. */
+  allowTried(): void {
+    this.#excludedIds.clear();
   }
 
   /** Chooses the endpoint of the next attempt, or refuses the request. */
   place(remainingMs: number, isTrial: boolean): Placement {
+    const { scheduling } = this.#context.state;
+    const { job } = this.#admitted;
+    const placement = this.#decide(remainingMs, isTrial);
+    const isLate = placement.kind === 'refuse' && placement.reason === 'too-late';
+    if (isLate || placement.kind === 'send') recordPlacedSize(scheduling, job, !isLate, now());
+    return placement;
+  }
+
+  /** True when an endpoint would be chosen now. */
+  canPlace(remainingMs: number): boolean {
+    return this.#decide(remainingMs, false).kind === 'send';
+  }
+
+  #decide(remainingMs: number, isTrial: boolean): Placement {
     const { scheduling, streamOrigins, zone, random } = this.#context.state;
     const { job } = this.#admitted;
     const candidates = this.#listCandidates();
@@ -64,10 +87,7 @@
       isResumed: this.origin !== null,
       leavesRoom: hasSeveralVersions(streamOrigins, job.serviceId, instant),
     };
-    const placement = placeJob(context, { ...job, remainingMs });
-    const isLate = placement.kind === 'refuse' && placement.reason === 'too-late';
-    if (isLate || placement.kind === 'send') recordPlacedSize(scheduling, job, !isLate, instant);
-    return placement;
+    return placeJob(context, { ...job, remainingMs });
   }
 
   /** True when the limits of endpoints let the request through to one that it was not sent to. */
@@ -111,7 +131,9 @@
     const serving = this.#listServing().filter((endpoint) => pauses.leftMs(endpoint) === 0);
     const ids = serving.map(({ id }) => id);
     const usable = new Set(listUsableEndpoints(state.health, ids));
-    return serving.filter(({ id }) => usable.has(id) && !this.#triedIds.has(id));
+    const allowed = serving.filter(({ id }) => usable.has(id) && !this.#excludedIds.has(id));
+    const untried = allowed.filter(({ id }) => !this.#triedIds.has(id));
+    return untried.length > 0 ? untried : allowed;
   }
 
   #createPermits(): RequestPermits {
--- a/packages/router/src/gateway/gatewayMetrics.ts
+++ b/packages/router/src/gateway/gatewayMetrics.ts
@@ -101,6 +101,13 @@
     registers: [this.#registry],
   });
 
+  readonly #delayedRetries = new Counter({
+    name: `${METRIC_PREFIX}delayed_retries_total`,
+    help: 'Waits of requests that may have run and that nothing took at the moment, by reason.',
+    labelNames: ['reason'],
+    registers: [this.#registry],
+  });
+
   readonly #storeReturns = new Counter({
     name: `${METRIC_PREFIX}store_returns_total`,
     help: 'Returns of the store from an older copy.',
@@ -207,6 +214,11 @@
     this.#storeReturns.inc();
   }
 
+  /** Counts a wait of a request that may have run, before it is tried again. */
+  countDelayedRetry(reason: string): void {
+    this.#delayedRetries.inc({ reason });
+  }
+
   /** Counts a request whose caller left. */
   countAbandoned(place: RequestPlace): void {
     this.#abandoned.inc({ place });
--- a/packages/router/src/gateway/transitAttempt.ts
+++ b/packages/router/src/gateway/transitAttempt.ts
@@ -30,6 +30,9 @@
 /** Refusals that say nothing of the request: another VM may carry it. */
 const PEER_REASONS = new Set(['out_of_touch', 'busy', 'leaving', 'starting']);
 
+/** Verdicts of a peer on a request that may have run, after which no other attempt helps. */
+const FINAL_REASONS = new Set(['crashes_endpoints', 'timed_out']);
+
 /** One attempt of a request by way of another VM, which sends it to an endpoint once at most. */
 export class TransitAttempt implements Attempt {
   readonly endpoint = null;
@@ -211,7 +214,7 @@
     const isForPeer = status === REFUSED_STATUS && PEER_REASONS.has(reason);
     this.#end(isForPeer ? 'turned-away' : 'refused');
     if (isForPeer) this.#observer.notRun(reason);
-    else if (isRun && reason === 'endpoint_failed') {
+    else if (isRun && !FINAL_REASONS.has(reason)) {
       this.#observer.failed({ verdict: 'may-have-run', cause: 'broken', message: reason });
     } else this.#observer.refused({ status, reason, retryAfterMs });
   }
