Keep a stuck attempt until another has answered, and wait out refusals

LOST: an attempt at a sound, silent endpoint was given up after 0.9 s before another had answered; the others were silent and full as well, and that refusal ended the stream.

Cause: no bytes were taken for a stuck endpoint without asking whether the service is silent, and the first attempt was dropped before the hop.

Change: StuckWatch asks others 250 ms ahead and keeps an attempt while its whole service is silent, or while nothing else can be placed. AttemptPair holds one at a lost service while a peer is asked: the first bytes decide; if the other is refused, the held one is current again. It is given up 0.25 to 0.3 s after a peer has taken the request, since its endpoint may be full and work beside it (TWICE). Connections outlive a silence.

Mixed: waits and held attempts, in exchange.ts, which can't be told apart.

--- a/packages/core/src/segmentSuspects/index.ts
+++ b/packages/core/src/segmentSuspects/index.ts
@@ -18,6 +18,7 @@
   countSegments,
   describeSegment,
   describeSegments,
+  hasCrashedUnder,
   hasSegmentEvidence,
   type SegmentDescription,
   type SegmentKnowledge,
--- a/packages/core/src/segmentSuspects/queries.ts
+++ b/packages/core/src/segmentSuspects/queries.ts
@@ -143,6 +143,18 @@
   return histories.size > 0 && segmentIds.some((id) => histories.has(id));
 }
 
+/** Returns whether an endpoint has crashed under one of these segments, sent there at an instant or later. */
+export function hasCrashedUnder(
+  { histories }: SegmentSuspectState,
+  segmentIds: readonly string[],
+  endpointId: string,
+  sentAt: number,
+): boolean {
+  const isMeant = (crash: SegmentCrash) =>
+    crash.endpointId === endpointId && crash.startedAt >= sentAt;
+  return segmentIds.some((id) => histories.get(id)?.crashes.some(isMeant) === true);
+}
+
 /** What a VM knows of one segment, for its log. */
 export interface SegmentKnowledge {
   readonly segmentId: string;
--- a/packages/router/__tests__/gateway/cutFleet.ts
+++ b/packages/router/__tests__/gateway/cutFleet.ts
@@ -98,7 +98,10 @@
   ],
 };
 
-const WHOLE_STREAM = Array.from({ length: EVENTS }, (_, index) => `id: ${index + 1}\n`).join('');
+/** Body of a whole stream, without empty lines. */
+export const WHOLE_STREAM = Array.from({ length: EVENTS }, (_, index) => `id: ${index + 1}\n`).join(
+  '',
+);
 
 type Group = 'cut' | 'others';
 
--- a/packages/router/__tests__/gateway/fakePeer.ts
+++ b/packages/router/__tests__/gateway/fakePeer.ts
@@ -21,6 +21,9 @@
   /** Returns the time since it last heard from the endpoints, in milliseconds. */
   contactAgeMs: () => number = recentContactMs;
 
+  /** Fields of its messages besides those of a VM that has no news. */
+  news: Record<string, unknown> = {};
+
   #address = '';
 
   readonly #server = createServer((request, response) => {
@@ -79,6 +82,7 @@
         lostServices: [],
         contacts: [['desk', this.contactAgeMs()]],
       },
+      ...this.news,
     };
     return JSON.stringify({ jsonrpc: '2.0', method: 'news', params });
   }
--- a/packages/router/__tests__/gateway/vmLink.ts
+++ b/packages/router/__tests__/gateway/vmLink.ts
@@ -54,6 +54,11 @@
     return link;
   }
 
+  /** The VM's open connections. */
+  get sockets(): Socket[] {
+    return [...this.#pairs].map(([near]) => near);
+  }
+
   /** Cuts the link. */
   cut(kind: CutKind): void {
     this.#cut = kind;
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -11,6 +11,7 @@
   recordReads,
   recordSuccess,
   recordSend,
+  silenceOf,
   enginePriorityOfRank,
   originOf,
   type RegisteredEndpoint,
@@ -217,13 +218,20 @@
     this.#request.cancel();
     if (outcome === 'stuck') {
       this.#countFailure();
-      this.#context.connections.renew(this.endpoint.id);
+      if (!this.#isServiceSilent()) this.#context.connections.renew(this.endpoint.id);
     } else if (outcome === 'timed-out' && !this.hasAnswered && this.mayHaveSent) {
       this.#observeOutcome(true);
     }
     this.#end(outcome);
   }
 
+  /** True when its endpoint is silent as all others are: connections outlive that, or a loss renews them. */
+  #isServiceSilent(): boolean {
+    const { contacts, state } = this.#context;
+    const { serviceId } = this.endpoint;
+    return contacts.isLost(serviceId) || silenceOf(state.contacts, serviceId) !== null;
+  }
+
   #isStream(): boolean {
     return this.#admitted.route.repetition === 'streaming' && this.#rawHead.status === OK_STATUS;
   }
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { creditRequest, takeRetry, type Placement, type TransitPeer } from '@filbertlatch/core';
+import { creditRequest, type Placement, type TransitPeer } from '@filbertlatch/core';
 
 import { now } from '../clock.js';
 import type { AdmittedRequest } from './admitRequest.js';
@@ -9,31 +9,25 @@
 import { EndpointChoice } from './endpointChoice.js';
 import type { AttemptFailure } from './endpointRequest.js';
 import type { Attempt, AttemptObserver, PeerRefusal, RawAnswerHead } from './attempt.js';
+import { AttemptPair } from './attemptPair.js';
 import type { CallerAnswer } from './callerAnswer.js';
-import { EventSplitter } from './eventSplitter.js';
+import { CallerStream } from './callerStream.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { hasTimeToSend } from './hasTimeToSend.js';
 import { dropHopByHopHeaders } from './headers.js';
 import type { OriginAnswer } from './originTask.js';
 import { SegmentGuard } from './segmentGuard.js';
 import { EndpointAttempt } from './endpointAttempt.js';
+import { PeerChoice } from './peerChoice.js';
+import { describeEnd } from './requestEnd.js';
 import { RequestTrace, type RequestTraceFields } from './requestTrace.js';
+import { RetryAllowance } from './retryAllowance.js';
+import { RetryWait } from './retryWait.js';
 import { SilenceTimer } from './silenceTimer.js';
+import { StuckWatch } from './stuckWatch.js';
 import type { ReceivedRequest } from './handleRequest.js';
 import { TransitAttempt } from './transitAttempt.js';
 
-/** Attempts not run by their endpoints after which yet another endpoint is tried. */
-const MAX_NOT_RUN_ATTEMPTS = 3;
-
-/** A repeatable request is stuck after this many latency targets without an answer. */
-const STUCK_TARGET_FACTOR = 2.5;
-
-/** A resumable stream is stalled after this many target gaps without an event. */
-const STALL_GAP_FACTOR = 5;
-
-/** Minimum silence of a stream that counts as a stall. */
-const MIN_STALL_MS = 900;
-
 /** Retry delay told to a caller whose request was not run by any endpoint. */
 const FAILURE_RETRY_AFTER_MS = 250;
 
@@ -43,10 +37,6 @@
 /** Retry delay told to a caller whose stream no VM that answers knows. */
 const UNKNOWN_RETRY_AFTER_MS = 300;
 
-/** Wait before a stream that a peer cannot resume now is tried again, and how often it is. */
-const RESUME_WAIT_MS = 100;
-const MAX_RESUME_WAITS = 8;
-
 /** Status of a request that crashes endpoints; no promise that it has not run. */
 const REFUSED_STATUS = 500;
 
@@ -83,45 +73,35 @@
 
   readonly #segmentGuard: SegmentGuard;
 
-  /** Holds back incomplete events; null unless the route's streams can be resumed. */
-  readonly #eventSplitter: EventSplitter | null;
+  readonly #stream: CallerStream;
 
   readonly #choice: EndpointChoice;
 
-  readonly #triedPeers = new Set<string>();
+  readonly #peers: PeerChoice;
 
   readonly #trace: RequestTrace;
 
-  #resumeWaits = 0;
-
   #stopWatching: (() => void) | null = null;
 
   /** Ends the wait for a slot; null while the request does not wait. */
   #stopWaiting: (() => void) | null = null;
 
-  #attempt: Attempt | null = null;
+  readonly #pair: AttemptPair;
 
-  /** Attempts so far, without those that their endpoints did not run. */
-  #attemptCount = 0;
+  readonly #allowance: RetryAllowance;
 
-  #notRunCount = 0;
+  /** Waits before a request that may have run is tried again. */
+  readonly #retryWait: RetryWait;
 
   /** True when an earlier attempt may have run, so that the caller must not be told otherwise. */
   #mayHaveRun = false;
 
-  /** Instant of the answer, or of the first event of a stream. */
-  #firstAnswerAt: number | null = null;
-
-  #lastEventAt: number | null = null;
-
-  /** Longest time between two writes to the caller. */
-  #longestPauseMs = 0;
 
   #isFinished = false;
 
   #deadlineTimer: NodeJS.Timeout | null = null;
 
-  readonly #stuckTimer: SilenceTimer;
+  readonly #stuckWatch: StuckWatch;
 
   /** Waits for what peers say of trials. */
   readonly #trialTimer: SilenceTimer;
@@ -131,9 +111,10 @@
   constructor(
     context: GatewayContext,
     admitted: AdmittedRequest,
-    { request, response, answer }: ReceivedRequest,
+    received: ReceivedRequest,
     body: Buffer | null,
   ) {
+    const { request, response, answer } = received;
     this.#context = context;
     this.#admitted = admitted;
     this.#request = request;
@@ -141,17 +122,17 @@
     this.#answer = answer;
     this.#body = body;
     this.#choice = new EndpointChoice(context, admitted);
+    this.#stream = new CallerStream(context, admitted, received, this.#choice);
+    this.#peers = new PeerChoice(context, admitted);
+    this.#allowance = new RetryAllowance(context, admitted);
+    this.#retryWait = new RetryWait(context, admitted.job.id);
     this.#trace = new RequestTrace(admitted.arrival, (id) => context.links.provenAt(id));
-    this.#stuckTimer = new SilenceTimer(context.loopDelay);
+    this.#pair = this.#createPair();
+    this.#stuckWatch = new StuckWatch(context, admitted, (attempt) => this.#handleStuck(attempt));
     this.#trialTimer = new SilenceTimer(context.loopDelay);
     this.#segmentGuard = new SegmentGuard(context, admitted);
     const { accountId } = admitted;
     this.#crashGuard = new CrashGuard(context, this.#segmentGuard, accountId, request, body);
-    const { repetition, isResumable } = admitted.route;
-    const { lastEventId = null, origin = null } = admitted.transit ?? {};
-    const isSplit = repetition === 'streaming' && isResumable;
-    this.#eventSplitter = isSplit ? new EventSplitter(lastEventId) : null;
-    if (isSplit) this.#choice.origin = origin;
   }
 
   /** Starts to handle the request. */
@@ -166,16 +147,11 @@
     const handleDeadline = () => loopDelay.afterPoll(() => this.#handleDeadline());
     this.#deadlineTimer = setTimeout(handleDeadline, Math.max(0, deadlineAt - now()));
     // The VM that carries the request credits it.
-    if (this.#choosePeer() === undefined) creditRequest(state.retryBudget, job.serviceId, now());
-    if (this.#isTakenUp()) void this.#takeUp();
+    if (this.#peers.choose() === undefined) creditRequest(state.retryBudget, job.serviceId, now());
+    if (this.#stream.isTakenUp) void this.#takeUp();
     else this.#send();
   }
 
-  /** True when the caller takes up a stream that another request began. */
-  #isTakenUp(): boolean {
-    return this.#eventSplitter !== null && this.#admitted.metadata.lastEventId !== null;
-  }
-
   /** Sends the request once it is known where its stream may go on. */
   async #takeUp(): Promise<void> {
     const { accountId, metadata, job } = this.#admitted;
@@ -198,7 +174,11 @@
 
   #send(): void {
     if (!this.#isAwaited()) return;
-    const peer = this.#choosePeer();
+    const peer = this.#peers.choose();
+    if (peer === undefined && this.#pair.held !== null) {
+      this.#goBack();
+      return;
+    }
     // The VM that carries a request checks it.
     if (peer === undefined && this.#crashGuard.isRefused()) {
       this.#failRequest('crashes_endpoints', REFUSED_STATUS);
@@ -207,7 +187,7 @@
     const { deadlineAt, route } = this.#admitted;
     const instant = now();
     if (!hasTimeToSend(deadlineAt, instant)) this.#endUnserved('too_late', 0);
-    else if (!this.#context.drain.canEnd(route.id, deadlineAt)) {
+    else if (!this.#mustGoOn() && !this.#context.drain.canEnd(route.id, deadlineAt)) {
       this.#endUnserved('leaving', DRAINING_RETRY_AFTER_MS);
     } else if (this.#context.links.isLate) {
       this.#endUnserved('late_link', LATE_LINK_RETRY_AFTER_MS);
@@ -215,19 +195,19 @@
     else this.#sendDirectly(deadlineAt - instant);
   }
 
-  /** Returns the VM by way of which the request goes next; undefined when it goes directly. */
-  #choosePeer(): TransitPeer | undefined {
-    const { transit, job } = this.#admitted;
-    if (transit !== null) return undefined;
-    return this.#context.transits.choosePeer(job.serviceId, this.#triedPeers);
+  /** True while this VM reaches no endpoint of the service. */
+  #isLost(): boolean {
+    return this.#context.contacts.isLost(this.#admitted.job.serviceId);
   }
 
   #sendByPeer(peer: TransitPeer): void {
-    this.#triedPeers.add(peer.id);
+    this.#peers.markTried(peer.id);
     this.#segmentGuard.release();
-    const attempt = new TransitAttempt(this.#context, this.#admitted, peer, this.#createObserver());
-    attempt.resumedOrigin = this.#choice.origin;
-    this.#startAttempt(attempt);
+    this.#startAttempt((observer) => {
+      const attempt = new TransitAttempt(this.#context, this.#admitted, peer, observer);
+      attempt.resumedOrigin = this.#choice.origin;
+      return attempt;
+    });
   }
 
   #sendDirectly(remainingMs: number): void {
@@ -245,9 +225,9 @@
     if (placement.kind === 'refuse') this.#waitOrRefuse(placement, remainingMs);
     else {
       this.#choice.markTried(placement.endpoint.id);
-      const observer = this.#createObserver();
-      const attempt = new EndpointAttempt(this.#context, this.#admitted, placement, observer);
-      this.#startAttempt(attempt);
+      this.#startAttempt(
+        (observer) => new EndpointAttempt(this.#context, this.#admitted, placement, observer),
+      );
     }
   }
 
@@ -264,8 +244,15 @@
     if (this.#stopWaiting === null) refuse();
   }
 
-  #createObserver(): AttemptObserver {
-    return {
+  #createPair(): AttemptPair {
+    return new AttemptPair(this.#context.loopDelay, {
+      isLost: () => this.#isLost(),
+      isUseful: ({ status }) => status < FIRST_SERVER_ERROR_STATUS && !this.#response.headersSent,
+      // After the last attempt, one that may still answer is not given up for a VM that says nothing.
+      maySucceed: (attempt) => this.#allowance.hasAttempts || attempt.isAtEndpoint,
+      wentOn: (attempt) => this.#handleWentOn(attempt),
+      replaced: (attempt) => this.#giveUp(attempt),
+      heldEnded: (attempt, failure) => this.#handleHeldEnd(attempt, failure),
       isAwaited: () => this.#isAwaited(),
       streamed: (head, bytes) => this.#forwardChunk(head, bytes),
       sent: () => this.#answer.confirmSend(),
@@ -276,109 +263,111 @@
       withheld: () => this.#handleWithheld(),
       refused: (refusal) => this.#handleRefused(refusal),
       failed: (failure) => this.#handleFailure(failure),
-    };
+    });
   }
 
-  #startAttempt(attempt: Attempt): void {
-    this.#logResume(attempt);
-    this.#attempt = attempt;
+  #startAttempt(create: (observer: AttemptObserver) => Attempt): void {
+    const from = this.#pair.current;
+    const attempt = this.#pair.begin(create);
+    this.#stream.logResume(attempt, from);
+    // A held attempt has been silent for longer.
+    if (this.#pair.held === null) this.#stuckWatch.recordBytes();
     this.#trace.add(attempt);
-    this.#attemptCount += 1;
-    this.#restartStuckTimer(attempt);
+    this.#allowance.countAttempt();
+    this.#stuckWatch.watch(attempt);
     this.#crashGuard.watch(attempt);
     attempt.send({
       method: this.#request.method ?? 'GET',
       path: this.#request.url ?? '/',
       headers: dropHopByHopHeaders(this.#request.rawHeaders),
       body: this.#body,
-      lastEventId: this.#eventSplitter?.lastEventId ?? null,
+      lastEventId: this.#stream.lastEventId,
     });
   }
 
-  /** Logs where a stream goes on that another attempt has begun: of this request, or another. */
-  #logResume({ endpoint, peerId }: Attempt): void {
-    const { job, metadata } = this.#admitted;
-    const { id: endpointId, version } = endpoint ?? {};
-    const fields = { requestId: job.id, endpointId, version, peer: peerId ?? undefined };
-    const { log } = this.#context;
-    if (this.#response.headersSent) {
-      const from = this.#attempt?.endpoint?.id;
-      const fromVersion = this.#choice.origin?.version;
-      log.decision('stream_resumed', { ...fields, from, fromVersion });
-    } else if (metadata.lastEventId !== null) {
-      log.decision('stream_taken_up', { ...fields, resumes: metadata.resumedRequestId });
-    }
+  #handleStuck(attempt: Attempt): void {
+    if (attempt !== this.#pair.current || this.#isFinished) return;
+    if (!this.#allowance.hasAttempts) return;
+    // One that waits for a connection, or for its caller to read, is not stuck at its endpoint.
+    if (!attempt.mayHaveSent || this.#stream.isFull) this.#stuckWatch.watch(attempt);
+    else if (this.#pair.held !== null) {
+      attempt.cancel('stuck');
+      this.#goBack();
+    } else if (this.#stuckWatch.isServiceSilent(attempt)) this.#keep(attempt, 'service_silent');
+    else if (!this.#isLost() && this.#stuckWatch.startAnew(attempt)) this.#retryWait.reset();
+    else if (!this.#canPlace(attempt) || !this.#tryTakeRetry()) this.#keep(attempt, 'no_endpoint');
+    else this.#replace(attempt);
+  }
+
+  /** True when another attempt would be sent at once, or that attempt is lost. */
+  #canPlace(attempt: Attempt): boolean {
+    const { deadlineAt } = this.#admitted;
+    const instant = now();
+    if (this.#context.links.isLate || !hasTimeToSend(deadlineAt, instant)) return false;
+    if (this.#peers.choose() !== undefined) return true;
+    if (this.#crashGuard.isRefused()) return false;
+    // One whose endpoint has crashed brings nothing: a trial, or a wait for one, is better.
+    const hasCrashed =
+      attempt instanceof EndpointAttempt &&
+      this.#segmentGuard.hasCrashed(attempt.endpoint.id, attempt.sentAt);
+    if (!hasCrashed && !this.#segmentGuard.isSound()) return false;
+    return this.#choice.canPlace(deadlineAt - instant);
+  }
+
+  /** Leaves a stuck attempt in place for a while. */
+  #keep(attempt: Attempt, reason: string): void {
+    this.#peers.allowTried();
+    this.#stuckWatch.watch(attempt, this.#retryWait.takeWaitMs(reason));
   }
 
   /**
-   * Restarts the timer that replaces an attempt without an answer or a stalled stream; only requests
-   * that may run twice have one.
+   * Replaces a stuck attempt. One without links is held: it may go on before a peer answers that has
+   * perhaps none either.
    */
-  #restartStuckTimer(attempt: Attempt): void {
-    const { isRepeatable, route } = this.#admitted;
-    if (!isRepeatable) return;
-    const stallMs = Math.max(MIN_STALL_MS, (route.gapTargetMs ?? 0) * STALL_GAP_FACTOR);
-    const stuckMs = route.targetMs * STUCK_TARGET_FACTOR;
-    const streamFirstEventMs = Math.max(stallMs, stuckMs + attempt.predictedMs);
-    const firstAnswerWaitMs = route.repetition === 'streaming' ? streamFirstEventMs : stuckMs;
-    const waitMs = attempt.hasAnswered ? stallMs : firstAnswerWaitMs;
-    this.#stuckTimer.start(waitMs, () => this.#replaceStuckAttempt(attempt));
-  }
-
-  #replaceStuckAttempt(attempt: Attempt): void {
-    if (attempt !== this.#attempt || this.#isFinished) return;
-    // One that still waits for a connection is not stuck at its endpoint.
-    if (!attempt.mayHaveSent) this.#restartStuckTimer(attempt);
-    if (!attempt.mayHaveSent || !this.#tryTakeRetry()) return;
-    this.#crashGuard.recordUnanswered(attempt);
-    attempt.cancel('stuck');
+  #replace(attempt: Attempt): void {
     this.#mayHaveRun = true;
-    this.#eventSplitter?.dropPartial();
+    if (attempt.peerId === null && this.#peers.choose() !== undefined) this.#pair.hold();
+    else this.#giveUp(attempt);
     this.#send();
   }
 
-  #forwardChunk(head: RawAnswerHead, chunk: Buffer): boolean {
-    const bytes = this.#eventSplitter === null ? chunk : this.#eventSplitter.push(chunk);
-    const attempt = this.#attempt!;
-    if (bytes.length === 0) return true;
-    this.#recordFirstAnswer();
-    this.#recordPause();
-    if (this.#eventSplitter !== null) this.#restartStuckTimer(attempt);
-    this.#beginStream(head);
-    if (this.#response.write(bytes)) return true;
-    this.#response.once('drain', () => attempt.resume());
-    return false;
-  }
-
-  #beginStream(head: RawAnswerHead): void {
-    if (this.#response.headersSent) return;
-    if (this.#eventSplitter !== null) this.#recordOrigin();
-    this.#answer.beginStream(head, this.#choice.origin);
-  }
-
-  #recordOrigin(): void {
-    const { accountId, metadata } = this.#admitted;
-    this.#choice.origin ??= this.#attempt!.origin;
-    const { origin } = this.#choice;
-    const requestId = this.#isTakenUp() ? metadata.resumedRequestId : metadata.requestId;
-    if (requestId === null || origin === null) return;
-    this.#context.origins.record(accountId, requestId, origin);
+  /** Gives an attempt up whose connection is open, since another goes on. */
+  #giveUp(attempt: Attempt): void {
+    this.#crashGuard.recordUnanswered(attempt);
+    attempt.cancel('stuck');
+    this.#stream.dropPartial();
   }
 
-  #recordFirstAnswer(): void {
-    if (this.#firstAnswerAt !== null) return;
-    this.#firstAnswerAt = now();
-    const { metrics } = this.#context;
-    const { arrival, route } = this.#admitted;
-    metrics.observeFirstAnswer(route.id, this.#firstAnswerAt - arrival.earliestAt);
+  /** Goes back to the held attempt: nothing answers in its place. */
+  #goBack(): void {
+    const attempt = this.#pair.goBack();
+    this.#crashGuard.watch(attempt);
+    this.#keep(attempt, 'no_peer');
   }
 
-  #recordPause(): void {
-    const instant = now();
-    if (this.#lastEventAt !== null) {
-      this.#longestPauseMs = Math.max(this.#longestPauseMs, instant - this.#lastEventAt);
-    }
-    this.#lastEventAt = instant;
+  #handleWentOn(attempt: Attempt): void {
+    this.#crashGuard.watch(attempt);
+    this.#stuckWatch.watch(attempt);
+    this.#checkLinks();
+  }
+
+  /** Looks for links when an attempt goes on in a silent service: its connection alone proves none. */
+  #checkLinks(): void {
+    if (this.#isLost()) this.#context.contacts.checkAll();
+  }
+
+  #handleHeldEnd(attempt: Attempt, failure: AttemptFailure | null): void {
+    if (failure?.cause === 'broken') this.#crashGuard.recordBroken(attempt);
+    this.#stream.dropPartial();
+  }
+
+  #forwardChunk(head: RawAnswerHead, chunk: Buffer): boolean {
+    const attempt = this.#pair.current!;
+    this.#stuckWatch.recordBytes();
+    if (!this.#stream.write(attempt, head, chunk)) return true;
+    if (this.#retryWait.reset()) this.#checkLinks();
+    if (this.#stream.isResumable) this.#stuckWatch.watch(attempt);
+    return !this.#stream.isFull;
   }
 
   #recordRunTime(): void {
@@ -388,90 +377,129 @@
 
   #completeStream(head: RawAnswerHead): void {
     this.#recordRunTime();
-    this.#crashGuard.recordAnswer(this.#attempt!);
-    this.#beginStream(head);
-    this.#response.end();
+    this.#crashGuard.recordAnswer(this.#pair.current!);
+    this.#stream.end(this.#pair.current!, head);
     this.#finish('served');
   }
 
   #completeAnswer(head: RawAnswerHead, body: Buffer): void {
     const { status } = head;
-    if (status >= FIRST_SERVER_ERROR_STATUS && this.#tryTakeRetry()) {
+    const isFailure = status >= FIRST_SERVER_ERROR_STATUS;
+    if (this.#pair.held !== null) {
+      this.#goBack();
+      return;
+    }
+    if (isFailure && this.#tryTakeRetry()) {
       this.#mayHaveRun = true;
       this.#send();
       return;
     }
     if (this.#response.headersSent) {
+      if (isFailure && this.#waitToRetry('endpoint_failed')) return;
       // The endpoint that was to resume the stream did not answer with a stream.
       this.#failRequest('endpoint_failed');
       return;
     }
     if (status < FIRST_REDIRECT_STATUS) {
       this.#recordRunTime();
-      this.#crashGuard.recordAnswer(this.#attempt!);
+      this.#crashGuard.recordAnswer(this.#pair.current!);
     }
-    this.#recordFirstAnswer();
+    this.#stream.recordAnswer();
     this.#answer.forward(head, body);
     this.#finish(status < FIRST_CLIENT_ERROR_STATUS ? 'served' : 'failed');
   }
 
   #handleFailure({ cause }: AttemptFailure): void {
-    const attempt = this.#attempt!;
+    const attempt = this.#pair.current!;
     if (cause === 'broken') this.#crashGuard.recordBroken(attempt);
     this.#mayHaveRun = true;
-    this.#eventSplitter?.dropPartial();
-    if (this.#tryTakeRetry()) this.#send();
+    if (this.#pair.held !== null) {
+      this.#goBack();
+      return;
+    }
+    this.#stream.dropPartial();
+    // Nothing was refused here, and the caller has no part of an answer: it may try another VM.
+    const mustWait = cause !== 'malformed' || this.#stream.hasBegun;
+    if (mustWait) this.#sendAgain('endpoint_failed');
+    else if (this.#tryTakeRetry()) this.#send();
     else this.#failRequest('endpoint_failed');
   }
 
+  /** Sends the request once more, now or later, or ends it. */
+  #sendAgain(reason: string): void {
+    if (this.#tryTakeRetry()) this.#send();
+    else this.#waitOrFail(reason);
+  }
+
+  #waitOrFail(reason: string): void {
+    if (!this.#waitToRetry(reason)) this.#failRequest(reason);
+  }
+
   /**
    * Takes a retry from the retry budget; false when the request may not run again or a limit is
    * reached.
    */
   #tryTakeRetry(): boolean {
-    const { isRepeatable, maxAttempts } = this.#admitted;
-    return isRepeatable && this.#attemptCount < maxAttempts && this.#tryChargeRetryBudget();
+    return this.#allowance.hasAttempts && this.#tryChargeRetryBudget();
   }
 
   /**
    * Takes a retry from the retry budget; false when it is used up or no untried endpoint may get it.
    */
   #tryChargeRetryBudget(): boolean {
-    if (this.#choosePeer() === undefined && !this.#choice.hasPermitted()) return false;
-    const { state, countFleetVms } = this.#context;
-    return takeRetry(state.retryBudget, this.#admitted.job.serviceId, countFleetVms(), now());
+    if (this.#peers.choose() === undefined && !this.#choice.hasPermitted()) return false;
+    return this.#allowance.pay();
+  }
+
+  /** True for a request that may have run, and may run again: a refusal is no answer to it. */
+  #mustGoOn(): boolean {
+    return this.#mayHaveRun && this.#allowance.hasAttempts;
+  }
+
+  /** Tries a request again later that may have run; false when there is no other end to it. */
+  #waitToRetry(reason: string): boolean {
+    if (!this.#mustGoOn() || this.#choice.isVersionGone()) return false;
+    if (!hasTimeToSend(this.#admitted.deadlineAt, now())) return false;
+    this.#retryWait.start(reason, () => {
+      this.#peers.allowTried();
+      this.#choice.allowTried();
+      this.#allowance.forgetNotRun();
+      if (this.#isAwaited()) this.#sendAgain(reason);
+    });
+    return true;
   }
 
   /** Sends the request to another endpoint after one that did not run it. */
   #handleNotRun(): void {
-    this.#attemptCount -= 1;
-    if (this.#choosePeer() !== undefined) {
-      // It reached no endpoint, so no retry is spent.
-      this.#send();
-      return;
-    }
-    this.#notRunCount += 1;
-    if (this.#notRunCount <= MAX_NOT_RUN_ATTEMPTS && this.#tryChargeRetryBudget()) this.#send();
-    else if (this.#choice.isPaused()) this.#send();
+    const { peerId, mayHaveSent } = this.#pair.current!;
+    const isByPeer = peerId !== null;
+    // A peer that does not run a request has sent it to no endpoint.
+    if (!isByPeer && mayHaveSent) this.#allowance.takeBackNotRun();
+    else if (isByPeer || this.#peers.choose() !== undefined) this.#allowance.takeBackUnsent();
+    else this.#allowance.takeBackUnreached();
+    const mayTry = !this.#allowance.isTurnedAway && this.#tryChargeRetryBudget();
+    if (mayTry || this.#choice.isPaused()) this.#send();
     else this.#endUnserved('turned_away', FAILURE_RETRY_AFTER_MS);
   }
 
   /** Sends the request elsewhere; nothing was sent, so no retry is spent. */
   #handleWithheld(): void {
-    this.#attemptCount -= 1;
+    this.#allowance.takeBackUnsent();
     this.#send();
   }
 
   /** Passes on what the VM that carries the request says of it. */
   #handleRefused({ status, reason, retryAfterMs }: PeerRefusal): void {
     const isUnserved = status === UNSERVED_STATUS;
-    if (isUnserved && this.#response.headersSent && this.#resumeWaits < MAX_RESUME_WAITS) {
-      this.#resumeWaits += 1;
-      this.#attemptCount -= 1;
-      this.#triedPeers.clear();
-      setTimeout(() => this.#send(), RESUME_WAIT_MS);
+    if (isUnserved) {
+      if (reason === 'turned_away') this.#allowance.takeBackNotRun();
+      else this.#allowance.takeBackUnsent();
+    }
+    if (this.#pair.held !== null) {
+      this.#goBack();
       return;
     }
+    if (isUnserved && this.#waitToRetry(reason)) return;
     const isPromise = status < FIRST_SERVER_ERROR_STATUS || isUnserved;
     if (!isPromise || this.#mayHaveRun) this.#failRequest(reason, isPromise ? undefined : status);
     else this.#answerError(status, reason, retryAfterMs);
@@ -479,16 +507,14 @@
 
   /** Ends a request that no endpoint accepts; retryable unless an earlier attempt may have run. */
   #endUnserved(reason: string, retryAfterMs: number): void {
-    if (this.#mayHaveRun) this.#failRequest(reason);
+    if (this.#pair.held !== null) this.#goBack();
+    else if (this.#mayHaveRun) this.#waitOrFail(reason);
     else this.#answerError(UNSERVED_STATUS, this.#nameReason(reason), retryAfterMs);
   }
 
   /** Tells a VM that sent the request whether another could serve it. */
   #nameReason(reason: string): string {
-    const { transit, job } = this.#admitted;
-    return transit !== null && this.#context.contacts.isLost(job.serviceId)
-      ? 'out_of_touch'
-      : reason;
+    return this.#admitted.transit !== null && this.#isLost() ? 'out_of_touch' : reason;
   }
 
   #failRequest(reason: string, status = FAILED_STATUS): void {
@@ -506,19 +532,18 @@
   }
 
   #handleDeadline(): void {
-    this.#attempt?.endUnchecked?.();
+    this.#pair.open.forEach((attempt) => attempt.endUnchecked?.());
     this.#endUnfinished('timed_out');
   }
 
   /** Ends a request that gets no answer of an endpoint any more. */
   #endUnfinished(reason: 'timed_out' | 'leaving'): void {
     if (this.#isFinished) return;
-    const attempt = this.#attempt;
-    if (attempt !== null) {
-      if (!attempt.isOver && attempt.mayHaveSent) this.#crashGuard.recordUnanswered(attempt);
+    this.#mayHaveRun ||= this.#pair.current?.mayHaveSent === true;
+    this.#pair.open.forEach((attempt) => {
+      if (attempt.mayHaveSent) this.#crashGuard.recordUnanswered(attempt);
       attempt.cancel('timed-out');
-      this.#mayHaveRun ||= attempt.mayHaveSent;
-    }
+    });
     if (this.#response.headersSent) this.#failRequest(reason);
     else if (this.#mayHaveRun) this.#answerError(504, reason);
     else this.#answerError(503, reason, FAILURE_RETRY_AFTER_MS);
@@ -526,55 +551,49 @@
 
   #handleCallerLeft(): void {
     if (this.#isFinished) return;
+    this.#pair.open.forEach((attempt) => this.#abandon(attempt));
+    const { loopDelay, metrics } = this.#context;
+    const trace = this.#trace.describe(now(), loopDelay.unreadAgeMs);
+    metrics.countAbandoned(trace.place);
+    this.#finish('abandoned', trace);
+  }
+
+  #abandon(attempt: Attempt): void {
     const { isRepeatable, route } = this.#admitted;
-    const attempt = this.#attempt;
-    const mayRun = attempt?.isOver === false && attempt.mayHaveSent;
+    const mayRun = attempt.mayHaveSent;
     if (mayRun) this.#crashGuard.recordAbandoned(attempt);
     // One that must not run twice may complete at its endpoint: its effect is what the caller asked for.
     const mayComplete =
       mayRun && attempt.peerId === null && !isRepeatable && route.repetition !== 'streaming';
-    if (!mayComplete) attempt?.cancel('abandoned');
-    const { loopDelay, metrics } = this.#context;
-    const trace = this.#trace.describe(now(), loopDelay.unreadAgeMs);
-    metrics.countAbandoned(trace.place);
-    this.#finish('abandoned', trace);
+    if (!mayComplete) attempt.cancel('abandoned');
   }
 
   #finish(outcome: string, trace: RequestTraceFields | null = null): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
     if (this.#deadlineTimer !== null) clearTimeout(this.#deadlineTimer);
-    this.#stuckTimer.stop();
+    this.#stuckWatch.stop();
     this.#trialTimer.stop();
+    this.#retryWait.stop();
+    this.#pair.stop();
     this.#stopWatching?.();
     this.#stopWaiting?.();
     this.#crashGuard.unwatch();
     this.#segmentGuard.release();
     const { metrics, log, state } = this.#context;
-    const { arrival, route, job, isReturning } = this.#admitted;
-    const { earliestAt, readAt } = arrival;
-    metrics.countRequest(route.id, outcome);
+    metrics.countRequest(this.#admitted.route.id, outcome);
     log.decision('request_ended', {
-      requestId: job.id,
-      route: route.id,
+      ...describeEnd(this.#admitted, this.#stream.times, now()),
       outcome,
-      priority: job.priority,
-      promptTokens: job.size?.promptTokens,
-      outputTokens: job.size?.outputTokens,
-      isReturning,
       configuration: state.routing.configuration?.version,
       placement: this.#placement?.kind,
       predictedMs: Math.round(this.#placement?.predictedMs ?? 0),
       tried: this.#choice.triedIds,
-      peers: this.#triedPeers.size === 0 ? undefined : [...this.#triedPeers],
+      peers: this.#peers.triedIds,
       from: this.#admitted.transit?.from,
-      requestLimit: this.#attempt?.requestLimit ?? undefined,
+      requestLimit: this.#pair.current?.requestLimit ?? undefined,
       ...this.#crashGuard.describe(),
       ...trace,
-      unreadMs: Math.round(readAt - earliestAt),
-      firstMs: this.#firstAnswerAt === null ? null : Math.round(this.#firstAnswerAt - earliestAt),
-      longestPauseMs: Math.round(this.#longestPauseMs),
-      totalMs: Math.round(now() - earliestAt),
     });
   }
 }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -54,6 +54,7 @@
 import { PeerTask } from './peerTask.js';
 import { ProbeTask } from './probeTask.js';
 import type { PublicationSource } from './publication.js';
+import { ServiceSilence } from './serviceSilence.js';
 import { PublicationTask } from './publicationTask.js';
 import type { GatewaySettings } from './settings.js';
 import { isTransit, TransitServer } from './transitServer.js';
@@ -182,6 +183,7 @@
     intake: new IntakeTask(loopDelay, callerConnections, state.random),
     brittle,
     contacts,
+    silences: new ServiceSilence(state, connections, contacts),
     links,
     drain: new Drain(settings.graceSeconds * MS_PER_SECOND),
     transits,
--- a/packages/router/src/gateway/gatewayContext.ts
+++ b/packages/router/src/gateway/gatewayContext.ts
@@ -16,6 +16,7 @@
 import type { LoopDelay } from './loopDelay.js';
 import type { OriginTask } from './originTask.js';
 import type { ProbeTask } from './probeTask.js';
+import type { ServiceSilence } from './serviceSilence.js';
 import type { TransitTask } from './transitTask.js';
 
 /** State and services that the exchanges of a gateway share. */
@@ -30,6 +31,7 @@
   readonly intake: IntakeTask;
   readonly brittle: BrittleTask;
   readonly contacts: ContactTask;
+  readonly silences: ServiceSilence;
   readonly links: LateLinkTask;
   readonly drain: Drain;
   readonly transits: TransitTask;
--- a/packages/router/src/gateway/segmentGuard.ts
+++ b/packages/router/src/gateway/segmentGuard.ts
@@ -5,6 +5,7 @@
   countSegmentRefusal,
   describeSegment,
   endTrial,
+  hasCrashedUnder,
   hasSegmentEvidence,
   holdLostTrial,
   recordSegmentAnswer,
@@ -60,6 +61,24 @@
     return this.#isOnTrial ? this.#trial : null;
   }
 
+  /** True when the request may be sent as any other, neither on trial nor later. */
+  isSound(): boolean {
+    const { segmentSuspects } = this.#context.state;
+    return (
+      classifySegments(segmentSuspects, this.serviceId, this.segmentIds, now()).kind === 'sound'
+    );
+  }
+
+  /** True when an endpoint is known to have crashed with a request sent there at an instant or later. */
+  hasCrashed(endpointId: string, sentAt: number): boolean {
+    return hasCrashedUnder(
+      this.#context.state.segmentSuspects,
+      this.segmentIds,
+      endpointId,
+      sentAt,
+    );
+  }
+
   /** Decides before each attempt. A suspect waits once, while VMs settle whose trial goes first. */
   requestPermission(): SendPermission {
     const { segmentSuspects } = this.#context.state;
