An empty rest of a stream is its end only if a second endpoint has no more

A stream that goes on after the last event of another may get an answer without events or a length. An endpoint that closes right after its head looks like one that has nothing more, so the stream passed as complete.

Change: such a rest is the end when a second endpoint has no more of it either, or no attempt is left.

Not covered: an empty rest of the last attempt, or of one that a peer carries.

--- a/packages/router/src/gateway/attempt.ts
+++ b/packages/router/src/gateway/attempt.ts
@@ -18,6 +18,8 @@
   readonly body: Buffer | null;
   /** Id of the last event that was sent to the caller; null for a new stream. */
   readonly lastEventId: string | null;
+  /** Says whether an answer is taken for the end of the stream though it has neither events nor a length. */
+  acceptsEmptyRest(): boolean;
 }
 
 /** An error that a peer answers itself. */
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -35,11 +35,17 @@
 import { StreamProgress } from './streamProgress.js';
 
 /** Outcomes after which the endpoint has the request no more. */
-const ANSWERED_OUTCOMES = new Set(['served', 'failed', 'turned-away']);
+const ANSWERED_OUTCOMES = new Set(['served', 'failed', 'turned-away', 'empty']);
 
 /** What shows that an answer whose end only the connection tells is whole. */
 const PROVEN_ENDS: ReadonlySet<Liveness> = new Set<Liveness>(['alive', 'open']);
 
+/** Causes that say nothing against an endpoint. */
+const SOUND_CAUSES: ReadonlySet<AttemptFailure['cause']> = new Set<AttemptFailure['cause']>([
+  'empty',
+  'withheld',
+]);
+
 const OK_STATUS = 200;
 const FIRST_SERVER_ERROR_STATUS = 500;
 
@@ -92,6 +98,8 @@
   /** Null unless the answer goes on with a stream that another attempt has begun. */
   #resumedEvents: ResumedEvents | null = null;
 
+  #acceptsEmptyRest: (() => boolean) | null = null;
+
   #heardAt = this.sentAt;
 
   #liveness: Liveness | null = null;
@@ -192,7 +200,8 @@
   }
 
   /** Sends the request. */
-  send({ method, path, headers, body, lastEventId }: AttemptRequest): void {
+  send({ method, path, headers, body, lastEventId, acceptsEmptyRest }: AttemptRequest): void {
+    this.#acceptsEmptyRest = acceptsEmptyRest;
     const { accountId, deadlineAt, job } = this.#admitted;
     const { dialect, state } = this.#context;
     const resumedAfter = lastEventId ?? this.#admitted.metadata.lastEventId;
@@ -306,7 +315,8 @@
     if (this.#isSettled) return;
     const { headers, status } = this.#rawHead;
     if (!isFramed(headers)) this.#logUnframedEnd();
-    if (this.#isStream() && this.#stream.isBrokenOff(headers)) {
+    const isResumed = this.#resumedEvents !== null;
+    if (this.#isStream() && this.#stream.isBrokenOff(headers, isResumed)) {
       this.#fail({
         verdict: 'may-have-run',
         cause: 'broken',
@@ -331,9 +341,16 @@
     if (!PROVEN_ENDS.has(liveness)) {
       const message = `endpoint after the end of its answer: ${liveness}`;
       this.#fail({ verdict: 'may-have-run', cause: 'broken', message });
+    } else if (this.#lacksRest() && this.#acceptsEmptyRest?.() === false) {
+      const message = 'rest of the stream is empty and has no length';
+      this.#fail({ verdict: 'may-have-run', cause: 'empty', message });
     } else this.#complete();
   }
 
+  #lacksRest(): boolean {
+    return this.#isStream() && this.#resumedEvents?.hasEvents === false;
+  }
+
   #complete(): void {
     if (this.#isStream()) {
       this.#countSuccess();
@@ -354,7 +371,8 @@
       requestId: this.#admitted.job.id,
       endpointId: this.endpoint.id,
       isStream,
-      isInsideEvent: isStream && this.#stream.isBrokenOff(this.#rawHead.headers),
+      isInsideEvent:
+        isStream && this.#stream.isBrokenOff(this.#rawHead.headers, this.#resumedEvents !== null),
       sinceSentMs: Math.round(now() - this.sentAt),
     });
   }
@@ -393,7 +411,7 @@
 
   #fail(failure: AttemptFailure): void {
     if (this.#isSettled) return;
-    if (failure.cause !== 'withheld') this.#countFailure();
+    if (!SOUND_CAUSES.has(failure.cause)) this.#countFailure();
     this.#end(failure.cause);
     const { contacts, log, probes, state } = this.#context;
     if (failure.cause === 'unreachable') contacts.recordFailure(this.endpoint);
--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -26,7 +26,7 @@
 /** Why an attempt ended without a complete answer. */
 export interface AttemptFailure {
   readonly verdict: Verdict;
-  readonly cause: 'unreachable' | 'broken' | 'malformed' | 'cancelled' | 'withheld';
+  readonly cause: 'unreachable' | 'broken' | 'empty' | 'malformed' | 'cancelled' | 'withheld';
   readonly message: string;
 }
 
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -96,6 +96,8 @@
   /** True when an earlier attempt may have run, so that the caller must not be told otherwise. */
   #mayHaveRun = false;
 
+  /** Event after which an endpoint has answered with no other; undefined before. */
+  #emptyRestAfter: string | null | undefined;
 
   #isFinished = false;
 
@@ -282,9 +284,15 @@
       headers: dropHopByHopHeaders(this.#request.rawHeaders),
       body: this.#body,
       lastEventId: this.#stream.lastEventId,
+      // Two endpoints that have nothing more of a stream show its end; so does one, where no other can be asked.
+      acceptsEmptyRest: () => this.#hasEmptyRest() || !this.#tryTakeRetry(),
     });
   }
 
+  #hasEmptyRest(): boolean {
+    return this.#emptyRestAfter === this.#stream.lastEventId;
+  }
+
   #handleStuck(attempt: Attempt): void {
     if (attempt !== this.#pair.current || this.#isFinished) return;
     if (!this.#allowance.hasAttempts) return;
@@ -412,6 +420,7 @@
   #handleFailure({ cause }: AttemptFailure): void {
     const attempt = this.#pair.current!;
     if (cause === 'broken') this.#crashGuard.recordBroken(attempt);
+    if (cause === 'empty') this.#emptyRestAfter = this.#stream.lastEventId;
     this.#mayHaveRun = true;
     if (this.#pair.held !== null) {
       this.#goBack();
--- a/packages/router/src/gateway/resumedEvents.ts
+++ b/packages/router/src/gateway/resumedEvents.ts
@@ -1,5 +1,8 @@
 import { EventSplitter } from './eventSplitter.js';
 
+/** Fields of events; a comment is none. */
+const EVENT_FIELD = /^(?:id|data|event)\b/m;
+
 const DECIMAL_ID = /^\d{1,30}$/;
 
 function parseFirstEventId(events: Buffer): string | null {
@@ -18,6 +21,8 @@
 
   readonly #splitter = new EventSplitter();
 
+  #hasEvents = false;
+
   #isChecked = false;
 
   #hasBegunAgain = false;
@@ -26,6 +31,11 @@
     this.#lastEventId = lastEventId;
   }
 
+  /** True when a part of an event has come; comments are none. */
+  get hasEvents(): boolean {
+    return this.#hasEvents;
+  }
+
   /** True when the endpoint does not go on, but sends events from before. */
   get hasBegunAgain(): boolean {
     return this.#hasBegunAgain;
@@ -34,6 +44,7 @@
   /** Adds bytes and returns all complete events. */
   push(chunk: Buffer): Buffer {
     const events = this.#splitter.push(chunk);
+    this.#hasEvents ||= EVENT_FIELD.test(events.toString('latin1'));
     if (!this.#isChecked) this.#check(events);
     return events;
   }
--- a/packages/router/src/gateway/streamProgress.ts
+++ b/packages/router/src/gateway/streamProgress.ts
@@ -47,10 +47,13 @@
     return true;
   }
 
-  /** Says whether a stream with these headers that ended without an error lacks a part. */
-  isBrokenOff(headers: readonly string[]): boolean {
+  /**
+   * Says whether a stream with these headers that ended without an error lacks a part. One that goes
+   * on after the last event of another is empty.
+   */
+  isBrokenOff(headers: readonly string[], isResumed: boolean): boolean {
     if (!this.#boundary.isEmpty) return !this.#boundary.isAtEventEnd;
     // Without a length or chunks nothing but an event tells an answer from a crash.
-    return !isFramed(headers);
+    return !isFramed(headers) && !isResumed;
   }
 }
