--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,21 +4,32 @@
 
 // The adapter to the users' platform imports the product, never the other way round.
 const adapter = '@filbertlatch/platform';
+const soak = '@filbertlatch/soak';
 
 // The layers: a package may import only the packages below it.
 const layers = {
   core: ['@filbertlatch/*'],
   router: [
+    '@filbertlatch/standins',
+    '@filbertlatch/daemon',
+    '@filbertlatch/bench',
+    '@filbertlatch/cli',
+    soak,
+    adapter,
+  ],
+  standins: ['@filbertlatch/daemon', '@filbertlatch/bench', '@filbertlatch/cli', soak, adapter],
+  daemon: ['@filbertlatch/bench', '@filbertlatch/cli', soak, adapter],
+  bench: ['@filbertlatch/daemon', '@filbertlatch/cli', soak, adapter],
+  cli: [soak, adapter],
+  // The soak judges the program from outside; of the product it takes only its seeded numbers.
+  soak: [
+    '@filbertlatch/router',
     '@filbertlatch/standins',
     '@filbertlatch/daemon',
     '@filbertlatch/bench',
     '@filbertlatch/cli',
     adapter,
   ],
-  standins: ['@filbertlatch/daemon', '@filbertlatch/bench', '@filbertlatch/cli', adapter],
-  daemon: ['@filbertlatch/bench', '@filbertlatch/cli', adapter],
-  bench: ['@filbertlatch/daemon', '@filbertlatch/cli', adapter],
-  cli: [adapter],
 };
 
 // The core decides; it must not see a socket, a timer, a file or a log.
--- /dev/null
+++ b/packages/soak/standins.d.ts
@@ -0,0 +1,105 @@
+import type { Agent } from 'node:http';
+import type { Server } from 'node:net';
+
+export const HOST: string;
+export const RUNNER_URL: URL;
+export const OWN_HOST_URL: URL;
+export const ROOT_URL: URL;
+export const CONFIGURATION_KEY: string;
+
+export function listenOnLastingPort(server: Server): Promise<string>;
+
+export function formatCallHeaders(call: {
+  readonly id: string;
+  readonly timeoutMs: number;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly segments: Readonly<Record<string, number>>;
+  readonly key: string;
+}): Record<string, string>;
+
+export function formatAccount(name: string, keys: readonly string[]): object;
+export function formatTarget(ms: number): object;
+
+export interface Service {
+  readonly name: string;
+  readonly engine: Readonly<Record<string, number>>;
+}
+
+export const ENGINES: Service;
+
+export interface Configuration {
+  readonly version: number;
+  readonly limits: Readonly<Record<string, number>>;
+}
+
+export function createRoute(name: string, kind: string, service: Service, fields: object): object;
+
+export function createConfiguration(
+  routes: readonly object[],
+  services: readonly Service[],
+  fields?: object,
+): Configuration;
+
+/** What a caller has seen: `cut` is an answer that ended early, `none` not even a head. */
+export interface SeenAttempt {
+  readonly id: string;
+  readonly sentAt: number;
+  readonly endedAt: number;
+  readonly status: number | null;
+  readonly text: string;
+  readonly answer: 'whole' | 'cut' | 'none' | 'left';
+  readonly error: string | null;
+}
+
+export interface Attempt {
+  readonly method: string;
+  readonly host: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string;
+  readonly bytesPerSecond?: number;
+  readonly leaveAfterMs?: number | null;
+  readonly channel: Agent;
+}
+
+export function drawAttemptId(): string;
+export function sendAttempt(address: string, attempt: Attempt): Promise<SeenAttempt>;
+
+export class Store {
+  address: string;
+  start(): Promise<void>;
+  stop(): void;
+  put(key: string, value: unknown): void;
+  remove(key: string): void;
+  write(key: string, value: unknown): Promise<void>;
+  setDelay(ms: number): void;
+  leave(): void;
+  copy(): object;
+  comeBack(copy: object): Promise<void>;
+}
+
+/** One VM: its process is started again whenever it has ended. */
+export interface Gateway {
+  readonly name: string;
+  readonly listen: { readonly front: string; readonly control: string };
+  readonly ends: { at: number; code: number | null; signal: string | null }[];
+  kill(signal: string): void;
+}
+
+/** Module that each VM's process loads first, and its environment. */
+export interface Network {
+  readonly preload: string;
+  createEnvironment(index: number): Readonly<Record<string, string>>;
+}
+
+export class Fleet {
+  constructor(options: {
+    readonly root: string;
+    readonly logDirectory: string;
+    readonly network: Network | null;
+  });
+  gateways: Gateway[];
+  start(count: number, storeAddress: string): Promise<void>;
+  stop(): Promise<void>;
+}
