Tests get ports that neither connections nor forked processes hold

Cause: oddEntries had a search for free ports of its own: it listened on any port, closed it and let the gateway listen on it later. Between the two the system may give the port to a connection or to the next search (32981 is one of those), and a process that another thread forks holds a copy of the closed socket until it runs its own program. Which of them it was is not known. Its ports were also those of the soak and of the soak's proxy, which are played beside it.

The router's tests have 10,000 to 19,999, the soak 20,000 to 25,999 and its proxy 26,000 to 31,999.

--- a/packages/router/__tests__/gateway/contactTask.spec.ts
+++ b/packages/router/__tests__/gateway/contactTask.spec.ts
@@ -2,11 +2,11 @@
 
 import { describe, itSerial } from '@filbertlatch/core/testing';
 
+import { findFreeAddress } from '../../src/testing/index.js';
 import { FakePeer, serve } from './fakePeer.js';
 import {
   call,
   createSource,
-  findFreeAddress,
   startEndpoint,
   startGateway,
   testConfiguration,
--- a/packages/router/__tests__/gateway/drainedConnections.spec.ts
+++ b/packages/router/__tests__/gateway/drainedConnections.spec.ts
@@ -9,9 +9,9 @@
 import { CallerServer } from '../../src/gateway/callerServer.js';
 import type { GatewayContext } from '../../src/gateway/gatewayContext.js';
 import { LoopDelay } from '../../src/gateway/loopDelay.js';
+import { findFreeAddress } from '../../src/testing/index.js';
 import {
   createSource,
-  findFreeAddress,
   startEndpoint,
   startGateway,
   testConfiguration,
--- a/packages/router/__tests__/gateway/earlyEnds.spec.ts
+++ b/packages/router/__tests__/gateway/earlyEnds.spec.ts
@@ -4,11 +4,11 @@
 import { describe, itSerial } from '@filbertlatch/core/testing';
 
 import { addNote } from '../../src/gateway/transitEnvelope.js';
+import { findFreeAddress } from '../../src/testing/index.js';
 import { FakePeer } from './fakePeer.js';
 import {
   call,
   createSource,
-  findFreeAddress,
   startGateway,
   testConfiguration,
   waitUntil,
--- a/packages/router/__tests__/gateway/fakePeer.ts
+++ b/packages/router/__tests__/gateway/fakePeer.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 
-import { findFreeAddress } from './fixtures.js';
+import { findFreeAddress } from '../../src/testing/index.js';
 
 const GOSSIP_MS = 50;
 
--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -21,6 +21,7 @@
   type PublicationBatch,
 } from '../../src/gateway/index.js';
 import { GatewayMetrics } from '../../src/gateway/gatewayMetrics.js';
+import { findFreeAddress } from '../../src/testing/index.js';
 
 const TOKENS_PER_SEGMENT = 200;
 const OUTPUT_TOKENS = 30;
@@ -226,65 +227,6 @@
   };
 }
 
-/**
- * Ports below those that the system gives to outgoing connections, one of which could take a port
- * that is free for a moment.
- */
-const FIRST_PORT = 10_000;
-
-/** Ports of one thread; another could take a port whose server is down for a moment. */
-const PORTS_PER_BLOCK = 500;
-const BLOCK_COUNT = 44;
-
-/** Listens on a port; null when it is in use. */
-async function listenOnPort(port: number): Promise<Server | null> {
-  const server = createServer();
-  server.listen(port, '127.0.0.1');
-  try {
-    await once(server, 'listening');
-    return server;
-  } catch {
-    return null;
-  }
-}
-
-/** Takes a block of ports until the end of the thread, by listening on its first port. */
-async function takePortBlock(): Promise<number> {
-  const firstBlock = Math.floor(Math.random() * BLOCK_COUNT);
-  for (let step = 0; step < BLOCK_COUNT; step += 1) {
-    const block = (firstBlock + step) % BLOCK_COUNT;
-    const guard = await listenOnPort(FIRST_PORT + block * PORTS_PER_BLOCK);
-    if (guard !== null) {
-      guard.unref();
-      return FIRST_PORT + block * PORTS_PER_BLOCK;
-    }
-  }
-  throw new Error('no block of ports is free');
-}
-
-let portBlock: Promise<number> | null = null;
-
-let portsTaken = 0;
-
-async function isFree(port: number): Promise<boolean> {
-  const server = await listenOnPort(port);
-  if (server === null) return false;
-  server.close();
-  await once(server, 'close');
-  return true;
-}
-
-/** Returns a loopback address that no other test gets soon and that is free now. */
-export async function findFreeAddress(): Promise<string> {
-  portBlock ??= takePortBlock();
-  const firstPort = await portBlock;
-  for (;;) {
-    portsTaken += 1;
-    const port = firstPort + 1 + (portsTaken % (PORTS_PER_BLOCK - 1));
-    if (await isFree(port)) return `127.0.0.1:${port}`;
-  }
-}
-
 /** A started gateway and its addresses. */
 export interface TestGateway {
   readonly gateway: Gateway;
--- a/packages/router/__tests__/gateway/fullUnframed.spec.ts
+++ b/packages/router/__tests__/gateway/fullUnframed.spec.ts
@@ -3,13 +3,8 @@
 
 import { describe, it } from '@filbertlatch/core/testing';
 
-import {
-  call,
-  createSource,
-  findFreeAddress,
-  startGateway,
-  testConfiguration,
-} from './fixtures.js';
+import { findFreeAddress } from '../../src/testing/index.js';
+import { call, createSource, startGateway, testConfiguration } from './fixtures.js';
 
 describe('an answer without length of an endpoint that resets further connections', () => {
   it('is whole', async (t) => {
--- a/packages/router/__tests__/gateway/gossipBytes.spec.ts
+++ b/packages/router/__tests__/gateway/gossipBytes.spec.ts
@@ -16,7 +16,7 @@
 import { PeerTask } from '../../src/gateway/peerTask.js';
 import { parseGatewaySettings } from '../../src/gateway/settings.js';
 import { createLog } from '../../src/log/index.js';
-import { findFreeAddress } from './fixtures.js';
+import { findFreeAddress } from '../../src/testing/index.js';
 
 const PEERS = 84;
 const ENGINES = 62;
--- a/packages/router/__tests__/gateway/holdConnection.spec.ts
+++ b/packages/router/__tests__/gateway/holdConnection.spec.ts
@@ -6,7 +6,7 @@
 import { splitAddress } from '../../src/gateway/address.js';
 import { holdConnection } from '../../src/gateway/holdConnection.js';
 import { LoopDelay } from '../../src/gateway/loopDelay.js';
-import { findFreeAddress } from './fixtures.js';
+import { findFreeAddress } from '../../src/testing/index.js';
 import { blockLoop } from './threadedEndpoint.js';
 
 const times = { connectTimeoutMs: 500, holdMs: 40 };
--- a/packages/router/__tests__/gateway/intakeTask.spec.ts
+++ b/packages/router/__tests__/gateway/intakeTask.spec.ts
@@ -12,7 +12,7 @@
 import { Drain } from '../../src/gateway/drain.js';
 import { IntakeTask } from '../../src/gateway/intakeTask.js';
 import { LoopDelay } from '../../src/gateway/loopDelay.js';
-import { findFreeAddress } from './fixtures.js';
+import { findFreeAddress } from '../../src/testing/index.js';
 
 /** Shortest grace period whose drain ends after new requests are refused. */
 const GRACE_MS = 3600;
--- a/packages/router/__tests__/gateway/keptPort.spec.ts
+++ b/packages/router/__tests__/gateway/keptPort.spec.ts
@@ -3,7 +3,7 @@
 
 import { describe, it } from '@filbertlatch/core/testing';
 
-import { findFreeAddress } from './fixtures.js';
+import { findFreeAddress } from '../../src/testing/index.js';
 import { listenAgain } from './keptPort.js';
 
 describe('a server of a test that listens again on its port', () => {
--- a/packages/router/__tests__/gateway/lateFleet.ts
+++ b/packages/router/__tests__/gateway/lateFleet.ts
@@ -3,7 +3,8 @@
 
 import { createRandom, type Configuration, type RegisteredEndpoint } from '@filbertlatch/core';
 
-import { call, createRoute, findFreeAddress, testConfiguration, waitUntil } from './fixtures.js';
+import { findFreeAddress } from '../../src/testing/index.js';
+import { call, createRoute, testConfiguration, waitUntil } from './fixtures.js';
 import { LateCallers } from './lateCaller.js';
 import { LateEndpoint } from './lateEndpoint.js';
 import { measureLateness, type LateOutcome, type Span } from './lateMeasures.js';
--- a/packages/router/__tests__/gateway/lateLink.ts
+++ b/packages/router/__tests__/gateway/lateLink.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 import { connect, createServer, Socket, type Server } from 'node:net';
 
-import { findFreeAddress } from './fixtures.js';
+import { findFreeAddress } from '../../src/testing/index.js';
 
 type Connect = typeof Socket.prototype.connect;
 type Send = typeof DatagramSocket.prototype.send;
--- a/packages/router/__tests__/gateway/lateLinks.spec.ts
+++ b/packages/router/__tests__/gateway/lateLinks.spec.ts
@@ -7,11 +7,11 @@
 import { describe, itSerial } from '@filbertlatch/core/testing';
 
 import { createGateway } from '../../src/gateway/index.js';
+import { findFreeAddress } from '../../src/testing/index.js';
 import {
   call,
   createRoute,
   createSource,
-  findFreeAddress,
   startGateway,
   testConfiguration,
   testDialect,
--- a/packages/router/__tests__/gateway/lateVm.ts
+++ b/packages/router/__tests__/gateway/lateVm.ts
@@ -4,7 +4,8 @@
 import type { Configuration, RegisteredEndpoint } from '@filbertlatch/core';
 
 import type { GatewaySettings } from '../../src/gateway/settings.js';
-import { call, findFreeAddress, waitUntil } from './fixtures.js';
+import { findFreeAddress } from '../../src/testing/index.js';
+import { call, waitUntil } from './fixtures.js';
 
 /** Time that is taken from an event loop: `takenMs`, then `leftMs` to itself, until `forMs` are over. */
 export interface Standstill {
--- a/packages/router/__tests__/gateway/limitedEndpoint.ts
+++ b/packages/router/__tests__/gateway/limitedEndpoint.ts
@@ -4,8 +4,8 @@
 
 import type { Random } from '@filbertlatch/core';
 
+import { findFreeAddress } from '../../src/testing/index.js';
 import type { ChangingStore } from './changingStore.js';
-import { findFreeAddress } from './fixtures.js';
 import { listenAgain } from './keptPort.js';
 import type { LimitScenario } from './limitScenario.js';
 import { VM_HEADER } from './restartableVm.js';
--- a/packages/router/__tests__/gateway/pausedAnswer.ts
+++ b/packages/router/__tests__/gateway/pausedAnswer.ts
@@ -4,8 +4,9 @@
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { findFreeAddress } from '../../src/testing/index.js';
 import { ChangingStore } from './changingStore.js';
-import { call, findFreeAddress, startEndpoint, testConfiguration, waitUntil } from './fixtures.js';
+import { call, startEndpoint, testConfiguration, waitUntil } from './fixtures.js';
 import { createVms, type RestartableVm } from './restartableVm.js';
 
 /** How an endpoint delimits an answer, and whether it keeps the connection. */
--- a/packages/router/__tests__/gateway/peerTask.spec.ts
+++ b/packages/router/__tests__/gateway/peerTask.spec.ts
@@ -25,7 +25,8 @@
 import { PeerTask, type PublicationReceiver } from '../../src/gateway/peerTask.js';
 import { parseGatewaySettings } from '../../src/gateway/settings.js';
 import { createLog } from '../../src/log/index.js';
-import { findFreeAddress, testConfiguration, waitUntil } from './fixtures.js';
+import { findFreeAddress } from '../../src/testing/index.js';
+import { testConfiguration, waitUntil } from './fixtures.js';
 
 async function findFreePort(): Promise<number> {
   const socket = createSocket('udp4');
--- a/packages/router/__tests__/gateway/resetChannels.spec.ts
+++ b/packages/router/__tests__/gateway/resetChannels.spec.ts
@@ -7,14 +7,8 @@
 
 import { checkLink } from '../../src/gateway/checkLink.js';
 import { LoopDelay } from '../../src/gateway/loopDelay.js';
-import {
-  call,
-  createSource,
-  findFreeAddress,
-  startEndpoint,
-  startGateway,
-  testConfiguration,
-} from './fixtures.js';
+import { findFreeAddress } from '../../src/testing/index.js';
+import { call, createSource, startEndpoint, startGateway, testConfiguration } from './fixtures.js';
 
 /** Passes connections to a target, and resets those beyond a maximum, as a full runner does. */
 async function startLimited(target: string, max: number) {
--- a/packages/router/__tests__/gateway/restartableVm.ts
+++ b/packages/router/__tests__/gateway/restartableVm.ts
@@ -6,7 +6,8 @@
   type Gateway,
   type PublicationSource,
 } from '../../src/gateway/index.js';
-import { call, findFreeAddress, testDialect, waitUntil } from './fixtures.js';
+import { findFreeAddress } from '../../src/testing/index.js';
+import { call, testDialect, waitUntil } from './fixtures.js';
 
 /** Name of the header that tells an endpoint which VM sent a request. */
 export const VM_HEADER = 'x-vm';
--- a/packages/router/__tests__/gateway/restartingEndpoint.ts
+++ b/packages/router/__tests__/gateway/restartingEndpoint.ts
@@ -2,8 +2,9 @@
 import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { findFreeAddress } from '../../src/testing/index.js';
 import type { ChangingStore } from './changingStore.js';
-import { findFreeAddress, LEAVING_HEADER } from './fixtures.js';
+import { LEAVING_HEADER } from './fixtures.js';
 import { listenAgain } from './keptPort.js';
 
 const DEFAULT_LEASE_MS = 900;
--- a/packages/router/__tests__/gateway/transits.spec.ts
+++ b/packages/router/__tests__/gateway/transits.spec.ts
@@ -5,12 +5,12 @@
 import { describe, it } from '@filbertlatch/core/testing';
 import type { ExecutionContext } from 'ava';
 
+import { findFreeAddress } from '../../src/testing/index.js';
 import { answerHeaders, fail, FakePeer, readTermsOf, reset, serve } from './fakePeer.js';
 import {
   call,
   createRoute,
   createSource,
-  findFreeAddress,
   startEndpoint,
   startGateway,
   testConfiguration,
--- a/packages/router/__tests__/gateway/unprovenEnds.spec.ts
+++ b/packages/router/__tests__/gateway/unprovenEnds.spec.ts
@@ -3,10 +3,10 @@
 import type { RegisteredEndpoint } from '@filbertlatch/core';
 import { describe, itSerial } from '@filbertlatch/core/testing';
 
+import { findFreeAddress } from '../../src/testing/index.js';
 import {
   call,
   createSource,
-  findFreeAddress,
   startGateway,
   testConfiguration,
   type CallerAnswer,
--- a/packages/router/__tests__/gateway/unprovenFleet.ts
+++ b/packages/router/__tests__/gateway/unprovenFleet.ts
@@ -2,10 +2,10 @@
 import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { findFreeAddress } from '../../src/testing/index.js';
 import { ChangingStore } from './changingStore.js';
 import {
   call,
-  findFreeAddress,
   startEndpoint,
   testConfiguration,
   waitUntil,
--- a/packages/router/__tests__/gateway/vmLink.ts
+++ b/packages/router/__tests__/gateway/vmLink.ts
@@ -1,6 +1,6 @@
 import { connect, createServer, Socket, type Server } from 'node:net';
 
-import { findFreeAddress } from './fixtures.js';
+import { findFreeAddress } from '../../src/testing/index.js';
 import { listenAgain } from './keptPort.js';
 
 /**
--- /dev/null
+++ b/packages/router/src/testing/index.ts
@@ -0,0 +1,1 @@
+export { findFreeAddress } from './freeAddress.js';
--- a/packages/soak/src/links/hosts.ts
+++ b/packages/soak/src/links/hosts.ts
@@ -3,7 +3,7 @@
 import { OWN_HOST_URL } from '#standins';
 
 /** The proxy stands for a port at one that is higher by this: as many as the stand-ins draw from. */
-const PROXY_PORT_OFFSET = 11_000;
+const PROXY_PORT_OFFSET = 6_000;
 
 function formatHost(group: number, index: number): string {
   return `127.${group}.${Math.floor((index + 1) / 256)}.${(index + 1) % 256}`;
