A gateway that cannot use an address leaves nothing open

A program of ours ends itself after such an error; one that uses the library goes on with two open servers.

Cause: createGateway rejects with the first address that fails, while its other servers listen and its tasks hold timers.

Fix: it waits for all three addresses, and closes what it opened before it rejects.

--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -100,7 +100,7 @@
   });
 }
 
-/** Starts a gateway; resolves when it listens, rejects when an address cannot be used. */
+/** Starts a gateway; resolves when it listens. Rejects when an address cannot be used; nothing stays open then. */
 export async function createGateway(
   settings: GatewaySettings,
   source: PublicationSource,
@@ -267,18 +267,8 @@
     removeStaleLimits(state.requestLimits, isRegistered, instant);
   };
 
-  const callers = splitAddress(settings.listen.callers);
-  await Promise.all([
-    callerServer.listen(callers.host, callers.port),
-    listen(readiness, settings.listen.ready),
-    listen(control, settings.listen.control),
-  ]);
-  log.change('started', { settings: settings.vm, seeds: settings.seeds });
-  publication.start();
-  peers.start();
-  const timer = setInterval(maintain, MAINTENANCE_INTERVAL_MS);
-
-  const stop = () => {
+  let timer: NodeJS.Timeout | undefined;
+  const close = () => {
     clearInterval(timer);
     loopDelay.stop();
     publication.stop();
@@ -291,6 +281,26 @@
     control.close();
     control.closeAllConnections();
     connections.closeRemoved(() => false);
+  };
+
+  const callers = splitAddress(settings.listen.callers);
+  const attempts = await Promise.allSettled([
+    callerServer.listen(callers.host, callers.port),
+    listen(readiness, settings.listen.ready),
+    listen(control, settings.listen.control),
+  ]);
+  const failure = attempts.find((attempt) => attempt.status === 'rejected');
+  if (failure !== undefined) {
+    close();
+    throw failure.reason;
+  }
+  log.change('started', { settings: settings.vm, seeds: settings.seeds });
+  publication.start();
+  peers.start();
+  timer = setInterval(maintain, MAINTENANCE_INTERVAL_MS);
+
+  const stop = () => {
+    close();
     const { crossedRequests } = callerServer;
     log.change('stopped', { openRequests: countOpenRequests(), crossedRequests });
   };
