A check of links asks endpoints with a limit before a stuck attempt is judged

Cause: since checks ask endpoints with a limit only where no other answers, they waited 250 ms for those that stand still. A stuck attempt asks 250 ms ahead; at its time the check still ran, which counts as silence of the service, so that the attempt was kept, and the next check did the same. That is the class of this incident: a check without an answer yet was taken for an answer.

Fix: endpoints with a limit are asked 0.1 s after the others, or as soon as these have failed, two at first (three of a lost service). A sound endpoint answers sooner, so that limits are not used up where one does. A service without limits, or with limits at all endpoints, is checked as before.

Tests: three cases of linkChecks.spec fail without the fix (48 checks, asked 0 times, three results in place of one) and pass with it.

--- a/packages/router/src/gateway/linkChecks.ts
+++ b/packages/router/src/gateway/linkChecks.ts
@@ -18,10 +18,14 @@
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { GatewayState } from './gatewayState.js';
 import type { LoopDelay } from './loopDelay.js';
+import { SilenceTimer } from './silenceTimer.js';
 
 /** Endpoints that are checked first; more when none of them answers. */
 const FIRST_CHECK_ENDPOINTS = 2;
 
+/** Time that endpoints without a limit have to answer before others are asked, too. */
+const LIMITED_DELAY_MS = 100;
+
 /** Endpoints of a lost service that are checked at a time. */
 const LOST_CHECK_ENDPOINTS = 3;
 
@@ -93,25 +97,22 @@
 
   async #checkSome(serviceId: string, exceptId: string | null): Promise<void> {
     const { contacts } = this.#state;
-    const { unlimited, limited } = this.#chooseEndpoints(serviceId, exceptId);
-    if (lostSince(contacts, serviceId) !== null) {
-      if (await this.#checkAll(unlimited.slice(0, LOST_CHECK_ENDPOINTS))) return;
-      await this.#checkAll(limited.slice(0, LOST_CHECK_ENDPOINTS));
-      return;
-    }
-    const preferred = unlimited.length > 0 ? unlimited : limited;
-    const first = preferred.slice(0, FIRST_CHECK_ENDPOINTS);
+    const chosen = this.#chooseEndpoints(serviceId, exceptId);
+    const isLost = lostSince(contacts, serviceId) !== null;
+    const count = isLost ? LOST_CHECK_ENDPOINTS : FIRST_CHECK_ENDPOINTS;
+    const unlimited = chosen.unlimited.slice(0, count);
+    const limited = chosen.limited.slice(0, count);
     const wasSilent = silenceOf(contacts, serviceId) !== null;
-    if (await this.#checkAll(first)) return;
+    if (await this.#checkInTurn(unlimited, limited)) return;
+    const first = unlimited.concat(limited);
     // Of a service that is silent, the first suffice while they open connections.
-    if (wasSilent && first.every(({ id }) => isSilent(contacts, serviceId, id))) return;
-    const ordered = unlimited.concat(limited);
-    await this.#checkAll(ordered.slice(first.length, FAILED_ENDPOINTS_TO_LOSE));
+    if (isLost || (wasSilent && first.every(({ id }) => isSilent(contacts, serviceId, id)))) return;
+    const others = chosen.unlimited.slice(count).concat(chosen.limited.slice(count));
+    await this.#checkAll(others.slice(0, FAILED_ENDPOINTS_TO_LOSE - first.length));
   }
 
   /**
-   * Chooses endpoints in random order, those last that have failed: they may have ended. Those with a
-   * limit are asked only where no other answers: the checks of all VMs would use it up.
+   * Chooses endpoints in random order, those last that have failed: they may have ended.
    */
   #chooseEndpoints(serviceId: string, exceptId: string | null): ChosenEndpoints {
     const { contacts, random } = this.#state;
@@ -134,6 +135,27 @@
     );
   }
 
+  /**
+   * Checks endpoints; resolves with true as soon as one answers. Those with a limit are asked only where
+   * no other answers soon: the checks of all VMs would use it up.
+   */
+  async #checkInTurn(
+    unlimited: readonly RegisteredEndpoint[],
+    limited: readonly RegisteredEndpoint[],
+  ): Promise<boolean> {
+    if (limited.length === 0) return this.#checkAll(unlimited);
+    const timer = new SilenceTimer(this.#loopDelay);
+    const isLate = new Promise<boolean>((resolve) => {
+      timer.start(LIMITED_DELAY_MS, () => resolve(false));
+    });
+    const unlimitedAnswer = this.#checkAll(unlimited);
+    const answersSoon = await Promise.race([unlimitedAnswer, isLate]);
+    timer.stop();
+    if (answersSoon) return true;
+    const answers = [unlimitedAnswer, this.#checkAll(limited)];
+    return (await Promise.race(answers)) || (await Promise.all(answers)).includes(true);
+  }
+
   /** Checks endpoints; resolves with true as soon as one answers. */
   async #checkAll(endpoints: readonly RegisteredEndpoint[]): Promise<boolean> {
     const answered = endpoints.map(async (endpoint) => {
