A check that fails after another endpoint has answered shows no silence

Cause: an answer makes a service forget what failed before it, but a check that began before the answer and ends after it counted anew. Request connections were looked at, answers to checks were not.

Fix: a failed check counts only if nothing of the service has answered since the check began.

--- a/packages/router/src/gateway/contactTask.ts
+++ b/packages/router/src/gateway/contactTask.ts
@@ -276,7 +276,11 @@
     if (link === 'answers') {
       this.#promptAt = Math.max(this.#promptAt, check.startedAt);
       this.recordAnswer(endpoint.id);
-    } else if (link === 'unreachable') this.recordFailure(endpoint);
+      return;
+    }
+    // What failed is forgotten as another endpoint answers, also when it is found out later.
+    if (lastContactAt(this.#state.contacts, endpoint.serviceId) > check.startedAt) return;
+    if (link === 'unreachable') this.recordFailure(endpoint);
     else this.recordUnanswered(endpoint, check);
   }
 
