Tell peers at once of a request that has crashed a second endpoint

Fix: a VM that records a crash of a request that has crashed another endpoint before sends a round of gossip at the end of the turn, at most one between two rounds of the timer, within the same budget of bytes. It does so for departures and publications already.

Tests: peerTask.spec and crashRecorder.spec, one case each (both call what was not there before).

--- a/packages/router/__tests__/gateway/crashRecorder.spec.ts
+++ b/packages/router/__tests__/gateway/crashRecorder.spec.ts
@@ -31,9 +31,14 @@
   const log = new GatewayLog(createLogger({ silent: true }));
   const recorder = new CrashRecorder(state, createTestMetrics(), log);
   const instant = now();
-  const lose = (endpointId: string, ageMs: number, trial: LostAttempt['trial'] = null) =>
+  const lose = (
+    endpointId: string,
+    ageMs: number,
+    trial: LostAttempt['trial'] = null,
+    fingerprint: string | null = null,
+  ) =>
     recorder.recordLostAttempt(endpointId, {
-      fingerprint: null,
+      fingerprint,
       startedAt: instant - 3000,
       at: instant - ageMs,
       isPresumedCrash: false,
@@ -49,7 +54,7 @@
   const answer = (ageMs: number) =>
     recordSegmentAnswer(state.segmentSuspects, SERVICE, ['first'], instant - ageMs);
   const verdict = () => classifySegments(state.segmentSuspects, SERVICE, ['first'], instant).kind;
-  return { answer, endAll, lose, verdict };
+  return { answer, endAll, lose, recorder, verdict };
 }
 
 describe('attempts that are lost long after their endpoints fell silent', () => {
@@ -71,3 +76,16 @@
     t.is(verdict(), 'suspect');
   });
 });
+
+describe('a crash of a request', () => {
+  it('is told to peers at once, from the second endpoint on', (t) => {
+    const { lose, recorder } = createRecorder();
+    const told: number[] = [];
+    ENDPOINTS.slice(0, 3).forEach((id, index) => {
+      recorder.onSuspect(() => told.push(index + 1));
+      lose(id, 0, null, 'f');
+      recorder.recordEndpointEnd(id, 'unreachable', 'recent');
+    });
+    t.deepEqual(told, [2, 3]);
+  });
+});
--- a/packages/router/__tests__/gateway/peerTask.spec.ts
+++ b/packages/router/__tests__/gateway/peerTask.spec.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import {
+  countKnownCrashes,
   createRandom,
   recordCrash,
   recordSegmentCrash,
@@ -171,6 +172,35 @@
     }
   });
 
+  itSerial('tells early what it learns between two rounds, once for all of it', async (t) => {
+    const ports = await Promise.all([findFreePort(), findFreePort()]);
+    const clock = FakeTimers.install({ toFake: ['setInterval', 'clearInterval'] });
+    const first = createPeer('vm-1', ports[0], []);
+    const second = createPeer('vm-2', ports[1], [first.control]);
+    try {
+      first.task.start();
+      second.task.start();
+      for (let crashes = 1; crashes <= 3; crashes += 1) {
+        const at = now();
+        const crash = { fingerprint: `f${crashes}`, endpointId: 'e1', at, startedAt: at - 50 };
+        recordCrash(second.state.suspects, { ...crash, isAlone: false });
+        second.task.gossipEarly();
+      }
+      const countHeard = () => countKnownCrashes(first.state.suspects);
+      await waitUntil(() => countHeard() > 0);
+      t.is(countHeard(), 3);
+      // The round of the timer is not there to repeat what is lost.
+      second.task.gossipEarly();
+      first.state.suspects.crashHistories.clear();
+      await sleep(50);
+      t.is(countHeard(), 0);
+    } finally {
+      first.task.stop();
+      second.task.stop();
+      clock.uninstall();
+    }
+  });
+
   itSerial('does not use up news for VMs that hear nobody', async (t) => {
     const ports = await Promise.all([findFreePort(), findFreePort()]);
     const clock = FakeTimers.install({ toFake: ['setInterval', 'clearInterval'] });
--- a/packages/router/src/gateway/crashRecorder.ts
+++ b/packages/router/src/gateway/crashRecorder.ts
@@ -35,12 +35,19 @@
 
   readonly #log: GatewayLog;
 
+  #notifySuspect: (() => void) | null = null;
+
   constructor(state: GatewayState, metrics: GatewayMetrics, log: GatewayLog) {
     this.#state = state;
     this.#metrics = metrics;
     this.#log = log;
   }
 
+  /** Sets the callback for a request that has crashed more endpoints than one. */
+  onSuspect(notify: () => void): void {
+    this.#notifySuspect = notify;
+  }
+
   /** Records an attempt that ended without a complete answer. */
   recordLostAttempt(endpointId: string, attempt: LostAttempt): void {
     const { fingerprint, isPresumedCrash } = attempt;
@@ -99,8 +106,9 @@
       .slice(0, MAX_LOGGED_SEGMENTS)
       .map((segmentId) => describeSegment(segmentSuspects, serviceId, segmentId, now()));
     this.#metrics.countCrash(sign);
-    const known = fingerprint === null ? {} : countCrashes(suspects, fingerprint, now());
+    const known = fingerprint === null ? null : countCrashes(suspects, fingerprint, now());
     this.#log.decision('crash_recorded', { fingerprint, endpointId, sign, ...known, segments });
+    if (known !== null && known.crashes > 1) this.#notifySuspect?.();
   }
 
   #recordFailedTrial(
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -127,6 +127,7 @@
   const publication = new PublicationTask(state, source, crashes, loopDelay, log);
   const peers = new PeerTask(settings, state, publication, log, () => loopDelay.earliestArrivalAt);
   const notifyPeers = () => peers.gossip();
+  crashes.onSuspect(() => peers.gossipEarly());
   publication.onUpdate(notifyPeers);
   publication.onReturn(() => metrics.countStoreReturn());
   const origins = new OriginTask(state, peers, source, loopDelay, log);
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -163,6 +163,9 @@
 
   #timer: NodeJS.Timeout | null = null;
 
+  /** True when a round has been sent early since the last one of the timer. */
+  #hasEarlyRound = false;
+
   #reportContact: (() => ContactReport) | null = null;
 
   #notifyFound: ((address: string) => void) | null = null;
@@ -202,7 +205,10 @@
       this.#log.warn('peer_socket_failed', { error: error.message });
     });
     this.#socket.bind(port, host);
-    this.#timer = setInterval(() => this.gossip(), GOSSIP_INTERVAL_MS);
+    this.#timer = setInterval(() => {
+      this.#hasEarlyRound = false;
+      this.gossip();
+    }, GOSSIP_INTERVAL_MS);
   }
 
   /** Replaces the seeds. */
@@ -265,6 +271,16 @@
     this.#send(this.#createMessage({ reads, limitedSends }), [...targets]);
   }
 
+  /**
+   * Gossips at the end of this turn of the event loop, at most once between two rounds: news that change
+   * what peers send, and may come in numbers.
+   */
+  gossipEarly(): void {
+    if (this.#hasEarlyRound) return;
+    this.#hasEarlyRound = true;
+    setImmediate(() => this.gossip());
+  }
+
   /** Stops gossiping and closes the sockets. */
   stop(): void {
     if (this.#timer !== null) clearInterval(this.#timer);
