A probe that is reset or refused ends the count of those without an answer

Cause: two probes in a row without an answer show an end; only an answer, or bytes on other connections beside a late probe, began the count anew. A reset came from the endpoint's host between them, and did not.

Fix: a probe that fails by anything else than its time-out sets the count to zero.

--- a/packages/router/src/gateway/probeTask.ts
+++ b/packages/router/src/gateway/probeTask.ts
@@ -184,6 +184,8 @@
       this.#recordAnswer(endpoint, answer, statusCode, check.startedAt);
     } catch (error) {
       const hasTimedOut = error instanceof Error && error.name === 'TimeoutError';
+      // A reset or a refusal comes from its host: the silence before is over.
+      if (!hasTimedOut) progress.unanswered = 0;
       await this.#recordFailure(endpoint, check, error, hasTimedOut ? progress : null, isOpen);
     } finally {
       timer.stop();
