--- a/packages/core/src/requestLimits/index.ts
+++ b/packages/core/src/requestLimits/index.ts
@@ -23,6 +23,7 @@
   createRequestPermits,
   describeRequestLimit,
   getRequestLimit,
+  timeForRequests,
   timeToHealthCheck,
   UNLIMITED,
   type RequestLimitDescription,
--- a/packages/router/src/gateway/limitRecorder.ts
+++ b/packages/router/src/gateway/limitRecorder.ts
@@ -3,6 +3,7 @@
   recordLimitedSend,
   recordNamedLimit,
   recordUnlimitedAnswer,
+  timeForRequests,
   timeToHealthCheck,
   type AnsweredRequest,
 } from '@filbertlatch/core';
@@ -45,6 +46,11 @@
     return timeToHealthCheck(this.#state.requestLimits, endpointId, now());
   }
 
+  /** Returns the time in which an endpoint's limit allows this VM some requests, in milliseconds. */
+  timeForRequests(endpointId: string, count: number): number {
+    return timeForRequests(this.#state.requestLimits, endpointId, count);
+  }
+
   /** Records that a request or health check is sent to an endpoint. */
   recordSend(endpointId: string): void {
     const { requestLimits } = this.#state;
