Probes that fail after another endpoint has answered make no service silent

Of three endpoints two stood still and got a probe each; the third answered a check after that; as the probes failed, the service counted as silent, and its requests as kept for that. What peers and callers see of it is a doubt of links that are sound.

Cause: had failed checks count only if nothing of the service answered since they began. Probes come to the same record by another way, which looked at bytes on connections for requests only.

Fix: the record itself asks for an answer since the probe or check began.

--- a/packages/router/src/gateway/contactTask.ts
+++ b/packages/router/src/gateway/contactTask.ts
@@ -176,7 +176,8 @@
     this.#endSilences(heardAt);
     // A full endpoint is silent, but not all of a service are to a VM that is in touch.
     const serviceHeardAt = heardAt.get(endpoint.serviceId) ?? 0;
-    if (serviceHeardAt >= check.startedAt) return;
+    const answeredAt = lastContactAt(this.#state.contacts, endpoint.serviceId);
+    if (serviceHeardAt >= check.startedAt || answeredAt > check.startedAt) return;
     this.#recordFailedContact(endpoint, { ...check, heardAt: serviceHeardAt });
   }
 
