--- a/packages/core/src/requestLimits/index.ts
+++ b/packages/core/src/requestLimits/index.ts
@@ -23,7 +23,6 @@
   createRequestPermits,
   describeRequestLimit,
   getRequestLimit,
-  timeForRequests,
   timeToHealthCheck,
   UNLIMITED,
   type RequestLimitDescription,
--- a/packages/core/src/requestLimits/queries.ts
+++ b/packages/core/src/requestLimits/queries.ts
@@ -80,17 +80,6 @@
   return timeToCredit(limit, 0, now);
 }
 
-/** Returns the time in which an endpoint's limit allows this VM some requests, in milliseconds. */
-export function timeForRequests(
-  { limits }: RequestLimitState,
-  endpointId: string,
-  count: number,
-): number {
-  const limit = limits.get(endpointId);
-  if (limit === undefined || limit.perSecond === null) return 0;
-  return (count / limit.sharePerSecond) * MS_PER_SECOND;
-}
-
 /** Returns the requests a second that an endpoint takes from all VMs; null without a known limit. */
 export function getRequestLimit({ limits }: RequestLimitState, endpointId: string): number | null {
   return limits.get(endpointId)?.perSecond ?? null;
--- a/packages/router/__tests__/gateway/linkChecks.spec.ts
+++ b/packages/router/__tests__/gateway/linkChecks.spec.ts
@@ -37,13 +37,12 @@
   repeats: { ratio: 0.2, slack: 56, windowSeconds: 10 },
 });
 
-/** A VM to which some endpoints have named a limit, and which they have answered before. */
+/** A VM to which some endpoints have named a limit. */
 function createVm(
   seed: number,
   endpoints: readonly RegisteredEndpoint[],
   limited: readonly string[],
   loopDelay: LoopDelay,
-  lastAnswerAt = 0,
 ) {
   const state = createGatewayState(settings, createRandom(seed));
   const log = new GatewayLog(createLogger({ silent: true }));
@@ -60,7 +59,6 @@
   /** Results of checks, in their order. */
   const results: string[] = [];
   const observer = {
-    lastAnswerAt: () => lastAnswerAt,
     checked: ({ id }: RegisteredEndpoint, link: string) => {
       results.push(`${id} ${link}`);
     },
@@ -178,50 +176,4 @@
     t.is(counts.get('e0'), 1);
     close();
   });
-
-  it('does not ask it where nobody waits and it has just answered', async (t) => {
-    const { counts, registered, close } = await startEndpoints(ids, still);
-    const { checks } = createVm(1, registered, ['e0'], createStoppedLoopDelay(), now());
-    await checks.checkSparingly('desk');
-    t.is(counts.get('e0') ?? 0, 0);
-    t.is(counts.get('e1'), 1);
-    close();
-  });
-
-  it('asks as before where all have limits', async (t) => {
-    const { counts, registered, close } = await startEndpoints(ids, still);
-    const { checks } = createVm(1, registered, ids, createStoppedLoopDelay(), now());
-    await checks.checkSparingly('desk');
-    t.true([...counts.values()].reduce((sum, count) => sum + count, 0) >= 2);
-    close();
-  });
-
-  it('asks it all the same once the service is lost', async (t) => {
-    const { counts, registered, close } = await startEndpoints(ids, still);
-    const { state, checks } = createVm(1, registered, ['e0'], createStoppedLoopDelay(), now());
-    const report = { endpointId: 'e9', endpointCount: 1, unanswered: null };
-    recordFailedContact(state.contacts, 'desk', report, now());
-    await checks.checkSparingly('desk');
-    t.is(counts.get('e0'), 1);
-    close();
-  });
-
-  it('asks it again where nobody waits, some time after its answer', async (t) => {
-    const { counts, registered, close } = await startEndpoints(ids, still);
-    const vm = createVm(1, registered, ['e0'], createStoppedLoopDelay(), now() - 2001);
-    await vm.checks.checkSparingly('desk');
-    t.is(counts.get('e0'), 1);
-    close();
-  });
-
-  it('asks it for one that waits, also while a check runs that leaves it out', async (t) => {
-    const { counts, registered, close } = await startEndpoints(ids, still);
-    const { checks, results } = createVm(1, registered, ['e0'], createStoppedLoopDelay(), now());
-    const sparing = checks.checkSparingly('desk');
-    await checks.check('desk');
-    t.deepEqual(results, ['e0 answers']);
-    t.is(counts.get('e0'), 1);
-    await sparing;
-    close();
-  });
 });
--- a/packages/router/src/gateway/contactTask.ts
+++ b/packages/router/src/gateway/contactTask.ts
@@ -61,9 +61,6 @@
 
   readonly #doubts: EndDoubts;
 
-  /** Time at which each endpoint last answered on a new connection; epoch milliseconds. */
-  readonly #answeredAt = new Map<string, number>();
-
   /** Time of the latest check or request that an endpoint answered in time; epoch milliseconds. */
   #promptAt = 0;
 
@@ -80,7 +77,6 @@
     this.#connections = connections;
     this.#loopDelay = loopDelay;
     this.#checks = new LinkChecks(state, terms, loopDelay, metrics, log, {
-      lastAnswerAt: (id) => Math.max(connections.lastHeardAt(id), this.#answeredAt.get(id) ?? 0),
       checked: (endpoint, link, check) => this.#handleCheck(endpoint, link, check),
     });
     this.#doubts = new EndDoubts(log);
@@ -149,7 +145,6 @@
   recordAnswer(endpointId: string): void {
     const endpoint = this.#state.directory.endpoints.get(endpointId);
     if (endpoint === undefined) return;
-    this.#answeredAt.set(endpointId, now());
     const { serviceId } = endpoint;
     const { contacts } = this.#state;
     const wasCutOff = isCutOff(contacts, serviceId);
@@ -207,11 +202,8 @@
     this.#doubts.record(endpoint);
   }
 
-  /**
-   * Finds out whether other endpoints of the service answer since an instant; asks some if need be, and
-   * on request none with a limit that has just answered.
-   */
-  async hasLinks(endpoint: RegisteredEndpoint, since: number, isSparing = false): Promise<boolean> {
+  /** Finds out whether other endpoints of the service answer since an instant; asks some if need be. */
+  async hasLinks(endpoint: RegisteredEndpoint, since: number): Promise<boolean> {
     const { serviceId } = endpoint;
     const { contacts } = this.#state;
     const others = this.#listOthers(endpoint);
@@ -223,8 +215,7 @@
     const isLinked = () => lastContactAt(contacts, serviceId) >= since || isHeard();
     // A check that was running may have begun before.
     for (let tries = 0; tries < 2 && !isLinked(); tries += 1) {
-      if (isSparing) await this.#checks.checkSparingly(serviceId, endpoint.id);
-      else await this.#checks.check(serviceId, endpoint.id);
+      await this.#checks.check(serviceId, endpoint.id);
     }
     return isLinked();
   }
@@ -236,10 +227,7 @@
 
   /** Checks links whose state is in doubt; called by the maintenance timer. */
   maintain(): void {
-    const { contacts, directory } = this.#state;
-    this.#answeredAt.forEach((_, id) => {
-      if (!directory.endpoints.has(id)) this.#answeredAt.delete(id);
-    });
+    const { contacts } = this.#state;
     const lost = listLostServices(contacts);
     const heardAt = this.listHeardAt();
     this.#endSilences(heardAt);
@@ -281,7 +269,7 @@
       );
       if (instant < latestAt + LOST_CHECK_INTERVAL_MS) return;
       this.#checkedAt.set(id, instant);
-      void this.#checks.checkSparingly(id);
+      void this.#checks.check(id);
     });
   }
 
@@ -309,8 +297,7 @@
     const sign = recordFailedContact(contacts, serviceId, report, now());
     if (sign === 'none') return;
     if (sign !== 'doubtful') this.#changes.begin(sign, serviceId, ready);
-    if (unanswered === null) void this.#checks.check(serviceId);
-    else void this.#checks.checkSparingly(serviceId);
+    void this.#checks.check(serviceId);
   }
 
   #endSilences(heardAt: ReadonlyMap<string, number>): void {
--- a/packages/router/src/gateway/limitRecorder.ts
+++ b/packages/router/src/gateway/limitRecorder.ts
@@ -3,7 +3,6 @@
   recordLimitedSend,
   recordNamedLimit,
   recordUnlimitedAnswer,
-  timeForRequests,
   timeToHealthCheck,
   type AnsweredRequest,
 } from '@filbertlatch/core';
@@ -46,11 +45,6 @@
     return timeToHealthCheck(this.#state.requestLimits, endpointId, now());
   }
 
-  /** Returns the time in which an endpoint's limit allows this VM some requests, in milliseconds. */
-  timeForRequests(endpointId: string, count: number): number {
-    return timeForRequests(this.#state.requestLimits, endpointId, count);
-  }
-
   /** Records that a request or health check is sent to an endpoint. */
   recordSend(endpointId: string): void {
     const { requestLimits } = this.#state;
--- a/packages/router/src/gateway/linkChecks.ts
+++ b/packages/router/src/gateway/linkChecks.ts
@@ -26,12 +26,6 @@
 /** Time that endpoints without a limit have to answer before others are asked, too. */
 const LIMITED_DELAY_MS = 100;
 
-/** Fewest requests that a limit allows between an answer and a check that nobody waits for. */
-const MIN_REQUESTS_BETWEEN_CHECKS = 5;
-
-/** Time after which an endpoint is checked again, however small its limit is. */
-const MAX_SPARED_MS = 2000;
-
 /** Endpoints of a lost service that are checked at a time. */
 const LOST_CHECK_ENDPOINTS = 3;
 
@@ -39,20 +33,10 @@
 interface ChosenEndpoints {
   readonly unlimited: readonly RegisteredEndpoint[];
   readonly limited: readonly RegisteredEndpoint[];
-  /** True when some are left out that answered lately. */
-  readonly isSparing: boolean;
-}
-
-/** A check that runs. */
-interface RunningCheck {
-  readonly chosen: ChosenEndpoints;
-  readonly ended: Promise<void>;
 }
 
 /** Receives the results of checks. */
 export interface LinkObserver {
-  /** Returns when an endpoint last answered a check or request; epoch milliseconds, 0 for never. */
-  lastAnswerAt(endpointId: string): number;
   /** A check of an endpoint has ended. */
   checked(endpoint: RegisteredEndpoint, link: LinkState, check: StartedCheck): void;
 }
@@ -72,7 +56,7 @@
   readonly #observer: LinkObserver;
 
   /** Checks that run, by service id. */
-  readonly #running = new Map<string, RunningCheck>();
+  readonly #running = new Map<string, Promise<void>>();
 
   constructor(
     state: GatewayState,
@@ -102,30 +86,18 @@
 
   /** Checks links until one proves sound; resolves when one does, or all that were chosen failed. */
   check(serviceId: string, exceptId: string | null = null): Promise<void> {
-    return this.#join(serviceId, exceptId, false);
-  }
-
-  /**
-   * The same where nobody waits for an answer of now: endpoints with a limit are left out for a while
-   * after they have answered, so that requests get most of it; not where all have one.
-   */
-  checkSparingly(serviceId: string, exceptId: string | null = null): Promise<void> {
-    return this.#join(serviceId, exceptId, true);
-  }
-
-  #join(serviceId: string, exceptId: string | null, mayBeSparing: boolean): Promise<void> {
     const running = this.#running.get(serviceId);
-    if (running !== undefined && (mayBeSparing || !running.chosen.isSparing)) return running.ended;
-    const chosen = this.#chooseEndpoints(serviceId, exceptId, mayBeSparing);
-    const ended = this.#checkSome(serviceId, chosen).finally(() => {
-      if (this.#running.get(serviceId)?.chosen === chosen) this.#running.delete(serviceId);
+    if (running !== undefined) return running;
+    const check = this.#checkSome(serviceId, exceptId).finally(() => {
+      this.#running.delete(serviceId);
     });
-    this.#running.set(serviceId, { chosen, ended });
-    return ended;
+    this.#running.set(serviceId, check);
+    return check;
   }
 
-  async #checkSome(serviceId: string, chosen: ChosenEndpoints): Promise<void> {
+  async #checkSome(serviceId: string, exceptId: string | null): Promise<void> {
     const { contacts } = this.#state;
+    const chosen = this.#chooseEndpoints(serviceId, exceptId);
     const isLost = lostSince(contacts, serviceId) !== null;
     const count = isLost ? LOST_CHECK_ENDPOINTS : FIRST_CHECK_ENDPOINTS;
     const unlimited = chosen.unlimited.slice(0, count);
@@ -142,11 +114,7 @@
   /**
    * Chooses endpoints in random order, those last that have failed: they may have ended.
    */
-  #chooseEndpoints(
-    serviceId: string,
-    exceptId: string | null,
-    mayBeSparing: boolean,
-  ): ChosenEndpoints {
+  #chooseEndpoints(serviceId: string, exceptId: string | null): ChosenEndpoints {
     const { contacts, random } = this.#state;
     const askable = this.#listAskable(serviceId).filter(({ id }) => id !== exceptId);
     const first = randomInteger(random, Math.max(1, askable.length));
@@ -154,17 +122,10 @@
     const failed = drawn.filter(({ id }) => hasFailed(contacts, serviceId, id));
     const ordered = [...drawn.filter((endpoint) => !failed.includes(endpoint)), ...failed];
     const isLimited = ({ id }: RegisteredEndpoint) => this.#terms.limits.hasLimit(id);
-    const unlimited = ordered.filter((endpoint) => !isLimited(endpoint));
-    const limited = ordered.filter(isLimited);
-    const spares = mayBeSparing && unlimited.length > 0 && lostSince(contacts, serviceId) === null;
-    const asked = limited.filter((endpoint) => !spares || !this.#hasJustAnswered(endpoint));
-    return { unlimited, limited: asked, isSparing: asked.length < limited.length };
-  }
-
-  /** True for a time after an answer in which its limit allows this VM some requests. */
-  #hasJustAnswered({ id }: RegisteredEndpoint): boolean {
-    const sparedMs = this.#terms.limits.timeForRequests(id, MIN_REQUESTS_BETWEEN_CHECKS);
-    return now() - this.#observer.lastAnswerAt(id) < Math.min(MAX_SPARED_MS, sparedMs);
+    return {
+      unlimited: ordered.filter((endpoint) => !isLimited(endpoint)),
+      limited: ordered.filter(isLimited),
+    };
   }
 
   #listAskable(serviceId: string): RegisteredEndpoint[] {
--- a/packages/router/src/gateway/probeTask.ts
+++ b/packages/router/src/gateway/probeTask.ts
@@ -245,10 +245,8 @@
     failedSince: number,
   ): Promise<boolean> {
     if (hasBrokenAttempts(this.#state.suspects, endpoint.id)) return false;
-    // Only the probe that may show the end is worth a request of a small limit.
-    const isSparing = progress.unanswered !== UNANSWERED_PROBES_TO_END - 1;
     // Silent together, they say nothing of each other.
-    const isAlone = await this.#contacts.hasLinks(endpoint, failedSince, isSparing);
+    const isAlone = await this.#contacts.hasLinks(endpoint, failedSince);
     progress.unanswered = isAlone ? progress.unanswered + 1 : 0;
     if (progress.unanswered >= UNANSWERED_PROBES_TO_END) return false;
     if (isAlone) this.probe(endpoint.id);
--- a/packages/router/src/gateway/silenceWatch.ts
+++ b/packages/router/src/gateway/silenceWatch.ts
@@ -80,7 +80,7 @@
   async #check(serviceId: string, watch: Watch): Promise<void> {
     const startedAt = now();
     watch.nextCheckAt = Number.POSITIVE_INFINITY;
-    await this.#checks.checkSparingly(serviceId);
+    await this.#checks.check(serviceId);
     const isSound = lastContactAt(this.#state.contacts, serviceId) >= startedAt;
     const longerMs = Math.min(MAX_CHECK_INTERVAL_MS, 2 * watch.intervalMs);
     watch.intervalMs = isSound ? longerMs : MIN_CHECK_INTERVAL_MS;
