Bound what is read of the store, by size, count and time

Callers saw a process end, with all that it had accepted, when the store answered without end: the store's answers were read by json() of a plain client, whose only bound was the time-out of the call.

The fix: packages/router/src/bounds has the clients for what is read as a whole. They are guarded as those of endpoints are, accept one byte of frame for a byte of body, and have undici's maxResponseSize; the reader joins small chunks and counts the values of JSON before it is parsed, each of which takes many times its bytes. All pages of a read together have 4 MB and 16,384 entries, and must advance. Items are checked one by one, since each fault of a list takes memory. A refused answer is a failed call, with its reason in store_lost; after a watch that was too large the part is read completely, for the same changes would be too many again.

--- a/packages/router/__tests__/gateway/publicationTask.spec.ts
+++ b/packages/router/__tests__/gateway/publicationTask.spec.ts
@@ -15,6 +15,7 @@
 import { describe, it, itSerial } from '@filbertlatch/core/testing';
 import { request } from 'undici';
 
+import { OversizedAnswerError } from '../../src/bounds/index.js';
 import { now } from '../../src/clock.js';
 import { CrashRecorder } from '../../src/gateway/crashRecorder.js';
 import { GatewayLog } from '../../src/gateway/gatewayLog.js';
@@ -113,6 +114,33 @@
   });
 });
 
+describe('a store with more changes than one answer may have', () => {
+  it('is read completely instead, after a failed call', async (t) => {
+    const calls: string[] = [];
+    const source: PublicationSource = {
+      ...createSource(null, []),
+      read: async (part) => {
+        calls.push(`read ${part}`);
+        return { entries: [], revision: 1 };
+      },
+      watch: async (part) => {
+        calls.push(`watch ${part}`);
+        throw new OversizedAnswerError('too many changes');
+      },
+    };
+    const state = createGatewayState(settings, createRandom(1));
+    const log = new GatewayLog(createLog('vm-1', 'error'));
+    const crashes = new CrashRecorder(state, createTestMetrics(), log);
+    const task = new PublicationTask(state, source, crashes, new LoopDelay(), log);
+    task.start();
+    await waitUntil(() => calls.filter((call) => call === 'read endpoints').length === 3);
+    task.stop();
+    const ofEndpoints = calls.filter((call) => call.endsWith('endpoints')).slice(0, 4);
+    const expected = ['read endpoints', 'watch endpoints', 'read endpoints', 'watch endpoints'];
+    t.deepEqual(ofEndpoints, expected);
+  });
+});
+
 describe('a store that answers while the process stands still', () => {
   itSerial('is not lost', async (t) => {
     const store = await startThreadedEndpoint('store', { answerDelayMs: 1000 });
--- a/packages/router/src/gateway/guardedClient.ts
+++ b/packages/router/src/gateway/guardedClient.ts
@@ -5,8 +5,11 @@
 /** Bytes of an answer besides its body that are accepted: its head, frames of chunks, trailers. */
 const MAX_OVERHEAD_BYTES = 65_536;
 
-/** Bytes of frame that are accepted for each byte of the body; a chunk may hold a single one. */
-const MAX_FRAME_FACTOR = 8;
+/**
+ * Bytes of frame that are accepted for each byte of the body; a chunk of a stream may hold a single
+ * one.
+ */
+const MAX_STREAM_FRAME_FACTOR = 8;
 
 /** Above what the guard accepts, so that the parser does not report each further header. */
 const MAX_PARSED_HEAD_BYTES = 1_048_576;
@@ -47,6 +50,8 @@
  * lets the parser see an end that comes while an answer is paused.
  */
 class ConnectionGuard {
+  readonly #maxFrameFactor: number;
+
   #socket: Socket | null = null;
 
   #bytesBefore = 0;
@@ -58,6 +63,10 @@
   /** Resumes the paused answer; null while none is paused. */
   #resume: (() => void) | null = null;
 
+  constructor(maxFrameFactor: number) {
+    this.#maxFrameFactor = maxFrameFactor;
+  }
+
   /** Begins to watch a new connection. */
   attach(socket: Socket): void {
     this.#socket = socket;
@@ -140,7 +149,7 @@
     if (socket !== this.#socket) return;
     const parsedBytes = socket.bytesRead - socket.readableLength - this.#bytesBefore;
     const overheadBytes = parsedBytes - this.#bodyBytes;
-    if (overheadBytes > MAX_OVERHEAD_BYTES + MAX_FRAME_FACTOR * this.#bodyBytes) {
+    if (overheadBytes > MAX_OVERHEAD_BYTES + this.#maxFrameFactor * this.#bodyBytes) {
       // What has arrived already is not parsed either.
       while (socket.read() !== null);
       socket.destroy(new EndlessAnswerError());
@@ -152,8 +161,14 @@
 export class GuardedClient extends Client {
   readonly #guard: ConnectionGuard;
 
-  constructor(origin: URL, options: Client.Options, connect: buildConnector.connector) {
-    const guard = new ConnectionGuard();
+  /** `maxFrameFactor` is the number of bytes of frame that are accepted for each byte of a body. */
+  constructor(
+    origin: URL,
+    options: Client.Options,
+    connect: buildConnector.connector,
+    maxFrameFactor = MAX_STREAM_FRAME_FACTOR,
+  ) {
+    const guard = new ConnectionGuard(maxFrameFactor);
     super(origin, {
       ...options,
       maxHeaderSize: MAX_PARSED_HEAD_BYTES,
--- a/packages/router/src/gateway/index.ts
+++ b/packages/router/src/gateway/index.ts
@@ -1,3 +1,10 @@
+export {
+  createBoundedPool,
+  discardBody,
+  OversizedAnswerError,
+  parseBoundedJson,
+  readBytes,
+} from '../bounds/index.js';
 export { createGateway, type Gateway } from './gateway.js';
 export type {
   AnswerMetadata,
--- a/packages/router/src/gateway/publicationTask.ts
+++ b/packages/router/src/gateway/publicationTask.ts
@@ -11,6 +11,7 @@
 } from '@filbertlatch/core';
 
 import { now } from '../clock.js';
+import { OversizedAnswerError } from '../bounds/index.js';
 import { LongPoller } from '../platform/index.js';
 import { CONFIGURATION_GRACE_MS, ConfigurationAdoption } from './configurationAdoption.js';
 import { EndpointAdoption } from './endpointAdoption.js';
@@ -219,6 +220,8 @@
       if (part === 'endpoints') await sleep(ENDPOINT_BATCH_MS, undefined, { signal: callSignal });
       return true;
     } catch (error) {
+      // The changes after the same revision would be too many again; a complete read has pages.
+      if (error instanceof OversizedAnswerError) position.revision = -1;
       if (!(error instanceof HistoryLostError)) throw error;
       position.revision = -1;
       this.#log.warn('history_lost', { part });
