Soak: judge requests that were sent whole, did not run and got no answer

The soak counted every request without a run and without a head as 'did not run', and judged none of them. It now notes when the last byte was handed to the system and how the connection ended, and finds LOST when the end came over 200 ms after the last byte. What excuses the others is counted by reason.

Before: 'finds one that was sent whole over 200 ms before its end' fails on the judgement as it was, with three more of the same describe.

The test 'passes a request that was never read' had a request without a run, whose end came 2 s after it was sent, and passed it: that is now LOST, and four tests of the single excuses stand in its place.

--- a/packages/soak/__tests__/findings.spec.ts
+++ b/packages/soak/__tests__/findings.spec.ts
@@ -2,7 +2,7 @@
 import { describe, it } from '@filbertlatch/core/testing';
 
 import type { Evidence, SeenRequest } from '../src/evidence.js';
-import { findBrokenRules } from '../src/findings.js';
+import { countExcused, findBrokenRules } from '../src/findings.js';
 import { STREAM_EVENTS } from '../src/traffic.js';
 
 const SENT_AT = 100_000;
@@ -14,7 +14,10 @@
   kind: 'stream',
   vm: 'vm-1',
   sentAt: SENT_AT,
+  writtenAt: SENT_AT + 1,
   endedAt: SENT_AT + 2000,
+  connection: null,
+  isReused: true,
   status: 200,
   answer: 'whole',
   error: null,
@@ -90,8 +93,46 @@
       t.deepEqual(listRules(createEvidence(cutStream, fields)), ['LOST']);
     });
 
-    it('passes a request that was never read', (t) => {
-      t.deepEqual(listRules(createEvidence(unansweredRequest, { runs: [] })), []);
+    describe('of requests that did not run', () => {
+      const unread = { ...unansweredRequest, connection: 'closed', error: 'ECONNRESET' } as const;
+      const quick = { ...unread, endedAt: SENT_AT + 201 };
+      const list = (request: SeenRequest, fields: Partial<Evidence> = {}) =>
+        listRules(createEvidence(request, { runs: [], ...fields }));
+      const excuse = (request: SeenRequest, fields: Partial<Evidence> = {}) =>
+        countExcused(createEvidence(request, { runs: [], ...fields }));
+
+      it('finds one that was sent whole over 200 ms before its end, in calm and beside a signal', (t) => {
+        t.deepEqual(list(unread), ['LOST']);
+        t.deepEqual(list({ ...unread, connection: 'reset' }), ['LOST']);
+        t.deepEqual(list({ ...quick, endedAt: SENT_AT + 202 }), ['LOST']);
+        t.deepEqual(list(unread, { signals: [stop], configurations: [stop.at] }), ['LOST']);
+        t.deepEqual(excuse(unread), {});
+      });
+
+      it('passes one whose close crossed it', (t) => {
+        t.deepEqual(list(quick), []);
+        t.deepEqual(excuse(quick), { 'ended within 200 ms of its last byte': 1 });
+      });
+
+      it('passes one that was never sent', (t) => {
+        const refused = { ...unread, writtenAt: null, connection: 'refused' } as const;
+        const unsent = { ...unread, writtenAt: null };
+        t.deepEqual([...list(refused), ...list(unsent)], []);
+        t.deepEqual(excuse(refused), { 'connection refused': 1 });
+        t.deepEqual(excuse(unsent), { 'not sent whole': 1 });
+      });
+
+      it('passes one of a VM that was killed, stood still or had harmed links', (t) => {
+        const kill = { signals: [{ ...stop, signal: 'SIGKILL' }] };
+        const freeze = { signals: [{ ...stop, signal: 'SIGSTOP' }] };
+        const harm = { vms: ['vm-1'], from: stop.at, to: stop.at, isStoreOnly: false, text: '' };
+        t.deepEqual(excuse(unread, kill), { 'VM killed': 1 });
+        t.deepEqual(excuse(unread, freeze), { 'VM stood still': 1 });
+        t.deepEqual(excuse(unread, { harms: [harm] }), { 'links of the VM harmed': 1 });
+        t.deepEqual(list(unread, { signals: [{ ...stop, vm: 'vm-2', signal: 'SIGKILL' }] }), [
+          'LOST',
+        ]);
+      });
     });
 
     it('passes a request whose endpoint was killed while it ran', (t) => {
--- a/packages/soak/src/caller.ts
+++ b/packages/soak/src/caller.ts
@@ -126,7 +126,7 @@
     const key = this.#chooseKey();
     const body =
       bodyBytes === 0 ? `{"prompt":"${name}"}` : `${name} `.repeat(bodyBytes / name.length);
-    const { text, id, sentAt, endedAt, status, answer, error } = await sendAttempt(
+    const { text, ...outcome } = await sendAttempt(
       this.options.host === null ? gateway.listen.front : toProxied(gateway.listen.front),
       {
         method: 'POST',
@@ -145,12 +145,12 @@
         channel: this.#agents[vm] as Agent,
       },
     );
+    const { id, status, answer } = outcome;
     const kind = kindsByRoute[route];
     const isRight = route !== 'echo' || answer !== 'whole' || status !== 200 || text === body;
     const seen = kind === 'stream' ? readEvents(text, id) : { events: [], versions: [] };
-    const outcome = { sentAt, endedAt, status, answer, error, isRight };
     const usedKey = route === 'keyed' ? key : null;
-    return { id, kind, vm: gateway.name, ...outcome, ...seen, key: usedKey };
+    return { ...outcome, ...seen, kind, vm: gateway.name, isRight, key: usedKey };
   }
 
   #chooseKey(): string {
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -1,13 +1,22 @@
 /** Kinds of requests: runs once at most, may be repeated, a stream that may be resumed. */
 export type RequestKind = 'once' | 'repeatable' | 'stream';
 
+/** How a caller sees a connection end. */
+export type ConnectionEnd = 'refused' | 'reset' | 'closed' | 'failed';
+
 /** A request and what its caller has seen; instants are in ms since the epoch. */
 export interface SeenRequest {
   readonly id: string;
   readonly kind: RequestKind;
   readonly vm: string;
   readonly sentAt: number;
+  /** When its last byte was handed to the system; null if it never was. */
+  readonly writtenAt: number | null;
   readonly endedAt: number;
+  /** How its connection ended; null if the request did not end with it. */
+  readonly connection: ConnectionEnd | null;
+  /** Whether its connection had brought an answer before. */
+  readonly isReused: boolean;
   readonly status: number | null;
   /** `cut` is an answer that ended early, `none` not even a head, `left` when the caller has left. */
   readonly answer: 'whole' | 'cut' | 'none' | 'left';
--- a/packages/soak/src/findings.ts
+++ b/packages/soak/src/findings.ts
@@ -19,6 +19,7 @@
 const STABLE_WINDOW_MS = 3000;
 const CONFIG_WINDOW_MS = 3000;
 const MAX_SEND_AFTER_LEAVING_MS = 1000;
+const LOSS_SLACK_MS = 200;
 const SETTLED_MS = 5000;
 const MIN_CALM_REQUESTS = 100;
 const MIN_SERVED_IN_CALM = 0.99;
@@ -76,9 +77,24 @@
   );
 }
 
+/** Returns why a VM need not have read or answered a request that did not run; null if it need. */
+function findUnreadExcuse(request: SeenRequest, evidence: Evidence): string | null {
+  const { vm, sentAt, writtenAt, endedAt, connection } = request;
+  if (connection === 'refused') return 'connection refused';
+  if (writtenAt === null) return 'not sent whole';
+  if (endedAt - writtenAt <= LOSS_SLACK_MS) {
+    return `ended within ${LOSS_SLACK_MS} ms of its last byte`;
+  }
+  return stoodStill(evidence, vm, sentAt, endedAt) ? 'VM stood still' : null;
+}
+
 /** Returns which exclusion of the rule applies to a request without a whole answer; null if none. */
 function findExcuse(request: SeenRequest, runs: readonly Run[], evidence: Evidence): string | null {
-  const { vm, sentAt, endedAt } = request;
+  const { vm, sentAt, endedAt, status } = request;
+  if (runs.length === 0 && status === null) {
+    const excuse = findUnreadExcuse(request, evidence);
+    if (excuse !== null) return excuse;
+  }
   if (endedAt - sentAt >= SHORT_TIMEOUT_MS) return 'deadline reached';
   if (wasBrokenOff(request, runs, evidence)) return 'endpoint killed';
   if (wasOutOfTouch(evidence, vm, sentAt, endedAt)) return 'links of the VM harmed';
@@ -107,26 +123,31 @@
   evidence.requests.forEach((request) => {
     const runs = runsById.get(request.id) ?? [];
     if (request.answer === 'whole' || request.answer === 'left') return;
-    const isUnread = runs.length === 0 && request.status === null;
-    const excuse = isUnread ? 'did not run' : findExcuse(request, runs, evidence);
+    const excuse = findExcuse(request, runs, evidence);
     if (excuse !== null) counts[excuse] = (counts[excuse] ?? 0) + 1;
   });
   return counts;
 }
 
-/** LOST: a request that ran on a sound endpoint and got no whole answer. */
+/** Says how a request without a whole answer ended. */
+function describeLoss(request: SeenRequest, runs: readonly Run[]): string {
+  const { status, writtenAt, endedAt, connection, isReused, error, kind, events } = request;
+  const progress = kind === 'stream' ? ` after event ${events.at(-1) ?? 0}` : '';
+  if (status !== null) return `status ${status}, then cut${progress} (${error})`;
+  if (runs.length > 0) return `ran, and ended without an answer (${error})`;
+  const unansweredMs = endedAt - (writtenAt ?? endedAt);
+  const manner = `${isReused ? 'kept' : 'new'} connection ${connection}`;
+  return `${manner} ${unansweredMs} ms after its last byte, without an answer (${error})`;
+}
+
+/** LOST: a request that a VM had the time to read, or that ran, and got no whole answer. */
 function findLost(evidence: Evidence, runsById: RunsById): Finding[] {
   return evidence.requests.flatMap((request) => {
-    const { id, vm, answer, status, endedAt, error, kind, events } = request;
+    const { id, vm, answer, endedAt } = request;
     const runs = runsById.get(id) ?? [];
-    const hasHead = status !== null;
-    if (answer === 'left' || answer === 'whole' || (runs.length === 0 && !hasHead)) return [];
+    if (answer === 'left' || answer === 'whole') return [];
     if (findExcuse(request, runs, evidence) !== null) return [];
-    const progress = kind === 'stream' ? ` after event ${events.at(-1) ?? 0}` : '';
-    const text = hasHead
-      ? `status ${status}, then cut${progress} (${error})`
-      : `ran, and ended without an answer (${error})`;
-    return [{ rule: 'LOST', vm, at: endedAt, id, text } as const];
+    return [{ rule: 'LOST', vm, at: endedAt, id, text: describeLoss(request, runs) } as const];
   });
 }
 
--- a/packages/soak/standins.d.ts
+++ b/packages/soak/standins.d.ts
@@ -45,7 +45,10 @@
 export interface SeenAttempt {
   readonly id: string;
   readonly sentAt: number;
+  readonly writtenAt: number | null;
   readonly endedAt: number;
+  readonly connection: 'refused' | 'reset' | 'closed' | 'failed' | null;
+  readonly isReused: boolean;
   readonly status: number | null;
   readonly text: string;
   readonly answer: 'whole' | 'cut' | 'none' | 'left';
