Soak: FAULT by the life of the process, with its age, and after the grace period

A finding of a process that a signal ended in its start showed a 'started' line of the next life, and nothing told how old the process was. A signal that met no process was taken for one that the next process had got, so that an end by itself with 0 passed; so did an end after the grace period, when the platform would have killed the process with what it had.

The gateways' stand-in now records when each process was started, and each end is judged by the signals of that life. The two new tests fail on the judgement as it was (no finding).

The test 'passes refusals while a VM drains' has a process that ends 15 s after its SIGTERM: it is now FAULT beside CALM, and the test expects both.

--- a/packages/soak/__tests__/findings.spec.ts
+++ b/packages/soak/__tests__/findings.spec.ts
@@ -68,7 +68,7 @@
 }
 
 const stop = { vm: 'vm-1', at: SENT_AT + 500, signal: 'SIGTERM' };
-const end = { vm: 'vm-1', at: SENT_AT + 2000, code: 0, signal: null };
+const end = { vm: 'vm-1', startedAt: SENT_AT - 9000, at: SENT_AT + 2000, code: 0, signal: null };
 
 describe('findBrokenRules', () => {
   it('finds nothing in a whole answer', (t) => {
@@ -239,9 +239,23 @@
     });
 
     it('finds a second end that only the first one was asked for', (t) => {
-      const ends = [end, { ...end, at: end.at + 1000 }];
+      const ends = [end, { ...end, startedAt: end.at + 500, at: end.at + 1000 }];
       t.deepEqual(listRules(createEvidence(wholeStream, { signals: [stop], ends })), ['FAULT']);
     });
+
+    it('finds an end by itself after a signal that met no process, and says how old it was', (t) => {
+      const ends = [{ ...end, startedAt: stop.at + 1 }];
+      const [finding] = findBrokenRules(createEvidence(wholeStream, { signals: [stop], ends }));
+      t.is(finding?.text, 'process ended 1499 ms after its start by itself: code 0, signal null');
+    });
+
+    it('finds a process that outlives the grace period, unless it stood still', (t) => {
+      const ends = [{ ...end, at: stop.at + 8001 }];
+      const list = (signals: Evidence['signals']) =>
+        listRules(createEvidence(wholeStream, { signals, ends }));
+      t.deepEqual(list([stop]), ['FAULT']);
+      t.deepEqual(list([stop, { ...stop, signal: 'SIGSTOP' }]), []);
+    });
   });
 
   describe('CALM', () => {
@@ -267,7 +281,8 @@
     it('passes refusals while a VM drains, up to the end of the grace period', (t) => {
       const ends = [{ ...end, at: wholeStream.endedAt + 100 }];
       t.deepEqual(list({ signals: [{ ...stop, at: SENT_AT - 5900 }], ends }), []);
-      t.deepEqual(list({ signals: [{ ...stop, at: SENT_AT - 13_100 }], ends }), ['CALM']);
+      const late = list({ signals: [{ ...stop, at: SENT_AT - 13_100 }], ends });
+      t.deepEqual(late, ['CALM', 'FAULT']);
       t.deepEqual(list({ signals: [{ ...stop, signal: 'SIGHUP', at: SENT_AT - 5900 }] }), ['CALM']);
     });
   });
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -52,6 +52,7 @@
 /** The end of a VM's process. */
 export interface ProcessEnd {
   readonly vm: string;
+  readonly startedAt: number;
   readonly at: number;
   readonly code: number | null;
   readonly signal: string | null;
--- a/packages/soak/src/findings.ts
+++ b/packages/soak/src/findings.ts
@@ -166,17 +166,22 @@
 }
 
 /** FAULT: a process that ended other than asked, or not in the way that it should. */
-function findFaults({ ends, signals }: Evidence): Finding[] {
-  return ends.flatMap(({ vm, at, code, signal }, index) => {
-    const before = ends.slice(0, index).filter((end) => end.vm === vm);
-    const livesSince = before.at(-1)?.at ?? 0;
-    const sent = signals.filter((one) => one.vm === vm && one.at > livesSince && one.at <= at);
+function findFaults(evidence: Evidence): Finding[] {
+  return evidence.ends.flatMap(({ vm, startedAt, at, code, signal }) => {
+    const sent = evidence.signals.filter(
+      (one) => one.vm === vm && one.at >= startedAt && one.at <= at,
+    );
     const names = sent.map((one) => one.signal);
     if (signal === 'SIGKILL' && names.includes('SIGKILL')) return [];
-    const wasAsked = names.some((name) => STOP_SIGNALS.includes(name));
-    if (code === 0 && wasAsked) return [];
-    const cause = names.length === 0 ? 'by itself' : `after ${names.join(', ')}`;
-    const text = `process ended ${cause}: code ${code}, signal ${signal}`;
+    const asked = sent.find((one) => STOP_SIGNALS.includes(one.signal));
+    const isInTime =
+      asked !== undefined && (at <= asked.at + GRACE_MS || stoodStill(evidence, vm, asked.at, at));
+    if (code === 0 && isInTime) return [];
+    const cause =
+      names.length === 0
+        ? 'by itself'
+        : `after ${sent.map((one) => `${one.signal} (${one.at - startedAt} ms)`).join(', ')}`;
+    const text = `process ended ${at - startedAt} ms after its start ${cause}: code ${code}, signal ${signal}`;
     return [{ rule: 'FAULT', vm, at, id: null, text } as const];
   });
 }
--- a/packages/soak/standins.d.ts
+++ b/packages/soak/standins.d.ts
@@ -86,7 +86,12 @@
 export interface Gateway {
   readonly name: string;
   readonly listen: { readonly front: string; readonly control: string };
-  readonly ends: { at: number; code: number | null; signal: string | null }[];
+  readonly ends: {
+    startedAt: number;
+    at: number;
+    code: number | null;
+    signal: string | null;
+  }[];
   kill(signal: string): void;
 }
 
