An address that is in use for a moment is asked for again

Operators saw a process end with 1, again at each start, while a predecessor, a process that drains or the own port of an outgoing connection held callers, ready or control; a held UDP port left a VM without gossip for good.

Cause: a refusal of the operating system was final, whatever it was; nothing asked again.

The gateway starts to read the store once all listen, so it is not ready before. SIGTERM and SIGINT end the wait with 0; callers who have found their address meanwhile are answered first. A final refusal is an error of its own, with exit code 2. The same for the daemon's router and for gossip, which sends nothing before it has its port: a message would bind the socket to any other.

--- a/packages/daemon/__tests__/daemonProcess.spec.ts
+++ b/packages/daemon/__tests__/daemonProcess.spec.ts
@@ -2,6 +2,7 @@
 import { createHash } from 'node:crypto';
 import { once } from 'node:events';
 import { mkdtemp, open, rm, writeFile } from 'node:fs/promises';
+import { createServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import type { Readable } from 'node:stream';
@@ -208,6 +209,34 @@
     t.is((await ended).code, 0);
   });
 
+  describe('with an address that is in use', () => {
+    const startHeld = async (t: ExecutionContext) => {
+      const holder = createServer().listen(0, '127.0.0.1');
+      await once(holder, 'listening');
+      t.teardown(() => holder.close());
+      const { port } = holder.address() as AddressInfo;
+      const settings = { ...createSettings('http://127.0.0.1:9'), callers: { port } };
+      const daemon = await startDaemon(t, JSON.stringify(settings));
+      const [line] = (await once(daemon.stderr, 'data')) as [Buffer];
+      t.regex(line.toString(), /"address_refused".*EADDRINUSE|EADDRINUSE.*"address_refused"/);
+      return { daemon, holder };
+    };
+
+    it('listens when it is free', async (t) => {
+      const { daemon, holder } = await startHeld(t);
+      holder.close();
+      const { callerUrl } = await readAddresses(daemon);
+      t.is((await request(`${callerUrl}/health`)).statusCode, 200);
+    });
+
+    it('exits with 0 on SIGTERM', async (t) => {
+      const { daemon } = await startHeld(t);
+      const ended = waitForExit(daemon);
+      daemon.kill('SIGTERM');
+      t.deepEqual(await ended, { code: 0, errors: '' });
+    });
+  });
+
   describe('with invalid settings', () => {
     const faults: readonly [string, (settings: Record<string, unknown>) => void, RegExp][] = [
       ['an unknown key', (s) => Object.assign(s, { colour: 'red' }), /colour/],
--- a/packages/daemon/src/processLife.ts
+++ b/packages/daemon/src/processLife.ts
@@ -45,6 +45,8 @@
   /** Time of the first signal to stop, on the runtime's steady clock. */
   #stopAskedAt: number | null = null;
 
+  readonly #stop = new AbortController();
+
   #actions: SignalActions | null = null;
 
   #exitCode = EXIT_OK;
@@ -60,6 +62,11 @@
     return this.#stopAskedAt !== null;
   }
 
+  /** Aborts at the first signal to stop. */
+  get stopSignal(): AbortSignal {
+    return this.#stop.signal;
+  }
+
   /** Time since the first signal to stop, in milliseconds; 0 when there was none. */
   get stoppingMs(): number {
     return this.#stopAskedAt === null ? 0 : performance.now() - this.#stopAskedAt;
@@ -74,7 +81,7 @@
       return await create();
     } catch (error) {
       if (!this.isStopping && !(error instanceof RouterError)) throw error;
-      reportError(error);
+      if (error !== this.#stop.signal.reason) reportError(error);
       if (!this.isStopping) this.#exitCode = EXIT_START_FAILED;
       return null;
     }
@@ -99,6 +106,7 @@
 
   #receive(signal: ProcessSignal): void {
     if (signal === 'SIGTERM' || signal === 'SIGINT') this.#stopAskedAt ??= performance.now();
+    if (this.isStopping) this.#stop.abort();
     const effect = EFFECTS[this.#phase][signal];
     if (effect === 'remember') this.#remembered.add(signal);
     if (effect === 'reload') this.#actions?.reload();
--- a/packages/daemon/src/runDaemon.ts
+++ b/packages/daemon/src/runDaemon.ts
@@ -22,7 +22,7 @@
 export async function runDaemon(settingsPath: string, life = new ProcessLife()): Promise<number> {
   const router = await life.start(async () => {
     const settings = await loadSettings(settingsPath);
-    return life.isStopping ? null : createRouter(settings);
+    return life.isStopping ? null : createRouter(settings, life.stopSignal);
   });
   if (router !== null) {
     const { callerUrl, adminUrl, peerUrl } = router;
--- a/packages/daemon/src/runGateway.ts
+++ b/packages/daemon/src/runGateway.ts
@@ -60,7 +60,8 @@
   const life = new ProcessLife();
   const gateway = await life.start(async () => {
     const settings = await loadGatewaySettings(settingsPath);
-    return life.isStopping ? null : createGateway(settings, createSource(settings), dialect);
+    if (life.isStopping) return null;
+    return createGateway(settings, createSource(settings), dialect, life.stopSignal);
   });
   if (gateway !== null) {
     await serve(life, gateway, settingsPath);
--- a/packages/router/__tests__/gateway/drainedConnections.spec.ts
+++ b/packages/router/__tests__/gateway/drainedConnections.spec.ts
@@ -227,8 +227,9 @@
     const loopDelay = new LoopDelay();
     const callers = new CallerConnections(loopDelay);
     const server = new CallerServer({ loopDelay, callers } as unknown as GatewayContext);
-    const [host, port] = (await findFreeAddress()).split(':');
-    await server.listen(host!, Number(port));
+    const address = await findFreeAddress();
+    const [host, port] = address.split(':');
+    await server.listen({ address, report: () => {} });
     const errors: Error[] = [];
     setTimeout(() => {
       Array.from({ length: BURST_SIZE }, () =>
--- a/packages/router/__tests__/gateway/peerTask.spec.ts
+++ b/packages/router/__tests__/gateway/peerTask.spec.ts
@@ -105,6 +105,22 @@
 });
 
 describe('peer task', () => {
+  it('is heard once its port is free, and keeps to that port', async (t) => {
+    const ports = await Promise.all([findFreePort(), findFreePort()]);
+    const holder = createSocket('udp4').bind(ports[0], '127.0.0.1');
+    await once(holder, 'listening');
+    const first = createPeer('vm-1', ports[0], [`127.0.0.1:${ports[1]}`]);
+    const second = createPeer('vm-2', ports[1], []);
+    t.teardown(() => [first, second].forEach(({ task }) => task.stop()));
+    second.task.start();
+    first.task.start();
+    await sleep(250);
+    t.false(second.state.peers.has('vm-1'));
+    holder.close();
+    await waitUntil(() => first.state.peers.has('vm-2') && second.state.peers.has('vm-1'));
+    t.pass();
+  });
+
   it('is heard by its peers whatever sizes callers give to their requests', async (t) => {
     for (const tokens of [1e12, 1e300, -1e300]) {
       const { state } = createPeer('vm-0', 1, []);
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -18,9 +18,10 @@
 import { createObservers, type Observers } from './createObservers.js';
 import { Decider } from './decider/index.js';
 import { EndpointTasks } from './endpoints/index.js';
-import { listen, type Listener } from './listen.js';
+import { listen, type Listener, type ListenOptions } from './listen.js';
 import { createLog } from './log/index.js';
 import { ControlTraffic } from './metrics/index.js';
+import { openAll } from './openAddress.js';
 import { OrderTask } from './orders/index.js';
 import { PeerTask } from './peers/index.js';
 import { PlatformTask } from './platform/index.js';
@@ -169,6 +170,7 @@
   settings: Settings,
   tasks: Tasks,
   beginDrain: () => void,
+  signal?: AbortSignal,
 ): Promise<{ callers: Listener; admin: Listener; peers: Listener }> {
   const { decider, exchanges, observers, credentials } = tasks;
   const tokens = {
@@ -180,11 +182,29 @@
   const adminApi = createAdminApi({ decider, ...observers, tokens, beginDrain });
   const callerOptions = { tls: callerTls, limits: settings.callers };
   const peerOptions = { tls: peerTls, isMutual: true };
-  const [callers, admin, peers] = await Promise.all([
-    listen(callerApi, settings.callers.host, settings.callers.port, callerOptions),
-    listen(adminApi, settings.admin.host, settings.admin.port, { tls: adminTls }),
-    listen(tasks.peers.api, settings.peers.host, settings.peers.port, peerOptions),
-  ]);
+  const opened: Listener[] = [];
+  const open = async (
+    app: Parameters<typeof listen>[0],
+    { host, port }: { readonly host: string; readonly port: number },
+    options: ListenOptions,
+  ) => {
+    const report: ListenOptions['report'] = (event, fields) => tasks.log.warn(event, fields);
+    const listener = await listen(app, host, port, { ...options, report });
+    opened.push(listener);
+    return listener;
+  };
+  const addresses = openAll(
+    [
+      (ended) => open(callerApi, settings.callers, { ...callerOptions, signal: ended }),
+      (ended) => open(adminApi, settings.admin, { tls: adminTls, signal: ended }),
+      (ended) => open(tasks.peers.api, settings.peers, { ...peerOptions, signal: ended }),
+    ],
+    signal,
+  );
+  const [callers, admin, peers] = (await addresses.catch(async (error: unknown) => {
+    await Promise.all(opened.map((listener) => listener.close()));
+    throw error;
+  })) as [Listener, Listener, Listener];
   credentials.onChange((changed) => {
     if (changed.callerTls !== null) callers.setTls(changed.callerTls);
     if (changed.adminTls !== null) admin.setTls(changed.adminTls);
@@ -196,10 +216,10 @@
 }
 
 /**
- * Starts a router; resolves when its three addresses listen. Rejects when the credentials can't be
- * read or an address can't be used.
+ * Starts a router; resolves when its three addresses listen, which they do as soon as they are free.
+ * Rejects when the credentials can't be read, an address can't be used or the signal ends the wait.
  */
-export async function createRouter(settings: Settings): Promise<Router> {
+export async function createRouter(settings: Settings, signal?: AbortSignal): Promise<Router> {
   const { host, port } = settings.peers;
   const scheme = settings.peers.tls === undefined ? 'http' : 'https';
   const self: Vm = { ...settings.vm, peerUrl: `${scheme}://${host}:${port}`, state: 'live' };
@@ -234,9 +254,10 @@
     return draining;
   };
 
-  const listeners = await openListeners(settings, tasks, () => {
+  const beginDrain = () => {
     void drain();
-  });
+  };
+  const listeners = await openListeners(settings, tasks, beginDrain, signal);
   decider.start();
   platform.start();
   reports.start();
--- a/packages/router/src/errors/routerError.ts
+++ b/packages/router/src/errors/routerError.ts
@@ -5,6 +5,7 @@
   | 'settings_unreadable'
   | 'settings_invalid'
   | 'credentials_unreadable'
+  | 'address_unusable'
   | 'platform_unavailable'
   | 'peer_unavailable'
   | 'answer_too_large';
--- a/packages/router/src/gateway/callerServer.ts
+++ b/packages/router/src/gateway/callerServer.ts
@@ -2,7 +2,9 @@
 import { Server as ConnectionServer } from 'node:net';
 
 import { now } from '../clock.js';
+import { openAddress, type WantedAddress } from '../openAddress.js';
 
+import { splitAddress } from './address.js';
 import { CallerAnswer } from './callerAnswer.js';
 import { DRAINING_RETRY_AFTER_MS, type DrainedServer } from './drain.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -62,12 +64,10 @@
     return this.#connections.count;
   }
 
-  /** Starts to listen; rejects when the address cannot be used. */
-  async listen(host: string, port: number): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, resolve);
-    });
+  /** Listens as soon as the address is free; rejects when it cannot be used. */
+  async listen(wanted: WantedAddress): Promise<void> {
+    const { host, port } = splitAddress(wanted.address);
+    await openAddress(this.#server, () => this.#server.listen(port, host), wanted);
   }
 
   /** Applies the time-outs of the current configuration to new connections. */
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -25,6 +25,7 @@
 
 import { now } from '../clock.js';
 import { createLog } from '../log/index.js';
+import { openAddress, openAll, type WantedAddress } from '../openAddress.js';
 import { splitAddress } from './address.js';
 import { CallerConnections } from './callerConnections.js';
 import { AnswerBuffers } from './answerBuffers.js';
@@ -92,19 +93,20 @@
   stop(): void;
 }
 
-async function listen(server: Server, address: string): Promise<void> {
-  const { host, port } = splitAddress(address);
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
+async function listen(server: Server, wanted: WantedAddress): Promise<void> {
+  const { host, port } = splitAddress(wanted.address);
+  await openAddress(server, () => server.listen(port, host), wanted);
 }
 
-/** Starts a gateway; resolves when it listens. Rejects when an address cannot be used; nothing stays open then. */
+/**
+ * Starts a gateway; resolves when it listens, which it does as soon as its addresses are free. Rejects
+ * when an address cannot be used, or when the signal ends the wait; nothing stays open then.
+ */
 export async function createGateway(
   settings: GatewaySettings,
   source: PublicationSource,
   dialect: Dialect,
+  signal?: AbortSignal,
 ): Promise<Gateway> {
   const seed = hashText(`${settings.vm.id}\n${now()}`);
   const state = createGatewayState(settings, createRandom(seed));
@@ -284,16 +286,22 @@
     connections.closeRemoved(() => false);
   };
 
-  const callers = splitAddress(settings.listen.callers);
-  const attempts = await Promise.allSettled([
-    callerServer.listen(callers.host, callers.port),
-    listen(readiness, settings.listen.ready),
-    listen(control, settings.listen.control),
-  ]);
-  const failure = attempts.find((attempt) => attempt.status === 'rejected');
-  if (failure !== undefined) {
+  const report: WantedAddress['report'] = (event, fields) => log.warn(event, { ...fields });
+  const { callers, ready, control: controlAddress } = settings.listen;
+  try {
+    await openAll(
+      [
+        (ended) => callerServer.listen({ address: callers, report, signal: ended }),
+        (ended) => listen(readiness, { address: ready, report, signal: ended }),
+        (ended) => listen(control, { address: controlAddress, report, signal: ended }),
+      ],
+      signal,
+    );
+  } catch (error) {
+    // Callers may have found their address while another one was waited for.
+    await context.drain.run(callerServer, settings.graceSeconds * MS_PER_SECOND);
     close();
-    throw failure.reason;
+    throw error;
   }
   log.change('started', { settings: settings.vm, seeds: settings.seeds });
   publication.start();
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -34,6 +34,7 @@
 import { Agent } from 'undici';
 
 import { now } from '../clock.js';
+import { openAddress } from '../openAddress.js';
 import { isPeerAddress, splitAddress } from './address.js';
 import { ByteBudget } from './byteBudget.js';
 import { extractContact, type ContactReport } from './contactNews.js';
@@ -159,8 +160,11 @@
   /** Instants at which VMs that did not know this one were answered, by control address. */
   readonly #answeredAt = new Map<string, number>();
 
+  /** Bound to the address of this VM; null before. */
   #socket: Socket | null = null;
 
+  readonly #stopped = new AbortController();
+
   #timer: NodeJS.Timeout | null = null;
 
   /** True when a round has been sent early since the last one of the timer. */
@@ -199,12 +203,25 @@
   /** Starts to gossip and to listen. */
   start(): void {
     const { host, port } = splitAddress(this.#settings.listen.control);
-    this.#socket = createSocket({ type: 'udp4', lookup: resolveAddress });
-    this.#socket.on('message', (bytes) => this.#handleDatagram(bytes));
-    this.#socket.on('error', (error) => {
-      this.#log.warn('peer_socket_failed', { error: error.message });
+    const socket = createSocket({ type: 'udp4', lookup: resolveAddress });
+    socket.on('message', (bytes) => this.#handleDatagram(bytes));
+    // A message that is sent before would bind it to any port.
+    socket.on('listening', () => {
+      this.#socket = socket;
+    });
+    socket.on('error', (error) => {
+      if (this.#socket !== null) this.#log.warn('peer_socket_failed', { error: error.message });
+    });
+    this.#stopped.signal.addEventListener('abort', () => socket.close());
+    openAddress(socket, () => socket.bind(port, host), {
+      address: `udp ${this.address}`,
+      report: (event, fields) => this.#log.warn(event, { ...fields }),
+      signal: this.#stopped.signal,
+    }).catch((error: unknown) => {
+      if (!this.#stopped.signal.aborted) {
+        this.#log.warn('peer_socket_failed', { error: String(error) });
+      }
     });
-    this.#socket.bind(port, host);
     this.#timer = setInterval(() => {
       this.#hasEarlyRound = false;
       this.gossip();
@@ -284,8 +301,8 @@
   /** Stops gossiping and closes the sockets. */
   stop(): void {
     if (this.#timer !== null) clearInterval(this.#timer);
-    this.#socket?.close();
     this.#socket = null;
+    this.#stopped.abort();
     void this.#agent.destroy();
   }
 
--- a/packages/router/src/listen.ts
+++ b/packages/router/src/listen.ts
@@ -9,6 +9,7 @@
 import { createAdaptorServer } from '@hono/node-server';
 
 import { hasValidHeaderNames } from './headerNames.js';
+import { openAddress, type WantedAddress } from './openAddress.js';
 import type { TlsMaterial } from './security/index.js';
 
 const MS_PER_SECOND = 1000;
@@ -36,6 +37,10 @@
   /** Whether a client must present a certificate signed by one of the authorities (mutual TLS). */
   readonly isMutual?: boolean;
   readonly limits?: ListenLimits;
+  /** Called when the address is refused for the moment, and when it is used after that. */
+  readonly report?: WantedAddress['report'];
+  /** Ends the wait for the address. */
+  readonly signal?: AbortSignal;
 }
 
 interface App {
@@ -90,7 +95,10 @@
   return server as Server | TlsServer;
 }
 
-/** Serves an app at an address; port 0 takes a free port. Rejects if the address can't be used. */
+/**
+ * Serves an app as soon as its address is free; port 0 takes a free port. Rejects if the address can't
+ * be used, or when the signal of the options ends the wait.
+ */
 export async function listen(
   app: App,
   host: string,
@@ -98,13 +106,12 @@
   options: ListenOptions = {},
 ): Promise<Listener> {
   const server = createHttpServer(app, options);
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
+  const urlHost = host.includes(':') ? `[${host}]` : host;
+  const { report = () => {}, signal } = options;
+  const wanted = { address: `${urlHost}:${port}`, report, signal };
+  await openAddress(server, () => server.listen(port, host), wanted);
   const address = server.address() as AddressInfo;
   const isTls = 'setSecureContext' in server;
-  const urlHost = host.includes(':') ? `[${host}]` : host;
   return {
     url: `${isTls ? 'https' : 'http'}://${urlHost}:${address.port}`,
     setTls: (material) => {
