Soak: short, long and large requests beside the usual ones, with pauses

The usual callers send the next request at once, with the same deadline of 10 s, so that no connection was ever idle beside a signal, no stream outlasted the grace period, and there was one service. Findings use the deadline and the events of each request instead of one for all; fixtures of requests that are no streams now say so ('dueEvents: 0').

--- a/packages/soak/__tests__/findings.spec.ts
+++ b/packages/soak/__tests__/findings.spec.ts
@@ -13,6 +13,8 @@
   id: 'a1',
   kind: 'stream',
   vm: 'vm-1',
+  timeoutMs: 10_000,
+  dueEvents: STREAM_EVENTS,
   sentAt: SENT_AT,
   writtenAt: SENT_AT + 1,
   endedAt: SENT_AT + 2000,
@@ -32,6 +34,7 @@
 const unansweredRequest: SeenRequest = {
   ...wholeStream,
   kind: 'once',
+  dueEvents: 0,
   status: null,
   answer: 'none',
   events: [],
@@ -295,7 +298,13 @@
     const revokedAt = SENT_AT - 2500;
     const old = { key: 'old', addedAt: 0, revokedAt };
     const current = { key: 'new', addedAt: 0, revokedAt: null };
-    const keyed: SeenRequest = { ...wholeStream, kind: 'once', events: [], key: 'old' };
+    const keyed: SeenRequest = {
+      ...wholeStream,
+      kind: 'once',
+      dueEvents: 0,
+      events: [],
+      key: 'old',
+    };
     const refused: SeenRequest = { ...keyed, id: 'a0', status: 401, key: 'old' };
     const list = (request: SeenRequest, fields: Partial<Evidence> = {}) =>
       listRules(createEvidence(request, { keys: [old, current], ...fields }));
@@ -377,7 +386,7 @@
       { vms: ['vm-1'], from: SENT_AT, to: SENT_AT + 2000, isStoreOnly: false, text: '' },
     ];
     const run = { id: 'a1', endpoint: 'i-1', at: SENT_AT + 10, endedAt: null, events: null };
-    const once: SeenRequest = { ...wholeStream, kind: 'once', events: [] };
+    const once: SeenRequest = { ...wholeStream, kind: 'once', dueEvents: 0, events: [] };
 
     it('finds what no link excuses: ORDER, BYTES, TWICE, REFUSED', (t) => {
       const short = { ...wholeStream, events: allEvents.slice(0, -1) };
@@ -398,7 +407,7 @@
   });
 
   describe('TWICE and REFUSED', () => {
-    const request: SeenRequest = { ...wholeStream, kind: 'once', events: [] };
+    const request: SeenRequest = { ...wholeStream, kind: 'once', dueEvents: 0, events: [] };
     const run = { id: request.id, endpoint: 'i-1', at: SENT_AT + 10, endedAt: null, events: null };
 
     it('finds a run-once request that ran twice', (t) => {
--- a/packages/soak/src/caller.ts
+++ b/packages/soak/src/caller.ts
@@ -8,7 +8,14 @@
 import type { KeyRing } from './keyRing.js';
 import { toProxied } from './links/hosts.js';
 import type { TroubleKind } from './schedule.js';
-import { ACCOUNT, kindsByRoute, TIMEOUT_MS, type RouteName } from './traffic.js';
+import {
+  ACCOUNT,
+  eventsOf,
+  IDLE_TIMEOUT_MS,
+  kindsByRoute,
+  timeoutOf,
+  type RouteName,
+} from './traffic.js';
 
 const SHARE_ONCE = 0.2;
 const SHARE_REPEATABLE = 0.2;
@@ -22,6 +29,21 @@
 const SHARE_KEYED_BESIDE_REVOKE = 0.2;
 const SHARE_REVOKED = 0.3;
 
+/** Shares with `mixed`, by route; the others are as without it. */
+const mixedShares: readonly (readonly [RouteName, number])[] = [
+  ['summary', 0.2],
+  ['long', 0.1],
+  ['hold', 0.25],
+  ['check', 0.15],
+];
+const MAX_SUMMARY_BYTES = 100_000;
+
+/** Shares of pauses after a request with `mixed`: short ones, and those that a kept connection bears. */
+const SHARE_SHORT_PAUSE = 0.5;
+const SHARE_LONG_PAUSE = 0.04;
+const MAX_SHORT_PAUSE_MS = 500;
+const MAX_LONG_PAUSE_MS = 0.75 * IDLE_TIMEOUT_MS;
+
 const MAX_STAY_MS = 1500;
 const MAX_BODY_BYTES = 1e6;
 const SLOW_BYTES_PER_SECOND = 500_000;
@@ -50,7 +72,28 @@
   return trouble.includes('revoke') || trouble.includes('older');
 }
 
+function drawMixed(random: Random): RouteName | null {
+  let draw = random.next();
+  const found = mixedShares.find(([, share]) => {
+    draw -= share;
+    return draw < 0;
+  });
+  return found === undefined ? null : found[0];
+}
+
+function drawPauseMs(random: Random): number {
+  const draw = random.next();
+  if (draw < SHARE_LONG_PAUSE) return random.next() * MAX_LONG_PAUSE_MS;
+  return draw < SHARE_LONG_PAUSE + SHARE_SHORT_PAUSE ? random.next() * MAX_SHORT_PAUSE_MS : 0;
+}
+
 function drawManner(random: Random, trouble: readonly TroubleKind[]): Manner {
+  const mixed = trouble.includes('mixed') ? drawMixed(random) : null;
+  if (mixed !== null) {
+    const bodyBytes = mixed === 'summary' ? Math.ceil(random.next() * MAX_SUMMARY_BYTES) : 0;
+    const leaveAfterMs = timeoutOf(mixed);
+    return { ...usualManner, route: mixed, bodyBytes, leaveAfterMs };
+  }
   const route = drawRoute(random, trouble);
   if (hasRevokedKeys(trouble) && random.next() < SHARE_KEYED_BESIDE_REVOKE) {
     return { ...usualManner, route: 'keyed' };
@@ -115,6 +158,7 @@
       // The next VM serves while the process is away.
       vm = request.answer === 'none' ? (vm + 1) % this.gateways.length : home;
       if (request.answer !== 'whole' || request.status !== 200) await sleep(FAILURE_PAUSE_MS);
+      else if (this.options.trouble.includes('mixed')) await sleep(drawPauseMs(this.#random));
     }
     this.#agents.forEach((agent) => agent.destroy());
   }
@@ -124,23 +168,25 @@
     const name = `${this.index}-${this.#sent}`;
     this.#sent += 1;
     const key = this.#chooseKey();
+    const timeoutMs = timeoutOf(route);
+    const dueEvents = eventsOf(route);
     const body =
       bodyBytes === 0 ? `{"prompt":"${name}"}` : `${name} `.repeat(bodyBytes / name.length);
     const { text, ...outcome } = await sendAttempt(
       this.options.host === null ? gateway.listen.front : toProxied(gateway.listen.front),
       {
-        method: 'POST',
+        method: route === 'check' ? 'GET' : 'POST',
         host: HOST,
         path: `/${route}/${name}`,
         headers: formatCallHeaders({
           id: drawAttemptId(),
-          timeoutMs: TIMEOUT_MS,
+          timeoutMs,
           promptTokens: 600,
           outputTokens: 120,
           segments: { a1: 400, [`b${name}`]: 200 },
           key,
         }),
-        body,
+        body: route === 'check' ? null : body,
         ...manner,
         channel: this.#agents[vm] as Agent,
       },
@@ -148,9 +194,10 @@
     const { id, status, answer } = outcome;
     const kind = kindsByRoute[route];
     const isRight = route !== 'echo' || answer !== 'whole' || status !== 200 || text === body;
-    const seen = kind === 'stream' ? readEvents(text, id) : { events: [], versions: [] };
+    const seen = dueEvents > 0 ? readEvents(text, id) : { events: [], versions: [] };
     const usedKey = route === 'keyed' ? key : null;
-    return { ...outcome, ...seen, kind, vm: gateway.name, isRight, key: usedKey };
+    const call = { kind, vm: gateway.name, timeoutMs, dueEvents, key: usedKey };
+    return { ...outcome, ...seen, ...call, isRight };
   }
 
   #chooseKey(): string {
--- a/packages/soak/src/endpoint.ts
+++ b/packages/soak/src/endpoint.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { ENGINES, RUNNER_URL, type Store } from '#standins';
+import { RUNNER_URL, type Service, type Store } from '#standins';
 
 import type { Run } from './evidence.js';
 import type { Links } from './links/links.js';
@@ -50,6 +50,7 @@
   constructor(
     readonly id: string,
     store: Store,
+    readonly service: Service,
     readonly slots: number,
     readonly version: string,
   ) {
@@ -74,15 +75,16 @@
   /** Starts and registers the process; with links its address is opened there first. */
   async start(links: Links | null): Promise<void> {
     this.#links = links;
-    const { id, slots, version } = this;
-    const options = { id, slots, version, healthPath: '/health', answers };
+    const { id, service, slots, version } = this;
+    const isShedding = service.engine === undefined;
+    const options = { id, slots, version, isShedding, healthPath: '/health', answers };
     this.#process = fork(RUNNER_URL, [JSON.stringify(options)]);
     const [{ address = '' }] = (await once(this.#process, 'message')) as [RunnerMessage];
     this.#process.on('message', (message) => this.#record(message as RunnerMessage));
     this.#address = address;
     await links?.open(address);
     this.#entry = {
-      service: ENGINES.name,
+      service: service.name,
       address,
       zone: 'hall',
       version,
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -9,6 +9,10 @@
   readonly id: string;
   readonly kind: RequestKind;
   readonly vm: string;
+  /** Its deadline, and the usual time-out of its route. */
+  readonly timeoutMs: number;
+  /** Events that its whole answer has; 0 if it is no stream. */
+  readonly dueEvents: number;
   readonly sentAt: number;
   /** When its last byte was handed to the system; null if it never was. */
   readonly writtenAt: number | null;
--- a/packages/soak/src/findings.ts
+++ b/packages/soak/src/findings.ts
@@ -1,6 +1,6 @@
 import type { Evidence, Run, SeenRequest, SentSignal } from './evidence.js';
 import { findWrongKeys } from './keyFindings.js';
-import { SHORT_TIMEOUT_MS, STREAM_EVENTS } from './traffic.js';
+import { MIN_TIMEOUT_FRACTION } from './traffic.js';
 
 /** A broken rule; `id` is that of the request, if there is one. */
 export interface Finding {
@@ -91,11 +91,12 @@
 /** Returns which exclusion of the rule applies to a request without a whole answer; null if none. */
 function findExcuse(request: SeenRequest, runs: readonly Run[], evidence: Evidence): string | null {
   const { vm, sentAt, endedAt, status } = request;
+  const shortestMs = request.timeoutMs * MIN_TIMEOUT_FRACTION;
   if (runs.length === 0 && status === null) {
     const excuse = findUnreadExcuse(request, evidence);
     if (excuse !== null) return excuse;
   }
-  if (endedAt - sentAt >= SHORT_TIMEOUT_MS) return 'deadline reached';
+  if (endedAt - sentAt >= shortestMs) return 'deadline reached';
   if (wasBrokenOff(request, runs, evidence)) return 'endpoint killed';
   if (wasOutOfTouch(evidence, vm, sentAt, endedAt)) return 'links of the VM harmed';
   const signals = evidence.signals.filter((signal) => signal.vm === vm && signal.at <= endedAt);
@@ -111,7 +112,7 @@
   const isBesideSignal = signals.some(({ at }) => at >= sentAt - CONFIG_WINDOW_MS);
   const hasUsedMost =
     !isBesideSignal &&
-    endedAt - sentAt >= MOST_OF_TIMEOUT * SHORT_TIMEOUT_MS &&
+    endedAt - sentAt >= MOST_OF_TIMEOUT * shortestMs &&
     evidence.configurations.some((at) => at <= endedAt && endedAt <= at + CONFIG_WINDOW_MS);
   return hasUsedMost ? 'most of its time used beside a configuration' : null;
 }
@@ -131,8 +132,8 @@
 
 /** Says how a request without a whole answer ended. */
 function describeLoss(request: SeenRequest, runs: readonly Run[]): string {
-  const { status, writtenAt, endedAt, connection, isReused, error, kind, events } = request;
-  const progress = kind === 'stream' ? ` after event ${events.at(-1) ?? 0}` : '';
+  const { status, writtenAt, endedAt, connection, isReused, error, events } = request;
+  const progress = request.dueEvents > 0 ? ` after event ${events.at(-1) ?? 0}` : '';
   if (status !== null) return `status ${status}, then cut${progress} (${error})`;
   if (runs.length > 0) return `ran, and ended without an answer (${error})`;
   const unansweredMs = endedAt - (writtenAt ?? endedAt);
@@ -154,14 +155,14 @@
 /** ORDER: a stream with a gap, of two versions, or one that ends as complete before its last event. */
 function findDisorder({ requests }: Evidence): Finding[] {
   return requests.flatMap((request) => {
-    const { id, vm, kind, status, answer, endedAt, events, versions } = request;
-    if (kind !== 'stream' || status !== 200) return [];
+    const { id, vm, dueEvents, status, answer, endedAt, events, versions } = request;
+    if (dueEvents === 0 || status !== 200) return [];
     const wrong = events.findIndex((event, index) => event !== index + 1);
     const create = (text: string) => [{ rule: 'ORDER', vm, at: endedAt, id, text } as const];
     if (wrong !== -1) return create(`event ${events[wrong]} where ${wrong + 1} is due`);
     if (versions.length > 1) return create(`joins the versions ${versions.join(' and ')}`);
-    if (answer !== 'whole' || events.length === STREAM_EVENTS) return [];
-    return create(`ends as complete after event ${events.length} of ${STREAM_EVENTS}`);
+    if (answer !== 'whole' || events.length === dueEvents) return [];
+    return create(`ends as complete after event ${events.length} of ${dueEvents}`);
   });
 }
 
--- a/packages/soak/src/play.ts
+++ b/packages/soak/src/play.ts
@@ -3,6 +3,7 @@
 import {
   CONFIGURATION_KEY,
   createConfiguration,
+  DESK,
   ENGINES,
   Fleet,
   formatAccount,
@@ -25,7 +26,7 @@
   type StoreFailure,
   type VmSignal,
 } from './schedule.js';
-import { ACCOUNT, createRoutes, SHORT_TIMEOUT_MS, TIMEOUT_MS } from './traffic.js';
+import { ACCOUNT, createRoutes, IDLE_TIMEOUT_MS, SHORT_TIMEOUT_MS, TIMEOUT_MS } from './traffic.js';
 
 /** Time in which VMs get to know each other and the endpoints. */
 const JOIN_MS = 1500;
@@ -49,7 +50,9 @@
 /** Time after which the operator publishes again what an older copy lacks. */
 const REPUBLISH_MS = 1000;
 
-const IDLE_TIMEOUT_MS = 15_000;
+/** Endpoints of the plain service with `mixed`, and requests that each of them runs at once. */
+const DESK_ENDPOINTS = 3;
+const DESK_SLOTS = 12;
 
 type HarmAction = Extract<Action, { kind: 'harm' }>;
 
@@ -143,8 +146,12 @@
     await this.#store.start();
     await this.#links?.open(this.#store.address);
     this.#publish();
-    const first = Array.from({ length: this.options.endpoints }, () => this.#addEndpoint(1));
-    await Promise.all(first);
+    const { endpoints, trouble } = this.options;
+    const engines = Array.from({ length: endpoints }, () => this.#addEndpoint(1));
+    const desks = Array.from({ length: trouble.includes('mixed') ? DESK_ENDPOINTS : 0 }, () =>
+      this.#addEndpoint(1, DESK),
+    );
+    await Promise.all([...engines, ...desks]);
     await this.#fleet.start(this.options.vms, this.#store.address);
     for (const [index, { listen }] of this.#fleet.gateways.entries()) {
       await this.#links?.open(listen.front);
@@ -152,9 +159,10 @@
     }
   }
 
-  async #addEndpoint(version: number): Promise<void> {
+  async #addEndpoint(version: number, service = ENGINES): Promise<void> {
     const id = `i-${this.#endpoints.length + 1}`;
-    const endpoint = new Endpoint(id, this.#store, this.options.slots, String(version));
+    const slots = service === DESK ? DESK_SLOTS : this.options.slots;
+    const endpoint = new Endpoint(id, this.#store, service, slots, String(version));
     this.#endpoints.push(endpoint);
     await endpoint.start(this.#links);
   }
@@ -176,10 +184,14 @@
 
     const { version, idleMs, timeoutMs, extraRoutes } = this.#configuration;
     const service = { ...ENGINES, engine: { ...ENGINES.engine, slots: this.options.slots } };
-    const configuration = createConfiguration(createRoutes(timeoutMs, extraRoutes), [service], {
-      version,
-      tenants: [formatAccount(ACCOUNT.name, this.#keyRing.keys)],
-    });
+    const configuration = createConfiguration(
+      createRoutes(timeoutMs, extraRoutes),
+      [service, DESK],
+      {
+        version,
+        tenants: [formatAccount(ACCOUNT.name, this.#keyRing.keys)],
+      },
+    );
     const limits = { ...configuration.limits, idle_timeout_ms: idleMs };
     this.#store.put(CONFIGURATION_KEY, { ...configuration, limits });
   }
@@ -261,7 +273,7 @@
     this.#kills.push({ endpoint: endpoint.id, at: Date.now() });
     void endpoint.kill();
     const replace = () => {
-      void this.#addEndpoint(Number(endpoint.version));
+      void this.#addEndpoint(Number(endpoint.version), endpoint.service);
     };
     this.#timers.push(setTimeout(replace, REPLACEMENT_MS));
   }
@@ -275,7 +287,7 @@
     const running = this.#endpoints.filter(({ isRunning }) => isRunning);
     const [oldest] = [...running].sort((a, b) => Number(a.version) - Number(b.version));
     if (oldest === undefined) return;
-    await this.#addEndpoint(Number(oldest.version) + 1);
+    await this.#addEndpoint(Number(oldest.version) + 1, oldest.service);
     this.#timers.push(
       setTimeout(() => {
         if (oldest.isRunning) void oldest.leave();
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -10,14 +10,15 @@
 export const outageKinds = ['freeze', 'crash'] as const;
 
 /**
- * Kinds of trouble; `unframed` is a property of the endpoints' answers and `callers` of the requests,
- * the others are scheduled.
+ * Kinds of trouble; `unframed` is a property of the endpoints' answers, `callers` and `mixed` of the
+ * requests, the others are scheduled.
  */
 export const troubleKinds = [
   'silence',
   'kill',
   'unframed',
   'callers',
+  'mixed',
   'store',
   'older',
   'release',
@@ -223,7 +224,9 @@
 ): readonly ScheduledAction[] {
   const random = createRandom(seed);
   // One kind after the other, so that each of them is played.
-  const kinds = trouble.filter((kind) => kind !== 'unframed' && kind !== 'callers');
+  const kinds = trouble.filter(
+    (kind) => kind !== 'unframed' && kind !== 'callers' && kind !== 'mixed',
+  );
   const endMs = seconds * 1000 - CALM_END_MS;
   const actions: ScheduledAction[] = [];
   const offset = randomInteger(random, kinds.length);
--- a/packages/soak/standins.d.ts
+++ b/packages/soak/standins.d.ts
@@ -23,10 +23,11 @@
 
 export interface Service {
   readonly name: string;
-  readonly engine: Readonly<Record<string, number>>;
+  readonly engine?: Readonly<Record<string, number>>;
 }
 
 export const ENGINES: Service;
+export const DESK: Service;
 
 export interface Configuration {
   readonly version: number;
@@ -60,7 +61,7 @@
   readonly host: string;
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
-  readonly body: string;
+  readonly body: string | null;
   readonly bytesPerSecond?: number;
   readonly leaveAfterMs?: number | null;
   readonly channel: Agent;
--- a/packages/soak/standins.js
+++ b/packages/soak/standins.js
@@ -1,6 +1,12 @@
 /* eslint-disable import-x/no-relative-packages -- the review's stand-ins are no package */
 export { drawAttemptId, sendAttempt } from '../../platform/soak/standins/client.js';
-export { createConfiguration, createRoute, ENGINES, HOST } from '../../review/lib/configuration.js';
+export {
+  createConfiguration,
+  createRoute,
+  DESK,
+  ENGINES,
+  HOST,
+} from '../../review/lib/configuration.js';
 export { Fleet } from '../../platform/soak/standins/gateways.js';
 export { listenOnLastingPort } from '../../platform/soak/standins/ports.js';
 export { Store } from '../../platform/soak/standins/store.js';
