A log that nobody takes neither ends a process nor fills its memory

Operators saw a process end with 1 when the reader of its log had gone, or had no room; and one whose log is not read grew with each line.

Cause: nothing handled an error of standard output or standard error, which node then throws; and on a pipe that is full node keeps what is written, without a bound.

LineOutput is the one way out for all writers: the logs of gateway and router, reported errors, dumps and the daemon's ready line.

--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -12,13 +12,17 @@
 const bundlePath = join(__dirname, 'filbertlatch.cjs');
 const cachePath = join(__dirname, 'filbertlatch.code');
 
+/** Reports to standard error; that its reader has gone does not end the process. */
+function report(text) {
+  process.stderr.on('error', () => {});
+  process.stderr.write(`filbertlatch: ${text}\n`);
+}
+
 function readCodeCache() {
   try {
     return readFileSync(cachePath);
   } catch (error) {
-    process.stderr.write(
-      `filbertlatch: compiling the bundle without the code cache: ${error.message}\n`,
-    );
+    report(`compiling the bundle without the code cache: ${error.message}`);
     return undefined;
   }
 }
@@ -29,7 +33,7 @@
   const script = new Script(source, { filename: bundlePath, cachedData });
   if (script.cachedDataRejected === true) {
     // V8 rejects a cache of another Node version or of other flags.
-    process.stderr.write('filbertlatch: code cache rejected, compiling the bundle without it\n');
+    report('code cache rejected, compiling the bundle without it');
   }
   const bundle = { exports: {} };
   const run = script.runInThisContext();
--- a/packages/daemon/__tests__/daemonProcess.spec.ts
+++ b/packages/daemon/__tests__/daemonProcess.spec.ts
@@ -209,6 +209,22 @@
     t.is((await ended).code, 0);
   });
 
+  it('serves on when the readers of its log have gone', async (t) => {
+    const daemon = await startDaemon(t, JSON.stringify(createSettings('http://127.0.0.1:9')));
+    const { callerUrl } = await readAddresses(daemon);
+    daemon.stdout.destroy();
+    daemon.stderr.destroy();
+    for (let count = 0; count < 5; count += 1) {
+      daemon.kill('SIGUSR2');
+      await sleep(SIGNAL_INTERVAL_MS);
+      const { statusCode, body } = await request(`${callerUrl}/health`);
+      await body.dump();
+      t.is(statusCode, 200);
+    }
+    daemon.kill('SIGTERM');
+    t.deepEqual(await once(daemon, 'exit'), [0, null]);
+  });
+
   describe('with an address that is in use', () => {
     const startHeld = async (t: ExecutionContext) => {
       const holder = createServer().listen(0, '127.0.0.1');
--- a/packages/daemon/src/reportError.ts
+++ b/packages/daemon/src/reportError.ts
@@ -1,4 +1,5 @@
 import { RouterError } from '@filbertlatch/router/errors';
+import { standardError } from '@filbertlatch/router/output';
 
 /** Prints an error to standard error; one that is not ours with its stack. */
 export function reportError(error: unknown): void {
@@ -6,5 +7,5 @@
     error instanceof RouterError
       ? `${error.code}\n${error.message}`
       : String(error instanceof Error ? error.stack : error);
-  process.stderr.write(`filbertlatchd: ${text}\n`);
+  standardError.write(`filbertlatchd: ${text}`);
 }
--- a/packages/daemon/src/runDaemon.ts
+++ b/packages/daemon/src/runDaemon.ts
@@ -1,4 +1,5 @@
 import { createRouter, loadSettings, type Router } from '@filbertlatch/router';
+import { standardError, standardOutput } from '@filbertlatch/router/output';
 
 import { ProcessLife } from './processLife.js';
 import { reportError } from './reportError.js';
@@ -11,7 +12,7 @@
   });
   await life.serve({
     reload: () => reload.ask(),
-    dump: () => process.stderr.write(`${JSON.stringify(router.state())}\n`),
+    dump: () => standardError.write(JSON.stringify(router.state())),
   });
 }
 
@@ -27,7 +28,7 @@
   if (router !== null) {
     const { callerUrl, adminUrl, peerUrl } = router;
     const ready = JSON.stringify({ ready: true, callerUrl, adminUrl, peerUrl });
-    if (!life.isStopping) process.stdout.write(`${ready}\n`);
+    if (!life.isStopping) standardOutput.write(ready);
     await serve(life, router);
     await router.drain();
   }
--- a/packages/daemon/src/runGateway.ts
+++ b/packages/daemon/src/runGateway.ts
@@ -8,6 +8,7 @@
   type GatewaySettings,
   type PublicationSource,
 } from '@filbertlatch/router/gateway';
+import { standardError, standardOutput } from '@filbertlatch/router/output';
 
 import { ProcessLife } from './processLife.js';
 import { reportError } from './reportError.js';
@@ -35,7 +36,7 @@
   };
   return setInterval(() => {
     reloadIfChanged().catch((error: Error) => {
-      process.stderr.write(`filbertlatchd: ${path}: ${error.message}\n`);
+      standardError.write(`filbertlatchd: ${path}: ${error.message}`);
     });
   }, SETTINGS_CHECK_INTERVAL_MS);
 }
@@ -46,7 +47,7 @@
   const timer = watchSettings(reload, path);
   await life.serve({
     reload: () => reload.ask(),
-    dump: () => process.stdout.write(`${JSON.stringify(gateway.state())}\n`),
+    dump: () => standardOutput.write(JSON.stringify(gateway.state())),
   });
   clearInterval(timer);
 }
--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -58,6 +58,7 @@
     recordedSegments: zero,
     suspectedSegments: zero,
     refusedSegments: zero,
+    droppedLogLines: zero,
   });
 }
 
--- a/packages/router/__tests__/gateway/gossipBytes.spec.ts
+++ b/packages/router/__tests__/gateway/gossipBytes.spec.ts
@@ -15,7 +15,7 @@
 import { createGatewayState, type GatewayState } from '../../src/gateway/gatewayState.js';
 import { PeerTask } from '../../src/gateway/peerTask.js';
 import { parseGatewaySettings } from '../../src/gateway/settings.js';
-import { createLog } from '../../src/log/index.js';
+import { createLog, standardOutput } from '../../src/log/index.js';
 import { findFreeAddress } from '../../src/testing/index.js';
 
 const PEERS = 84;
@@ -79,7 +79,7 @@
     offerConfiguration: () => {},
     offerEndpoints: () => {},
   };
-  const log = new GatewayLog(createLog('vm-0', 'error', []));
+  const log = new GatewayLog(createLog('vm-0', 'error', standardOutput));
   const task = new PeerTask(settings, state, receiver, log);
   const told = new Set<unknown>();
   let bytes = 0;
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -24,7 +24,7 @@
 } from '@filbertlatch/core';
 
 import { now } from '../clock.js';
-import { createLog } from '../log/index.js';
+import { createLog, standardError, standardOutput } from '../log/index.js';
 import { openAddress, openAll, type WantedAddress } from '../openAddress.js';
 import { splitAddress } from './address.js';
 import { CallerConnections } from './callerConnections.js';
@@ -110,7 +110,7 @@
 ): Promise<Gateway> {
   const seed = hashText(`${settings.vm.id}\n${now()}`);
   const state = createGatewayState(settings, createRandom(seed));
-  const log = new GatewayLog(createLog(settings.vm.id, settings.logLevel, []));
+  const log = new GatewayLog(createLog(settings.vm.id, settings.logLevel, standardOutput));
   const metrics = new GatewayMetrics({
     configurationVersion: () => configurationVersion(state.routing),
     endpoints: () => state.directory.endpoints.size,
@@ -121,6 +121,7 @@
     recordedSegments: () => countSegments(state.segmentSuspects, now()).recorded,
     suspectedSegments: () => countSegments(state.segmentSuspects, now()).suspected,
     refusedSegments: () => countSegments(state.segmentSuspects, now()).refused,
+    droppedLogLines: () => standardOutput.droppedLines + standardError.droppedLines,
   });
   const loopDelay = new LoopDelay();
   const connections = new ConnectionTable(() => loopDelay.earliestArrivalAt);
--- a/packages/router/src/gateway/gatewayMetrics.ts
+++ b/packages/router/src/gateway/gatewayMetrics.ts
@@ -20,6 +20,7 @@
   readonly recordedSegments: () => number;
   readonly suspectedSegments: () => number;
   readonly refusedSegments: () => number;
+  readonly droppedLogLines: () => number;
 }
 
 /** Counters and latency histograms of one gateway. */
@@ -162,6 +163,11 @@
     this.#gauge('refused_segments', 'Prompt segments that are refused after a failed trial.', () =>
       gauges.refusedSegments(),
     );
+    this.#gauge(
+      'dropped_log_lines',
+      'Log lines dropped since the start, as nobody took them.',
+      () => gauges.droppedLogLines(),
+    );
   }
 
   /** Counts a request or health check that is sent to an endpoint with a limit. */
--- a/packages/router/src/log/createLog.ts
+++ b/packages/router/src/log/createLog.ts
@@ -1,20 +1,22 @@
+import { Writable } from 'node:stream';
+
 import { createLogger, format, transports, type Logger } from 'winston';
 
-const ALL_LEVELS = ['error', 'warn', 'info'];
+import { standardError, type LineOutput } from './lineOutput.js';
 
-/**
- * Creates the log of one VM: JSON lines, on standard error for the levels in stderrLevels and on
- * standard output for the rest.
- */
-export function createLog(
-  vmId: string,
-  level: string,
-  stderrLevels: readonly string[] = ALL_LEVELS,
-): Logger {
+/** Creates the log of one VM: JSON lines on an output, standard error by default. */
+export function createLog(vmId: string, level: string, output: LineOutput = standardError): Logger {
+  const stream = new Writable({
+    decodeStrings: false,
+    write: (line: string, _encoding, done) => {
+      output.write(line);
+      done();
+    },
+  });
   return createLogger({
     level,
     defaultMeta: { vm: vmId },
     format: format.combine(format.timestamp(), format.json()),
-    transports: [new transports.Console({ stderrLevels: [...stderrLevels] })],
+    transports: [new transports.Stream({ stream, eol: '' })],
   });
 }
--- a/packages/router/src/log/index.ts
+++ b/packages/router/src/log/index.ts
@@ -1,2 +1,3 @@
 export { ChangeLog } from './changeLog.js';
 export { createLog } from './createLog.js';
+export { standardError, standardOutput } from './lineOutput.js';
--- a/packages/router/src/metrics/routerMetrics.ts
+++ b/packages/router/src/metrics/routerMetrics.ts
@@ -10,6 +10,7 @@
 
 import { now } from '../clock.js';
 import type { Decider } from '../decider/index.js';
+import { standardError, standardOutput } from '../log/index.js';
 import type { Attainment, ClassCounts, Percentiles, RefusalCounts } from '../observation/index.js';
 import type { ControlTraffic } from './controlTraffic.js';
 
@@ -113,6 +114,9 @@
     this.#addCounter('refusals_total', refused, ['code', 'verdict'], (add) => {
       refusals.list().forEach(({ code, verdict, count }) => add({ code, verdict }, count));
     });
+    this.#addGauge('dropped_log_lines', 'Dropped since the start.', [], (set) => {
+      set({}, standardOutput.droppedLines + standardError.droppedLines);
+    });
     this.#addGauge('open_requests', 'Requests without a final answer.', [], (set) => {
       set({}, countOpen());
     });
