Settings that cannot be read yet are asked for again at the start

Operators saw a process end with 2 because it started while its settings were being written: missing, empty or cut off.

Cause: one reading decided.

Readings on SIGHUP are as they were: a failed one changes nothing.

--- a/packages/daemon/src/runDaemon.ts
+++ b/packages/daemon/src/runDaemon.ts
@@ -2,6 +2,7 @@
 import { standardError, standardOutput } from '@filbertlatch/router/output';
 
 import { ProcessLife } from './processLife.js';
+import { readStartSettings } from './readStartSettings.js';
 import { reportError } from './reportError.js';
 import { SettingsReload } from './settingsReload.js';
 
@@ -22,7 +23,7 @@
  */
 export async function runDaemon(settingsPath: string, life = new ProcessLife()): Promise<number> {
   const router = await life.start(async () => {
-    const settings = await loadSettings(settingsPath);
+    const settings = await readStartSettings(() => loadSettings(settingsPath), life.stopSignal);
     return life.isStopping ? null : createRouter(settings, life.stopSignal);
   });
   if (router !== null) {
--- a/packages/daemon/src/runGateway.ts
+++ b/packages/daemon/src/runGateway.ts
@@ -11,6 +11,7 @@
 import { standardError, standardOutput } from '@filbertlatch/router/output';
 
 import { ProcessLife } from './processLife.js';
+import { readStartSettings } from './readStartSettings.js';
 import { reportError } from './reportError.js';
 import { SettingsReload } from './settingsReload.js';
 
@@ -60,7 +61,10 @@
 ): Promise<number> {
   const life = new ProcessLife();
   const gateway = await life.start(async () => {
-    const settings = await loadGatewaySettings(settingsPath);
+    const settings = await readStartSettings(
+      () => loadGatewaySettings(settingsPath),
+      life.stopSignal,
+    );
     if (life.isStopping) return null;
     return createGateway(settings, createSource(settings), dialect, life.stopSignal);
   });
