A request that came in time is not reset by an idle time-out that fires late

What callers saw: a kept connection reset with a whole request in it, when the VM's process was late by more than what is left of the idle time-out. The runtime's timers come before the poll that would have read the request.

Evidence: idleConnections.spec, 'is not closed while a request waits in it that came in time to a late VM', ends with ECONNRESET on.

The server now closes an idle connection after the next poll, and only if that has read nothing. A request whose head is half read stays under the header time-out.

--- a/packages/router/src/gateway/callerServer.ts
+++ b/packages/router/src/gateway/callerServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { Server as ConnectionServer } from 'node:net';
+import { Server as ConnectionServer, type Socket } from 'node:net';
 
 import { now } from '../clock.js';
 import { openAddress, type WantedAddress } from '../openAddress.js';
@@ -45,6 +45,7 @@
       },
       (request, response) => this.#handle(request, response),
     );
+    this.#server.on('timeout', (socket: Socket) => this.#closeIdle(socket));
     context.callers.watch(this.#server);
     this.#connections.watch(this.#server);
   }
@@ -115,6 +116,14 @@
     this.#server.closeAllConnections();
   }
 
+  /** Closes an idle connection, unless a request waits in it that came in time to a late process. */
+  #closeIdle(socket: Socket): void {
+    const { bytesRead } = socket;
+    this.#context.loopDelay.afterPoll(() => {
+      if (socket.bytesRead === bytesRead) socket.destroy();
+    });
+  }
+
   #handle(request: IncomingMessage, response: ServerResponse): void {
     if (request.socket.writableEnded) {
       this.#crossedRequests += 1;
