Bound what is read of a peer's publication and of health checks

Callers would see their VM end when a peer answers without end: the fetch of a publication read its answer by json() of a plain client, from any number of peers at once, for 0.8 s each. One whose answer belonged to no call was awaited for ever, and that peer was never asked again.

Evidence: endlessParts.spec.ts plays a gateway, with the heap of the deploy file, whose endpoints or peers send one of 15 parts of an answer without end.

The fix: both use the bounded clients.

--- /dev/null
+++ b/packages/router/__tests__/gateway/endlessParts.spec.ts
@@ -0,0 +1,26 @@
+import { describe, itSerial } from '@filbertlatch/core/testing';
+
+import { endlessAnswers, measureMemory } from '../../src/testing/index.js';
+import type { OtherRequests } from './endlessPartPlayer.js';
+
+/** Memory of a VM, the servers that send without end, and a sound one in one process. */
+const MAX_BYTES = 200 * 1_048_576;
+
+const MIN_SERVED = 0.99;
+
+const player = new URL('endlessPartPlayer.js', import.meta.url);
+
+describe('bytes without end from', () => {
+  for (const who of ['endpoints', 'peers']) {
+    Object.keys(endlessAnswers).forEach((part) => {
+      itSerial(`${who}, in ${part}, cost little memory and no other request`, async (t) => {
+        const probe = await measureMemory<OtherRequests>(player, who, part);
+        const text = JSON.stringify(probe);
+        t.log(text);
+        t.is(probe.end, null, text);
+        t.true(probe.maxBytes <= MAX_BYTES, text);
+        t.true(probe.outcome!.served >= MIN_SERVED * probe.outcome!.sent, text);
+      });
+    });
+  }
+});
--- a/packages/router/src/bounds/answerBytes.ts
+++ b/packages/router/src/bounds/answerBytes.ts
@@ -41,10 +41,7 @@
   return parseBoundedJson(await readBytes(body, maxBytes), maxValues);
 }
 
-/** Reads a body that nobody needs; closes the connection of a long one. Never rejects. */
+/** Reads a body that nobody needs; closes the connection of a long one. Rejects when its call is aborted. */
 export async function discardBody(body: AnswerReader): Promise<void> {
-  body.on('error', () => {
-    // The connection is closed; nothing of the body is needed.
-  });
-  await body.dump({ limit: MAX_DISCARDED_BYTES }).catch(() => undefined);
+  await body.dump({ limit: MAX_DISCARDED_BYTES });
 }
--- a/packages/router/src/gateway/checkLink.ts
+++ b/packages/router/src/gateway/checkLink.ts
@@ -1,6 +1,7 @@
 import type { RegisteredEndpoint } from '@filbertlatch/core';
-import { buildConnector, Client } from 'undici';
+import { buildConnector, type Client } from 'undici';
 
+import { createCheckClient } from './checkClient.js';
 import { isConnectionReset } from './isConnectionReset.js';
 import type { LoopDelay } from './loopDelay.js';
 import { SilenceTimer } from './silenceTimer.js';
@@ -36,14 +37,12 @@
     endWait();
     void client?.destroy();
   };
-  client = new Client(`http://${endpoint.address}`, {
-    connect: (target, callback) => {
-      openSocket(target, (...result) => {
-        isOpen = result[0] === null || isConnectionReset(result[0]);
-        timer.start(ANSWER_TIMEOUT_MS, giveUp);
-        callback(...result);
-      });
-    },
+  client = createCheckClient(endpoint.address, (target, callback) => {
+    openSocket(target, (...result) => {
+      isOpen = result[0] === null || isConnectionReset(result[0]);
+      timer.start(ANSWER_TIMEOUT_MS, giveUp);
+      callback(...result);
+    });
   });
   timer.start(CONNECT_TIMEOUT_MS, giveUp);
   try {
--- a/packages/router/src/gateway/livenessTask.ts
+++ b/packages/router/src/gateway/livenessTask.ts
@@ -1,8 +1,9 @@
 import { isTakingRequests, type RegisteredEndpoint } from '@filbertlatch/core';
-import { buildConnector, Client } from 'undici';
+import { buildConnector } from 'undici';
 
 import { now } from '../clock.js';
 import { splitAddress } from './address.js';
+import { createCheckClient } from './checkClient.js';
 import type { ConnectionTable } from './connectionTable.js';
 import type { Dialect } from './dialect.js';
 import { ANSWER_TIMEOUT_MS, checkEnd, checkPort, type EndFinding } from './endCheck.js';
@@ -131,14 +132,12 @@
     timer.start(connectTimeoutMs, () => timeout.abort());
     const openSocket = buildConnector({ timeout: connectTimeoutMs });
     let isOpen = false;
-    const client = new Client(`http://${address}`, {
-      connect: (target, callback) => {
-        openSocket(target, (...result) => {
-          isOpen = result[0] === null;
-          timer.start(ANSWER_TIMEOUT_MS, () => timeout.abort());
-          callback(...result);
-        });
-      },
+    const client = createCheckClient(address, (target, callback) => {
+      openSocket(target, (...result) => {
+        isOpen = result[0] === null;
+        timer.start(ANSWER_TIMEOUT_MS, () => timeout.abort());
+        callback(...result);
+      });
     });
     try {
       const options = { method: 'GET', path, responseHeaders: 'raw' } as const;
--- a/packages/router/src/gateway/peerTask.ts
+++ b/packages/router/src/gateway/peerTask.ts
@@ -31,8 +31,8 @@
   type JSONRPCRequest,
   type JSONRPCResponse,
 } from 'json-rpc-2.0';
-import { Agent } from 'undici';
 
+import { createBoundedAgent, readJson } from '../bounds/index.js';
 import { now } from '../clock.js';
 import { openAddress } from '../openAddress.js';
 import { isPeerAddress, splitAddress } from './address.js';
@@ -79,6 +79,15 @@
 /** Time-out for fetching the publication from a peer. */
 const PUBLICATION_FETCH_TIMEOUT_MS = 800;
 
+/** A configuration of 1 MiB with its quotes escaped, and the endpoints. */
+const MAX_PUBLICATION_BYTES = 4_194_304;
+
+/** Values in its JSON; an endpoint has some 10. */
+const MAX_PUBLICATION_VALUES = 32_768;
+
+/** Fetches at a time; what they read is held meanwhile. */
+const MAX_FETCHES = 2;
+
 /** Time within which a change usually reaches all VMs from the store. */
 const STORE_PROPAGATION_MS = 250;
 
@@ -137,9 +146,12 @@
 
   readonly #log: GatewayLog;
 
-  readonly #agent = new Agent({
+  readonly #agent = createBoundedAgent({
     connections: 1,
     connect: { timeout: PUBLICATION_FETCH_TIMEOUT_MS },
+    headersTimeout: PUBLICATION_FETCH_TIMEOUT_MS,
+    bodyTimeout: PUBLICATION_FETCH_TIMEOUT_MS,
+    maxResponseSize: MAX_PUBLICATION_BYTES,
   });
 
   readonly #server = new JSONRPCServer();
@@ -501,6 +513,7 @@
     const isStoreExpectedSooner =
       this.#receiver.isConnected && now() - this.#behindSince < STORE_PROPAGATION_MS;
     if (isStoreExpectedSooner || this.#fetching.has(message.vmId)) return;
+    if (this.#fetching.size >= MAX_FETCHES) return;
     this.#fetching.add(message.vmId);
     void this.#fetchPublication(message).finally(() => this.#fetching.delete(message.vmId));
   }
@@ -516,9 +529,12 @@
           body: JSON.stringify(payload),
           signal: AbortSignal.timeout(PUBLICATION_FETCH_TIMEOUT_MS),
         });
-        client.receive((await body.json()) as never);
+        const answer = await readJson(body, MAX_PUBLICATION_BYTES, MAX_PUBLICATION_VALUES);
+        client.receive(answer as never);
       });
-      const publication = (await client.request('publication', {})) as PeerPublication;
+      // An answer to another call is none to this one.
+      const call = client.timeout(PUBLICATION_FETCH_TIMEOUT_MS).request('publication', {});
+      const publication = (await call) as PeerPublication;
       if (publication.configurationText !== null) {
         const era = publication.configurationEra ?? null;
         this.#receiver.offerConfiguration(publication.configurationText, era, vmId);
--- a/packages/router/src/gateway/probeTask.ts
+++ b/packages/router/src/gateway/probeTask.ts
@@ -5,9 +5,11 @@
   type RegisteredEndpoint,
   type StartedCheck,
 } from '@filbertlatch/core';
-import { buildConnector, Client } from 'undici';
+import { buildConnector } from 'undici';
 
+import { discardBody } from '../bounds/index.js';
 import { now } from '../clock.js';
+import { createCheckClient } from './checkClient.js';
 import type { ConnectionTable } from './connectionTable.js';
 import type { ContactTask } from './contactTask.js';
 import type { CrashRecorder } from './crashRecorder.js';
@@ -158,13 +160,11 @@
     const path = routing.configuration?.services.get(endpoint.serviceId)?.healthPath ?? '/';
     let isOpen = false;
     const openSocket = buildConnector({ timeout: 2 * PROBE_TIMEOUT_MS });
-    const client = new Client(`http://${endpoint.address}`, {
-      connect: (target, callback) => {
-        openSocket(target, (...result) => {
-          isOpen = result[0] === null || isConnectionReset(result[0]);
-          callback(...result);
-        });
-      },
+    const client = createCheckClient(endpoint.address, (target, callback) => {
+      openSocket(target, (...result) => {
+        isOpen = result[0] === null || isConnectionReset(result[0]);
+        callback(...result);
+      });
     });
     const check = this.#contacts.startCheck(endpoint);
     const timeout = new AbortController();
@@ -177,7 +177,7 @@
       const { signal } = timeout;
       const options = { method: 'GET', path, signal, responseHeaders: 'raw' } as const;
       const { statusCode, headers, body } = await client.request(options);
-      await body.dump();
+      await discardBody(body);
       const rawHeaders = headers as unknown as readonly string[];
       const answer = this.#dialect.parseAnswer(statusCode, rawHeaders);
       progress.unanswered = 0;
