--- a/packages/router/__tests__/gateway/endlessPartPlayer.ts
+++ b/packages/router/__tests__/gateway/endlessPartPlayer.ts
@@ -1,4 +1,5 @@
 import { createSocket } from 'node:dgram';
+import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { EndlessServer, endlessAnswers, playMeasured } from '../../src/testing/index.js';
@@ -41,9 +42,42 @@
   };
 }
 
-/** Plays a gateway whose endpoints, or peers, send one part of an answer without end. */
+const CALL_HEAD = 'POST /rpc HTTP/1.1\r\nhost: vm\r\ncontent-type: application/json\r\n';
+const values = '{},'.repeat(20_000);
+
+/** Calls of a peer, a part of which goes on without end. */
+const endlessCalls: Readonly<Record<string, readonly [begin: string, block: string]>> = {
+  'chunks of a call': [
+    `${CALL_HEAD}transfer-encoding: chunked\r\n\r\n2\r\n["\r\n`,
+    `${values.length.toString(16)}\r\n${values}\r\n`,
+  ],
+  'a call with a length': [`${CALL_HEAD}content-length: 9000000000000\r\n\r\n[`, values],
+};
+
+/** Sends calls without end, each on a connection of its own. */
+function sendCalls(control: string, [begin, block]: readonly [string, string]): () => void {
+  const [host, port] = control.split(':');
+  const sockets = Array.from({ length: ENDLESS }, () => {
+    const socket = connect(Number(port), host);
+    const writeOn = () => {
+      while (!socket.destroyed && socket.write(block));
+    };
+    socket.on('error', () => {});
+    socket.on('drain', writeOn);
+    socket.resume();
+    socket.write(begin);
+    writeOn();
+    return socket;
+  });
+  return () => sockets.forEach((socket) => socket.destroy());
+}
+
+/** Plays a gateway to which endpoints or peers send one part of an answer or call without end. */
 async function play(who: string, part: string): Promise<OtherRequests> {
-  const servers = Array.from({ length: ENDLESS }, () => new EndlessServer(endlessAnswers[part]!));
+  const servers = Array.from(
+    { length: ENDLESS },
+    () => new EndlessServer(endlessAnswers[part] ?? endlessAnswers.headers!),
+  );
   const addresses = await Promise.all(servers.map((server) => server.start()));
   const sound = await startEndpoint('sound', (request, response) => {
     response.writeHead(200, { 'x-request': request.headers['x-request'], 'x-mac': 'mac' });
@@ -69,6 +103,8 @@
   ];
   const { callers, control } = await startGateway(createSource(configuration, endpoints));
   const stopNews = who === 'peers' ? tellNews(control, addresses) : () => {};
+  const endlessCall = endlessCalls[part];
+  const stopCalls = endlessCall === undefined ? () => {} : sendCalls(control, endlessCall);
   const endsAt = performance.now() + PLAY_MS;
   const headers = { 'x-request': 'request' };
   let sent = 0;
@@ -90,6 +126,7 @@
   };
   await Promise.all([sendOthers(), ...(who === 'endpoints' ? endless.map(sendFailing) : [])]);
   stopNews();
+  stopCalls();
   return { sent, served };
 }
 
--- a/packages/router/__tests__/gateway/endlessParts.spec.ts
+++ b/packages/router/__tests__/gateway/endlessParts.spec.ts
@@ -10,9 +10,14 @@
 
 const player = new URL('endlessPartPlayer.js', import.meta.url);
 
+const parts: Readonly<Record<string, readonly string[]>> = {
+  endpoints: Object.keys(endlessAnswers),
+  peers: [...Object.keys(endlessAnswers), 'chunks of a call', 'a call with a length'],
+};
+
 describe('bytes without end from', () => {
-  for (const who of ['endpoints', 'peers']) {
-    Object.keys(endlessAnswers).forEach((part) => {
+  Object.entries(parts).forEach(([who, whats]) => {
+    whats.forEach((part) => {
       itSerial(`${who}, in ${part}, cost little memory and no other request`, async (t) => {
         const probe = await measureMemory<OtherRequests>(player, who, part);
         const text = JSON.stringify(probe);
@@ -22,5 +27,5 @@
         t.true(probe.outcome!.served >= MIN_SERVED * probe.outcome!.sent, text);
       });
     });
-  }
+  });
 });
