Hold the bodies of requests within a limit, joined without a copy and freed at once

Callers saw a process end, with all that it had accepted, when a few of them sent large bodies or left them half sent. Cause: each body was bounded alone and nothing counted them together; a body was kept as chunks and as their copy; and what had ended stayed until the runtime collected its whole heap, which bytes outside of the heap do not bring about in time.

Now: one account of bytes with a limit from what the process has (or the key memoryLimitBytes). The room of a large body is reserved by its length before it is read, so that half read ones cannot block each other; without room a request is not read, is not told to continue, waits for a second at most by priority, size and arrival, and is then refused with a 503 that is true. Small bodies have room of their own. One client account has half of the room at most while others wait; a body that gets no byte for two seconds while others wait ends with 408. What is refused anyway (404, 401, 413, leaving) is answered before a large body is read. A refused body is dropped, in bounds, before the connection closes, so that a reset does not overtake the answer. Large bodies are read a chunk a turn, into one buffer, which is freed with the last use, unless a write of it may still be in progress.

--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -59,6 +59,8 @@
     suspectedSegments: zero,
     refusedSegments: zero,
     droppedLogLines: zero,
+    memoryLimitBytes: zero,
+    heldBytes: () => ({}),
   });
 }
 
@@ -241,6 +243,7 @@
   source: PublicationSource,
   dialect: Dialect = testDialect,
   graceSeconds = 3.5,
+  memoryLimitBytes?: number,
 ): Promise<TestGateway> {
   const [callers, ready, control] = await Promise.all([
     findFreeAddress(),
@@ -255,6 +258,7 @@
     graceSeconds,
     repeats: { ratio: 0.2, slack: 50, windowSeconds: 10 },
     logLevel: 'error' as const,
+    memoryLimitBytes,
   };
   const gateway = await createGateway(settings, source, dialect);
   return { gateway, callers, ready, control };
--- a/packages/router/src/gateway/admitRequest.ts
+++ b/packages/router/src/gateway/admitRequest.ts
@@ -8,6 +8,8 @@
   rankOfRequest,
   recordArrival,
   recordServiceArrival,
+  type ClientAccount,
+  type Configuration,
   type Job,
   type Route,
   type RoutedService,
@@ -40,12 +42,23 @@
   readonly deadlineAt: number;
 }
 
+/** A request whose route and client account are known. */
+export interface FoundRequest {
+  readonly kind: 'found';
+  readonly configuration: Configuration;
+  readonly route: Route;
+  /** Undefined on a route that needs no account. */
+  readonly account: ClientAccount | undefined;
+  readonly metadata: RequestMetadata;
+}
+
 /** A request that the gateway answers itself with an error. */
 export interface RejectedRequest {
   readonly kind: 'rejected';
   readonly status: number;
-  /** Error code of the answer; also the outcome in metrics. */
+  /** Error code of the answer; also the outcome in metrics, unless that has a name of its own. */
   readonly reason: string;
+  readonly outcome?: string;
   /** Retry delay told to the caller; null when it should not retry. */
   readonly retryAfterMs: number | null;
   /** `none` when no route was found or looked for. */
@@ -84,17 +97,12 @@
   return query < 0 ? target : target.slice(0, query);
 }
 
-/**
- * Finds route, account and service of a request in the current configuration, or the reason to
- * reject it.
- */
-export function admitRequest(
-  { contacts, drain, state, dialect }: GatewayContext,
+/** Finds route and account of a request in the current configuration, or the reason to reject it. */
+export function findRequest(
+  { drain, state, dialect }: GatewayContext,
   request: IncomingMessage,
-  arrival: Arrival,
-  transit: TransitTerms | null,
-): AdmittedRequest | RejectedRequest {
-  const { routing, scheduling } = state;
+): FoundRequest | RejectedRequest {
+  const { routing } = state;
   const { configuration } = routing;
   if (drain.isRejecting) return reject(503, 'leaving', 'none', DRAINING_RETRY_AFTER_MS);
   if (configuration === null) {
@@ -110,6 +118,24 @@
   const account = findAccountByKey(routing, metadata.key);
   const needsKey = configuration.accounts !== null && !route.isPublic;
   if (needsKey && account === undefined) return reject(401, 'unknown_key', route.id);
+  return { kind: 'found', configuration, route, account, metadata };
+}
+
+/**
+ * Finds route, account and service of a request in the current configuration, or the reason to
+ * reject it.
+ */
+export function admitRequest(
+  context: GatewayContext,
+  request: IncomingMessage,
+  arrival: Arrival,
+  transit: TransitTerms | null,
+): AdmittedRequest | RejectedRequest {
+  const found = findRequest(context, request);
+  if (found.kind === 'rejected') return found;
+  const { account, configuration, metadata, route } = found;
+  const { contacts, state } = context;
+  const { scheduling } = state;
   const requestId = metadata.requestId ?? '';
   // A stream that is taken up belongs to the service that began it.
   const isTakenUp = metadata.lastEventId !== null && metadata.resumedRequestId !== null;
--- a/packages/router/src/gateway/attempt.ts
+++ b/packages/router/src/gateway/attempt.ts
@@ -1,5 +1,6 @@
 import type { RegisteredEndpoint, StreamOrigin } from '@filbertlatch/core';
 
+import type { HeldBody } from '../memory/index.js';
 import type { AttemptFailure } from './endpointRequest.js';
 import type { SendTimes } from './sendTimes.js';
 
@@ -16,6 +17,8 @@
   /** The caller's headers without the hop-by-hop ones; flat list of names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer | null;
+  /** Room of the body; null without a body. */
+  readonly held: HeldBody | null;
   /** Id of the last event that was sent to the caller; null for a new stream. */
   readonly lastEventId: string | null;
   /** Says whether an answer is taken for the end of the stream though it has neither events nor a length. */
--- a/packages/router/src/gateway/callerAnswer.ts
+++ b/packages/router/src/gateway/callerAnswer.ts
@@ -3,6 +3,7 @@
 import type { StreamOrigin } from '@filbertlatch/core';
 
 import type { RawAnswerHead } from './attempt.js';
+import { dropBody } from './dropBody.js';
 import type { GatewayState } from './gatewayState.js';
 import { dropHopByHopHeaders, dropHeaders, findHeader } from './headers.js';
 
@@ -48,7 +49,24 @@
    * retry.
    */
   sendError(status: number, reason: string, retryAfterMs: number | null = null): void {
-    if (this.#response.headersSent || this.#response.destroyed) return;
+    if (this.#writeError(status, reason, retryAfterMs, [])) this.#response.end();
+  }
+
+  /** Sends the gateway's own error to a request that is not read to its end; its connection closes. */
+  sendErrorUnread(status: number, reason: string, retryAfterMs: number | null): void {
+    if (this.#writeError(status, reason, retryAfterMs, ['connection', 'close'])) {
+      dropBody(this.#response.req, () => this.#response.end());
+    }
+  }
+
+  /** Writes an error; false when an answer has begun. */
+  #writeError(
+    status: number,
+    reason: string,
+    retryAfterMs: number | null,
+    headers: readonly string[],
+  ): boolean {
+    if (this.#response.headersSent || this.#response.destroyed) return false;
     const body = JSON.stringify({ error: { code: reason, retryable: retryAfterMs !== null } });
     const retry =
       retryAfterMs === null ? [] : ['retry-after', (retryAfterMs / MS_PER_SECOND).toFixed(3)];
@@ -58,10 +76,12 @@
         ...['content-type', 'application/json'],
         ...['content-length', String(Buffer.byteLength(body))],
         ...retry,
+        ...headers,
       ],
       { kind: 'error', reason, retryAfterMs },
     );
-    this.#response.end(body);
+    this.#response.write(body);
+    return true;
   }
 
   /** Sends an endpoint's complete answer unchanged, without its hop-by-hop headers. */
@@ -92,7 +112,8 @@
   }
 
   #writeHead(status: number, headers: readonly string[], note: AnswerNote): void {
-    const close = this.#state.isLeaving ? ['connection', 'close'] : [];
+    const mustClose = this.#state.isLeaving && findHeader(headers, 'connection') === null;
+    const close = mustClose ? ['connection', 'close'] : [];
     const noted = this.#addNote === null ? headers : this.#addNote(headers, note);
     this.#response.writeHead(status, STATUS_CODES[status], [...noted, ...close]);
   }
--- a/packages/router/src/gateway/callerServer.ts
+++ b/packages/router/src/gateway/callerServer.ts
@@ -43,7 +43,10 @@
         connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_MS,
         noDelay: true,
       },
-      (request, response) => this.#handle(request, response),
+      (request, response) => this.#handle(request, response, false),
+    );
+    this.#server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) =>
+      this.#handle(request, response, true),
     );
     this.#server.on('timeout', (socket: Socket) => this.#closeIdle(socket));
     context.callers.watch(this.#server);
@@ -124,7 +127,7 @@
     });
   }
 
-  #handle(request: IncomingMessage, response: ServerResponse): void {
+  #handle(request: IncomingMessage, response: ServerResponse, awaitsContinue: boolean): void {
     if (request.socket.writableEnded) {
       this.#crossedRequests += 1;
       request.resume();
@@ -142,7 +145,7 @@
     const answer = new CallerAnswer(response, this.#context.state);
     const { drain } = this.#context;
     drain.setEnd(response, () => answer.sendError(503, 'leaving', DRAINING_RETRY_AFTER_MS));
-    const received = { request, response, answer, transit: null };
+    const received = { request, response, answer, transit: null, awaitsContinue };
     handleRequest(this.#context, received).catch((error: unknown) => {
       this.#context.log.warn('request_crashed', { error: String(error) });
       answer.sendError(500, 'internal');
--- a/packages/router/src/gateway/dumpGateway.ts
+++ b/packages/router/src/gateway/dumpGateway.ts
@@ -8,13 +8,19 @@
   totalLoad,
 } from '@filbertlatch/core';
 
+import type { MemoryAccount } from '../memory/index.js';
 import { isServing, type GatewayState } from './gatewayState.js';
 
 /** State of a gateway as JSON, for operators. */
 export type GatewayDump = ReturnType<typeof dumpGateway>;
 
 /** Creates a dump of the state; contains no keys, prompts or bodies. */
-export function dumpGateway(state: GatewayState, openRequests: number, now: number) {
+export function dumpGateway(
+  state: GatewayState,
+  memory: MemoryAccount,
+  openRequests: number,
+  now: number,
+) {
   const { routing, directory, scheduling, health, peers } = state;
   const { configuration } = routing;
   return {
@@ -23,6 +29,11 @@
     isReady: isServing(state),
     isLeaving: state.isLeaving,
     openRequests,
+    memory: {
+      limitBytes: memory.limitBytes,
+      heldBytes: memory.heldBytes,
+      byKind: { ...memory.bytesByKind },
+    },
     configurationVersion: configurationVersion(routing),
     directoryRevision: directory.revision,
     isStoreLost: directory.isStoreLost,
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -200,7 +200,8 @@
   }
 
   /** Sends the request. */
-  send({ method, path, headers, body, lastEventId, acceptsEmptyRest }: AttemptRequest): void {
+  send(request: AttemptRequest): void {
+    const { method, path, headers, body, held, lastEventId, acceptsEmptyRest } = request;
     this.#acceptsEmptyRest = acceptsEmptyRest;
     const { accountId, deadlineAt, job } = this.#admitted;
     const { dialect, state } = this.#context;
@@ -213,7 +214,7 @@
       const metadata = { endpointId, remainingMs, accountId, priority, lastEventId };
       return dialect.formatRequest(headers, metadata);
     };
-    this.#request.start({ method, path, formatHeaders, body });
+    this.#request.start({ method, path, formatHeaders, body, held });
   }
 
   /** Resumes a paused stream. */
--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -2,6 +2,7 @@
 import { errors, type Dispatcher } from 'undici';
 
 import { now } from '../clock.js';
+import type { HeldBody } from '../memory/index.js';
 import type { EndpointConnections } from './endpointConnections.js';
 import { EndlessAnswerError, type GuardedClient, type GuardedHandler } from './guardedClient.js';
 import { isConnectionReset } from './isConnectionReset.js';
@@ -21,6 +22,8 @@
   /** Formats the headers as of now, as a flat list of names and values. */
   readonly formatHeaders: () => string[];
   readonly body: Buffer | null;
+  /** Room of the body, which is used until the request ends; null without. */
+  readonly held?: HeldBody | null;
 }
 
 /** Why an attempt ended without a complete answer. */
@@ -88,6 +91,8 @@
 
   #isOver = false;
 
+  #held: HeldBody | null = null;
+
   #isWithheld = false;
 
   constructor(
@@ -112,6 +117,10 @@
 
   /** Sends the request, once a connection is free and this process is on time. */
   start(outgoing: OutgoingRequest): void {
+    if (this.#held === null && outgoing.held != null && !this.#isOver) {
+      this.#held = outgoing.held;
+      this.#held.retain();
+    }
     this.#dispatch(outgoing, this.#connections.pool);
   }
 
@@ -204,11 +213,17 @@
    */
   cancel(): void {
     if (this.#isOver) return;
-    this.#isOver = true;
+    this.#end();
     this.#client?.dropUnsent();
     this.#abort?.(new Error('request cancelled'));
   }
 
+  #end(): void {
+    this.#isOver = true;
+    if (this.#mayHaveSent && this.#times.writtenAt === null) this.#held?.releaseUnwritten();
+    else this.#held?.release();
+  }
+
   #unsentCause(error: Error): AttemptFailure['cause'] {
     if (this.#isWithheld) return 'withheld';
     return isConnectionReset(error) ? 'broken' : 'unreachable';
@@ -218,14 +233,14 @@
     // undici reports a connection reset as the end of a body without a length.
     if (this.#connections.isResetting) this.#fail(new Error('connection reset within the body'));
     else if (!this.#isOver) {
-      this.#isOver = true;
+      this.#end();
       this.#observer.end();
     }
   }
 
   #fail(error: Error): void {
     if (this.#isOver) return;
-    this.#isOver = true;
+    this.#end();
     if (this.#mayHaveSent) this.#connections.markBroken();
     const isMalformed =
       error instanceof errors.HTTPParserError || error instanceof EndlessAnswerError;
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -20,6 +20,7 @@
 import { EndpointAttempt } from './endpointAttempt.js';
 import { PeerChoice } from './peerChoice.js';
 import { describeEnd } from './requestEnd.js';
+import type { WholeBody } from './readBody.js';
 import { RequestTrace, type RequestTraceFields } from './requestTrace.js';
 import { RetryAllowance } from './retryAllowance.js';
 import { RetryWait } from './retryWait.js';
@@ -67,7 +68,7 @@
 
   readonly #answer: CallerAnswer;
 
-  readonly #body: Buffer | null;
+  readonly #body: WholeBody;
 
   readonly #crashGuard: CrashGuard;
 
@@ -114,7 +115,7 @@
     context: GatewayContext,
     admitted: AdmittedRequest,
     received: ReceivedRequest,
-    body: Buffer | null,
+    body: WholeBody,
   ) {
     const { request, response, answer } = received;
     this.#context = context;
@@ -134,7 +135,7 @@
     this.#trialTimer = new SilenceTimer(context.loopDelay);
     this.#segmentGuard = new SegmentGuard(context, admitted);
     const { accountId } = admitted;
-    this.#crashGuard = new CrashGuard(context, this.#segmentGuard, accountId, request, body);
+    this.#crashGuard = new CrashGuard(context, this.#segmentGuard, accountId, request, body.body);
   }
 
   /** Starts to handle the request. */
@@ -282,7 +283,8 @@
       method: this.#request.method ?? 'GET',
       path: this.#request.url ?? '/',
       headers: dropHopByHopHeaders(this.#request.rawHeaders),
-      body: this.#body,
+      body: this.#body.body,
+      held: this.#body.held,
       lastEventId: this.#stream.lastEventId,
       // Two endpoints that have nothing more of a stream show its end; so does one, where no other can be asked.
       acceptsEmptyRest: () => this.#hasEmptyRest() || !this.#tryTakeRetry(),
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -25,6 +25,7 @@
 
 import { now } from '../clock.js';
 import { createLog, standardError, standardOutput } from '../log/index.js';
+import { BodyRoom, defaultLimitBytes, MemoryAccount } from '../memory/index.js';
 import { openAddress, openAll, type WantedAddress } from '../openAddress.js';
 import { splitAddress } from './address.js';
 import { CallerConnections } from './callerConnections.js';
@@ -111,6 +112,7 @@
   const seed = hashText(`${settings.vm.id}\n${now()}`);
   const state = createGatewayState(settings, createRandom(seed));
   const log = new GatewayLog(createLog(settings.vm.id, settings.logLevel, standardOutput));
+  const memory = new MemoryAccount(settings.memoryLimitBytes ?? defaultLimitBytes());
   const metrics = new GatewayMetrics({
     configurationVersion: () => configurationVersion(state.routing),
     endpoints: () => state.directory.endpoints.size,
@@ -122,9 +124,19 @@
     suspectedSegments: () => countSegments(state.segmentSuspects, now()).suspected,
     refusedSegments: () => countSegments(state.segmentSuspects, now()).refused,
     droppedLogLines: () => standardOutput.droppedLines + standardError.droppedLines,
+    memoryLimitBytes: () => memory.limitBytes,
+    heldBytes: () => memory.bytesByKind,
   });
   const loopDelay = new LoopDelay();
   const connections = new ConnectionTable(() => loopDelay.earliestArrivalAt);
+  const roomClock = { now, listenedMs: (since: number) => loopDelay.listenedMs(since) };
+  const room: BodyRoom = new BodyRoom(memory, roomClock, (change) =>
+    log.change(`memory_${change}`, {
+      limitBytes: memory.limitBytes,
+      heldBytes: { ...memory.bytesByKind },
+      holders: room.listHolders(),
+    }),
+  );
   const callerConnections = new CallerConnections(loopDelay);
   const crashes = new CrashRecorder(state, metrics, log);
   const publication = new PublicationTask(state, source, crashes, loopDelay, log);
@@ -197,6 +209,7 @@
     crashes,
     ...terms,
     buffers: new AnswerBuffers(),
+    room,
     countFleetVms: countVms,
     takeSequenceNumber: () => {
       sequenceNumber += 1;
@@ -211,7 +224,7 @@
     heardAt: contacts.listAliveAt(),
     openTransits: transitServer.openRequests,
   }));
-  const dump = () => dumpGateway(state, countOpenRequests(), now());
+  const dump = () => dumpGateway(state, memory, countOpenRequests(), now());
 
   const readiness = createServer((request, response) => {
     request.resume();
@@ -242,6 +255,7 @@
       log.warn('process_paused', { pausedMs: Math.round(standstillMs) });
       publication.restart();
     }
+    room.maintain();
     maintenanceCount += 1;
     publication.maintain();
     removeStaleDepartures(state.directory, instant);
--- a/packages/router/src/gateway/gatewayContext.ts
+++ b/packages/router/src/gateway/gatewayContext.ts
@@ -1,3 +1,4 @@
+import type { BodyRoom } from '../memory/index.js';
 import type { AnswerBuffers } from './answerBuffers.js';
 import type { CallerConnections } from './callerConnections.js';
 import type { BrittleTask } from './brittleTask.js';
@@ -40,6 +41,7 @@
   readonly origins: OriginTask;
   readonly crashes: CrashRecorder;
   readonly buffers: AnswerBuffers;
+  readonly room: BodyRoom;
   /** Number of VMs that share the limits of the fleet. */
   readonly countFleetVms: () => number;
   /** Returns a number that no other request of this process has got. */
--- a/packages/router/src/gateway/gatewayMetrics.ts
+++ b/packages/router/src/gateway/gatewayMetrics.ts
@@ -21,6 +21,9 @@
   readonly suspectedSegments: () => number;
   readonly refusedSegments: () => number;
   readonly droppedLogLines: () => number;
+  readonly memoryLimitBytes: () => number;
+  /** Bytes that are held for others, by kind. */
+  readonly heldBytes: () => Readonly<Record<string, number>>;
 }
 
 /** Counters and latency histograms of one gateway. */
@@ -122,6 +125,13 @@
     registers: [this.#registry],
   });
 
+  readonly #memoryRefusals = new Counter({
+    name: `${METRIC_PREFIX}memory_refusals_total`,
+    help: 'Requests refused before they were read whole, since there was no room for their bodies.',
+    labelNames: ['reason'],
+    registers: [this.#registry],
+  });
+
   readonly #firstAnswer = new Histogram({
     name: `${METRIC_PREFIX}first_answer_seconds`,
     help: 'From arrival to the answer, or to the first event of a stream.',
@@ -168,6 +178,17 @@
       'Log lines dropped since the start, as nobody took them.',
       () => gauges.droppedLogLines(),
     );
+    this.#gauge('held_bytes_limit', 'Bytes that this process may hold for others.', () =>
+      gauges.memoryLimitBytes(),
+    );
+    const held: Gauge = new Gauge({
+      name: `${METRIC_PREFIX}held_bytes`,
+      help: 'Bytes that this process holds for others, by kind.',
+      labelNames: ['kind'],
+      registers: [this.#registry],
+      collect: () =>
+        Object.entries(gauges.heldBytes()).forEach(([kind, bytes]) => held.set({ kind }, bytes)),
+    });
   }
 
   /** Counts a request or health check that is sent to an endpoint with a limit. */
@@ -230,6 +251,11 @@
     this.#abandoned.inc({ place });
   }
 
+  /** Counts a request whose body had no room, or was given up for others. */
+  countMemoryRefusal(reason: 'no-room' | 'stalled'): void {
+    this.#memoryRefusals.inc({ reason });
+  }
+
   /** Counts a completed request. */
   countRequest(route: string, outcome: string): void {
     this.#requests.inc({ route, outcome });
--- a/packages/router/src/gateway/handleRequest.ts
+++ b/packages/router/src/gateway/handleRequest.ts
@@ -3,10 +3,11 @@
 import { now } from '../clock.js';
 import { hasValidHeaderNames } from '../headerNames.js';
 import { admitRequest, type AdmittedRequest, type RejectedRequest } from './admitRequest.js';
+import { BodyTerms } from './bodyTerms.js';
 import type { CallerAnswer } from './callerAnswer.js';
 import { Exchange } from './exchange.js';
 import type { GatewayContext } from './gatewayContext.js';
-import { readBody } from './readBody.js';
+import { readBody, type WholeBody } from './readBody.js';
 import { RequestTrace } from './requestTrace.js';
 import type { TransitTerms } from './transitEnvelope.js';
 
@@ -25,24 +26,46 @@
   readonly answer: CallerAnswer;
   /** Terms of the VM that sent the request; null when a caller did. */
   readonly transit: TransitTerms | null;
+  /** True when the caller sends the body only once it is told to. */
+  readonly awaitsContinue: boolean;
 }
 
-function reject(
+function logRejection(
   { log, metrics, state }: GatewayContext,
-  answer: CallerAnswer,
-  { status, reason, retryAfterMs, routeId }: RejectedRequest,
+  requestId: string | null,
+  { status, reason, outcome = reason, routeId }: RejectedRequest,
 ): void {
-  metrics.countRequest(routeId, reason);
+  metrics.countRequest(routeId, outcome);
   const configuration = state.routing.configuration?.version ?? null;
-  log.decision('request_rejected', { status, reason, routeId, configuration });
-  answer.sendError(status, reason, retryAfterMs);
+  log.decision('request_rejected', { requestId, status, reason, routeId, configuration });
+}
+
+function reject(
+  context: GatewayContext,
+  { answer }: ReceivedRequest,
+  rejection: RejectedRequest,
+  requestId: string | null = null,
+): void {
+  logRejection(context, requestId, rejection);
+  answer.sendError(rejection.status, rejection.reason, rejection.retryAfterMs);
+}
+
+/** Rejects a request whose body is not read. */
+function rejectUnread(
+  context: GatewayContext,
+  { answer, request }: ReceivedRequest,
+  rejection: RejectedRequest,
+): void {
+  const { requestId } = context.dialect.parseRequest(request.headers);
+  logRejection(context, requestId, rejection);
+  answer.sendErrorUnread(rejection.status, rejection.reason, rejection.retryAfterMs);
 }
 
 function begin(
   context: GatewayContext,
   admitted: AdmittedRequest,
   received: ReceivedRequest,
-  body: Buffer | null,
+  body: WholeBody,
 ): void {
   try {
     new Exchange(context, admitted, received, body).start();
@@ -76,7 +99,7 @@
   received: ReceivedRequest,
 ): Promise<void> {
   const { answer, request, response, transit } = received;
-  const { callers, intake, metrics, state } = context;
+  const { callers, intake, metrics, room, state } = context;
   const arrival = callers.readArrival(request.socket);
   if (!hasValidHeaderNames(request.rawHeaders)) {
     metrics.countRequest('none', 'malformed_header');
@@ -87,30 +110,33 @@
     return;
   }
   const limits = state.routing.configuration?.limits ?? DEFAULT_LIMITS;
-  const result = await readBody(request, limits.maxBodyBytes);
+  const terms = new BodyTerms(context, received, limits.maxBodyBytes);
+  const result = await readBody(request, room, terms);
   if (result.kind === 'cut') {
     metrics.countRequest('none', 'cut');
     return;
   }
-  if (result.kind === 'too-large') {
-    metrics.countRequest('none', 'too_large');
-    answer.sendError(413, 'body_too_large');
-    request.resume();
+  if (result.kind === 'refused') {
+    rejectUnread(context, received, result.rejection);
     return;
   }
+  const { body, held } = result;
+  if (response.closed) held?.release();
+  else if (held !== null) response.once('close', () => held.release());
   const admission = admitRequest(context, request, arrival, transit);
   if (admission.kind === 'rejected') {
-    reject(context, answer, admission);
+    reject(context, received, admission);
     return;
   }
-  const { body } = result;
   const routeId = admission.route.id;
   const reason = transit === null ? 'overloaded' : 'busy';
   intake.accept(admission, body?.length ?? 0, response, {
     hasLeft: () => callers.hasLeft(request.socket),
-    begin: () => begin(context, admission, received, body),
-    refuse: (retryAfterMs) =>
-      reject(context, answer, { kind: 'rejected', status: 503, reason, retryAfterMs, routeId }),
+    begin: () => begin(context, admission, received, result),
+    refuse: (retryAfterMs) => {
+      const rejection = { kind: 'rejected', status: 503, reason, retryAfterMs, routeId } as const;
+      reject(context, received, rejection, admission.job.id);
+    },
     forget: () => forget(context, admission),
   });
 }
--- a/packages/router/src/gateway/settings.ts
+++ b/packages/router/src/gateway/settings.ts
@@ -1,6 +1,7 @@
 import * as z from 'zod';
 
 import { isPeerAddress } from './address.js';
+import { machineBytes, MIN_LIMIT_BYTES } from '../memory/index.js';
 import { checkSettings, readSettings } from '../settings/readSettings.js';
 
 const address = z
@@ -59,6 +60,17 @@
         .describe('Seconds of the window in which repeats are counted.'),
     })
     .describe('Limits on requests that are sent to another endpoint.'),
+  memoryLimitBytes: z
+    .number()
+    .int()
+    .min(MIN_LIMIT_BYTES, 'one request body of 4 MB must fit beside small ones')
+    .refine((bytes) => bytes <= machineBytes(), 'larger than the memory of the machine')
+    .optional()
+    .describe(
+      'Bytes that the process may hold for others at a time: bodies, answers, what waits. ' +
+        'By default three quarters of the limit of its heap, a third of the rest of the memory, or 256 MB, ' +
+        'whichever is least.',
+    ),
   logLevel: z
     .enum(['error', 'warn', 'info', 'debug'])
     .default('info')
--- a/packages/router/src/gateway/transitAttempt.ts
+++ b/packages/router/src/gateway/transitAttempt.ts
@@ -123,7 +123,7 @@
   /** Where the stream began that this attempt goes on with; set before it is sent. */
   resumedOrigin: StreamOrigin | null = null;
 
-  send({ method, path, headers, body, lastEventId }: AttemptRequest): void {
+  send({ method, path, headers, body, held, lastEventId }: AttemptRequest): void {
     const { deadlineAt, job } = this.#admitted;
     const { id } = job;
     this.#method = method;
@@ -141,6 +141,7 @@
       path: `${TRANSIT_PATH}${path}`,
       formatHeaders,
       body,
+      held,
     });
   }
 
--- a/packages/router/src/gateway/transitServer.ts
+++ b/packages/router/src/gateway/transitServer.ts
@@ -65,7 +65,8 @@
     });
     drain.setEnd(response, () => answer.sendError(503, 'leaving', DRAINING_RETRY_AFTER_MS));
     unwrapRequest(request);
-    handleRequest(this.#context, { request, response, answer, transit }).catch((error: unknown) => {
+    const received = { request, response, answer, transit, awaitsContinue: false };
+    handleRequest(this.#context, received).catch((error: unknown) => {
       log.warn('request_crashed', { error: String(error) });
       answer.sendError(500, 'internal');
     });
--- /dev/null
+++ b/packages/router/src/memory/index.ts
@@ -0,0 +1,6 @@
+export { SMALL_BODY_BYTES, BodyRoom, limitForBody, type RoomChange } from './bodyRoom.js';
+export type { BodyAsk } from './bodyQueue.js';
+export type { HeldBody } from './heldBody.js';
+export { HELD_KINDS, type HeldKind } from './heldKind.js';
+export { MemoryAccount } from './memoryAccount.js';
+export { defaultLimitBytes, machineBytes, MIN_LIMIT_BYTES } from './memoryLimit.js';
