--- a/packages/soak/__tests__/findings.spec.ts
+++ b/packages/soak/__tests__/findings.spec.ts
@@ -62,6 +62,8 @@
     troubles: [],
     hasSparePlaces: true,
     configurations: [],
+    memory: { limitBytes: 200e6, excesses: [], peaks: {} },
+    deeds: [],
     ...fields,
   };
 }
@@ -261,6 +263,12 @@
     });
   });
 
+  it('finds a process that held more than its machine has', (t) => {
+    const excesses = [{ vm: 'vm-1', at: SENT_AT, bytes: 201e6 }];
+    const memory = { limitBytes: 200e6, excesses, peaks: { 'vm-1': 201e6 } };
+    t.deepEqual(listRules(createEvidence(wholeStream, { memory })), ['MEMORY']);
+  });
+
   describe('CALM', () => {
     const requests = Array.from({ length: 200 }, (_, index) => ({
       ...wholeStream,
--- a/packages/soak/__tests__/options.spec.ts
+++ b/packages/soak/__tests__/options.spec.ts
@@ -30,6 +30,7 @@
     ['--vms', 'many'],
     ['--vms', '500'],
     ['--seconds', '1'],
+    ['--memory', '0'],
     ['--minutes', '1'],
     ['run'],
   ].forEach((argv) => {
--- a/packages/soak/__tests__/soak.spec.ts
+++ b/packages/soak/__tests__/soak.spec.ts
@@ -29,6 +29,7 @@
     program,
     hasFailedFirst: false,
     harms: harmWays,
+    memoryBytes: 200e6,
     seeds: [seed],
     ...fields,
   };
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -1,3 +1,5 @@
+import type { MemoryUse } from './memoryWatch.js';
+
 /** Kinds of requests: runs once at most, may be repeated, a stream that may be resumed. */
 export type RequestKind = 'once' | 'repeatable' | 'stream';
 
@@ -79,6 +81,12 @@
   revokedAt: number | null;
 }
 
+/** What the soak did at one moment, in words. */
+export interface Deed {
+  readonly at: number;
+  readonly text: string;
+}
+
 /** What callers, endpoints and the soak itself have seen in one run. */
 export interface Evidence {
   readonly startedAt: number;
@@ -103,4 +111,7 @@
   readonly hasSparePlaces: boolean;
   /** Instants at which configurations were published. */
   readonly configurations: readonly number[];
+  readonly memory: MemoryUse;
+  /** All that the soak did, in the order of time. */
+  readonly deeds: readonly Deed[];
 }
--- a/packages/soak/src/findings.ts
+++ b/packages/soak/src/findings.ts
@@ -5,7 +5,16 @@
 /** A broken rule; `id` is that of the request, if there is one. */
 export interface Finding {
   readonly rule:
-    'LOST' | 'ORDER' | 'FAULT' | 'TWICE' | 'REFUSED' | 'CALM' | 'BYTES' | 'LATE' | 'CONFIG';
+    | 'LOST'
+    | 'ORDER'
+    | 'FAULT'
+    | 'TWICE'
+    | 'REFUSED'
+    | 'CALM'
+    | 'BYTES'
+    | 'LATE'
+    | 'CONFIG'
+    | 'MEMORY';
   readonly vm: string;
   readonly at: number;
   readonly id: string | null;
@@ -187,6 +196,18 @@
   });
 }
 
+function formatMegabytes(bytes: number): string {
+  return `${Math.round(bytes / 1e6)} MB`;
+}
+
+/** MEMORY: a process that held more than its machine has. */
+function findExcesses({ memory }: Evidence): Finding[] {
+  return memory.excesses.map(({ vm, at, bytes }) => {
+    const text = `held ${formatMegabytes(bytes)} of ${formatMegabytes(memory.limitBytes)}`;
+    return { rule: 'MEMORY', vm, at, id: null, text } as const;
+  });
+}
+
 /** TWICE and REFUSED: run-once requests that ran twice, or ran though the answer denies it. */
 function findWrongRuns({ requests }: Evidence, runsById: RunsById): Finding[] {
   return requests.flatMap(({ id, vm, kind, status, endedAt }) => {
@@ -272,6 +293,7 @@
     ...findLost(evidence, runsById),
     ...findDisorder(evidence),
     ...findFaults(evidence),
+    ...findExcesses(evidence),
     ...findWrongRuns(evidence, runsById),
     ...findWrongSends(evidence, runsById),
     ...findWrongKeys(evidence, runsById),
--- a/packages/soak/src/options.ts
+++ b/packages/soak/src/options.ts
@@ -29,6 +29,8 @@
   readonly trouble: readonly TroubleKind[];
   /** Ways in which links are harmed, with the kind of trouble `links`. */
   readonly harms: readonly HarmWay[];
+  /** Memory that a VM's process may hold. */
+  readonly memoryBytes: number;
   /** Folder that logs are kept in; null to drop them. */
   readonly logDirectory: string | null;
   /** Folder of the reports; null for standard output only. */
@@ -56,6 +58,7 @@
                         ${signalKinds.length}; all unless given
     --harms LIST        of ${harmWays.join(', ')}: what is done to links;
                         all unless given
+    --memory N          megabytes that a VM's process may hold; 200
     --keep-logs DIR     keep the logs of the VMs, one folder a seed
     --report DIR        write seed-N.json and seed-N.txt
 
@@ -138,12 +141,13 @@
       seconds: { type: 'number', default: 20 },
       trouble: { type: 'string', default: troubleKinds.join(',') },
       harms: { type: 'string' },
+      memory: { type: 'number', default: 200 },
       keepLogs: { type: 'string' },
       report: { type: 'string' },
     },
   });
   const known =
-    'seed failed program vms endpoints callers slots seconds trouble harms report keepLogs'.split(
+    'seed failed program vms endpoints callers slots seconds trouble harms memory report keepLogs'.split(
       ' ',
     );
   const unknown = Object.keys(unnormalizedFlags).find(
@@ -158,6 +162,7 @@
   checkCount('callers', callers);
   checkCount('slots', slots);
   checkCount('seconds', seconds, MIN_SECONDS);
+  checkCount('memory', flags.memory);
   checkSize({ vms, endpoints });
   const trouble = parseTrouble(flags.trouble);
   if (flags.harms !== undefined && !trouble.includes('links')) {
@@ -174,6 +179,7 @@
     seconds,
     trouble,
     harms: flags.harms === undefined ? harmWays : parseHarms(flags.harms),
+    memoryBytes: flags.memory * 1e6,
     logDirectory: flags.keepLogs ?? null,
     reportDirectory: flags.report ?? null,
   };
--- a/packages/soak/src/play.ts
+++ b/packages/soak/src/play.ts
@@ -12,14 +12,16 @@
 
 import { Caller } from './caller.js';
 import { Endpoint, LAPSE_MS } from './endpoint.js';
-import type { Evidence, LinkHarm, SentSignal } from './evidence.js';
+import type { Deed, Evidence, LinkHarm, SentSignal } from './evidence.js';
 import { findHarmedLinks } from './links/harmedLinks.js';
 import { hostOfCaller, hostOfVm, network } from './links/hosts.js';
 import { KeyRing } from './keyRing.js';
 import { Links } from './links/links.js';
+import { MemoryWatch } from './memoryWatch.js';
 import { defaultSlots, type Options } from './options.js';
 import {
   drawSchedule,
+  formatDeed,
   type ConfigurationChange,
   type Action,
   type ScheduledAction,
@@ -88,6 +90,10 @@
 
   #isStoreFailing = false;
 
+  readonly #deeds: Deed[] = [];
+
+  readonly #memory: MemoryWatch;
+
   readonly #timers: NodeJS.Timeout[] = [];
 
   #callers: readonly Caller[] = [];
@@ -100,6 +106,7 @@
     logDirectory: string,
   ) {
     const hasLinks = options.trouble.includes('links');
+    this.#memory = new MemoryWatch(options.memoryBytes);
     this.#links = hasLinks ? new Links() : null;
     this.#fleet = new Fleet({
       root: options.program,
@@ -153,6 +160,7 @@
     );
     await Promise.all([...engines, ...desks]);
     await this.#fleet.start(this.options.vms, this.#store.address);
+    this.#memory.start(this.#fleet.gateways);
     for (const [index, { listen }] of this.#fleet.gateways.entries()) {
       await this.#links?.open(listen.front);
       await this.#links?.open(listen.control, hostOfVm(index));
@@ -197,6 +205,7 @@
   }
 
   #act(action: ScheduledAction): void {
+    this.#deeds.push({ at: Date.now(), text: formatDeed(action) });
     if (action.kind === 'configure') this.#configure(action.change);
     else if (action.kind === 'signal') this.#signal(action.vm, action.signal);
     else if (action.kind === 'kill') this.#kill(action.pick);
@@ -347,11 +356,14 @@
       troubles: this.#troubles,
       hasSparePlaces: this.options.slots >= defaultSlots(this.options),
       configurations: this.#configurations,
+      memory: this.#memory.use,
+      deeds: this.#deeds,
     };
   }
 
   async #stop(): Promise<void> {
     this.#timers.forEach((timer) => clearTimeout(timer));
+    this.#memory.stop();
     this.#links?.stop();
     await this.#fleet.stop();
     this.#endpoints.forEach((endpoint) => endpoint.stop());
--- a/packages/soak/src/report.ts
+++ b/packages/soak/src/report.ts
@@ -4,7 +4,7 @@
 import type { Evidence, Run } from './evidence.js';
 import { countExcused, findBrokenRules, type Finding } from './findings.js';
 import type { Options } from './options.js';
-import { drawSchedule, type ScheduledAction } from './schedule.js';
+import { drawSchedule, formatDeed, type ScheduledAction } from './schedule.js';
 
 /** A finding, and what the VMs' logs and the endpoints say about its request or process. */
 export interface TracedFinding extends Finding {
@@ -20,6 +20,8 @@
   readonly outcomes: Readonly<Record<string, number>>;
   /** Requests without a whole answer that the rules exclude, by reason. */
   readonly excused: Readonly<Record<string, number>>;
+  /** Most megabytes that a process of each VM has held. */
+  readonly memory: Readonly<Record<string, number>>;
   readonly findings: readonly TracedFinding[];
 }
 
@@ -27,6 +29,9 @@
 const CONTEXT = /"message":"(service_lost|service_regained|started|drain_began|stopped)"/;
 const CONTEXT_MS = 3000;
 
+/** Time for which what the soak did is shown beside a finding. */
+const DEED_MS = 5000;
+
 interface LogLine {
   readonly vm: string;
   readonly text: string;
@@ -56,7 +61,7 @@
 function selectLines(
   { vm, at, id }: Finding,
   logs: readonly LogLine[],
-  { runs, harms }: Evidence,
+  { runs, harms, deeds }: Evidence,
 ): string[] {
   const harmLines = harms
     .filter(({ from, to }) => from <= at && at - to < CONTEXT_MS)
@@ -65,13 +70,20 @@
       at: from,
       text: `${new Date(from).toISOString()} ${text}`,
     }));
+  const deedLines = deeds
+    .filter((deed) => deed.at <= at && at - deed.at < DEED_MS)
+    .map((deed) => ({
+      vm: 'soak',
+      at: deed.at,
+      text: `${new Date(deed.at).toISOString()} ${deed.text}`,
+    }));
   return logs
     .filter(
       (line) =>
         (id !== null && line.text.includes(id)) ||
         (line.vm === vm && CONTEXT.test(line.text) && Math.abs(at - line.at) < CONTEXT_MS),
     )
-    .concat(runs.filter((run) => run.id === id).map(describeRun), harmLines)
+    .concat(runs.filter((run) => run.id === id).map(describeRun), harmLines, deedLines)
     .sort((a, b) => a.at - b.at)
     .map((line) => `${line.vm}: ${line.text}`);
 }
@@ -100,6 +112,9 @@
     schedule: drawSchedule(seed, options),
     outcomes: countOutcomes(evidence),
     excused: countExcused(evidence),
+    memory: Object.fromEntries(
+      Object.entries(evidence.memory.peaks).map(([vm, bytes]) => [vm, Math.round(bytes / 1e6)]),
+    ),
     findings: findings.map((finding) => ({
       ...finding,
       lines: selectLines(finding, logs, evidence),
@@ -114,9 +129,9 @@
 
 /** Formats a report as a page of text. */
 export function formatReport(report: SeedReport): string {
-  const { seed, startedAt, schedule, outcomes, excused, findings } = report;
-  const formatAction = ({ atMs, kind, ...fields }: ScheduledAction) =>
-    `  ${(atMs / 1000).toFixed(3).padStart(7)} s  ${kind} ${JSON.stringify(fields)}`;
+  const { seed, startedAt, schedule, outcomes, excused, memory, findings } = report;
+  const formatAction = (action: ScheduledAction) =>
+    `  ${(action.atMs / 1000).toFixed(3).padStart(7)} s  ${formatDeed(action)}`;
   const formatFinding = ({ rule, vm, at, id, text, lines }: TracedFinding) => [
     `  ${rule} +${((at - Date.parse(startedAt)) / 1000).toFixed(3)} s ${vm}${id === null ? '' : ` request ${id}`}: ${text}`,
     ...lines.map((line) => `    ${line}`),
@@ -129,6 +144,8 @@
     formatCounts(outcomes),
     'without a whole answer, not counted',
     formatCounts(excused),
+    'most memory of a VM, in MB',
+    formatCounts(memory),
     `findings: ${findings.length}`,
     ...findings.flatMap(formatFinding),
     '',
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -77,6 +77,11 @@
 /** An action and its time since traffic began. */
 export type ScheduledAction = Action & { readonly atMs: number };
 
+/** Formats what an action does. */
+export function formatDeed({ atMs, kind, ...fields }: ScheduledAction): string {
+  return `${kind} ${JSON.stringify(fields)}`;
+}
+
 const FIRST_TROUBLE_MS = 2500;
 const MIN_INTERVAL_MS = 2500;
 const INTERVAL_RANGE_MS = 1500;
--- a/packages/soak/standins.d.ts
+++ b/packages/soak/standins.d.ts
@@ -86,6 +86,8 @@
 /** One VM: its process is started again whenever it has ended. */
 export interface Gateway {
   readonly name: string;
+  /** Null while no process runs. */
+  readonly pid: number | null;
   readonly listen: { readonly front: string; readonly control: string };
   readonly ends: {
     startedAt: number;
