Soak: ports that are in use at a start, and logs that nobody reads

New kinds of trouble: held (a TCP port or the UDP port of a VM is taken while it starts, for 0.3 to 2 s; some are sent SIGTERM meanwhile) and reader (the pipe of a log is closed, or fills up for 1 to 5 s).

--- a/packages/soak/__tests__/memoryWatch.spec.ts
+++ b/packages/soak/__tests__/memoryWatch.spec.ts
@@ -5,8 +5,7 @@
 import { MemoryWatch, readMemoryBytes } from '../src/memoryWatch.js';
 
 describe('MemoryWatch', () => {
-  const listen = { front: '', control: '' };
-  const own = { name: 'vm-1', pid: process.pid, listen, ends: [], kill: () => {} };
+  const own = { name: 'vm-1', pid: process.pid };
 
   it('tells once of a process over the limit, with its peak', async (t) => {
     const watch = new MemoryWatch(1e6);
--- a/packages/soak/__tests__/options.spec.ts
+++ b/packages/soak/__tests__/options.spec.ts
@@ -61,7 +61,9 @@
     const ways = harms.map((action) => (action.kind === 'harm' ? action.harm.way : action.kind));
     t.deepEqual([...new Set(ways)].sort(), ['cut', 'delay']);
     t.true(
-      harms.every((action) => 'forMs' in action && action.forMs >= 500 && action.forMs <= 2000),
+      harms.every(
+        (action) => action.kind === 'harm' && action.forMs >= 500 && action.forMs <= 2000,
+      ),
     );
   });
 });
--- a/packages/soak/src/memoryWatch.ts
+++ b/packages/soak/src/memoryWatch.ts
@@ -1,12 +1,16 @@
 import { readFile } from 'node:fs/promises';
 
-import type { Gateway } from '#standins';
-
 /** Interval at which the memory of each process is read. */
 const SAMPLE_MS = 250;
 
 const BYTES_PER_KILOBYTE = 1024;
 
+/** The process of a VM; null while none runs. */
+interface Process {
+  readonly name: string;
+  readonly pid: number | null;
+}
+
 /** The first moment at which a process of a VM held more than it may. */
 export interface MemoryExcess {
   readonly vm: string;
@@ -46,9 +50,9 @@
 
   constructor(readonly limitBytes: number) {}
 
-  start(gateways: readonly Gateway[]): void {
+  start(processes: readonly Process[]): void {
     this.#timer = setInterval(() => {
-      gateways.forEach((one) => {
+      processes.forEach((one) => {
         void this.#sample(one);
       });
     }, SAMPLE_MS);
@@ -62,7 +66,7 @@
     return { limitBytes: this.limitBytes, excesses: this.#excesses, peaks: this.#peaks };
   }
 
-  async #sample({ name, pid }: Gateway): Promise<void> {
+  async #sample({ name, pid }: Process): Promise<void> {
     if (pid === null) return;
     const bytes = await readMemoryBytes(pid);
     this.#peaks[name] = Math.max(this.#peaks[name] ?? 0, bytes);
--- a/packages/soak/src/play.ts
+++ b/packages/soak/src/play.ts
@@ -28,6 +28,7 @@
   type StoreFailure,
   type VmSignal,
 } from './schedule.js';
+import { Stress } from './stress/stress.js';
 import { ACCOUNT, createRoutes, IDLE_TIMEOUT_MS, SHORT_TIMEOUT_MS, TIMEOUT_MS } from './traffic.js';
 
 /** Time in which VMs get to know each other and the endpoints. */
@@ -94,6 +95,8 @@
 
   readonly #memory: MemoryWatch;
 
+  readonly #stress: Stress;
+
   readonly #timers: NodeJS.Timeout[] = [];
 
   #callers: readonly Caller[] = [];
@@ -113,6 +116,12 @@
       logDirectory,
       network: hasLinks ? network : null,
     });
+    this.#stress = new Stress({
+      gateways: this.#fleet.gateways,
+      signal: (vm, name) => this.#signal(vm, name),
+      addTrouble: (forMs) => this.#addTrouble(forMs),
+      tell: (text) => this.#deeds.push({ at: Date.now(), text }),
+    });
   }
 
   async run(signal: AbortSignal): Promise<Evidence> {
@@ -213,7 +222,9 @@
     else if (action.kind === 'revoke') this.#revoke();
     else if (action.kind === 'release') void this.#release();
     else if (action.kind === 'store') this.#failStore(action.failure, action.forMs);
-    else this.#silence(action.share, action.forMs, action.spared);
+    else if (action.kind === 'silence') {
+      this.#silence(action.share, action.forMs, action.spared);
+    } else this.#stress.act(action);
   }
 
   #configure(change: ConfigurationChange): void {
@@ -364,6 +375,7 @@
   async #stop(): Promise<void> {
     this.#timers.forEach((timer) => clearTimeout(timer));
     this.#memory.stop();
+    this.#stress.stop();
     this.#links?.stop();
     await this.#fleet.stop();
     this.#endpoints.forEach((endpoint) => endpoint.stop());
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -1,7 +1,15 @@
 import { createRandom, randomInteger, type Random } from '@filbertlatch/core';
 
+import { drawBetween, pickOne } from './drawing.js';
 import { harmWays, type Harm, type HarmWay } from './links/harm.js';
 import type { Direction } from './links/links.js';
+import {
+  drawStress,
+  RESTART_MS,
+  stressKinds,
+  type StressAction,
+  type StressKind,
+} from './stress/draw.js';
 
 /** Kinds of trouble by signals to a VM: one stop, two, SIGHUP beside one, and one during the start. */
 export const signalKinds = ['stop', 'twice', 'hangup', 'start'] as const;
@@ -26,6 +34,7 @@
   'links',
   'revoke',
   'hangups',
+  ...stressKinds,
   ...signalKinds,
 ] as const;
 
@@ -68,6 +77,7 @@
       readonly forMs: number;
     }
   | { readonly kind: 'kill'; readonly pick: number }
+  | StressAction
   /** An endpoint of the next version joins, and one of the oldest leaves. */
   | { readonly kind: 'release' }
   /** The oldest key of the callers' account goes, and a new one comes. */
@@ -89,20 +99,14 @@
 /** Time without new trouble at the end, in which requests settle. */
 const CALM_END_MS = 3000;
 
-/** Time after which a VM's process is started again. */
-const RESTART_MS = 500;
 const MAX_START_AGE_MS = 400;
 
 type VmKind = (typeof outageKinds)[number] | 'hangups' | (typeof signalKinds)[number];
 
 const changes: readonly ConfigurationChange[] = ['idle', 'timeout', 'route'];
 
-function drawBetween(random: Random, min: number, max: number): number {
-  return Math.round(min + random.next() * (max - min));
-}
-
-function pickOne<T>(random: Random, values: readonly T[]): T {
-  return values[randomInteger(random, values.length)] as T;
+function isStress(kind: TroubleKind): kind is StressKind {
+  return stressKinds.some((known) => known === kind);
 }
 
 function drawSilence(random: Random, atMs: number): ScheduledAction[] {
@@ -249,7 +253,8 @@
     else {
       // In turns: a second signal would meet a VM that still drains.
       vm = (vm + 1) % vms;
-      actions.push(...drawSignals(random, atMs, { kind, vm }));
+      if (isStress(kind)) actions.push(...drawStress(random, { kind, atMs, vm }));
+      else actions.push(...drawSignals(random, atMs, { kind, vm }));
     }
     atMs += MIN_INTERVAL_MS + drawBetween(random, 0, INTERVAL_RANGE_MS);
   }
--- /dev/null
+++ b/packages/soak/src/stress/draw.ts
@@ -0,0 +1,87 @@
+import { randomInteger, type Random } from '@filbertlatch/core';
+
+import { drawBetween, pickOne } from '../drawing.js';
+
+/** Kinds of trouble that the surroundings of a VM make: a port that is in use, a log without a reader. */
+export const surroundingKinds = ['held', 'reader'] as const;
+
+/** Kinds of trouble that bring a VM to its limits. */
+export const stressKinds = [...surroundingKinds] as const;
+
+/** A kind of trouble that brings a VM to its limits. */
+export type StressKind = (typeof stressKinds)[number];
+
+/** A port of a VM, which something else listens on: for callers, health, peers, or peers' datagrams. */
+export const heldPorts = ['front', 'ready', 'control', 'datagrams'] as const;
+
+/** A port of a VM that something else may hold. */
+export type HeldPort = (typeof heldPorts)[number];
+
+/** What one kind of stress does to a VM at one moment. */
+export type StressAction =
+  /** The VM is stopped, and its port taken until some time after its start; `isStopped` stops it then. */
+  | {
+      readonly kind: 'held';
+      readonly vm: number;
+      readonly port: HeldPort;
+      readonly forMs: number;
+      readonly isStopped: boolean;
+    }
+  /** The reader of the log stops for a time, or is gone for good. */
+  | { readonly kind: 'reader'; readonly vm: number; readonly forMs: number | null };
+
+/** What stands beside a stress. */
+type CompanionAction =
+  | { readonly kind: 'configure'; readonly change: 'idle' | 'timeout' | 'route' }
+  | { readonly kind: 'signal'; readonly vm: number; readonly signal: 'SIGTERM' | 'SIGHUP' };
+
+type Timed<T> = T & { readonly atMs: number };
+
+const MIN_SERIES_GAP_MS = 300;
+const MAX_SERIES_GAP_MS = 1200;
+const MAX_SERIES = 3;
+
+/** Time after which a VM's process is started again. */
+export const RESTART_MS = 500;
+
+/** Time from the start of a held VM until it is stopped; its handlers of signals are there by then. */
+export const HELD_STOP_MS = 700;
+
+function drawOne(random: Random, kind: StressKind, vm: number): StressAction {
+  switch (kind) {
+    case 'held': {
+      const forMs = drawBetween(random, 300, 2000);
+      const isStopped = forMs > HELD_STOP_MS && random.next() < 0.3;
+      return { kind, vm, port: pickOne(random, heldPorts), forMs, isStopped };
+    }
+    default:
+      return { kind, vm, forMs: random.next() < 0.5 ? null : drawBetween(random, 1000, 5000) };
+  }
+}
+
+/** A kind that stops its VM by itself has no other signal beside it: that would meet node's own start. */
+function drawCompanion(random: Random, kind: StressKind, vm: number): CompanionAction | null {
+  const draw = random.next();
+  if (draw < 0.25) {
+    return { kind: 'configure', change: pickOne(random, ['idle', 'timeout', 'route'] as const) };
+  }
+  if (draw > 0.6 || kind === 'held') return null;
+  return { kind: 'signal', vm, signal: draw < 0.45 ? 'SIGTERM' : 'SIGHUP' };
+}
+
+/** Draws a stress, most kinds several times in series, and what stands beside it. */
+export function drawStress(
+  random: Random,
+  { kind, atMs, vm }: { kind: StressKind; atMs: number; vm: number },
+): Timed<StressAction | CompanionAction>[] {
+  const count = kind === 'held' ? 1 : 1 + randomInteger(random, MAX_SERIES);
+  let nextMs = atMs;
+  const series = Array.from({ length: count }, () => {
+    const action = { ...drawOne(random, kind, vm), atMs: nextMs };
+    nextMs += drawBetween(random, MIN_SERIES_GAP_MS, MAX_SERIES_GAP_MS);
+    return action;
+  });
+  const companion = drawCompanion(random, kind, vm);
+  const companionMs = atMs + drawBetween(random, 0, nextMs - atMs);
+  return companion === null ? series : [...series, { ...companion, atMs: companionMs }];
+}
--- /dev/null
+++ b/packages/soak/src/stress/stress.ts
@@ -0,0 +1,90 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import type { Gateway } from '#standins';
+
+import type { VmSignal } from '../schedule.js';
+import { HELD_STOP_MS, RESTART_MS, type StressAction } from './draw.js';
+import { takePort } from './heldPort.js';
+
+const END_POLL_MS = 10;
+const DUMP_INTERVAL_MS = 100;
+
+/** What a stress needs of the play. */
+export interface StressedPlay {
+  readonly gateways: readonly Gateway[];
+  signal(vm: number, signal: VmSignal): void;
+  addTrouble(forMs: number): void;
+  /** Says what was done later than its action began. */
+  tell(text: string): void;
+}
+
+/** Brings VMs to their limits, and tells the play about it. */
+export class Stress {
+  readonly #over = new AbortController();
+
+  constructor(readonly play: StressedPlay) {}
+
+  /** Begins an action; one that is not over when the play is ends with it. */
+  act(action: StressAction): void {
+    this.#run(action).catch((error: Error) => {
+      if (error.name !== 'AbortError') throw error;
+    });
+  }
+
+  stop(): void {
+    this.#over.abort();
+  }
+
+  #run(action: StressAction): Promise<void> {
+    switch (action.kind) {
+      case 'held':
+        return this.#hold(action);
+      default:
+        return this.#leaveLog(action);
+    }
+  }
+
+  #find(vm: number): Gateway {
+    return this.play.gateways[vm] as Gateway;
+  }
+
+  #sleep(ms: number): Promise<void> {
+    return sleep(ms, undefined, { signal: this.#over.signal });
+  }
+
+  async #hold({ vm, port, forMs, isStopped }: StressAction & { kind: 'held' }): Promise<void> {
+    await this.#stopVm(vm);
+    const free = await takePort(this.#find(vm), port);
+    try {
+      this.play.tell(`${port} of ${this.#find(vm).name} is held`);
+      this.play.addTrouble(RESTART_MS + forMs);
+      await this.#sleep(RESTART_MS + (isStopped ? HELD_STOP_MS : forMs));
+      if (!isStopped) return;
+      this.play.signal(vm, 'SIGTERM');
+      await this.#sleep(forMs - HELD_STOP_MS);
+    } finally {
+      free();
+    }
+  }
+
+  /** Stops a VM; resolves when its process has ended. */
+  async #stopVm(vm: number): Promise<void> {
+    const { ends } = this.#find(vm);
+    const count = ends.length;
+    this.play.signal(vm, 'SIGTERM');
+    while (ends.length === count) await this.#sleep(END_POLL_MS);
+  }
+
+  /** Dumps of its state fill the log of a VM that nobody reads. */
+  async #leaveLog({ vm, forMs }: StressAction & { kind: 'reader' }): Promise<void> {
+    this.play.addTrouble(forMs ?? 0);
+    const log = this.#find(vm).leaveLog(forMs === null);
+    if (forMs === null) return;
+    const until = Date.now() + forMs;
+    while (Date.now() < until) {
+      log.dump();
+      await this.#sleep(DUMP_INTERVAL_MS);
+    }
+    log.resume();
+  }
+}
--- a/packages/soak/standins.d.ts
+++ b/packages/soak/standins.d.ts
@@ -88,7 +88,7 @@
   readonly name: string;
   /** Null while no process runs. */
   readonly pid: number | null;
-  readonly listen: { readonly front: string; readonly control: string };
+  readonly listen: { readonly front: string; readonly ready: string; readonly control: string };
   readonly ends: {
     startedAt: number;
     at: number;
@@ -96,6 +96,12 @@
     signal: string | null;
   }[];
   kill(signal: string): void;
+  /** Nobody reads the log of the running process from now on: its pipe is closed, or fills up. */
+  leaveLog(isClosed: boolean): {
+    /** Lets the process write its state to its log. */
+    dump(): void;
+    resume(): void;
+  };
 }
 
 /** Module that each VM's process loads first, and its environment. */
