Soak: bodies without measure, half bodies, pipelining and slow readers

New kinds of trouble: floods (8 to 24 bodies of 1 to 4 MB at once), halves (10 to 40 callers send a part of such a body and stand still), readers (large answers are read slowly or not at all) and pipeline (connections that send requests one after the other, and read the answers or none). Their callers are judged by all rules: a whole answer, 408, 413, 429 or 503 is right, another status is LOST, and an answer of another request BYTES. They excuse nothing of the usual callers.

--- a/packages/soak/__tests__/findings.spec.ts
+++ b/packages/soak/__tests__/findings.spec.ts
@@ -98,6 +98,28 @@
       t.deepEqual(listRules(createEvidence(cutStream, fields)), ['LOST']);
     });
 
+    it('passes refusals of callers that bring a VM to its limits, and finds other failures', (t) => {
+      const list = (status: number, fields: Partial<SeenRequest> = {}) => {
+        const request = {
+          ...unansweredRequest,
+          kind: 'repeatable',
+          status,
+          answer: 'whole',
+        } as const;
+        return listRules(createEvidence({ ...request, stress: 'floods', ...fields }));
+      };
+      t.deepEqual(
+        [200, 408, 413, 429, 503].flatMap((status) => list(status)),
+        [],
+      );
+      t.deepEqual(
+        [400, 500, 502, 504].flatMap((status) => list(status)),
+        Array(4).fill('LOST'),
+      );
+      t.deepEqual(list(200, { answer: 'cut' }), ['LOST']);
+      t.deepEqual(list(502, { endedAt: SENT_AT + 9500 }), []);
+    });
+
     describe('of requests that did not run', () => {
       const unread = { ...unansweredRequest, connection: 'closed', error: 'ECONNRESET' } as const;
       const quick = { ...unread, endedAt: SENT_AT + 201 };
--- a/packages/soak/src/caller.ts
+++ b/packages/soak/src/caller.ts
@@ -188,7 +188,7 @@
         }),
         body: route === 'check' ? null : body,
         ...manner,
-        channel: this.#agents[vm] as Agent,
+        channel: this.#agents[vm],
       },
     );
     const { id, status, answer } = outcome;
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -35,6 +35,8 @@
   readonly versions: readonly string[];
   /** Key that it was sent with, on a route that needs one. */
   readonly key: string | null;
+  /** Kind of stress whose callers sent it; none for the usual callers. */
+  readonly stress?: string;
 }
 
 /** A request that an endpoint began to run. */
--- a/packages/soak/src/findings.ts
+++ b/packages/soak/src/findings.ts
@@ -1,5 +1,6 @@
 import type { Evidence, Run, SeenRequest, SentSignal } from './evidence.js';
 import { findWrongKeys } from './keyFindings.js';
+import { hasWrongAnswer } from './stress/hasWrongAnswer.js';
 import { MIN_TIMEOUT_FRACTION } from './traffic.js';
 
 /** A broken rule; `id` is that of the request, if there is one. */
@@ -150,11 +151,14 @@
   return `${manner} ${unansweredMs} ms after its last byte, without an answer (${error})`;
 }
 
-/** LOST: a request that a VM had the time to read, or that ran, and got no whole answer. */
+/** LOST: a request that a VM had the time to read, or that ran, and got no whole answer, nor a refusal. */
 function findLost(evidence: Evidence, runsById: RunsById): Finding[] {
   return evidence.requests.flatMap((request) => {
     const { id, vm, answer, endedAt } = request;
     const runs = runsById.get(id) ?? [];
+    if (hasWrongAnswer(request) && findExcuse(request, runs, evidence) === null) {
+      return [{ rule: 'LOST', vm, at: endedAt, id, text: `answered ${request.status}` } as const];
+    }
     if (answer === 'left' || answer === 'whole') return [];
     if (findExcuse(request, runs, evidence) !== null) return [];
     return [{ rule: 'LOST', vm, at: endedAt, id, text: describeLoss(request, runs) } as const];
--- a/packages/soak/src/play.ts
+++ b/packages/soak/src/play.ts
@@ -44,6 +44,9 @@
 /** Time of traffic before the schedule begins: processes that have just started are late themselves. */
 const WARM_UP_MS_PER_VM = 250;
 
+/** Time in which requests of callers that bring VMs to their limits end. */
+const MAX_STRESS_MS = 2 * TIMEOUT_MS;
+
 /** Time in which endpoints tell about the last requests. */
 const SETTLE_MS = 500;
 
@@ -119,7 +122,7 @@
     this.#stress = new Stress({
       gateways: this.#fleet.gateways,
       signal: (vm, name) => this.#signal(vm, name),
-      addTrouble: (forMs) => this.#addTrouble(forMs),
+      beginTrouble: () => this.#beginTrouble(),
       tell: (text) => this.#deeds.push({ at: Date.now(), text }),
     });
   }
@@ -151,6 +154,7 @@
         }),
         ...(this.#links === null ? [] : [this.#links.failure]),
       ]);
+      await Promise.race([this.#stress.settle(), sleep(MAX_STRESS_MS, undefined, { signal })]);
       await sleep(SETTLE_MS, undefined, { signal });
       return this.#collect(startedAt);
     } finally {
@@ -298,6 +302,14 @@
     this.#timers.push(setTimeout(replace, REPLACEMENT_MS));
   }
 
+  #beginTrouble(): () => void {
+    const trouble = { from: Date.now(), to: Infinity };
+    this.#troubles.push(trouble);
+    return () => {
+      trouble.to = Date.now();
+    };
+  }
+
   #addTrouble(forMs = 0): void {
     this.#troubles.push({ from: Date.now(), to: Date.now() + forMs });
   }
@@ -353,7 +365,7 @@
   #collect(startedAt: number): Evidence {
     return {
       startedAt,
-      requests: this.#callers.flatMap(({ requests }) => requests),
+      requests: [...this.#callers.flatMap(({ requests }) => requests), ...this.#stress.requests],
       runs: this.#endpoints.flatMap(({ runs }) => runs),
       signals: this.#signals,
       ends: this.#fleet.gateways.flatMap(({ name, ends }) =>
--- a/packages/soak/src/report.ts
+++ b/packages/soak/src/report.ts
@@ -90,8 +90,8 @@
 
 function countOutcomes({ requests }: Evidence): Record<string, number> {
   const outcomes: Record<string, number> = {};
-  requests.forEach(({ kind, status, answer }) => {
-    const name = `${kind} ${status ?? 'unanswered'}${answer === 'cut' || answer === 'left' ? ` ${answer}` : ''}`;
+  requests.forEach(({ kind, status, answer, stress }) => {
+    const name = `${stress === undefined ? '' : `${stress}, `}${kind} ${status ?? 'unanswered'}${answer === 'cut' || answer === 'left' ? ` ${answer}` : ''}`;
     outcomes[name] = (outcomes[name] ?? 0) + 1;
   });
   return Object.fromEntries(Object.entries(outcomes).sort(([a], [b]) => a.localeCompare(b)));
--- a/packages/soak/src/stress/draw.ts
+++ b/packages/soak/src/stress/draw.ts
@@ -5,8 +5,11 @@
 /** Kinds of trouble that the surroundings of a VM make: a port that is in use, a log without a reader. */
 export const surroundingKinds = ['held', 'reader'] as const;
 
+/** Kinds of trouble that callers make by what they send, or do not read. */
+export const pressureKinds = ['floods', 'halves', 'pipeline', 'readers'] as const;
+
 /** Kinds of trouble that bring a VM to its limits. */
-export const stressKinds = [...surroundingKinds] as const;
+export const stressKinds = [...surroundingKinds, ...pressureKinds] as const;
 
 /** A kind of trouble that brings a VM to its limits. */
 export type StressKind = (typeof stressKinds)[number];
@@ -17,6 +20,14 @@
 /** A port of a VM that something else may hold. */
 export type HeldPort = (typeof heldPorts)[number];
 
+/** Bodies of as many callers. */
+interface Bodies {
+  readonly vm: number;
+  readonly count: number;
+  readonly bytes: number;
+  readonly forMs: number;
+}
+
 /** What one kind of stress does to a VM at one moment. */
 export type StressAction =
   /** The VM is stopped, and its port taken until some time after its start; `isStopped` stops it then. */
@@ -28,7 +39,22 @@
       readonly isStopped: boolean;
     }
   /** The reader of the log stops for a time, or is gone for good. */
-  | { readonly kind: 'reader'; readonly vm: number; readonly forMs: number | null };
+  | { readonly kind: 'reader'; readonly vm: number; readonly forMs: number | null }
+  /** Many bodies at once. */
+  | (Bodies & { readonly kind: 'floods' })
+  /** A share of each body, then nothing for a time; the caller leaves or sends the rest. */
+  | (Bodies & { readonly kind: 'halves'; readonly share: number; readonly isLeaving: boolean })
+  /** Large answers, which are read in that time, or not at all by callers who leave after it. */
+  | (Bodies & { readonly kind: 'readers'; readonly isReading: boolean })
+  /** Connections that send all requests at once, or as many as are taken while they read nothing. */
+  | {
+      readonly kind: 'pipeline';
+      readonly vm: number;
+      readonly count: number;
+      readonly requests: number;
+      readonly forMs: number;
+      readonly isReading: boolean;
+    };
 
 /** What stands beside a stress. */
 type CompanionAction =
@@ -41,12 +67,34 @@
 const MAX_SERIES_GAP_MS = 1200;
 const MAX_SERIES = 3;
 
+/** Most requests of a connection that reads no answers; it stops when no more are taken. */
+const MAX_UNREAD = 25_000;
+
+/** Time in which a connection that reads has its answers, less than the requests' own. */
+const READING_MS = 8000;
+
 /** Time after which a VM's process is started again. */
 export const RESTART_MS = 500;
 
 /** Time from the start of a held VM until it is stopped; its handlers of signals are there by then. */
 export const HELD_STOP_MS = 700;
 
+function drawBytes(random: Random): number {
+  return drawBetween(random, 1e6, 4e6);
+}
+
+function drawPipeline(random: Random, vm: number): StressAction {
+  const isReading = random.next() < 0.5;
+  return {
+    kind: 'pipeline',
+    vm,
+    count: drawBetween(random, 1, 4),
+    requests: isReading ? drawBetween(random, 50, 300) : MAX_UNREAD,
+    forMs: isReading ? READING_MS : drawBetween(random, 1000, 3000),
+    isReading,
+  };
+}
+
 function drawOne(random: Random, kind: StressKind, vm: number): StressAction {
   switch (kind) {
     case 'held': {
@@ -54,6 +102,29 @@
       const isStopped = forMs > HELD_STOP_MS && random.next() < 0.3;
       return { kind, vm, port: pickOne(random, heldPorts), forMs, isStopped };
     }
+    case 'floods':
+      return { kind, vm, count: drawBetween(random, 8, 24), bytes: drawBytes(random), forMs: 0 };
+    case 'halves':
+      return {
+        kind,
+        vm,
+        count: drawBetween(random, 10, 40),
+        bytes: drawBytes(random),
+        forMs: drawBetween(random, 1000, 5000),
+        share: pickOne(random, [0.5, 0.75]),
+        isLeaving: random.next() < 0.5,
+      };
+    case 'readers':
+      return {
+        kind,
+        vm,
+        count: drawBetween(random, 5, 20),
+        bytes: drawBytes(random),
+        forMs: drawBetween(random, 1000, 5000),
+        isReading: random.next() < 0.5,
+      };
+    case 'pipeline':
+      return drawPipeline(random, vm);
     default:
       return { kind, vm, forMs: random.next() < 0.5 ? null : drawBetween(random, 1000, 5000) };
   }
--- a/packages/soak/src/stress/stress.ts
+++ b/packages/soak/src/stress/stress.ts
@@ -2,9 +2,12 @@
 
 import type { Gateway } from '#standins';
 
+import type { SeenRequest } from '../evidence.js';
 import type { VmSignal } from '../schedule.js';
-import { HELD_STOP_MS, RESTART_MS, type StressAction } from './draw.js';
+import { sendBodies } from './bodies.js';
+import { HELD_STOP_MS, RESTART_MS, type StressAction, type StressKind } from './draw.js';
 import { takePort } from './heldPort.js';
+import { sendPipelines } from './pipeline.js';
 
 const END_POLL_MS = 10;
 const DUMP_INTERVAL_MS = 100;
@@ -13,7 +16,8 @@
 export interface StressedPlay {
   readonly gateways: readonly Gateway[];
   signal(vm: number, signal: VmSignal): void;
-  addTrouble(forMs: number): void;
+  /** Begins a trouble; returns what ends it. */
+  beginTrouble(): () => void;
   /** Says what was done later than its action began. */
   tell(text: string): void;
 }
@@ -22,13 +26,30 @@
 export class Stress {
   readonly #over = new AbortController();
 
+  /** Requests of the callers that bring VMs to their limits. */
+  readonly requests: SeenRequest[] = [];
+
+  readonly #running = new Set<Promise<void>>();
+
   constructor(readonly play: StressedPlay) {}
 
-  /** Begins an action; one that is not over when the play is ends with it. */
+  /** Begins an action. */
   act(action: StressAction): void {
-    this.#run(action).catch((error: Error) => {
-      if (error.name !== 'AbortError') throw error;
-    });
+    const end = this.play.beginTrouble();
+    const running = this.#run(action)
+      .catch((error: Error) => {
+        if (error.name !== 'AbortError') throw error;
+      })
+      .finally(() => {
+        end();
+        this.#running.delete(running);
+      });
+    this.#running.add(running);
+  }
+
+  /** Resolves when no action runs. */
+  async settle(): Promise<void> {
+    await Promise.all(this.#running);
   }
 
   stop(): void {
@@ -39,11 +60,22 @@
     switch (action.kind) {
       case 'held':
         return this.#hold(action);
+      case 'pipeline':
+        return this.#collect(action.kind, sendPipelines(this.#find(action.vm), action));
+      case 'floods':
+      case 'halves':
+      case 'readers':
+        return this.#collect(action.kind, sendBodies(this.#find(action.vm), action));
       default:
         return this.#leaveLog(action);
     }
   }
 
+  async #collect(stress: StressKind, sending: Promise<SeenRequest[]>): Promise<void> {
+    const requests = await sending;
+    requests.forEach((request) => this.requests.push({ ...request, stress }));
+  }
+
   #find(vm: number): Gateway {
     return this.play.gateways[vm] as Gateway;
   }
@@ -57,7 +89,6 @@
     const free = await takePort(this.#find(vm), port);
     try {
       this.play.tell(`${port} of ${this.#find(vm).name} is held`);
-      this.play.addTrouble(RESTART_MS + forMs);
       await this.#sleep(RESTART_MS + (isStopped ? HELD_STOP_MS : forMs));
       if (!isStopped) return;
       this.play.signal(vm, 'SIGTERM');
@@ -77,7 +108,6 @@
 
   /** Dumps of its state fill the log of a VM that nobody reads. */
   async #leaveLog({ vm, forMs }: StressAction & { kind: 'reader' }): Promise<void> {
-    this.play.addTrouble(forMs ?? 0);
     const log = this.#find(vm).leaveLog(forMs === null);
     if (forMs === null) return;
     const until = Date.now() + forMs;
--- a/packages/soak/src/traffic.ts
+++ b/packages/soak/src/traffic.ts
@@ -24,6 +24,7 @@
 const SHORT_WORK_MS = 15;
 const LONG_EVENTS = 150;
 const SUMMARY_EVENTS = 9;
+const QUICK_WORK_MS = 5;
 
 const streamRoute = {
   kind: 'streaming',
@@ -51,6 +52,7 @@
   stream: streamRoute,
   unframed: streamRoute,
   echo: { kind: 'idempotent', fields: { ...formatTarget(3000), attempts: 3 } },
+  quick: { kind: 'idempotent', fields: { ...formatTarget(3000), attempts: 3 } },
   keyed: { kind: 'non_idempotent', fields: { ...formatTarget(3000), public: false } },
   long: { kind: 'streaming', fields: longFields },
   summary: {
@@ -61,7 +63,7 @@
   check: { kind: 'idempotent', fields: { ...shortFields, attempts: 2 }, service: DESK },
 };
 
-/** Name of a route; `unframed` has streams without a length or chunks, `echo` answers with the body. */
+/** Name of a route; `unframed` has streams without a length or chunks, `echo` answers with the body, `quick` at once. */
 export type RouteName = keyof typeof routes;
 
 /** Returns the `timeout_ms` of a route, which is also its callers' deadline. */
@@ -84,6 +86,7 @@
   stream: 'stream',
   unframed: 'stream',
   echo: 'repeatable',
+  quick: 'repeatable',
   keyed: 'once',
   long: 'stream',
   summary: 'once',
@@ -116,6 +119,7 @@
   { prefix: '/once/', kind: 'whole', workMs: PLAIN_WORK_MS },
   { prefix: '/keyed/', kind: 'whole', workMs: PLAIN_WORK_MS },
   { prefix: '/echo/', kind: 'whole', workMs: PLAIN_WORK_MS, isEcho: true },
+  { prefix: '/quick/', kind: 'whole', workMs: QUICK_WORK_MS },
   { prefix: '/repeatable/', kind: 'whole', workMs: PLAIN_WORK_MS },
   { prefix: '/hold/', kind: 'whole', workMs: SHORT_WORK_MS },
   { prefix: '/check/', kind: 'whole', workMs: SHORT_WORK_MS },
--- a/packages/soak/standins.d.ts
+++ b/packages/soak/standins.d.ts
@@ -6,6 +6,7 @@
 export const OWN_HOST_URL: URL;
 export const ROOT_URL: URL;
 export const CONFIGURATION_KEY: string;
+export const ID_HEADER: string;
 
 export function listenOnLastingPort(server: Server): Promise<string>;
 
@@ -61,10 +62,11 @@
   readonly host: string;
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
-  readonly body: string | null;
+  readonly body: string | Buffer | null;
+  readonly pause?: { readonly afterBytes: number; readonly forMs: number };
   readonly bytesPerSecond?: number;
   readonly leaveAfterMs?: number | null;
-  readonly channel: Agent;
+  readonly channel?: Agent;
 }
 
 export function drawAttemptId(): string;
--- a/packages/soak/standins.js
+++ b/packages/soak/standins.js
@@ -15,6 +15,7 @@
   formatAccount,
   formatCallHeaders,
   formatTarget,
+  ID_HEADER,
 } from '../../platform/soak/wire.js';
 
 /** Program of one endpoint, which is forked. */
