Soak: answers without end, of endpoints and of the store

New kind of trouble: endless. The store, one endpoint or half of them answer without end for 1 to 3 s in early heads, header lines, one header line, a body with a length, to the close or in chunks, extensions, trailers, JSON or junk. Excused: a request whose last run had no end, and CONFIG while the store answers so; an answer that is whole though no run had an end is BYTES.

--- a/packages/soak/__tests__/findings.spec.ts
+++ b/packages/soak/__tests__/findings.spec.ts
@@ -120,6 +120,16 @@
       t.deepEqual(list(502, { endedAt: SENT_AT + 9500 }), []);
     });
 
+    it('passes a request whose last run had no end, and finds one that ran on elsewhere', (t) => {
+      const run = { id: cutStream.id, endpoint: 'i-1', endedAt: null, events: null };
+      const endless = { ...run, at: SENT_AT + 10, isEndless: true };
+      const sound = { ...run, endpoint: 'i-2', at: SENT_AT + 20, isEndless: false };
+      t.deepEqual(listRules(createEvidence(cutStream, { runs: [endless] })), []);
+      t.deepEqual(listRules(createEvidence(cutStream, { runs: [endless, sound] })), ['LOST']);
+      t.deepEqual(listRules(createEvidence(wholeStream, { runs: [endless, sound] })), []);
+      t.deepEqual(listRules(createEvidence(wholeStream, { runs: [endless] })), ['BYTES']);
+    });
+
     describe('of requests that did not run', () => {
       const unread = { ...unansweredRequest, connection: 'closed', error: 'ECONNRESET' } as const;
       const quick = { ...unread, endedAt: SENT_AT + 201 };
--- a/packages/soak/src/endpoint.ts
+++ b/packages/soak/src/endpoint.ts
@@ -6,6 +6,7 @@
 
 import type { Run } from './evidence.js';
 import type { Links } from './links/links.js';
+import type { EndlessPart } from './stress/draw.js';
 import { answers } from './traffic.js';
 
 /** Interval at which a registration is renewed. */
@@ -23,6 +24,7 @@
   readonly address?: string;
   readonly attemptId?: string;
   readonly event?: number;
+  readonly isEndless?: boolean;
 }
 
 /** An endpoint in a process of its own, and its registration, renewed also while it is silent. */
@@ -109,11 +111,18 @@
     await this.#store.write(`servers/${this.id}`, entry);
   }
 
-  #record({ kind, at, attemptId, event }: RunnerMessage): void {
+  #record({ kind, at, attemptId, event, isEndless = false }: RunnerMessage): void {
     if (attemptId === undefined) return;
     const openRun = this.#openRuns.get(attemptId);
     if (kind === 'run') {
-      const run: Run = { id: attemptId, endpoint: this.id, at, endedAt: null, events: null };
+      const run: Run = {
+        id: attemptId,
+        endpoint: this.id,
+        at,
+        endedAt: null,
+        events: null,
+        isEndless,
+      };
       this.runs.push(run);
       this.#openRuns.set(attemptId, run);
     } else if (kind === 'ended') {
@@ -129,6 +138,11 @@
     this.#process?.kill(signal);
   }
 
+  /** Answers without end in a part for a time, to health checks as well if `hasChecks`. */
+  answerWithoutEnd(part: EndlessPart, forMs: number, hasChecks: boolean): void {
+    this.#process?.send({ kind: 'endless', part, forMs, hasChecks });
+  }
+
   /** Says that it leaves, to the store and in its answers, and ends some time after the store has it. */
   async leave(): Promise<void> {
     this.#state = 'draining';
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -48,6 +48,8 @@
   endedAt: number | null;
   /** Numbers of the first and the last event that it has sent; null without one. */
   events: { readonly first: number; readonly last: number } | null;
+  /** Whether the answer has no end. */
+  readonly isEndless?: boolean;
 }
 
 /** A signal that the soak sent to a VM's process. */
--- a/packages/soak/src/findings.ts
+++ b/packages/soak/src/findings.ts
@@ -52,9 +52,13 @@
   return groups;
 }
 
+function findLastRun(runs: readonly Run[]): Run | undefined {
+  return [...runs].sort((a, b) => a.at - b.at).at(-1);
+}
+
 /** Whether the endpoint that ran the request last was killed meanwhile. */
 function wasBrokenOff({ endedAt }: SeenRequest, runs: readonly Run[], { kills }: Evidence) {
-  const last = [...runs].sort((a, b) => a.at - b.at).at(-1);
+  const last = findLastRun(runs);
   if (last === undefined) return false;
   return kills.some(
     ({ endpoint, at }) =>
@@ -108,6 +112,7 @@
   }
   if (endedAt - sentAt >= shortestMs) return 'deadline reached';
   if (wasBrokenOff(request, runs, evidence)) return 'endpoint killed';
+  if (findLastRun(runs)?.isEndless === true) return 'answer of the endpoint without end';
   if (wasOutOfTouch(evidence, vm, sentAt, endedAt)) return 'links of the VM harmed';
   const signals = evidence.signals.filter((signal) => signal.vm === vm && signal.at <= endedAt);
   const wasKilled = ({ signal, at }: SentSignal) =>
@@ -238,11 +243,16 @@
 
 /** BYTES and LATE: an answer with other bytes, and a request that is sent long after its caller left. */
 function findWrongSends(evidence: Evidence, runsById: RunsById): Finding[] {
-  return evidence.requests.flatMap(({ id, vm, endedAt, answer, isRight }): Finding[] => {
+  return evidence.requests.flatMap(({ id, vm, endedAt, status, answer, isRight }): Finding[] => {
+    const runs = runsById.get(id) ?? [];
     if (!isRight) {
       return [{ rule: 'BYTES', vm, at: endedAt, id, text: 'other bytes than are due' }];
     }
-    const late = (runsById.get(id) ?? []).find(
+    const isServed = status === 200 && answer === 'whole';
+    if (isServed && runs.length > 0 && runs.every(({ isEndless }) => isEndless)) {
+      return [{ rule: 'BYTES', vm, at: endedAt, id, text: 'whole, though its run had no end' }];
+    }
+    const late = runs.find(
       (run) =>
         answer === 'left' &&
         run.at > endedAt + MAX_SEND_AFTER_LEAVING_MS &&
--- a/packages/soak/src/stress/draw.ts
+++ b/packages/soak/src/stress/draw.ts
@@ -8,8 +8,28 @@
 /** Kinds of trouble that callers make by what they send, or do not read. */
 export const pressureKinds = ['floods', 'halves', 'pipeline', 'readers'] as const;
 
+/** Kinds of trouble that what a VM calls makes. */
+export const answerKinds = ['endless'] as const;
+
+/** Parts of an answer that have no end. */
+export const endlessParts = [
+  'earlyHeads',
+  'headerLines',
+  'headerLine',
+  'length',
+  'close',
+  'chunks',
+  'extensions',
+  'trailers',
+  'json',
+  'junk',
+] as const;
+
+/** A part of an answer that has no end. */
+export type EndlessPart = (typeof endlessParts)[number];
+
 /** Kinds of trouble that bring a VM to its limits. */
-export const stressKinds = [...surroundingKinds, ...pressureKinds] as const;
+export const stressKinds = [...surroundingKinds, ...pressureKinds, ...answerKinds] as const;
 
 /** A kind of trouble that brings a VM to its limits. */
 export type StressKind = (typeof stressKinds)[number];
@@ -46,6 +66,16 @@
   | (Bodies & { readonly kind: 'halves'; readonly share: number; readonly isLeaving: boolean })
   /** Large answers, which are read in that time, or not at all by callers who leave after it. */
   | (Bodies & { readonly kind: 'readers'; readonly isReading: boolean })
+  /** The store, or a share of the endpoints from the one that `pick` selects, answers without end. */
+  | {
+      readonly kind: 'endless';
+      readonly source: 'store' | 'endpoints';
+      readonly part: EndlessPart;
+      readonly share: number;
+      readonly pick: number;
+      readonly hasChecks: boolean;
+      readonly forMs: number;
+    }
   /** Connections that send all requests at once, or as many as are taken while they read nothing. */
   | {
       readonly kind: 'pipeline';
@@ -123,6 +153,16 @@
         forMs: drawBetween(random, 1000, 5000),
         isReading: random.next() < 0.5,
       };
+    case 'endless':
+      return {
+        kind,
+        source: random.next() < 0.5 ? 'store' : 'endpoints',
+        part: pickOne(random, endlessParts),
+        share: random.next() < 0.5 ? 0 : 0.5,
+        pick: random.next(),
+        hasChecks: random.next() < 0.5,
+        forMs: drawBetween(random, 1000, 3000),
+      };
     case 'pipeline':
       return drawPipeline(random, vm);
     default:
--- a/packages/soak/src/stress/stress.ts
+++ b/packages/soak/src/stress/stress.ts
@@ -1,7 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import type { Gateway } from '#standins';
+import type { Gateway, Store } from '#standins';
 
+import type { Endpoint } from '../endpoint.js';
 import type { SeenRequest } from '../evidence.js';
 import type { VmSignal } from '../schedule.js';
 import { sendBodies } from './bodies.js';
@@ -15,9 +16,13 @@
 /** What a stress needs of the play. */
 export interface StressedPlay {
   readonly gateways: readonly Gateway[];
+  readonly store: Store;
+  listEndpoints(): readonly Endpoint[];
   signal(vm: number, signal: VmSignal): void;
   /** Begins a trouble; returns what ends it. */
   beginTrouble(): () => void;
+  /** Begins a failure of the store; returns what ends it. */
+  beginStoreFailure(): () => void;
   /** Says what was done later than its action began. */
   tell(text: string): void;
 }
@@ -35,7 +40,8 @@
 
   /** Begins an action. */
   act(action: StressAction): void {
-    const end = this.play.beginTrouble();
+    const isOfStore = action.kind === 'endless' && action.source === 'store';
+    const end = isOfStore ? this.play.beginStoreFailure() : this.play.beginTrouble();
     const running = this.#run(action)
       .catch((error: Error) => {
         if (error.name !== 'AbortError') throw error;
@@ -60,6 +66,8 @@
     switch (action.kind) {
       case 'held':
         return this.#hold(action);
+      case 'endless':
+        return this.#answerWithoutEnd(action);
       case 'pipeline':
         return this.#collect(action.kind, sendPipelines(this.#find(action.vm), action));
       case 'floods':
@@ -98,6 +106,24 @@
     }
   }
 
+  async #answerWithoutEnd(action: StressAction & { kind: 'endless' }): Promise<void> {
+    const { source, part, share, pick, hasChecks, forMs } = action;
+    if (source === 'store') {
+      this.play.store.setEndless(part);
+      await this.#sleep(forMs);
+      this.play.store.setEndless(null);
+      return;
+    }
+    const endpoints = this.play.listEndpoints();
+    const first = Math.floor(pick * endpoints.length);
+    const count = Math.max(1, Math.round(share * endpoints.length));
+    Array.from(
+      { length: count },
+      (_, index) => endpoints[(first + index) % endpoints.length],
+    ).forEach((endpoint) => endpoint?.answerWithoutEnd(part, forMs, hasChecks));
+    await this.#sleep(forMs);
+  }
+
   /** Stops a VM; resolves when its process has ended. */
   async #stopVm(vm: number): Promise<void> {
     const { ends } = this.#find(vm);
--- a/packages/soak/standins.d.ts
+++ b/packages/soak/standins.d.ts
@@ -80,6 +80,7 @@
   remove(key: string): void;
   write(key: string, value: unknown): Promise<void>;
   setDelay(ms: number): void;
+  setEndless(part: string | null): void;
   leave(): void;
   copy(): object;
   comeBack(copy: object): Promise<void>;
