Soak: VMs that start with few descriptors

New kind of trouble: descriptors. A VM is started anew with 40 to 80 descriptors (ulimit of a shell that becomes the program, in the stand-in only), and again with enough 2 to 5 s later.

--- a/packages/soak/src/stress/draw.ts
+++ b/packages/soak/src/stress/draw.ts
@@ -2,8 +2,8 @@
 
 import { drawBetween, pickOne } from '../drawing.js';
 
-/** Kinds of trouble that the surroundings of a VM make: a port that is in use, a log without a reader. */
-export const surroundingKinds = ['held', 'reader'] as const;
+/** Kinds of trouble that the surroundings of a VM make: what it needs is in use, gone or scarce. */
+export const surroundingKinds = ['held', 'reader', 'descriptors'] as const;
 
 /** Kinds of trouble that callers make by what they send, or do not read. */
 export const pressureKinds = ['floods', 'halves', 'pipeline', 'readers'] as const;
@@ -58,6 +58,13 @@
       readonly forMs: number;
       readonly isStopped: boolean;
     }
+  /** The VM is started anew with few descriptors, and again with enough after a time. */
+  | {
+      readonly kind: 'descriptors';
+      readonly vm: number;
+      readonly count: number;
+      readonly forMs: number;
+    }
   /** The reader of the log stops for a time, or is gone for good. */
   | { readonly kind: 'reader'; readonly vm: number; readonly forMs: number | null }
   /** Many bodies at once. */
@@ -103,6 +110,10 @@
 /** Time in which a connection that reads has its answers, less than the requests' own. */
 const READING_MS = 8000;
 
+/** From enough for a start to enough for some callers. */
+const MIN_DESCRIPTORS = 40;
+const MAX_DESCRIPTORS = 80;
+
 /** Time after which a VM's process is started again. */
 export const RESTART_MS = 500;
 
@@ -153,6 +164,10 @@
         forMs: drawBetween(random, 1000, 5000),
         isReading: random.next() < 0.5,
       };
+    case 'descriptors': {
+      const count = drawBetween(random, MIN_DESCRIPTORS, MAX_DESCRIPTORS);
+      return { kind, vm, count, forMs: drawBetween(random, 2000, 5000) };
+    }
     case 'endless':
       return {
         kind,
@@ -170,13 +185,18 @@
   }
 }
 
+/** Whether a kind stops its VM and has it started again. */
+function isRestarting(kind: StressKind): boolean {
+  return kind === 'held' || kind === 'descriptors';
+}
+
 /** A kind that stops its VM by itself has no other signal beside it: that would meet node's own start. */
 function drawCompanion(random: Random, kind: StressKind, vm: number): CompanionAction | null {
   const draw = random.next();
   if (draw < 0.25) {
     return { kind: 'configure', change: pickOne(random, ['idle', 'timeout', 'route'] as const) };
   }
-  if (draw > 0.6 || kind === 'held') return null;
+  if (draw > 0.6 || isRestarting(kind)) return null;
   return { kind: 'signal', vm, signal: draw < 0.45 ? 'SIGTERM' : 'SIGHUP' };
 }
 
@@ -185,7 +205,7 @@
   random: Random,
   { kind, atMs, vm }: { kind: StressKind; atMs: number; vm: number },
 ): Timed<StressAction | CompanionAction>[] {
-  const count = kind === 'held' ? 1 : 1 + randomInteger(random, MAX_SERIES);
+  const count = isRestarting(kind) ? 1 : 1 + randomInteger(random, MAX_SERIES);
   let nextMs = atMs;
   const series = Array.from({ length: count }, () => {
     const action = { ...drawOne(random, kind, vm), atMs: nextMs };
--- a/packages/soak/src/stress/stress.ts
+++ b/packages/soak/src/stress/stress.ts
@@ -66,6 +66,8 @@
     switch (action.kind) {
       case 'held':
         return this.#hold(action);
+      case 'descriptors':
+        return this.#limitDescriptors(action);
       case 'endless':
         return this.#answerWithoutEnd(action);
       case 'pipeline':
@@ -106,6 +108,19 @@
     }
   }
 
+  async #limitDescriptors({ vm, count, forMs }: StressAction & { kind: 'descriptors' }) {
+    const gateway = this.#find(vm);
+    gateway.limitNextStart(count);
+    try {
+      await this.#stopVm(vm);
+      this.play.tell(`${gateway.name} starts with ${count} descriptors`);
+      await this.#sleep(RESTART_MS + forMs);
+    } finally {
+      gateway.limitNextStart(null);
+    }
+    await this.#stopVm(vm);
+  }
+
   async #answerWithoutEnd(action: StressAction & { kind: 'endless' }): Promise<void> {
     const { source, part, share, pick, hasChecks, forMs } = action;
     if (source === 'store') {
--- a/packages/soak/standins.d.ts
+++ b/packages/soak/standins.d.ts
@@ -99,6 +99,8 @@
     signal: string | null;
   }[];
   kill(signal: string): void;
+  /** Descriptors that the next process may have open; null for no limit. */
+  limitNextStart(descriptors: number | null): void;
   /** Nobody reads the log of the running process from now on: its pipe is closed, or fills up. */
   leaveLog(isClosed: boolean): {
     /** Lets the process write its state to its log. */
