An error that ends a process is in its log

Operators saw a process end with 1 and nothing in its log: an uncaught exception and an unhandled rejection are printed by node to standard error, over several lines, where the gateway's log is on standard output.

ProcessLife writes one line, process_failed, with the stack and the origin, to the log of its program, and ends with 1 as before. Nothing is caught that was not: the state of such a process is unknown.

--- a/packages/daemon/src/processLife.ts
+++ b/packages/daemon/src/processLife.ts
@@ -1,8 +1,12 @@
 import { RouterError } from '@filbertlatch/router/errors';
+import { standardError, type LineOutput } from '@filbertlatch/router/output';
 
+import { formatFailure } from './formatFailure.js';
 import { reportError } from './reportError.js';
 
 const EXIT_OK = 0;
+/** Exit code after an error that nothing handles. */
+const EXIT_FAILED = 1;
 /** Exit code when the settings are invalid or the process cannot start with them. */
 const EXIT_START_FAILED = 2;
 
@@ -53,8 +57,14 @@
 
   #endServing: (() => void) | null = null;
 
-  constructor() {
+  /** `log` gets the error that ends the process, if one does. */
+  constructor(log: LineOutput = standardError) {
     SIGNALS.forEach((signal) => process.on(signal, () => this.#receive(signal)));
+    process.on('uncaughtException', (error, origin) => {
+      log.write(formatFailure(error, origin));
+      // eslint-disable-next-line n/no-process-exit -- its state is unknown
+      process.exit(EXIT_FAILED);
+    });
   }
 
   /** True from the first signal to stop. */
--- a/packages/daemon/src/runGateway.ts
+++ b/packages/daemon/src/runGateway.ts
@@ -59,7 +59,7 @@
   createSource: (settings: GatewaySettings) => PublicationSource,
   dialect: Dialect,
 ): Promise<number> {
-  const life = new ProcessLife();
+  const life = new ProcessLife(standardOutput);
   const gateway = await life.start(async () => {
     const settings = await readStartSettings(
       () => loadGatewaySettings(settingsPath),
