The control API does not end its process, and prints nothing of its own

Its libraries are loaded at the first request. Where they could not be read then (EMFILE while others hold the descriptors), nothing handled the rejection, which ends the process; and no later request would have been answered. A malformed call had its stack printed by the library, past the bound on log lines.

Malformed calls get 400.

--- a/packages/router/src/gateway/controlApi.ts
+++ b/packages/router/src/gateway/controlApi.ts
@@ -3,6 +3,7 @@
 import { getRequestListener, type HttpBindings } from '@hono/node-server';
 import { Hono } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
+import { HTTPException } from 'hono/http-exception';
 import type { JSONRPCRequest, JSONRPCResponse } from 'json-rpc-2.0';
 
 import { parseBoundedJson } from '../bounds/index.js';
@@ -31,6 +32,10 @@
 /** Creates the HTTP listener of the control API. */
 export function createControlApi(source: ControlSource): RequestListener {
   const api = new Hono<{ Bindings: HttpBindings }>();
+  // The library would print the error, however many requests are malformed.
+  api.onError((error, c) =>
+    error instanceof HTTPException ? error.getResponse() : c.text('failed', 500),
+  );
   let openCalls = 0;
   api.use('/rpc', async (c, next) => {
     // A peer asks another VM then, and this one again.
