Soak: what a VM with few descriptors does not accept is no loss

A connection that waits to be accepted while a VM has no descriptor left is reset when the VM stops; its request was sent, but never read. On a kept connection it is LOST still.

--- a/packages/soak/__tests__/findings.spec.ts
+++ b/packages/soak/__tests__/findings.spec.ts
@@ -63,6 +63,7 @@
     hasSparePlaces: true,
     configurations: [],
     memory: { limitBytes: 200e6, excesses: [], peaks: {} },
+    shortages: [],
     deeds: [],
     ...fields,
   };
@@ -159,6 +160,15 @@
         t.deepEqual(excuse(unsent), { 'not sent whole': 1 });
       });
 
+      it('passes one that a VM with few descriptors did not accept, but not on a kept connection', (t) => {
+        const shortages = [{ vm: 'vm-1', from: SENT_AT - 1000, to: Infinity }];
+        const fresh = { ...unread, isReused: false };
+        t.deepEqual(list(fresh, { shortages }), []);
+        t.deepEqual(list({ ...fresh, isReused: true }, { shortages }), ['LOST']);
+        t.deepEqual(list(fresh, { shortages: [{ ...shortages[0]!, vm: 'vm-2' }] }), ['LOST']);
+        t.deepEqual(list(fresh, { shortages: [{ ...shortages[0]!, to: SENT_AT - 1 }] }), ['LOST']);
+      });
+
       it('passes one of a VM that was killed, stood still or had harmed links', (t) => {
         const kill = { signals: [{ ...stop, signal: 'SIGKILL' }] };
         const freeze = { signals: [{ ...stop, signal: 'SIGSTOP' }] };
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -116,6 +116,12 @@
   /** Instants at which configurations were published. */
   readonly configurations: readonly number[];
   readonly memory: MemoryUse;
+  /** Times in which a VM ran with few descriptors. */
+  readonly shortages: readonly {
+    readonly vm: string;
+    readonly from: number;
+    readonly to: number;
+  }[];
   /** All that the soak did, in the order of time. */
   readonly deeds: readonly Deed[];
 }
--- a/packages/soak/src/findings.ts
+++ b/packages/soak/src/findings.ts
@@ -93,12 +93,17 @@
 
 /** Returns why a VM need not have read or answered a request that did not run; null if it need. */
 function findUnreadExcuse(request: SeenRequest, evidence: Evidence): string | null {
-  const { vm, sentAt, writtenAt, endedAt, connection } = request;
+  const { vm, sentAt, writtenAt, endedAt, connection, isReused } = request;
   if (connection === 'refused') return 'connection refused';
   if (writtenAt === null) return 'not sent whole';
   if (endedAt - writtenAt <= LOSS_SLACK_MS) {
     return `ended within ${LOSS_SLACK_MS} ms of its last byte`;
   }
+  const isShort = evidence.shortages.some(
+    (shortage) => shortage.vm === vm && shortage.from <= endedAt && shortage.to >= sentAt,
+  );
+  // Its connection may wait to be accepted, unread.
+  if (isShort && !isReused) return 'new connection to a VM with few descriptors';
   return stoodStill(evidence, vm, sentAt, endedAt) ? 'VM stood still' : null;
 }
 
--- a/packages/soak/src/play.ts
+++ b/packages/soak/src/play.ts
@@ -384,6 +384,7 @@
       hasSparePlaces: this.options.slots >= defaultSlots(this.options),
       configurations: this.#configurations,
       memory: this.#memory.use,
+      shortages: this.#stress.shortages,
       deeds: this.#deeds,
     };
   }
--- a/packages/soak/src/stress/stress.ts
+++ b/packages/soak/src/stress/stress.ts
@@ -34,6 +34,9 @@
   /** Requests of the callers that bring VMs to their limits. */
   readonly requests: SeenRequest[] = [];
 
+  /** Times in which VMs ran with few descriptors. */
+  readonly shortages: { vm: string; from: number; to: number }[] = [];
+
   readonly #running = new Set<Promise<void>>();
 
   constructor(readonly play: StressedPlay) {}
@@ -110,15 +113,19 @@
 
   async #limitDescriptors({ vm, count, forMs }: StressAction & { kind: 'descriptors' }) {
     const gateway = this.#find(vm);
+    const shortage = { vm: gateway.name, from: 0, to: Infinity };
     gateway.limitNextStart(count);
     try {
       await this.#stopVm(vm);
+      this.shortages.push(shortage);
+      shortage.from = Date.now();
       this.play.tell(`${gateway.name} starts with ${count} descriptors`);
       await this.#sleep(RESTART_MS + forMs);
     } finally {
       gateway.limitNextStart(null);
     }
     await this.#stopVm(vm);
+    shortage.to = Date.now();
   }
 
   async #answerWithoutEnd(action: StressAction & { kind: 'endless' }): Promise<void> {
