A drain accepts what waits for as long as the grace period leaves time

What callers saw: new connections reset with whole requests in them, when a drain that the end of the grace period ends stops to listen.

The cause: the drain looked each 0.1 s whether the grace period was over, and from then on gave the connections that wait 50 ms, while a turn of the loop accepts one.

--- a/packages/router/__tests__/gateway/drainedConnections.spec.ts
+++ b/packages/router/__tests__/gateway/drainedConnections.spec.ts
@@ -26,6 +26,13 @@
 
 const GRACE_S = 7;
 
+/** With this grace a drain ends its open requests 2.9 s after the signal. */
+const SHORT_GRACE_S = 3.5;
+const SHORT_END_MS = 2900;
+
+/** Turns of a VM that is late: each accepts one connection. */
+const TURN_MS = 15;
+
 /** From here on a drain closes connections without a request. */
 const CLOSING_MS = 2800;
 
@@ -53,6 +60,7 @@
   t: ExecutionContext,
   workMs: number,
   answer = Buffer.from('answer'),
+  graceS = GRACE_S,
 ): Promise<Vm> {
   const runs = new Set<string>();
   const endpoint = await startEndpoint('e0', (request, response) => {
@@ -71,7 +79,7 @@
     }
   });
   const source = createSource(testConfiguration, [endpoint.endpoint]);
-  const vm = await startGateway(source, testDialect, GRACE_S);
+  const vm = await startGateway(source, testDialect, graceS);
   t.teardown(() => {
     vm.gateway.stop();
     endpoint.close();
@@ -98,6 +106,13 @@
   while (!(await isRefused())) await sleep(2);
 }
 
+/** Makes each turn of the loop long, until an instant. */
+function lengthenTurns(until: number): void {
+  if (now() >= until) return;
+  blockLoop(TURN_MS);
+  setImmediate(lengthenTurns, until);
+}
+
 /** How a request of the end of a drain ended: `unsent` when its caller had seen the close before. */
 type LastOutcome = 'answered' | 'unsent' | 'crossed' | 'reset' | 'run';
 
@@ -222,6 +237,25 @@
   });
 });
 
+describe('a drain that the end of the grace period ends', () => {
+  it('answers on each connection that waits to be accepted by a late VM', async (t) => {
+    const vm = await startVm(t, 2 * SHORT_END_MS, undefined, SHORT_GRACE_S);
+    const busy = await connect(t, vm);
+    busy.send();
+    await sleep(200);
+    const drained = vm.gateway.drain();
+    await sleep(SHORT_END_MS - TURN_MS);
+    setImmediate(lengthenTurns, now() + 500);
+    const calls = Array.from({ length: BURST_SIZE }, async () => {
+      const caller = await connect(t, vm);
+      return classify(await caller.call());
+    });
+    t.is(count(await Promise.all(calls), 'answered'), BURST_SIZE);
+    t.regex(await busy.readAnswer(), /^HTTP\/1\.1 504 /);
+    await drained;
+  });
+});
+
 describe('a server that stops to listen', () => {
   it('accepts what has connected in a standstill of its process', async (t) => {
     const loopDelay = new LoopDelay();
--- a/packages/router/src/gateway/drain.ts
+++ b/packages/router/src/gateway/drain.ts
@@ -26,6 +26,9 @@
 /** Time for the connections that wait to be accepted when the grace period is over. */
 const MIN_LAST_ACCEPTS_MS = 50;
 
+/** Time that the exit of a late process may take. */
+const EXIT_MS = 150;
+
 /** Time in which callers see that their connections are closed. */
 const CLOSING_MS = 150;
 
@@ -109,9 +112,13 @@
   async run(server: DrainedServer, elapsedMs = 0): Promise<void> {
     this.#startedAt = now() - elapsedMs;
     const isDone = () => this.#open.size === 0 && this.isRejecting;
-    while (!isDone() && now() < this.#endsAt) await sleep(CHECK_INTERVAL_MS);
+    while (!isDone() && now() < this.#endsAt) {
+      await sleep(Math.min(CHECK_INTERVAL_MS, this.#endsAt - now()));
+    }
     this.#endOpen();
-    await server.stopListening(Math.max(this.#endsAt, now() + MIN_LAST_ACCEPTS_MS));
+    // A connection that waits when the address no longer listens is reset, with its request.
+    const latestAt = this.#killedAt - LAST_ANSWERS_MS - CLOSING_MS - EXIT_MS;
+    await server.stopListening(Math.max(latestAt, now() + MIN_LAST_ACCEPTS_MS));
     // Until here what comes on a kept connection is read and refused.
     await sleep(LAST_ANSWERS_MS);
     await server.readArrived();
@@ -129,7 +136,11 @@
     [...this.#open.values()].forEach((end) => end());
   }
 
+  get #killedAt(): number {
+    return (this.#startedAt ?? 0) + this.#graceMs;
+  }
+
   get #endsAt(): number {
-    return (this.#startedAt ?? 0) + this.#graceMs - KILL_MARGIN_MS;
+    return this.#killedAt - KILL_MARGIN_MS;
   }
 }
