Callers leave descriptors for the calls to endpoints

Callers saw 503 for every request on kept connections while others held connections without requests: with 256 descriptors and 400 idle callers no connection to an endpoint could be opened.

Cause: nothing bounded the connections of callers, so they took all descriptors; the VM then failed at calls that endpoints would have answered.

Evidence on the parent: fewDescriptors.spec.ts, 40 of 40 requests of a kept caller answered 503 instead of 200.

The descriptors of the process are divided at its start: above 5/8 of them requests on new connections get a true 503 and the VM is not ready, so new callers go to others; above 3/4 connections are closed as they open. Of 4,100 that is 2,522 and 3,027.

--- a/packages/router/src/gateway/callerServer.ts
+++ b/packages/router/src/gateway/callerServer.ts
@@ -6,6 +6,7 @@
 
 import { splitAddress } from './address.js';
 import { CallerAnswer } from './callerAnswer.js';
+import { UNLIMITED, type ConnectionLimits } from './connectionLimits.js';
 import { DRAINING_RETRY_AFTER_MS, type DrainedServer } from './drain.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { DEFAULT_LIMITS, handleRequest } from './handleRequest.js';
@@ -20,6 +21,9 @@
 /** Interval at which the header time-out is checked. */
 const HEADER_TIMEOUT_CHECK_MS = 500;
 
+/** Retry delay told to callers whose connections are too many; the next one goes to another VM. */
+const SURPLUS_RETRY_AFTER_MS = 250;
+
 /** The HTTP server for callers. */
 export class CallerServer implements DrainedServer {
   readonly #server: Server;
@@ -28,12 +32,18 @@
 
   readonly #connections = new ServerConnections();
 
+  readonly #limits: ConnectionLimits;
+
+  /** Connections that leave too few descriptors for calls to endpoints. */
+  readonly #surplus = new WeakSet<Socket>();
+
   #openRequests = 0;
 
   #crossedRequests = 0;
 
-  constructor(context: GatewayContext) {
+  constructor(context: GatewayContext, limits = UNLIMITED) {
     this.#context = context;
+    this.#limits = limits;
     this.#server = createServer(
       {
         maxHeaderSize: DEFAULT_LIMITS.maxHeaderBytes,
@@ -51,6 +61,10 @@
     this.#server.on('timeout', (socket: Socket) => this.#closeIdle(socket));
     context.callers.watch(this.#server);
     this.#connections.watch(this.#server);
+    this.#server.maxConnections = limits.maxCount;
+    this.#server.on('connection', (socket: Socket) => {
+      if (this.#connections.count > limits.refusalCount) this.#surplus.add(socket);
+    });
   }
 
   /** Number of requests whose response is still open. */
@@ -68,6 +82,11 @@
     return this.#connections.count;
   }
 
+  /** True while requests on new connections are refused. */
+  get isFull(): boolean {
+    return this.#connections.count >= this.#limits.refusalCount;
+  }
+
   /** Listens as soon as the address is free; rejects when it cannot be used. */
   async listen(wanted: WantedAddress): Promise<void> {
     const { host, port } = splitAddress(wanted.address);
@@ -145,10 +164,21 @@
     const answer = new CallerAnswer(response, this.#context.state);
     const { drain } = this.#context;
     drain.setEnd(response, () => answer.sendError(503, 'leaving', DRAINING_RETRY_AFTER_MS));
+    if (this.#surplus.has(request.socket)) {
+      this.#refuseSurplus(answer);
+      return;
+    }
     const received = { request, response, answer, transit: null, awaitsContinue };
     handleRequest(this.#context, received).catch((error: unknown) => {
       this.#context.log.warn('request_crashed', { error: String(error) });
       answer.sendError(500, 'internal');
     });
   }
+
+  #refuseSurplus(answer: CallerAnswer): void {
+    const { log, metrics } = this.#context;
+    metrics.countRequest('none', 'overloaded');
+    log.decision('request_rejected', { reason: 'overloaded', connections: this.connectionCount });
+    answer.sendErrorUnread(503, 'overloaded', SURPLUS_RETRY_AFTER_MS);
+  }
 }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -32,6 +32,7 @@
 import { AnswerBuffers } from './answerBuffers.js';
 import { BrittleTask } from './brittleTask.js';
 import { ConnectionTable } from './connectionTable.js';
+import { readConnectionLimits } from './connectionLimits.js';
 import { ContactTask } from './contactTask.js';
 import { CrashRecorder } from './crashRecorder.js';
 import { DepartureRecorder } from './departureRecorder.js';
@@ -217,7 +218,7 @@
     },
     notifyPeers,
   };
-  const callerServer = new CallerServer(context);
+  const callerServer = new CallerServer(context, await readConnectionLimits());
   const transitServer = new TransitServer(context);
   const countOpenRequests = () => callerServer.openRequests + transitServer.openRequests;
   peers.setContactReport(() => ({
@@ -230,7 +231,7 @@
     request.resume();
     const isLate =
       links.isLate || loopDelay.isBehind || callerConnections.acceptDelayMs >= MAX_ACCEPT_DELAY_MS;
-    const isReady = isServing(state) && !isLate;
+    const isReady = isServing(state) && !isLate && !callerServer.isFull;
     response.writeHead(isReady ? 200 : 503, { 'content-length': 0 }).end();
   });
   const controlApi = createLazyControlApi({
