Hold answers within a limit, also those that their callers have not taken

Callers saw a process end when some of them did not read large answers. Cause: an answer was counted only until it was whole; from then on it lay in the connection of its caller, without a bound. And answers were kept as chunks and as their copy.

Now: answers count in the account until their callers have taken them, so that new large bodies wait for them. Beyond 16 MB in all only the oldest answer of a known length is read on, the others wait at their endpoints; nothing of a known length is given up for memory any more. The largest answer without a length is given up as before. An attempt that waits for memory is not stuck. A caller that takes no byte for 1.5 to 3 s while answers of others wait loses its connection. An answer with a length goes into one buffer, which is freed when its caller has all of it.

answerBuffers.spec.ts: its answers have no length, so that the two cases hold as they were.

--- a/packages/router/__tests__/gateway/answerBuffers.spec.ts
+++ b/packages/router/__tests__/gateway/answerBuffers.spec.ts
@@ -1,5 +1,6 @@
 import { describe, it } from '@filbertlatch/core/testing';
 
+import { MemoryAccount } from '../../src/memory/index.js';
 import { AnswerBuffers } from '../../src/gateway/answerBuffers.js';
 
 const MEBIBYTE = 1_048_576;
@@ -7,10 +8,19 @@
 class TestAnswer {
   isGivenUp = false;
 
+  isResumed = false;
+
   readonly #buffers: AnswerBuffers;
 
-  constructor(buffers: AnswerBuffers) {
+  readonly expectedBytes: number | null;
+
+  constructor(buffers: AnswerBuffers, expectedBytes: number | null = null) {
     this.#buffers = buffers;
+    this.expectedBytes = expectedBytes;
+  }
+
+  resume(): void {
+    this.isResumed = true;
   }
 
   giveUp(): void {
@@ -21,7 +31,7 @@
 
 describe('the memory for answers', () => {
   it('is taken from the largest when all need too much', (t) => {
-    const buffers = new AnswerBuffers();
+    const buffers = new AnswerBuffers(new MemoryAccount(16 * MEBIBYTE));
     const [small, large, medium] = [1, 2, 3].map(() => new TestAnswer(buffers));
     buffers.add(small!, 1 * MEBIBYTE);
     buffers.add(large!, 7 * MEBIBYTE);
@@ -34,7 +44,7 @@
   });
 
   it('is the same after thousands of answers that ended or were given up', (t) => {
-    const buffers = new AnswerBuffers();
+    const buffers = new AnswerBuffers(new MemoryAccount(16 * MEBIBYTE));
     for (let index = 0; index < 5000; index += 1) {
       const answer = new TestAnswer(buffers);
       buffers.add(answer, 7.5 * MEBIBYTE);
@@ -48,4 +58,26 @@
     buffers.add(third!, 7.5 * MEBIBYTE);
     t.true(first!.isGivenUp || second!.isGivenUp || third!.isGivenUp);
   });
+
+  it('goes to the oldest answer of a known length, for which the others wait', async (t) => {
+    const buffers = new AnswerBuffers(new MemoryAccount(16 * MEBIBYTE));
+    const answers = [1, 2, 3].map(() => new TestAnswer(buffers, 8 * MEBIBYTE));
+    const [first, second, third] = answers as [TestAnswer, TestAnswer, TestAnswer];
+    t.true(buffers.add(first, 7 * MEBIBYTE));
+    t.true(buffers.add(second, 7 * MEBIBYTE));
+    t.false(buffers.add(third, 3 * MEBIBYTE));
+    t.true(buffers.add(new TestAnswer(buffers), 1000));
+    t.false(buffers.add(second, MEBIBYTE));
+    t.true(buffers.add(first, MEBIBYTE));
+    buffers.release(first);
+    await new Promise(setImmediate);
+    t.deepEqual(
+      answers.map(({ isGivenUp, isResumed }) => [isGivenUp, isResumed]),
+      [
+        [false, false],
+        [false, true],
+        [false, true],
+      ],
+    );
+  });
 });
--- a/packages/router/src/gateway/answerBody.ts
+++ b/packages/router/src/gateway/answerBody.ts
@@ -3,39 +3,76 @@
 /** Maximum size of an answer that is buffered until it is complete. */
 export const MAX_ANSWER_BYTES = 16_777_216;
 
+/** Length above which an answer is copied into one place as it arrives. */
+const MIN_WHOLE_BYTES = 65_536;
+
 /** The body of an answer that is buffered until it is complete. */
 export class AnswerBody implements BufferedAnswer {
   readonly #buffers: AnswerBuffers;
 
   readonly #reject: (message: string) => void;
 
+  readonly #resume: () => void;
+
   readonly #chunks: Buffer[] = [];
 
+  /** The place of an answer whose length is known and more than one chunk. */
+  #whole: Buffer | null = null;
+
   #bytes = 0;
 
-  /** `reject` is called when the answer is too large. */
-  constructor(buffers: AnswerBuffers, reject: (message: string) => void) {
+  #expectedBytes: number | null = null;
+
+  #isPaused = false;
+
+  /** `reject` is called when the answer is too large, `resume` when it is to be read on. */
+  constructor(buffers: AnswerBuffers, reject: (message: string) => void, resume: () => void) {
     this.#buffers = buffers;
     this.#reject = reject;
+    this.#resume = resume;
+  }
+
+  get expectedBytes(): number | null {
+    return this.#expectedBytes;
   }
 
-  /** Adds bytes. */
-  push(chunk: Buffer): void {
+  /** True while its reading is paused. */
+  get isPaused(): boolean {
+    return this.#isPaused;
+  }
+
+  /** Says how long the answer is; what it brings may still differ. */
+  expect(bytes: number): void {
+    this.#expectedBytes = bytes;
+    if (bytes > MIN_WHOLE_BYTES) this.#whole = Buffer.allocUnsafeSlow(bytes);
+  }
+
+  /** Adds bytes; false when no more are to be read for now. */
+  push(chunk: Buffer): boolean {
+    if (this.#whole === null) this.#chunks.push(chunk);
+    else chunk.copy(this.#whole, this.#bytes);
     this.#bytes += chunk.length;
-    this.#chunks.push(chunk);
     if (this.#bytes > MAX_ANSWER_BYTES) this.#reject('answer exceeds the size limit');
-    else this.#buffers.add(this, chunk.length);
+    else this.#isPaused = !this.#buffers.add(this, chunk.length);
+    return !this.#isPaused;
   }
 
   /** Returns all bytes. */
   join(): Buffer {
-    return Buffer.concat(this.#chunks);
+    return this.#whole?.subarray(0, this.#bytes) ?? Buffer.concat(this.#chunks);
   }
 
   /** Frees the memory. */
   release(): void {
+    this.#isPaused = false;
     this.#buffers.release(this);
     this.#chunks.length = 0;
+    this.#whole = null;
+  }
+
+  resume(): void {
+    this.#isPaused = false;
+    this.#resume();
   }
 
   giveUp(): void {
--- a/packages/router/src/gateway/answerBuffers.ts
+++ b/packages/router/src/gateway/answerBuffers.ts
@@ -1,39 +1,135 @@
-/** Memory for all answers that are buffered until they are complete. */
+import type { ServerResponse } from 'node:http';
+
+import { freeBuffer, type MemoryAccount } from '../memory/index.js';
+
+/** Memory for all answers that are buffered until they are complete, or until their callers have taken them. */
 const MAX_BUFFERED_BYTES = 16_777_216;
 
+/** Answers of this size or less are neither paused nor watched. */
+const SMALL_ANSWER_BYTES = 65_536;
+
+/**
+ * Time after which a caller that takes no byte of its answer gives way to others; the runtime finds that out
+ * within twice the time.
+ */
+const MAX_UNTAKEN_MS = 1500;
+
 /** An answer that is buffered until it is complete. */
 export interface BufferedAnswer {
+  /** Length that it has announced, which is within the limit of one answer; null without one. */
+  readonly expectedBytes: number | null;
   /** Gives up the answer and its memory; called when all answers together need too much. */
   giveUp(): void;
+  /** Goes on reading a paused answer. */
+  resume(): void;
 }
 
-/** Bounds the memory of all buffered answers of a gateway. */
+/**
+ * Bounds the memory of all answers of a gateway that are buffered or not yet taken. Beyond the limit
+ * only the oldest answer of a known length is read on; of those without, the largest is given up.
+ */
 export class AnswerBuffers {
+  readonly #account: MemoryAccount;
+
+  /** The oldest first. */
   readonly #bytesOf = new Map<BufferedAnswer, number>();
 
-  #bytes = 0;
+  readonly #paused = new Set<BufferedAnswer>();
+
+  #bufferedBytes = 0;
+
+  #untakenBytes = 0;
+
+  #isResuming = false;
+
+  constructor(account: MemoryAccount) {
+    this.#account = account;
+  }
+
+  /** Number of answers whose reading is paused. */
+  get pausedCount(): number {
+    return this.#paused.size;
+  }
 
-  /** Counts bytes that an answer has buffered; the largest answers are given up beyond the limit. */
-  add(answer: BufferedAnswer, bytes: number): void {
+  /** Counts bytes that an answer has buffered; false when it must not be read on before it is resumed. */
+  add(answer: BufferedAnswer, bytes: number): boolean {
     this.#bytesOf.set(answer, (this.#bytesOf.get(answer) ?? 0) + bytes);
-    this.#bytes += bytes;
-    while (this.#bytes > MAX_BUFFERED_BYTES) {
-      const largest = this.#findLargest();
+    this.#bufferedBytes += bytes;
+    this.#account.add('answer', bytes);
+    while (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
+      const largest = this.#findLargestUnbounded();
+      if (largest === undefined) break;
       largest.giveUp();
       this.release(largest);
     }
+    if (!this.#bytesOf.has(answer) || this.#mayGoOn(answer)) return true;
+    this.#paused.add(answer);
+    return false;
   }
 
   /** Frees the memory of an answer that has ended or is given up. */
   release(answer: BufferedAnswer): void {
-    this.#bytes -= this.#bytesOf.get(answer) ?? 0;
+    const bytes = this.#bytesOf.get(answer);
+    if (bytes === undefined) return;
+    this.#bufferedBytes -= bytes;
+    this.#account.remove('answer', bytes);
     this.#bytesOf.delete(answer);
+    this.#paused.delete(answer);
+    this.#scheduleResume();
+  }
+
+  /** Counts a whole answer until its caller has taken it, or left. */
+  holdUntilTaken(response: ServerResponse, answer: Buffer): void {
+    const { length } = answer;
+    if (length <= SMALL_ANSWER_BYTES || response.closed) return;
+    this.#untakenBytes += length;
+    this.#account.add('answer', length);
+    this.#watchTaking(response);
+    response.once('close', () => {
+      this.#untakenBytes -= length;
+      this.#account.remove('answer', length);
+      // No write of it is in progress any more.
+      if (response.writableFinished) freeBuffer(answer);
+      this.#scheduleResume();
+    });
+  }
+
+  /** Ends a connection whose caller takes nothing while the answers of others wait. */
+  #watchTaking(response: ServerResponse): void {
+    response.setTimeout(MAX_UNTAKEN_MS, () => {
+      if (this.#paused.size > 0) response.socket?.resetAndDestroy();
+      else response.setTimeout(MAX_UNTAKEN_MS);
+    });
+  }
+
+  #mayGoOn(answer: BufferedAnswer): boolean {
+    if (this.#bytesOf.get(answer)! <= SMALL_ANSWER_BYTES) return true;
+    if (this.#untakenBytes > MAX_BUFFERED_BYTES) return false;
+    if (answer.expectedBytes === null) return true;
+    if (this.#untakenBytes + this.#bufferedBytes <= MAX_BUFFERED_BYTES) return true;
+    return answer === this.#findOldest();
+  }
+
+  #findOldest(): BufferedAnswer | undefined {
+    return [...this.#bytesOf.keys()].find(({ expectedBytes }) => expectedBytes !== null);
+  }
+
+  #findLargestUnbounded(): BufferedAnswer | undefined {
+    const unbounded = [...this.#bytesOf].filter(([{ expectedBytes }]) => expectedBytes === null);
+    return unbounded.sort(([, a], [, b]) => b - a)[0]?.[0];
   }
 
-  #findLargest(): BufferedAnswer {
-    const [[largest]] = [...this.#bytesOf].sort(([, a], [, b]) => b - a) as [
-      [BufferedAnswer, number],
-    ];
-    return largest;
+  /** Another answer may just be parsed, which must end first. */
+  #scheduleResume(): void {
+    if (this.#isResuming || this.#paused.size === 0) return;
+    this.#isResuming = true;
+    setImmediate(() => {
+      this.#isResuming = false;
+      [...this.#bytesOf.keys()].forEach((answer) => {
+        if (!this.#paused.has(answer) || !this.#mayGoOn(answer)) return;
+        this.#paused.delete(answer);
+        answer.resume();
+      });
+    });
   }
 }
--- a/packages/router/src/gateway/attempt.ts
+++ b/packages/router/src/gateway/attempt.ts
@@ -70,6 +70,8 @@
   readonly requestLimit: number | null;
   /** True when it has ended or was cancelled. */
   readonly isOver: boolean;
+  /** True while this VM does not read the answer, for want of memory. */
+  readonly isPaused?: boolean;
   /** True when bytes of the request may have been sent. */
   readonly mayHaveSent: boolean;
   /** True when the request was sent to an endpoint: by this VM, or by a peer that has said so. */
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -116,7 +116,11 @@
     this.#context = context;
     this.#admitted = admitted;
     this.#observer = observer;
-    this.#body = new AnswerBody(context.buffers, (message) => this.#reject(message));
+    this.#body = new AnswerBody(
+      context.buffers,
+      (message) => this.#reject(message),
+      () => this.resume(),
+    );
     this.endpoint = endpoint;
     this.predictedMs = predictedMs;
     const { connections, countFleetVms, limits, state } = context;
@@ -169,6 +173,10 @@
     return this.#request.times;
   }
 
+  get isPaused(): boolean {
+    return this.#body.isPaused;
+  }
+
   /** True when the status and headers have arrived. */
   get hasAnswered(): boolean {
     return this.#metadata !== null;
@@ -176,7 +184,7 @@
 
   /** Time of its latest bytes, or of the send before the first; epoch milliseconds. */
   get heardAt(): number {
-    return this.#heardAt;
+    return this.isPaused ? now() : this.#heardAt;
   }
 
   /** True when the endpoint has lived on after it began to answer. */
@@ -263,10 +271,15 @@
         // Closes the connection, on which this refusal could come once more.
         this.#request.cancel();
         this.#turnAway(metadata);
-      }
+      } else if (!this.#isStream()) this.#expectBody(headers);
     }
   }
 
+  #expectBody(headers: readonly string[]): void {
+    const length = findHeader(headers, 'content-length');
+    if (length !== null) this.#body.expect(Number(length));
+  }
+
   #isTooLong(): boolean {
     if (this.#isStream()) return false;
     return Number(findHeader(this.#rawHead.headers, 'content-length')) > MAX_ANSWER_BYTES;
@@ -290,8 +303,7 @@
   #handleBody(chunk: Buffer): boolean {
     if (this.#isSettled) return true;
     if (this.#isStream()) return this.#handleEvents(chunk);
-    this.#body.push(chunk);
-    return true;
+    return this.#body.push(chunk);
   }
 
   #handleEvents(chunk: Buffer): boolean {
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -298,8 +298,9 @@
   #handleStuck(attempt: Attempt): void {
     if (attempt !== this.#pair.current || this.#isFinished) return;
     if (!this.#allowance.hasAttempts) return;
-    // One that waits for a connection, or for its caller to read, is not stuck at its endpoint.
-    if (!attempt.mayHaveSent || this.#stream.isFull) this.#stuckWatch.watch(attempt);
+    // One that waits for a connection, for its caller to read or for memory is not stuck at its endpoint.
+    const isWaiting = !attempt.mayHaveSent || attempt.isPaused === true || this.#stream.isFull;
+    if (isWaiting) this.#stuckWatch.watch(attempt);
     else if (this.#pair.held !== null) {
       attempt.cancel('stuck');
       this.#goBack();
@@ -416,6 +417,7 @@
     }
     this.#stream.recordAnswer();
     this.#answer.forward(head, body);
+    this.#context.buffers.holdUntilTaken(this.#response, body);
     this.#finish(status < FIRST_CLIENT_ERROR_STATUS ? 'served' : 'failed');
   }
 
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -209,7 +209,7 @@
     origins,
     crashes,
     ...terms,
-    buffers: new AnswerBuffers(),
+    buffers: new AnswerBuffers(memory),
     room,
     countFleetVms: countVms,
     takeSequenceNumber: () => {
--- a/packages/router/src/gateway/transitAttempt.ts
+++ b/packages/router/src/gateway/transitAttempt.ts
@@ -2,13 +2,13 @@
 
 import { now } from '../clock.js';
 import type { AdmittedRequest } from './admitRequest.js';
-import { AnswerBody } from './answerBody.js';
+import { AnswerBody, MAX_ANSWER_BYTES } from './answerBody.js';
 import type { Attempt, AttemptObserver, AttemptRequest, RawAnswerHead } from './attempt.js';
 import type { AnswerNote } from './callerAnswer.js';
 import { EndpointRequest, type AttemptFailure } from './endpointRequest.js';
 import { findBodyFault } from './findBodyFault.js';
 import type { GatewayContext } from './gatewayContext.js';
-import { isFramed } from './headers.js';
+import { findHeader, isFramed } from './headers.js';
 import { hasTimeToSend } from './hasTimeToSend.js';
 import type { SendTimes } from './sendTimes.js';
 import { addTerms, readNote, removeEnvelope, TRANSIT_PATH } from './transitEnvelope.js';
@@ -80,7 +80,11 @@
     this.#isResumed = admitted.metadata.lastEventId !== null;
     this.peerId = id;
     this.predictedMs = PREDICTED_TARGET_FACTOR * admitted.route.targetMs;
-    this.#body = new AnswerBody(context.buffers, (message) => this.#reject(message));
+    this.#body = new AnswerBody(
+      context.buffers,
+      (message) => this.#reject(message),
+      () => this.resume(),
+    );
     const connections = context.transits.getConnections(address);
     this.#request = new EndpointRequest(connections, context.loopDelay, {
       isAwaited: () => observer.isAwaited(),
@@ -100,6 +104,10 @@
     return this.#isSettled;
   }
 
+  get isPaused(): boolean {
+    return this.#body.isPaused;
+  }
+
   get mayHaveSent(): boolean {
     return this.#request.mayHaveSent;
   }
@@ -166,6 +174,12 @@
     if (note === null) this.#reject('answer of a peer lacks its note');
     else if (!this.#isDelimited()) this.#reject('answer of a peer has neither a length nor chunks');
     else if (note.kind === 'answer') this.#checkAnswer(status);
+    if (!this.#isSettled && !this.#isStream()) this.#expectBody(headers);
+  }
+
+  #expectBody(headers: readonly string[]): void {
+    const length = findHeader(headers, 'content-length');
+    if (length !== null && Number(length) <= MAX_ANSWER_BYTES) this.#body.expect(Number(length));
   }
 
   /** VMs frame each body: the end of a connection may be that of the peer. */
@@ -192,8 +206,7 @@
     if (this.#note?.kind === 'answer' && this.#isStream()) {
       return this.#observer.streamed(this.#head, chunk);
     }
-    this.#body.push(chunk);
-    return true;
+    return this.#body.push(chunk);
   }
 
   #handleEnd(): void {
