A server that fails to accept listens again

Found by reading, not seen on a process: node reports a failed accept (EMFILE, ENFILE, ENOBUFS where the system has no spare descriptor) as an error of the server. Nothing listened to it, except once by the leftover of the start, so the second one would have ended the process.

openServer reports accept_failed, closes the listening socket, since accepting would fail on and on, and opens the address again as at the start. Kept connections go on.

--- a/packages/router/src/gateway/callerServer.ts
+++ b/packages/router/src/gateway/callerServer.ts
@@ -2,7 +2,7 @@
 import { Server as ConnectionServer, type Socket } from 'node:net';
 
 import { now } from '../clock.js';
-import { openAddress, type WantedAddress } from '../openAddress.js';
+import { openServer, type WantedAddress } from '../openAddress.js';
 
 import { splitAddress } from './address.js';
 import { CallerAnswer } from './callerAnswer.js';
@@ -90,7 +90,7 @@
   /** Listens as soon as the address is free; rejects when it cannot be used. */
   async listen(wanted: WantedAddress): Promise<void> {
     const { host, port } = splitAddress(wanted.address);
-    await openAddress(this.#server, () => this.#server.listen(port, host), wanted);
+    await openServer(this.#server, host, port, wanted);
   }
 
   /** Applies the time-outs of the current configuration to new connections. */
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -26,7 +26,7 @@
 import { now } from '../clock.js';
 import { createLog, standardError, standardOutput } from '../log/index.js';
 import { BodyRoom, defaultLimitBytes, MemoryAccount } from '../memory/index.js';
-import { openAddress, openAll, type WantedAddress } from '../openAddress.js';
+import { openAll, openServer, type WantedAddress } from '../openAddress.js';
 import { splitAddress } from './address.js';
 import { CallerConnections } from './callerConnections.js';
 import { AnswerBuffers } from './answerBuffers.js';
@@ -97,7 +97,7 @@
 
 async function listen(server: Server, wanted: WantedAddress): Promise<void> {
   const { host, port } = splitAddress(wanted.address);
-  await openAddress(server, () => server.listen(port, host), wanted);
+  await openServer(server, host, port, wanted);
 }
 
 /**
--- a/packages/router/src/listen.ts
+++ b/packages/router/src/listen.ts
@@ -9,7 +9,7 @@
 import { createAdaptorServer } from '@hono/node-server';
 
 import { hasValidHeaderNames } from './headerNames.js';
-import { openAddress, type WantedAddress } from './openAddress.js';
+import { openServer, type WantedAddress } from './openAddress.js';
 import type { TlsMaterial } from './security/index.js';
 
 const MS_PER_SECOND = 1000;
@@ -109,7 +109,7 @@
   const urlHost = host.includes(':') ? `[${host}]` : host;
   const { report = () => {}, signal } = options;
   const wanted = { address: `${urlHost}:${port}`, report, signal };
-  await openAddress(server, () => server.listen(port, host), wanted);
+  await openServer(server, host, port, wanted);
   const address = server.address() as AddressInfo;
   const isTls = 'setSecureContext' in server;
   return {
--- a/packages/router/src/openAddress.ts
+++ b/packages/router/src/openAddress.ts
@@ -1,4 +1,5 @@
 import { once, type EventEmitter } from 'node:events';
+import { Server, type AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { RouterError } from './errors/index.js';
@@ -23,11 +24,13 @@
   EPERM: 'final',
 };
 
+type AddressEvent = 'address_refused' | 'address_opened' | 'accept_failed' | 'address_lost';
+
 /** An address that a socket is to use. */
 export interface WantedAddress {
   readonly address: string;
-  /** Called when it is refused for the first time, and when it is used after that. */
-  readonly report: (event: 'address_refused' | 'address_opened', fields: object) => void;
+  /** Called when it is refused for the first time, when it is used after that, and when accepting fails. */
+  readonly report: (event: AddressEvent, fields: object) => void;
   /** Ends the wait for it. */
   readonly signal?: AbortSignal | undefined;
 }
@@ -74,6 +77,29 @@
   }
 }
 
+/**
+ * Opens the address of a server like `openAddress`, and once more whenever accepting fails: the error
+ * would end the process, and the system reports it again as long as the server listens.
+ */
+export async function openServer(
+  server: Server,
+  host: string,
+  port: number,
+  wanted: WantedAddress,
+): Promise<void> {
+  const { address, report } = wanted;
+  await openAddress(server, () => server.listen(port, host), wanted);
+  server.once('error', (error) => {
+    report('accept_failed', { address, error: codeOf(error) });
+    const { port: usedPort } = server.address() as AddressInfo;
+    // The method of an HTTP server closes connections, too.
+    Server.prototype.close.call(server);
+    openServer(server, host, usedPort, wanted).catch((reason: unknown) => {
+      report('address_lost', { address, error: String(reason) });
+    });
+  });
+}
+
 /** Opens several addresses at once; when one cannot be opened, the wait for the others ends, too. */
 export async function openAll<T>(
   opens: readonly ((signal: AbortSignal) => Promise<T>)[],
