A request that is dropped for its caller gives back the room of its body

Cause: such a request is dropped without an event, so nothing ended its use of the body. Evidence: endpointRequest.spec, 'is given back when it is dropped', fails without the line. It ends its use now.

--- a/packages/router/__tests__/gateway/endpointRequest.spec.ts
+++ b/packages/router/__tests__/gateway/endpointRequest.spec.ts
@@ -6,6 +6,7 @@
 import { EndpointRequest, type AttemptFailure } from '../../src/gateway/endpointRequest.js';
 import { LoopDelay } from '../../src/gateway/loopDelay.js';
 import { EndpointConnections } from '../../src/gateway/endpointConnections.js';
+import { HeldBody } from '../../src/memory/heldBody.js';
 
 const loopDelay = new LoopDelay();
 
@@ -71,6 +72,31 @@
 }
 
 describe('for an endpoint request', () => {
+  describe('the room of its body', () => {
+    it('is given back when it is dropped for a caller that has left', async (t) => {
+      const body = Buffer.from('body');
+      const terms = { kind: 'request', owner: null, isSmall: true, readAt: 0 } as const;
+      const isGivenBack = await withEndpoint(
+        (socket) => socket.destroy(),
+        (connections) =>
+          new Promise<boolean>((resolve) => {
+            const held = new HeldBody(terms, body.length, () => resolve(true));
+            const request = new EndpointRequest(connections, loopDelay, {
+              isAwaited: () => false,
+              head: () => {},
+              body: () => true,
+              end: () => {},
+              fail: () => {},
+            });
+            request.start({ method: 'POST', path: '/', formatHeaders: () => [], body, held });
+            held.release();
+            setTimeout(() => resolve(false), 1000);
+          }),
+      );
+      t.true(isGivenBack);
+    });
+  });
+
   describe('an answer without a length', () => {
     it('is complete when its connection ends', async (t) => {
       const outcome = await withEndpoint(
--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -199,7 +199,7 @@
     else if (error.obstacle === 'withheld') {
       this.#isWithheld = true;
       this.#fail(error);
-    }
+    } else if (!this.#isOver) this.#end();
   }
 
   /** Resumes reading after backpressure. */
