--- a/packages/soak/__tests__/soak.spec.ts
+++ b/packages/soak/__tests__/soak.spec.ts
@@ -78,4 +78,19 @@
       await checkSeed(t, 1, { trouble: ['kill', 'unframed'] });
     },
   );
+
+  itSerial('when ports are in use, logs unread and descriptors few (seed 6)', async (t) => {
+    await checkSeed(t, 6, { seconds: 14, trouble: ['held', 'reader', 'descriptors'] });
+  });
+
+  itSerial(
+    'when bodies are many, halved or unread, and answers have no end (seed 2)',
+    async (t) => {
+      await checkSeed(t, 2, { seconds: 16, trouble: ['halves', 'endless', 'floods', 'readers'] });
+    },
+  );
+
+  itKnownRed('when callers send requests without waiting for answers (seed 3)', async (t) => {
+    await checkSeed(t, 3, { trouble: ['pipeline'] });
+  });
 });
--- a/packages/soak/src/failedSeeds.ts
+++ b/packages/soak/src/failedSeeds.ts
@@ -116,4 +116,40 @@
     cause:
       'the proxy held the port of an endpoint that had ended, so that a cut stream passed as complete',
   },
+  {
+    seed: 6,
+    seconds: 14,
+    slots: 15,
+    trouble: ['held', 'reader', 'descriptors'],
+    cause: 'a port in use at the start, or a log whose pipe was closed, ended the process',
+  },
+  {
+    seed: 2,
+    seconds: 16,
+    slots: 15,
+    trouble: ['halves', 'endless', 'floods', 'readers'],
+    cause: 'bodies of callers and answers of the store were held without a bound',
+  },
+  {
+    seed: 4,
+    seconds: 14,
+    slots: 15,
+    trouble: ['endless'],
+    cause: 'answers of the store were held without a bound',
+  },
+  {
+    seed: 3,
+    seconds: 14,
+    slots: 15,
+    trouble: ['pipeline'],
+    cause: 'requests that follow each other without waiting were all read and held',
+  },
+  {
+    seed: 2,
+    seconds: 14,
+    slots: 15,
+    trouble: ['pipeline'],
+    cause:
+      'answers to later requests of a connection went with the one that a stop had marked as its last',
+  },
 ];
