A standstill at the end of a drain takes no time from accepting what waits

The cause: after a standstill the time to accept was over, and the address was closed after one turn with what had come meanwhile. A turn now counts for 20 ms at most, up to what the last answers and the closing need before the kill.

--- a/packages/router/__tests__/gateway/drainedConnections.spec.ts
+++ b/packages/router/__tests__/gateway/drainedConnections.spec.ts
@@ -256,25 +256,37 @@
   });
 });
 
+/** Opens connections after a standstill of 20 ms, and before another one; stops to listen meanwhile. */
+async function stopLate(
+  t: ExecutionContext,
+  standstillMs: number,
+  stop: (server: CallerServer) => Promise<void>,
+): Promise<void> {
+  const loopDelay = new LoopDelay();
+  const callers = new CallerConnections(loopDelay);
+  const server = new CallerServer({ loopDelay, callers } as unknown as GatewayContext);
+  const address = await findFreeAddress();
+  const [host, port] = address.split(':');
+  await server.listen({ address, report: () => {} });
+  const errors: Error[] = [];
+  setTimeout(() => {
+    Array.from({ length: BURST_SIZE }, () =>
+      openConnection({ host, port: Number(port) }).on('error', (error) => errors.push(error)),
+    );
+    setImmediate(blockLoop, standstillMs);
+  }, 1);
+  setImmediate(blockLoop, 20);
+  await stop(server);
+  await sleep(50);
+  t.deepEqual(errors, []);
+  t.is(server.connectionCount, BURST_SIZE);
+  server.close();
+}
+
 describe('a server that stops to listen', () => {
-  it('accepts what has connected in a standstill of its process', async (t) => {
-    const loopDelay = new LoopDelay();
-    const callers = new CallerConnections(loopDelay);
-    const server = new CallerServer({ loopDelay, callers } as unknown as GatewayContext);
-    const address = await findFreeAddress();
-    const [host, port] = address.split(':');
-    await server.listen({ address, report: () => {} });
-    const errors: Error[] = [];
-    setTimeout(() => {
-      Array.from({ length: BURST_SIZE }, () =>
-        openConnection({ host, port: Number(port) }).on('error', (error) => errors.push(error)),
-      );
-    }, 1);
-    setImmediate(blockLoop, 20);
-    await server.stopListening(now() + 1000);
-    await sleep(50);
-    t.deepEqual(errors, []);
-    t.is(server.connectionCount, BURST_SIZE);
-    server.close();
-  });
+  it('accepts what has connected in a standstill of its process', (t) =>
+    stopLate(t, 0, (server) => server.stopListening(now() + 1000)));
+
+  it('accepts what has connected in a standstill longer than its time for that', (t) =>
+    stopLate(t, 400, (server) => server.stopListening(now() + 1000, 200)));
 });
--- a/packages/router/src/gateway/callerServer.ts
+++ b/packages/router/src/gateway/callerServer.ts
@@ -24,6 +24,9 @@
 /** Retry delay told to callers whose connections are too many; the next one goes to another VM. */
 const SURPLUS_RETRY_AFTER_MS = 250;
 
+/** A longer turn is a standstill, in which nothing could be accepted. */
+const MAX_TURN_MS = 20;
+
 /** The HTTP server for callers. */
 export class CallerServer implements DrainedServer {
   readonly #server: Server;
@@ -101,11 +104,18 @@
     this.#server.headersTimeout = limits.headerTimeoutMs;
   }
 
-  /** Accepts the connections that wait, until `latestAt` at most, and stops listening. */
-  async stopListening(latestAt: number): Promise<void> {
+  /**
+   * Accepts the connections that wait, for `maxMs` without standstills and until `latestAt` at most, and
+   * stops listening.
+   */
+  async stopListening(latestAt: number, maxMs = Infinity): Promise<void> {
+    let leftMs = maxMs;
     // The loop accepts one a turn: none waits right after a turn without any.
-    do await this.readArrived();
-    while (this.#context.callers.acceptDelayMs > 0 && now() < latestAt);
+    do {
+      const startedAt = now();
+      await this.readArrived();
+      leftMs -= Math.min(now() - startedAt, MAX_TURN_MS);
+    } while (this.#context.callers.acceptDelayMs > 0 && leftMs > 0 && now() < latestAt);
     // The method of the HTTP server closes connections, too.
     ConnectionServer.prototype.close.call(this.#server);
   }
--- a/packages/router/src/gateway/drain.ts
+++ b/packages/router/src/gateway/drain.ts
@@ -14,8 +14,9 @@
  */
 const MIN_DRAIN_MS = 2800;
 
-/** The drain ends this long before the process would be killed. */
-const KILL_MARGIN_MS = 600;
+/** The drain ends this long before the process would be killed: a tenth of the grace, or what it takes. */
+const KILL_MARGIN_FRACTION = 0.1;
+const MIN_KILL_MARGIN_MS = 600;
 
 /** Time for an answer to be read from its endpoint and written to its caller. */
 const ANSWER_MARGIN_MS = 50;
@@ -24,10 +25,7 @@
 const LAST_ANSWERS_MS = 100;
 
 /** Time for the connections that wait to be accepted when the grace period is over. */
-const MIN_LAST_ACCEPTS_MS = 50;
-
-/** Time that the exit of a late process may take. */
-const EXIT_MS = 150;
+const LAST_ACCEPTS_MS = 200;
 
 /** Time in which callers see that their connections are closed. */
 const CLOSING_MS = 150;
@@ -42,8 +40,11 @@
 export interface DrainedServer {
   /** Number of its connections. */
   readonly connectionCount: number;
-  /** Accepts the connections that wait, until `latestAt` at most, and stops listening; epoch milliseconds. */
-  stopListening(latestAt: number): Promise<void>;
+  /**
+   * Accepts the connections that wait, for `maxMs` without standstills and until `latestAt` at most, and
+   * stops listening; epoch milliseconds.
+   */
+  stopListening(latestAt: number, maxMs: number): Promise<void>;
   /** Resolves directly after what has arrived on its connections is read. */
   readArrived(): Promise<void>;
   /** True while a part of a request's head has been read. */
@@ -117,8 +118,9 @@
     }
     this.#endOpen();
     // A connection that waits when the address no longer listens is reset, with its request.
-    const latestAt = this.#killedAt - LAST_ANSWERS_MS - CLOSING_MS - EXIT_MS;
-    await server.stopListening(Math.max(latestAt, now() + MIN_LAST_ACCEPTS_MS));
+    const latestAt = this.#killedAt - LAST_ANSWERS_MS - CLOSING_MS;
+    const leftMs = Math.max(0, this.#endsAt - now());
+    await server.stopListening(latestAt, leftMs + LAST_ACCEPTS_MS);
     // Until here what comes on a kept connection is read and refused.
     await sleep(LAST_ANSWERS_MS);
     await server.readArrived();
@@ -141,6 +143,6 @@
   }
 
   get #endsAt(): number {
-    return this.#killedAt - KILL_MARGIN_MS;
+    return this.#killedAt - Math.max(MIN_KILL_MARGIN_MS, KILL_MARGIN_FRACTION * this.#graceMs);
   }
 }
