An answer that its caller still reads is no idle connection

Cause: the time-out of an answer (its caller takes nothing) is reported to the server as well, which took it for that of an idle connection.

--- a/packages/router/src/gateway/callerServer.ts
+++ b/packages/router/src/gateway/callerServer.ts
@@ -150,6 +150,8 @@
 
   /** Closes an idle connection, unless a request waits in it that came in time to a late process. */
   #closeIdle(socket: Socket): void {
+    // The time-out of an answer is reported here as well.
+    if (this.#connections.isAnswering(socket)) return;
     const { bytesRead } = socket;
     this.#context.loopDelay.afterPoll(() => {
       if (socket.bytesRead === bytesRead) socket.destroy();
--- a/packages/router/src/gateway/serverConnections.ts
+++ b/packages/router/src/gateway/serverConnections.ts
@@ -23,6 +23,11 @@
     return [...this.#usages].some(([socket, usage]) => ServerConnections.#isRead(socket, usage));
   }
 
+  /** True while a response of a connection is not written to its end. */
+  isAnswering(socket: Socket): boolean {
+    return (this.#usages.get(socket)?.responses ?? 0) > 0;
+  }
+
   /** Watches the connections of a server. */
   watch(server: Server): void {
     server.on('connection', (socket: Socket) => {
