A body is given back once its endpoint has it, and an abandoned request ends at its deadline

Cause: a request that must run once may complete after its caller has left; an endpoint that never answers kept its body for ever. Evidence: endpointRequest.spec, 'once an endpoint that never answers has the body', fails without the change. The room is given back when the operating system has the body; what is abandoned ends at its deadline, like any other request.

--- a/packages/router/__tests__/gateway/endpointRequest.spec.ts
+++ b/packages/router/__tests__/gateway/endpointRequest.spec.ts
@@ -73,27 +73,37 @@
 
 describe('for an endpoint request', () => {
   describe('the room of its body', () => {
-    it('is given back when it is dropped for a caller that has left', async (t) => {
-      const body = Buffer.from('body');
-      const terms = { kind: 'request', owner: null, isSmall: true, readAt: 0 } as const;
-      const isGivenBack = await withEndpoint(
-        (socket) => socket.destroy(),
-        (connections) =>
-          new Promise<boolean>((resolve) => {
-            const held = new HeldBody(terms, body.length, () => resolve(true));
-            const request = new EndpointRequest(connections, loopDelay, {
-              isAwaited: () => false,
-              head: () => {},
-              body: () => true,
-              end: () => {},
-              fail: () => {},
-            });
-            request.start({ method: 'POST', path: '/', formatHeaders: () => [], body, held });
-            held.release();
-            setTimeout(() => resolve(false), 1000);
-          }),
-      );
-      t.true(isGivenBack);
+    const cases = {
+      'when it is dropped for a caller that has left': false,
+      'once an endpoint that never answers has the body': true,
+    };
+    Object.entries(cases).forEach(([title, isAwaited]) => {
+      it(`is given back ${title}`, async (t) => {
+        const body = Buffer.from('body');
+        const terms = { kind: 'request', owner: null, isSmall: true, readAt: 0 } as const;
+        const isGivenBack = await withEndpoint(
+          () => {},
+          (connections) =>
+            new Promise<boolean>((resolve) => {
+              const request = new EndpointRequest(connections, loopDelay, {
+                isAwaited: () => isAwaited,
+                head: () => {},
+                body: () => true,
+                end: () => {},
+                fail: () => {},
+              });
+              const end = (hasRoom: boolean) => {
+                resolve(hasRoom);
+                request.cancel();
+              };
+              setTimeout(() => end(false), 1000).unref();
+              const held = new HeldBody(terms, body.length, () => end(true));
+              request.start({ method: 'POST', path: '/', formatHeaders: () => [], body, held });
+              held.release();
+            }),
+        );
+        t.true(isGivenBack);
+      });
     });
   });
 
--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -117,7 +117,7 @@
 
   /** Sends the request, once a connection is free and this process is on time. */
   start(outgoing: OutgoingRequest): void {
-    if (this.#held === null && outgoing.held != null && !this.#isOver) {
+    if (this.#held === null && outgoing.held != null && !this.#isOver && !this.#mayHaveSent) {
       this.#held = outgoing.held;
       this.#held.retain();
     }
@@ -180,6 +180,9 @@
     process.nextTick(() => {
       client?.whenWritten(() => {
         this.#times.writtenAt = now();
+        // An endpoint that has the body may never answer.
+        this.#held?.release();
+        this.#held = null;
       });
     });
   }
@@ -222,6 +225,7 @@
     this.#isOver = true;
     if (this.#mayHaveSent && this.#times.writtenAt === null) this.#held?.releaseUnwritten();
     else this.#held?.release();
+    this.#held = null;
   }
 
   #unsentCause(error: Error): AttemptFailure['cause'] {
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -579,6 +579,7 @@
     const mayComplete =
       mayRun && attempt.peerId === null && !isRepeatable && route.repetition !== 'streaming';
     if (!mayComplete) attempt.cancel('abandoned');
+    else setTimeout(() => attempt.cancel('abandoned'), this.#admitted.deadlineAt - now()).unref();
   }
 
   #finish(outcome: string, trace: RequestTraceFields | null = null): void {
