--- a/packages/router/__tests__/gateway/heldAddresses.spec.ts
+++ b/packages/router/__tests__/gateway/heldAddresses.spec.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
-import { createServer, type Server } from 'node:net';
+import { connect, createServer, type Server } from 'node:net';
+import { text } from 'node:stream/consumers';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { describe, it } from '@filbertlatch/core/testing';
@@ -81,6 +82,25 @@
   });
 });
 
+describe('a gateway whose wait for an address is ended', () => {
+  it('answers the request of a caller who has found another one', async (t) => {
+    const settings = await createSettings();
+    const holder = await listenAt(settings.listen.control);
+    t.teardown(() => holder.close());
+    const end = new AbortController();
+    const starting = start(settings, end.signal);
+    await sleep(SEVERAL_RETRIES_MS);
+    const [host, port] = settings.listen.callers.split(':');
+    const caller = connect(Number(port), host);
+    await once(caller, 'connect');
+    const received = text(caller);
+    caller.write('GET / HTTP/1.1\r\nhost: desk.example\r\n\r\n');
+    end.abort();
+    t.regex(await received, /^HTTP\/1\.1 503 /);
+    await t.throwsAsync(starting, { any: true });
+  });
+});
+
 describe('a gateway that cannot use one of its addresses', () => {
   it('ends with an error that names it, and leaves the others free', async (t) => {
     const settings = await createSettings({ control: '127.0.0.1:70000' });
