Let a body give way that is not whole when the time of its request is over

A caller that sent a large body by single bytes kept its room for as long as it liked, while others were refused: only a silence of two seconds ended a body. The new case of bodyRoom.spec.ts fails without the condition.

--- a/packages/router/__tests__/memory/bodyRoom.spec.ts
+++ b/packages/router/__tests__/memory/bodyRoom.spec.ts
@@ -21,6 +21,7 @@
   const ask = (name: string, terms: Partial<BodyAsk> = {}): BodyAsk => {
     const asked: BodyAsk = {
       ...{ kind: 'request', bytes: 4 * MEBIBYTE, priority: 1, owner: null, giveUpAt: 1000 },
+      readBy: 8000,
       ...terms,
       grant: (held) => granted.set(name, held),
       refuse: () => refused.push(name),
@@ -111,6 +112,20 @@
     t.true(granted.has('waiting'));
   });
 
+  it('is taken while others wait from a body that goes on by single bytes beyond its time', (t) => {
+    const { ask, clock, granted, room } = createRoom();
+    ask('slow', { bytes: 8 * MEBIBYTE });
+    granted.get('slow')!.endReading = () => granted.get('slow')!.release();
+    clock.time = 7900;
+    granted.get('slow')!.readAt = clock.time;
+    ask('waiting', { giveUpAt: 8900 });
+    room.maintain();
+    t.false(granted.has('waiting'));
+    clock.time = 8000;
+    room.maintain();
+    t.true(granted.has('waiting'));
+  });
+
   it('is all given back after thousands of bodies of all fates', (t) => {
     const { account, ask, granted, room } = createRoom();
     for (let index = 0; index < 3000; index += 1) {
--- a/packages/router/src/gateway/bodyTerms.ts
+++ b/packages/router/src/gateway/bodyTerms.ts
@@ -1,11 +1,11 @@
 import { rankOfRequest } from '@filbertlatch/core';
 
 import { now } from '../clock.js';
-import type { BodyAsk, HeldKind } from '../memory/index.js';
+import type { HeldKind } from '../memory/index.js';
 import { findRequest, type RejectedRequest } from './admitRequest.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ReceivedRequest } from './handleRequest.js';
-import type { BodyReadTerms, BodyRefusal } from './readBody.js';
+import type { BodyDescription, BodyReadTerms, BodyRefusal } from './readBody.js';
 
 /** Time for which a request waits to be read, and the fraction of its time left. */
 const MAX_WAIT_MS = 1000;
@@ -44,7 +44,7 @@
     return this.#received.transit === null ? 'request' : 'transit';
   }
 
-  describe(): Pick<BodyAsk, 'priority' | 'owner' | 'giveUpAt'> | RejectedRequest {
+  describe(): BodyDescription | RejectedRequest {
     const found = findRequest(this.#context, this.#received.request);
     if (found.kind === 'rejected') return found;
     const { account, metadata, route } = found;
@@ -53,6 +53,7 @@
       priority: rankOfRequest(account, route),
       owner: account?.id ?? null,
       giveUpAt: now() + Math.min(MAX_WAIT_MS, leftMs * MAX_WAIT_FRACTION),
+      readBy: now() + leftMs,
     };
   }
 
--- a/packages/router/src/gateway/readBody.ts
+++ b/packages/router/src/gateway/readBody.ts
@@ -20,12 +20,15 @@
 /** Why a body is refused that is read only in part, or not at all. */
 export type BodyRefusal = 'too-large' | 'no-room' | 'stalled';
 
+/** Who asks for room, and until when. */
+export type BodyDescription = Pick<BodyAsk, 'priority' | 'owner' | 'giveUpAt' | 'readBy'>;
+
 /** What the reader of a body asks for. */
 export interface BodyReadTerms {
   readonly maxBytes: number;
   readonly kind: HeldBody['kind'];
   /** Returns who asks for room, or why the request is rejected anyway. */
-  describe(): Pick<BodyAsk, 'priority' | 'owner' | 'giveUpAt'> | RejectedRequest;
+  describe(): BodyDescription | RejectedRequest;
   /** Returns the answer to a request whose body is refused. */
   reject(refusal: BodyRefusal): RejectedRequest;
   /** Tells the caller to send the body. */
--- a/packages/router/src/memory/bodyQueue.ts
+++ b/packages/router/src/memory/bodyQueue.ts
@@ -11,6 +11,8 @@
   readonly owner: string | null;
   /** It is refused after this; epoch milliseconds. */
   readonly giveUpAt: number;
+  /** Its body gives way to others after this, whole or not; epoch milliseconds. */
+  readonly readBy: number;
   /** There is room for its body. */
   grant(held: HeldBody): void;
   /** There is none; nothing of it has been sent. */
--- a/packages/router/src/memory/bodyRoom.ts
+++ b/packages/router/src/memory/bodyRoom.ts
@@ -97,14 +97,14 @@
   /** Returns room for a small body; null when the request must ask for it. */
   holdSmall(kind: HeldKind, bytes: number): HeldBody | null {
     if (this.#smallQueue.size > 0 || !this.#fitsSmall(bytes)) return null;
-    return this.#hold(kind, null, bytes);
+    return this.#hold({ kind, owner: null, bytes, readBy: Number.POSITIVE_INFINITY });
   }
 
   /** Grants room now or later, or refuses it. */
   ask(ask: BodyAsk): void {
     const queue = this.#queueOf(ask);
     if (queue.size === 0 && this.#fits(ask)) {
-      ask.grant(this.#hold(ask.kind, ask.owner, ask.bytes));
+      ask.grant(this.#hold(ask));
       return;
     }
     this.#markShort();
@@ -167,9 +167,10 @@
     return bytes <= SMALL_BODY_BYTES ? this.#fitsSmall(bytes) : bytes <= this.#freeBytes;
   }
 
-  #hold(kind: HeldKind, owner: string | null, bytes: number): HeldBody {
+  #hold(ask: Pick<BodyAsk, 'kind' | 'owner' | 'bytes' | 'readBy'>): HeldBody {
+    const { kind, owner, bytes, readBy } = ask;
     const isSmall = bytes <= SMALL_BODY_BYTES;
-    const terms = { kind, owner, isSmall, readAt: this.#clock.now() };
+    const terms = { kind, owner, isSmall, readAt: this.#clock.now(), readBy };
     const held = new HeldBody(terms, bytes, this.#giveBack);
     this.#count(held, bytes);
     this.#reading.add(held);
@@ -199,7 +200,7 @@
         const next = queue.find((ask) => !this.#exceedsShare(ask, queue));
         if (next === undefined || !this.#fits(next)) return;
         this.withdraw(next);
-        next.grant(this.#hold(next.kind, next.owner, next.bytes));
+        next.grant(this.#hold(next));
       }
     });
   }
@@ -214,9 +215,10 @@
 
   #endStalled(): void {
     const mustEndSmall = this.#smallQueue.size > 0;
+    const isStalled = ({ readAt, readBy }: HeldBody) =>
+      this.#clock.listenedMs(readAt) >= MAX_STALL_MS || this.#clock.now() >= readBy;
     [...this.#reading]
-      .filter(({ isSmall }) => mustEndSmall || !isSmall)
-      .filter(({ readAt }) => this.#clock.listenedMs(readAt) >= MAX_STALL_MS)
+      .filter((held) => (mustEndSmall || !held.isSmall) && isStalled(held))
       .forEach(({ endReading }) => endReading?.());
   }
 
--- a/packages/router/src/memory/heldBody.ts
+++ b/packages/router/src/memory/heldBody.ts
@@ -13,6 +13,9 @@
   /** Ends the request; null once its body is whole. */
   endReading: (() => void) | null = null;
 
+  /** It gives way to others after this unless it is whole; epoch milliseconds. */
+  readonly readBy: number;
+
   /** Time at which bytes of it were last read; epoch milliseconds. */
   readAt: number;
 
@@ -26,7 +29,7 @@
   #uses = 1;
 
   constructor(
-    terms: Pick<HeldBody, 'kind' | 'owner' | 'isSmall' | 'readAt'>,
+    terms: Pick<HeldBody, 'kind' | 'owner' | 'isSmall' | 'readAt' | 'readBy'>,
     bytes: number,
     giveBack: (held: HeldBody, bytes: number) => void,
   ) {
@@ -34,6 +37,7 @@
     this.owner = terms.owner;
     this.isSmall = terms.isSmall;
     this.readAt = terms.readAt;
+    this.readBy = terms.readBy;
     this.#bytes = bytes;
     this.#giveBack = giveBack;
   }
