Begin the requests of a connection one after the other

Callers saw a VM end, with all that it had accepted, when a few connections sent requests one after the other without waiting: the runtime parses and begins each of them, and holds it until those before it are answered. A VM that drained closed such a connection with its first answer, and the others, which had been read, got none.

The fix: RequestQueue, for callers, control and ready. One request of a connection is begun at a time, the next one in a turn of its own, so that others are read meanwhile. From the second that waits on, the connection isn't read; the runtime resumes it at each end of a request, hence the listener. One that waits alone has come with the end of the answer before it, as an ordinary caller's may, and changes nothing. Beyond 4,096 in all, which is more than what ten reads of 64 KB hold of usual heads, the connection with the most is closed; its waiting ones weren't begun. In a drain only the last answer of a connection says connection: close, and waiting requests count as open there.

--- a/packages/router/__tests__/gateway/endpointRequest.spec.ts
+++ b/packages/router/__tests__/gateway/endpointRequest.spec.ts
@@ -80,7 +80,13 @@
     Object.entries(cases).forEach(([title, isAwaited]) => {
       it(`is given back ${title}`, async (t) => {
         const body = Buffer.from('body');
-        const terms = { kind: 'request', owner: null, isSmall: true, readAt: 0 } as const;
+        const terms = {
+          kind: 'request',
+          owner: null,
+          isSmall: true,
+          readAt: 0,
+          readBy: 0,
+        } as const;
         const isGivenBack = await withEndpoint(
           () => {},
           (connections) =>
--- a/packages/router/src/gateway/callerAnswer.ts
+++ b/packages/router/src/gateway/callerAnswer.ts
@@ -6,6 +6,7 @@
 import { dropBody } from './dropBody.js';
 import type { GatewayState } from './gatewayState.js';
 import { dropHopByHopHeaders, dropHeaders, findHeader } from './headers.js';
+import { hasWaitingRequests } from './requestQueue.js';
 
 const MS_PER_SECOND = 1000;
 
@@ -112,7 +113,10 @@
   }
 
   #writeHead(status: number, headers: readonly string[], note: AnswerNote): void {
-    const mustClose = this.#state.isLeaving && findHeader(headers, 'connection') === null;
+    const mustClose =
+      this.#state.isLeaving &&
+      !hasWaitingRequests(this.#response.socket) &&
+      findHeader(headers, 'connection') === null;
     const close = mustClose ? ['connection', 'close'] : [];
     const noted = this.#addNote === null ? headers : this.#addNote(headers, note);
     this.#response.writeHead(status, STATUS_CODES[status], [...noted, ...close]);
--- a/packages/router/src/gateway/callerServer.ts
+++ b/packages/router/src/gateway/callerServer.ts
@@ -10,6 +10,7 @@
 import { DRAINING_RETRY_AFTER_MS, type DrainedServer } from './drain.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { DEFAULT_LIMITS, handleRequest } from './handleRequest.js';
+import { RequestQueue } from './requestQueue.js';
 import { ServerConnections } from './serverConnections.js';
 
 /**
@@ -40,6 +41,11 @@
   /** Connections that leave too few descriptors for calls to endpoints. */
   readonly #surplus = new WeakSet<Socket>();
 
+  /** Requests whose callers send the body once they are told to. */
+  readonly #awaitingContinue = new WeakSet<IncomingMessage>();
+
+  readonly #queue = new RequestQueue((request, response) => this.#handle(request, response));
+
   #openRequests = 0;
 
   #crossedRequests = 0;
@@ -56,11 +62,12 @@
         connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_MS,
         noDelay: true,
       },
-      (request, response) => this.#handle(request, response, false),
-    );
-    this.#server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) =>
-      this.#handle(request, response, true),
+      (request, response) => this.#receive(request, response),
     );
+    this.#server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+      this.#awaitingContinue.add(request);
+      this.#receive(request, response);
+    });
     this.#server.on('timeout', (socket: Socket) => this.#closeIdle(socket));
     context.callers.watch(this.#server);
     this.#connections.watch(this.#server);
@@ -158,14 +165,18 @@
     });
   }
 
-  #handle(request: IncomingMessage, response: ServerResponse, awaitsContinue: boolean): void {
+  #receive(request: IncomingMessage, response: ServerResponse): void {
+    if (!request.socket.writableEnded) this.#connections.add(request.socket, response);
+    this.#queue.add(request, response);
+  }
+
+  #handle(request: IncomingMessage, response: ServerResponse): void {
     if (request.socket.writableEnded) {
       this.#crossedRequests += 1;
       request.resume();
       return;
     }
     this.#openRequests += 1;
-    this.#connections.add(request.socket, response);
     response.sendDate = false;
     response.on('close', () => {
       this.#openRequests -= 1;
@@ -180,6 +191,7 @@
       this.#refuseSurplus(answer);
       return;
     }
+    const awaitsContinue = this.#awaitingContinue.has(request);
     const received = { request, response, answer, transit: null, awaitsContinue };
     handleRequest(this.#context, received).catch((error: unknown) => {
       this.#context.log.warn('request_crashed', { error: String(error) });
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -59,6 +59,7 @@
 import type { PublicationSource } from './publication.js';
 import { ServiceSilence } from './serviceSilence.js';
 import { PublicationTask } from './publicationTask.js';
+import { RequestQueue } from './requestQueue.js';
 import type { GatewaySettings } from './settings.js';
 import { isTransit, TransitServer } from './transitServer.js';
 import { TransitTask } from './transitTask.js';
@@ -227,22 +228,26 @@
   }));
   const dump = () => dumpGateway(state, memory, countOpenRequests(), now());
 
-  const readiness = createServer((request, response) => {
+  const readyRequests = new RequestQueue((request, response) => {
     request.resume();
     const isLate =
       links.isLate || loopDelay.isBehind || callerConnections.acceptDelayMs >= MAX_ACCEPT_DELAY_MS;
     const isReady = isServing(state) && !isLate && !callerServer.isFull;
     response.writeHead(isReady ? 200 : 503, { 'content-length': 0 }).end();
   });
+  const readiness = createServer((request, response) => readyRequests.add(request, response));
   const controlApi = createLazyControlApi({
     handleCall: (call) => peers.handleCall(call),
     dump,
     renderMetrics: () => metrics.render(),
   });
-  const control = createServer({ maxHeaderSize: MAX_CONTROL_HEADER_BYTES }, (request, response) => {
+  const controlRequests = new RequestQueue((request, response) => {
     if (isTransit(request)) transitServer.handle(request, response);
     else controlApi(request, response);
   });
+  const control = createServer({ maxHeaderSize: MAX_CONTROL_HEADER_BYTES }, (request, response) =>
+    controlRequests.add(request, response),
+  );
   callerConnections.watch(control);
 
   const isRegistered = (id: string) => state.directory.endpoints.has(id);
--- a/packages/router/src/testing/index.ts
+++ b/packages/router/src/testing/index.ts
@@ -1,3 +1,10 @@
 export { EndlessServer, endlessAnswers, type EndlessAnswer } from './endlessServer.js';
 export { findFreeAddress } from './freeAddress.js';
-export { measureMemory, playMeasured, type MemoryProbe } from './memoryProbe.js';
+export {
+  measureMemory,
+  playMeasured,
+  startMeasured,
+  tellNews,
+  type MeasuredPlay,
+  type MemoryProbe,
+} from './memoryProbe.js';
