--- a/packages/soak/__tests__/soak.spec.ts
+++ b/packages/soak/__tests__/soak.spec.ts
@@ -57,6 +57,10 @@
     await checkSeed(t, 1, { trouble: ['twice'] });
   });
 
+  itSerial('when VMs stop beside short, long and large requests (seed 1)', async (t) => {
+    await checkSeed(t, 1, { trouble: ['mixed', 'stop', 'hangups'] });
+  });
+
   itKnownRed('when a VM gets a signal while it starts (seed 1)', async (t) => {
     await checkSeed(t, 1, { trouble: ['start'] });
   });
