Bound what the router reads of the platform, peers, reports and orders

Callers would see a router end when the platform, a peer or an engine's order answers without end: text(), json() and dump() of plain clients had no bound in size (reports: none in time), and early heads had none at all.

The fix: the bounded clients and readers. A sheet, manifest, list or peer's answer has 16 MB, a report 1 MB and 262,144 values, an error 1 MB; a peer's answer has 1 s in all, a report 5 s, an order 10 s.

--- a/packages/router/src/endpoints/readAnswer.ts
+++ b/packages/router/src/endpoints/readAnswer.ts
@@ -1,6 +1,7 @@
 import type { ActionOf } from '@filbertlatch/core';
 import type { Dispatcher } from 'undici';
 
+import { readText } from '../bounds/index.js';
 import type { ServiceAnswer } from '../callers/exchange.js';
 import { isFramed } from '../gateway/headers.js';
 import { AttemptError } from './attemptError.js';
@@ -9,6 +10,9 @@
 
 const FIRST_SERVER_ERROR = 500;
 
+/** An error has a message of a few lines. */
+const MAX_ERROR_BYTES = 1_048_576;
+
 /** Statuses of answers without a body. */
 const BODILESS_STATUSES = new Set([204, 304]);
 
@@ -19,7 +23,8 @@
 export async function checkStatus(response: Dispatcher.ResponseData): Promise<void> {
   const { statusCode: status, headers } = response;
   if (status < FIRST_SERVER_ERROR) return;
-  const { message, retryAfterMs } = errorOfStatus(status, headers, await response.body.text());
+  const text = await readText(response.body, MAX_ERROR_BYTES);
+  const { message, retryAfterMs } = errorOfStatus(status, headers, text);
   const details = { status, retryAfterMs };
   throw new AttemptError('server-error', 'may-have-run', message, details);
 }
--- a/packages/router/src/orders/orderTask.ts
+++ b/packages/router/src/orders/orderTask.ts
@@ -1,19 +1,22 @@
 import type { ActionOf, Order, OrderEnd } from '@filbertlatch/core';
-import { Agent, request } from 'undici';
+import { request } from 'undici';
 
+import { createBoundedAgent, discardBody } from '../bounds/index.js';
 import type { Decider } from '../decider/index.js';
 
 const ORDER_TIMEOUT_MS = 5000;
+const MAX_ANSWER_BYTES = 1_048_576;
 const CONFLICT_STATUS = 409;
 
 /** Sends the core's orders to engines. */
 export class OrderTask {
   readonly #decider: Decider;
 
-  readonly #agent = new Agent({
+  readonly #agent = createBoundedAgent({
     headersTimeout: ORDER_TIMEOUT_MS,
     bodyTimeout: ORDER_TIMEOUT_MS,
     connect: { timeout: ORDER_TIMEOUT_MS },
+    maxResponseSize: MAX_ANSWER_BYTES,
   });
 
   constructor(decider: Decider) {
@@ -38,8 +41,9 @@
         dispatcher: this.#agent,
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify(order),
+        signal: AbortSignal.timeout(2 * ORDER_TIMEOUT_MS),
       });
-      await body.dump();
+      await discardBody(body);
       if (statusCode === CONFLICT_STATUS) return 'fenced';
       return statusCode < 300 ? 'applied' : 'failed';
     } catch {
--- a/packages/router/src/peers/peerClient.ts
+++ b/packages/router/src/peers/peerClient.ts
@@ -1,15 +1,25 @@
 import type { PeerCall, PeerReply, Vm } from '@filbertlatch/core';
 import { JSONRPCClient } from 'json-rpc-2.0';
-import { Agent, request } from 'undici';
+import { request, type Agent } from 'undici';
 
+import { createBoundedAgent, discardBody, readText } from '../bounds/index.js';
 import { PeerError } from '../errors/index.js';
 import type { ControlTraffic } from '../metrics/index.js';
 import type { Credentials, TlsMaterial } from '../security/index.js';
 
 const CALL_TIMEOUT_MS = 1000;
 
+/** Largest answer of a peer, which hands on what the platform publishes. */
+const MAX_REPLY_BYTES = 16_777_216;
+
 function createAgent(tls: TlsMaterial | null): Agent {
-  return new Agent({ connections: 4, connect: { timeout: CALL_TIMEOUT_MS, ...tls } });
+  return createBoundedAgent({
+    connections: 4,
+    connect: { timeout: CALL_TIMEOUT_MS, ...tls },
+    headersTimeout: CALL_TIMEOUT_MS,
+    bodyTimeout: CALL_TIMEOUT_MS,
+    maxResponseSize: MAX_REPLY_BYTES,
+  });
 }
 
 /** Calls other VMs by JSON-RPC 2.0 over persistent HTTP connections. */
@@ -75,15 +85,15 @@
     const response = await request(`${url}/rpc`, {
       method: 'POST',
       dispatcher: this.#agent,
-      headersTimeout: CALL_TIMEOUT_MS,
       headers: this.#createHeaders(),
       body,
+      signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
     });
     if (response.statusCode !== 200) {
-      await response.body.dump();
+      await discardBody(response.body);
       throw new PeerError(`status ${response.statusCode}`);
     }
-    const text = await response.body.text();
+    const text = await readText(response.body, MAX_REPLY_BYTES);
     this.#traffic.add('peers', 'received', Buffer.byteLength(text));
     return JSON.parse(text);
   }
--- a/packages/router/src/platform/platformClient.ts
+++ b/packages/router/src/platform/platformClient.ts
@@ -7,9 +7,10 @@
   type Manifest,
   type VmList,
 } from '@filbertlatch/core';
-import { Agent, request } from 'undici';
+import { request, type Agent } from 'undici';
 import type { z } from 'zod';
 
+import { createBoundedAgent, readText } from '../bounds/index.js';
 import { PlatformError } from '../errors/index.js';
 import type { ControlTraffic } from '../metrics/index.js';
 import type { Settings } from '../settings/index.js';
@@ -18,6 +19,8 @@
 const MS_PER_SECOND = 1000;
 /** Time beyond the wait of a long poll for its response to arrive. */
 const TIMEOUT_MARGIN_MS = 5000;
+/** Largest sheet, manifest or list; a posted table may have as much. */
+const MAX_TEXT_BYTES = 16_777_216;
 const NOT_MODIFIED = 304;
 
 /** A sheet's text and its digest, as digestSheet computes it. */
@@ -46,7 +49,11 @@
     this.#settings = settings;
     this.#traffic = traffic;
     const timeoutMs = settings.watchSeconds * MS_PER_SECOND + TIMEOUT_MARGIN_MS;
-    this.#agent = new Agent({ headersTimeout: timeoutMs, bodyTimeout: timeoutMs });
+    this.#agent = createBoundedAgent({
+      headersTimeout: timeoutMs,
+      bodyTimeout: timeoutMs,
+      maxResponseSize: MAX_TEXT_BYTES,
+    });
   }
 
   /** Long-polls for a manifest after a revision; null when the wait ends without one. */
@@ -108,7 +115,7 @@
     try {
       await this.#budget.take(signal);
       const response = await request(url, { dispatcher: this.#agent, signal });
-      const text = await response.body.text();
+      const text = await readText(response.body, MAX_TEXT_BYTES);
       this.#traffic.add('platform', 'received', Buffer.byteLength(text));
       if (response.statusCode === NOT_MODIFIED) return null;
       if (response.statusCode !== 200) throw new PlatformError(`status ${response.statusCode}`);
--- a/packages/router/src/reports/reportClient.ts
+++ b/packages/router/src/reports/reportClient.ts
@@ -1,6 +1,7 @@
 import type { CacheEvent, Endpoint, LoadReport } from '@filbertlatch/core';
-import { Agent, Client, request } from 'undici';
+import { request } from 'undici';
 
+import { createBoundedAgent, createBoundedClient, discardBody, readJson } from '../bounds/index.js';
 import { loadReportSchema } from '../endpoints/engineProtocol.js';
 import { cacheEventsSchema } from './cacheEvents.js';
 
@@ -10,10 +11,14 @@
 
 /** Larger responses are not read, so that an engine can't exhaust this VM's memory. */
 const MAX_REPORT_BYTES = 1_048_576;
+const MAX_REPORT_VALUES = 262_144;
+
+/** Time for a whole response, which may come slowly. */
+const RESPONSE_TIMEOUT_MS = 5000;
 
 /** Reads the load reports and cache events of engines and probes endpoints. */
 export class ReportClient {
-  readonly #agent = new Agent({
+  readonly #agent = createBoundedAgent({
     connections: 1,
     connect: { timeout: READ_TIMEOUT_MS },
     headersTimeout: READ_TIMEOUT_MS,
@@ -44,7 +49,7 @@
   /** Returns whether an endpoint answers, without a server error, over a new connection. */
   // eslint-disable-next-line class-methods-use-this -- a probe must not share a connection
   async probe({ kind, url }: Endpoint): Promise<boolean> {
-    const client = new Client(new URL(url).origin, {
+    const client = createBoundedClient(new URL(url).origin, {
       connect: { timeout: PROBE_TIMEOUT_MS },
       headersTimeout: PROBE_TIMEOUT_MS,
       bodyTimeout: PROBE_TIMEOUT_MS,
@@ -56,7 +61,7 @@
     } as const;
     try {
       const response = await client.request(call);
-      await response.body.dump();
+      await discardBody(response.body);
       return response.statusCode < 500;
     } catch {
       return false;
@@ -72,11 +77,15 @@
 
   async #getJson(url: URL): Promise<{ status: number; body: unknown }> {
     try {
-      const response = await request(url, { dispatcher: this.#agent });
+      const signal = AbortSignal.timeout(RESPONSE_TIMEOUT_MS);
+      const response = await request(url, { dispatcher: this.#agent, signal });
       if (response.statusCode === 200) {
-        return { status: response.statusCode, body: await response.body.json() };
+        return {
+          status: response.statusCode,
+          body: await readJson(response.body, MAX_REPORT_BYTES, MAX_REPORT_VALUES),
+        };
       }
-      await response.body.dump();
+      await discardBody(response.body);
       return { status: response.statusCode, body: null };
     } catch {
       return { status: 0, body: null };
