--- a/packages/soak/__tests__/findings.spec.ts
+++ b/packages/soak/__tests__/findings.spec.ts
@@ -64,7 +64,7 @@
     configurations: [],
     memory: { limitBytes: 200e6, excesses: [], peaks: {} },
     shortages: [],
-    deeds: [],
+    played: [],
     ...fields,
   };
 }
--- a/packages/soak/src/evidence.ts
+++ b/packages/soak/src/evidence.ts
@@ -86,7 +86,7 @@
 }
 
 /** What the soak did at one moment, in words. */
-export interface Deed {
+export interface PlayedAction {
   readonly at: number;
   readonly text: string;
 }
@@ -123,5 +123,5 @@
     readonly to: number;
   }[];
   /** All that the soak did, in the order of time. */
-  readonly deeds: readonly Deed[];
+  readonly played: readonly PlayedAction[];
 }
--- a/packages/soak/src/play.ts
+++ b/packages/soak/src/play.ts
@@ -12,7 +12,7 @@
 
 import { Caller } from './caller.js';
 import { Endpoint, LAPSE_MS } from './endpoint.js';
-import type { Deed, Evidence, LinkHarm, SentSignal } from './evidence.js';
+import type { PlayedAction, Evidence, LinkHarm, SentSignal } from './evidence.js';
 import { findHarmedLinks } from './links/harmedLinks.js';
 import { hostOfCaller, hostOfVm, network } from './links/hosts.js';
 import { KeyRing } from './keyRing.js';
@@ -21,7 +21,7 @@
 import { defaultSlots, type Options } from './options.js';
 import {
   drawSchedule,
-  formatDeed,
+  formatAction,
   type ConfigurationChange,
   type Action,
   type ScheduledAction,
@@ -103,7 +103,7 @@
 
   #isStoreFailing = false;
 
-  readonly #deeds: Deed[] = [];
+  readonly #played: PlayedAction[] = [];
 
   readonly #memory: MemoryWatch;
 
@@ -135,7 +135,7 @@
       listEndpoints: () => this.#endpoints.filter(({ isRunning }) => isRunning),
       beginTrouble: () => begin(this.#troubles),
       beginStoreFailure: () => begin(this.#storeFailures),
-      tell: (text) => this.#deeds.push({ at: Date.now(), text }),
+      tell: (text) => this.#played.push({ at: Date.now(), text }),
     });
   }
 
@@ -230,7 +230,7 @@
   }
 
   #act(action: ScheduledAction): void {
-    this.#deeds.push({ at: Date.now(), text: formatDeed(action) });
+    this.#played.push({ at: Date.now(), text: formatAction(action) });
     if (action.kind === 'configure') this.#configure(action.change);
     else if (action.kind === 'signal') this.#signal(action.vm, action.signal);
     else if (action.kind === 'kill') this.#kill(action.pick);
@@ -385,7 +385,7 @@
       configurations: this.#configurations,
       memory: this.#memory.use,
       shortages: this.#stress.shortages,
-      deeds: this.#deeds,
+      played: this.#played,
     };
   }
 
--- a/packages/soak/src/report.ts
+++ b/packages/soak/src/report.ts
@@ -4,7 +4,7 @@
 import type { Evidence, Run } from './evidence.js';
 import { countExcused, findBrokenRules, type Finding } from './findings.js';
 import type { Options } from './options.js';
-import { drawSchedule, formatDeed, type ScheduledAction } from './schedule.js';
+import { drawSchedule, formatAction, type ScheduledAction } from './schedule.js';
 
 /** A finding, and what the VMs' logs and the endpoints say about its request or process. */
 export interface TracedFinding extends Finding {
@@ -30,7 +30,7 @@
 const CONTEXT_MS = 3000;
 
 /** Time for which what the soak did is shown beside a finding. */
-const DEED_MS = 5000;
+const PLAYED_MS = 5000;
 
 interface LogLine {
   readonly vm: string;
@@ -61,7 +61,7 @@
 function selectLines(
   { vm, at, id }: Finding,
   logs: readonly LogLine[],
-  { runs, harms, deeds }: Evidence,
+  { runs, harms, played }: Evidence,
 ): string[] {
   const harmLines = harms
     .filter(({ from, to }) => from <= at && at - to < CONTEXT_MS)
@@ -70,12 +70,12 @@
       at: from,
       text: `${new Date(from).toISOString()} ${text}`,
     }));
-  const deedLines = deeds
-    .filter((deed) => deed.at <= at && at - deed.at < DEED_MS)
-    .map((deed) => ({
+  const playedLines = played
+    .filter((one) => one.at <= at && at - one.at < PLAYED_MS)
+    .map((one) => ({
       vm: 'soak',
-      at: deed.at,
-      text: `${new Date(deed.at).toISOString()} ${deed.text}`,
+      at: one.at,
+      text: `${new Date(one.at).toISOString()} ${one.text}`,
     }));
   return logs
     .filter(
@@ -83,7 +83,7 @@
         (id !== null && line.text.includes(id)) ||
         (line.vm === vm && CONTEXT.test(line.text) && Math.abs(at - line.at) < CONTEXT_MS),
     )
-    .concat(runs.filter((run) => run.id === id).map(describeRun), harmLines, deedLines)
+    .concat(runs.filter((run) => run.id === id).map(describeRun), harmLines, playedLines)
     .sort((a, b) => a.at - b.at)
     .map((line) => `${line.vm}: ${line.text}`);
 }
@@ -130,8 +130,8 @@
 /** Formats a report as a page of text. */
 export function formatReport(report: SeedReport): string {
   const { seed, startedAt, schedule, outcomes, excused, memory, findings } = report;
-  const formatAction = (action: ScheduledAction) =>
-    `  ${(action.atMs / 1000).toFixed(3).padStart(7)} s  ${formatDeed(action)}`;
+  const formatScheduled = (action: ScheduledAction) =>
+    `  ${(action.atMs / 1000).toFixed(3).padStart(7)} s  ${formatAction(action)}`;
   const formatFinding = ({ rule, vm, at, id, text, lines }: TracedFinding) => [
     `  ${rule} +${((at - Date.parse(startedAt)) / 1000).toFixed(3)} s ${vm}${id === null ? '' : ` request ${id}`}: ${text}`,
     ...lines.map((line) => `    ${line}`),
@@ -139,7 +139,7 @@
   return [
     `seed ${seed}, from ${startedAt}`,
     'played',
-    ...schedule.map(formatAction),
+    ...schedule.map(formatScheduled),
     'requests',
     formatCounts(outcomes),
     'without a whole answer, not counted',
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -88,7 +88,7 @@
 export type ScheduledAction = Action & { readonly atMs: number };
 
 /** Formats what an action does. */
-export function formatDeed({ atMs, kind, ...fields }: ScheduledAction): string {
+export function formatAction({ atMs, kind, ...fields }: ScheduledAction): string {
   return `${kind} ${JSON.stringify(fields)}`;
 }
 
