--- a/packages/soak/src/stress/pipeline.ts
+++ b/packages/soak/src/stress/pipeline.ts
@@ -10,6 +10,8 @@
 import { formatStressHeaders } from './bodies.js';
 import type { StressAction } from './draw.js';
 
+type PipelinedGateway = Pick<Gateway, 'name' | 'listen'>;
+
 type PipelineAction = Extract<StressAction, { kind: 'pipeline' }>;
 
 const ROUTE = 'quick';
@@ -46,7 +48,7 @@
   #error: string | null = null;
 
   constructor(
-    readonly gateway: Gateway,
+    readonly gateway: PipelinedGateway,
     readonly action: PipelineAction,
   ) {
     const [host = '', port] = gateway.listen.front.split(':');
@@ -117,7 +119,7 @@
 
 /** Opens connections that send one request after the other; resolves with what their callers have seen. */
 export async function sendPipelines(
-  gateway: Gateway,
+  gateway: PipelinedGateway,
   action: PipelineAction,
 ): Promise<SeenRequest[]> {
   const pipelines = Array.from({ length: action.count }, () => new Pipeline(gateway, action));
