Forbid reads of what others send without a bound

A read without a bound is a line that looks like any other; eslint now forbids json(), text(), dump() and the like on bodies, and undici's Client, Pool and Agent, in the sources of router, platform and cli, but for the files whose limits docs/design/reads.md names. The admin client of the cli had none: 32 MB.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -35,6 +35,28 @@
 // The core decides; it must not see a socket, a timer, a file or a log.
 const coreForbidden = ['node:*', 'undici', 'hono', 'winston', '@hono/*', 'prom-client'];
 
+const forbiddenSyntax = ['ForInStatement', 'LabeledStatement', 'WithStatement'];
+
+const wholeReads = '/^(arrayBuffer|blob|bytes|dump|formData|json|text)$/';
+const readMessage = 'Read what others send by packages/router/src/bounds, which limits it.';
+
+// What others send may go on without end.
+const unboundedReads = [
+  `CallExpression[callee.property.name=${wholeReads}][callee.object.name='body']`,
+  `CallExpression[callee.property.name=${wholeReads}][callee.object.property.name=/^(body|req)$/]`,
+  'NewExpression[callee.name=/^(Agent|Client|Pool)$/]',
+].map((selector) => ({ selector, message: readMessage }));
+
+// Files with a limit of their own, which docs/design/reads.md names.
+const boundedFiles = [
+  'packages/router/src/bounds/*.ts',
+  'packages/router/src/admin/commands.ts',
+  'packages/router/src/callers/callerApi.ts',
+  'packages/router/src/endpoints/{endpointTask,readAnswer}.ts',
+  'packages/router/src/gateway/{controlApi,endpointConnections}.ts',
+  'packages/router/src/peers/peerApi.ts',
+];
+
 export default [
   { ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**'] },
   plugins.stylistic,
@@ -73,7 +95,7 @@
       // The core's state is changed in place by its commands: copies cost the hot path too much.
       'no-param-reassign': ['error', { props: false }],
       // Loops that can stop early read better than callbacks that cannot.
-      'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
+      'no-restricted-syntax': ['error', ...forbiddenSyntax],
       'no-continue': 'off',
       'no-await-in-loop': 'off',
       'no-underscore-dangle': 'off',
@@ -88,6 +110,11 @@
       'n/no-unsupported-features/es-syntax': ['error', { version: '>=20.20.0' }],
     },
   },
+  {
+    files: ['packages/{cli,router}/src/**/*.ts', 'platform/src/**/*.ts'],
+    ignores: boundedFiles,
+    rules: { 'no-restricted-syntax': ['error', ...forbiddenSyntax, ...unboundedReads] },
+  },
   {
     files: ['**/__tests__/**', '**/src/testing/**', '*.config.js', 'deploy/*.js'],
     rules: {
--- a/packages/cli/src/shared/adminClient.ts
+++ b/packages/cli/src/shared/adminClient.ts
@@ -1,6 +1,7 @@
 import { readFile } from 'node:fs/promises';
 
-import { Agent, request } from 'undici';
+import { createBoundedAgent, readBytes } from '@filbertlatch/router/gateway';
+import { request, type Agent } from 'undici';
 import type { z } from 'zod';
 
 import type { Flag } from '../command.js';
@@ -8,6 +9,8 @@
 
 /** Limit on connecting, and on waiting for the headers of a response. */
 const RESPONSE_TIMEOUT_MS = 5000;
+/** Largest response; a table in force may have 16 MB. */
+const MAX_RESPONSE_BYTES = 33_554_432;
 /** Environment variable that holds the token when no `--token-file` is given. */
 const TOKEN_VARIABLE = 'FILBERTLATCH_TOKEN';
 
@@ -53,9 +56,11 @@
 
   private constructor(token: string, ca: string | undefined) {
     this.#token = token;
-    this.#agent = new Agent({
+    this.#agent = createBoundedAgent({
       connect: { ca, timeout: RESPONSE_TIMEOUT_MS },
       headersTimeout: RESPONSE_TIMEOUT_MS,
+      bodyTimeout: RESPONSE_TIMEOUT_MS,
+      maxResponseSize: MAX_RESPONSE_BYTES,
     });
   }
 
@@ -92,7 +97,7 @@
     try {
       const response = await request(url, { method, headers, dispatcher: this.#agent });
       status = response.statusCode;
-      text = await response.body.text();
+      text = (await readBytes(response.body, MAX_RESPONSE_BYTES)).toString('utf8');
     } catch (cause) {
       throw new AdminError(`${base}: did not answer (${(cause as Error).message})`, { cause });
     }
--- a/packages/router/src/gateway/index.ts
+++ b/packages/router/src/gateway/index.ts
@@ -1,4 +1,5 @@
 export {
+  createBoundedAgent,
   createBoundedPool,
   discardBody,
   OversizedAnswerError,
