A pipelined request counts its time from its arrival

Cause: the arrival of a request was read when it was begun, after it had waited for the answer to the one before it. Evidence: pipelinedRequests.spec, 'has no more time left at its endpoint', fails without the change. It is noted when the request begins to wait.

--- a/packages/router/__tests__/gateway/pipelinedRequests.spec.ts
+++ b/packages/router/__tests__/gateway/pipelinedRequests.spec.ts
@@ -153,3 +153,22 @@
     t.is(answered.length, 100);
   });
 });
+
+describe('a request that waits for the answer to the one before it', () => {
+  itSerial('has no more time left at its endpoint than its caller', async (t) => {
+    const workMs = 600;
+    const endpoint = await startEndpoint('e0', (request, response) => {
+      const headers = { 'x-request': request.headers['x-request'], 'x-mac': 'mac' };
+      setTimeout(() => response.writeHead(200, headers).end('answer'), workMs);
+    });
+    const source = createSource(testConfiguration, [endpoint.endpoint]);
+    const { callers, gateway } = await startGateway(source);
+    const socket = sendPipeline(callers, usual, 2).resume();
+    await waitUntil(() => endpoint.requests.length === 2);
+    const [first, second] = endpoint.requests.map(({ headers }) => Number(headers['x-remaining']));
+    t.true(first! - second! >= workMs, `${first} and ${second} ms`);
+    socket.destroy();
+    gateway.stop();
+    endpoint.close();
+  });
+});
--- a/packages/router/src/gateway/callerServer.ts
+++ b/packages/router/src/gateway/callerServer.ts
@@ -6,6 +6,7 @@
 
 import { splitAddress } from './address.js';
 import { CallerAnswer } from './callerAnswer.js';
+import type { Arrival } from './callerConnections.js';
 import { UNLIMITED, type ConnectionLimits } from './connectionLimits.js';
 import { DRAINING_RETRY_AFTER_MS, type DrainedServer } from './drain.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -44,7 +45,13 @@
   /** Requests whose callers send the body once they are told to. */
   readonly #awaitingContinue = new WeakSet<IncomingMessage>();
 
-  readonly #queue = new RequestQueue((request, response) => this.#handle(request, response));
+  /** Arrivals of the requests that have waited for the one before them on their connection. */
+  readonly #arrivals = new WeakMap<IncomingMessage, Arrival>();
+
+  readonly #queue = new RequestQueue(
+    (request, response) => this.#handle(request, response),
+    (request) => this.#arrivals.set(request, this.#context.callers.readArrival(request.socket)),
+  );
 
   #openRequests = 0;
 
@@ -192,7 +199,8 @@
       return;
     }
     const awaitsContinue = this.#awaitingContinue.has(request);
-    const received = { request, response, answer, transit: null, awaitsContinue };
+    const arrival = this.#arrivals.get(request);
+    const received = { request, response, answer, transit: null, awaitsContinue, arrival };
     handleRequest(this.#context, received).catch((error: unknown) => {
       this.#context.log.warn('request_crashed', { error: String(error) });
       answer.sendError(500, 'internal');
--- a/packages/router/src/gateway/handleRequest.ts
+++ b/packages/router/src/gateway/handleRequest.ts
@@ -5,6 +5,7 @@
 import { admitRequest, type AdmittedRequest, type RejectedRequest } from './admitRequest.js';
 import { BodyTerms } from './bodyTerms.js';
 import type { CallerAnswer } from './callerAnswer.js';
+import type { Arrival } from './callerConnections.js';
 import { Exchange } from './exchange.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { readBody, type WholeBody } from './readBody.js';
@@ -28,6 +29,8 @@
   readonly transit: TransitTerms | null;
   /** True when the caller sends the body only once it is told to. */
   readonly awaitsContinue: boolean;
+  /** When it came, if it had to wait before it is handled. */
+  readonly arrival?: Arrival | undefined;
 }
 
 function logRejection(
@@ -100,7 +103,7 @@
 ): Promise<void> {
   const { answer, request, response, transit } = received;
   const { callers, intake, metrics, room, state } = context;
-  const arrival = callers.readArrival(request.socket);
+  const arrival = received.arrival ?? callers.readArrival(request.socket);
   if (!hasValidHeaderNames(request.rawHeaders)) {
     metrics.countRequest('none', 'malformed_header');
     // What follows on the connection may be part of it.
--- a/packages/router/src/gateway/requestQueue.ts
+++ b/packages/router/src/gateway/requestQueue.ts
@@ -33,6 +33,8 @@
 export class RequestQueue {
   readonly #begin: RequestListener;
 
+  readonly #noteWait: (request: IncomingMessage) => void;
+
   /** Connections with a request in progress. */
   readonly #busy = new WeakSet<Socket>();
 
@@ -42,8 +44,10 @@
 
   readonly #releaseClosed: (this: Socket) => void;
 
-  constructor(begin: RequestListener) {
+  /** `noteWait` is called for each request that has to wait. */
+  constructor(begin: RequestListener, noteWait: (request: IncomingMessage) => void = () => {}) {
     this.#begin = begin;
+    this.#noteWait = noteWait;
     const release = (socket: Socket) => this.#release(socket);
     this.#releaseClosed = function releaseClosed() {
       release(this);
@@ -61,6 +65,7 @@
     if (socket.destroyed) return;
     const waiting = this.#waiting.get(socket) ?? this.#createList(socket);
     waiting.push({ request, response });
+    this.#noteWait(request);
     this.#waitingCount += 1;
     // A single one may have come with the end of the answer before it.
     if (waiting.length === MIN_HELD) socket.on('resume', pause).pause();
