Only the largest halted answer gives way, and only while others wait

Cause: all answers without a byte for 1.5 s were given up together, whatever their size. A server that is closed when accepting fails is left alone.

--- a/packages/router/src/gateway/answerBuffers.ts
+++ b/packages/router/src/gateway/answerBuffers.ts
@@ -6,7 +6,7 @@
 /** Memory for all answers that are buffered until they are complete, or until their callers have taken them. */
 const MAX_BUFFERED_BYTES = 16_777_216;
 
-/** Answers of this size or less are neither paused nor watched. */
+/** Answers of this size or less are neither paused, nor watched, nor given up. */
 const SMALL_ANSWER_BYTES = 65_536;
 
 /**
@@ -88,16 +88,16 @@
     return false;
   }
 
-  /** Gives up the answers that have come to a halt while others wait for them. To be called often. */
+  /** Gives up the largest answer that has come to a halt while others wait for it. To be called often. */
   maintain(): void {
     if (this.#paused.size === 0) return;
-    [...this.#bytesOf.keys()]
-      .filter((answer) => !this.#paused.has(answer))
-      .filter((answer) => this.#clock.listenedMs(this.#readAt.get(answer)!) >= MAX_STALL_MS)
-      .forEach((answer) => {
-        answer.giveUp();
-        this.release(answer);
-      });
+    const [halted] = [...this.#bytesOf]
+      .filter(([answer, bytes]) => bytes > SMALL_ANSWER_BYTES && this.#hasHalted(answer))
+      .sort(([, left], [, right]) => right - left);
+    if (halted === undefined) return;
+    const [answer] = halted;
+    answer.giveUp();
+    this.release(answer);
   }
 
   /** Frees the memory of an answer that has ended or is given up. */
@@ -135,6 +135,11 @@
     });
   }
 
+  #hasHalted(answer: BufferedAnswer): boolean {
+    if (this.#paused.has(answer)) return false;
+    return this.#clock.listenedMs(this.#readAt.get(answer)!) >= MAX_STALL_MS;
+  }
+
   #mayGoOn(answer: BufferedAnswer): boolean {
     if (this.#bytesOf.get(answer)! <= SMALL_ANSWER_BYTES) return true;
     if (this.#untakenBytes > MAX_BUFFERED_BYTES) return false;
--- a/packages/router/src/openAddress.ts
+++ b/packages/router/src/openAddress.ts
@@ -91,10 +91,12 @@
   await openAddress(server, () => server.listen(port, host), wanted);
   server.once('error', (error) => {
     report('accept_failed', { address, error: codeOf(error) });
-    const { port: usedPort } = server.address() as AddressInfo;
+    const used = server.address() as AddressInfo | null;
+    // Closed meanwhile.
+    if (used === null) return;
     // The method of an HTTP server closes connections, too.
     Server.prototype.close.call(server);
-    openServer(server, host, usedPort, wanted).catch((reason: unknown) => {
+    openServer(server, host, used.port, wanted).catch((reason: unknown) => {
       report('address_lost', { address, error: String(reason) });
     });
   });
