A call to the control address is open until its answer is taken

Cause: the limit of open calls ended with the handler, and answers that nobody takes are held. A call counts until its response has closed, which its connection does after 1 s.

--- a/packages/router/__tests__/gateway/lazyControlApi.spec.ts
+++ b/packages/router/__tests__/gateway/lazyControlApi.spec.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import { createServer, type RequestListener } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { connect, type AddressInfo } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 import { describe, itSerial as it } from '@filbertlatch/core/testing';
 import type { ExecutionContext } from 'ava';
@@ -51,3 +52,30 @@
     t.deepEqual(printed, []);
   });
 });
+
+describe('a control API whose answers are not taken', () => {
+  it('answers no further calls until their connections are closed', async (t) => {
+    const answer = { jsonrpc: '2.0' as const, id: 1, result: 'x'.repeat(8_000_000) };
+    const url = await serve(
+      t,
+      createControlApi({ ...source, handleCall: () => Promise.resolve(answer) }),
+    );
+    const call = '{"jsonrpc":"2.0","id":1,"method":"a"}';
+    const head = `POST /rpc HTTP/1.1\r\nhost: vm\r\ncontent-length: ${call.length}\r\n\r\n`;
+    const sockets = Array.from({ length: 8 }, () => {
+      const socket = connect(Number(new URL(url).port), '127.0.0.1').on('error', () => {});
+      socket.pause().write(head + call);
+      return socket;
+    });
+    const send = async () => {
+      const { status, body } = await fetch(`${url}/rpc`, { method: 'POST', body: call });
+      await body?.cancel();
+      return status;
+    };
+    await sleep(300);
+    t.is(await send(), 503);
+    await sleep(1200);
+    t.is(await send(), 200);
+    sockets.forEach((socket) => socket.destroy());
+  });
+});
--- a/packages/router/src/gateway/controlApi.ts
+++ b/packages/router/src/gateway/controlApi.ts
@@ -13,10 +13,10 @@
 const MAX_CALL_BYTES = 262_144;
 const MAX_CALL_VALUES = 32_768;
 
-/** Calls that are read and answered at a time; an answer may have the whole publication. */
+/** Calls that are open at a time; an answer, which may have the whole publication, is held until it is taken. */
 const MAX_OPEN_CALLS = 8;
 
-/** Time for a call to come and be answered; its peer gives up before. */
+/** Time for a call to come, and for its answer to be taken; its peer gives up before. */
 const MAX_CALL_MS = 1000;
 
 /** Data and operations behind the control API. */
@@ -41,12 +41,12 @@
     // A peer asks another VM then, and this one again.
     if (openCalls >= MAX_OPEN_CALLS) return c.body(null, 503, { connection: 'close' });
     openCalls += 1;
-    const timer = setTimeout(() => c.env.incoming.destroy(), MAX_CALL_MS);
-    await next().finally(() => {
+    const timer = setTimeout(() => c.env.incoming.socket.destroy(), MAX_CALL_MS);
+    c.env.outgoing.once('close', () => {
       clearTimeout(timer);
       openCalls -= 1;
     });
-    return undefined;
+    return next();
   });
   api.use('/rpc', bodyLimit({ maxSize: MAX_CALL_BYTES }));
   api.post('/rpc', async (c) => {
