Hold an answer that comes in small chunks in few pieces

Callers would see a VM end when an endpoint or a peer sends an answer a byte at a time: its size was bounded, but each chunk was kept by itself, at some 100 times its bytes.

Evidence, smallChunks.spec.ts, heap as in the deploy file: 4,000,000 chunks of a byte, a quarter of what one answer may have, end the process by SIGABRT.

The fix: from 64 chunks on, small ones are copied together. The same for what a service answers, whose body was read by arrayBuffer().

--- a/ava.processes.config.js
+++ b/ava.processes.config.js
@@ -7,6 +7,8 @@
   'packages/router/dist/__tests__/gateway/{brittle,ending}Endpoints.spec.js',
   'packages/router/dist/__tests__/gateway/{crashing,disturbed,drawn}Segments.spec.js',
   'packages/router/dist/__tests__/gateway/crashingRequests.spec.js',
+  'packages/router/dist/__tests__/endlessReads.spec.js',
+  'packages/router/dist/__tests__/gateway/{endlessParts,pipelinedRequests,smallChunks}.spec.js',
 ];
 
 /** Few at a time, so that the processes have processors of their own. */
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -52,7 +52,7 @@
   'packages/router/src/bounds/*.ts',
   'packages/router/src/admin/commands.ts',
   'packages/router/src/callers/callerApi.ts',
-  'packages/router/src/endpoints/{endpointTask,readAnswer}.ts',
+  'packages/router/src/endpoints/endpointTask.ts',
   'packages/router/src/gateway/{controlApi,endpointConnections}.ts',
   'packages/router/src/peers/peerApi.ts',
 ];
--- a/packages/router/src/bounds/byteCollector.ts
+++ b/packages/router/src/bounds/byteCollector.ts
@@ -4,6 +4,9 @@
 /** Chunks of this size are kept as they are. */
 const MIN_WHOLE_BYTES = 16_384;
 
+/** Chunks from which on small ones are copied; most answers have fewer. */
+const MAX_SMALL_CHUNKS = 64;
+
 /** Chunks of bytes that become one; each small chunk kept by itself would cost far more than its bytes. */
 export class ByteCollector {
   #whole: Buffer[] = [];
@@ -22,7 +25,7 @@
   /** Adds bytes. */
   add(chunk: Buffer): void {
     this.#length += chunk.length;
-    if (chunk.length >= MIN_WHOLE_BYTES) {
+    if (chunk.length >= MIN_WHOLE_BYTES || this.#whole.length < MAX_SMALL_CHUNKS) {
       this.#endBlock();
       this.#whole.push(chunk);
       return;
--- a/packages/router/src/bounds/index.ts
+++ b/packages/router/src/bounds/index.ts
@@ -5,5 +5,6 @@
   createBoundedPool,
   type BoundedOptions,
 } from './boundedClient.js';
+export { ByteCollector } from './byteCollector.js';
 export { parseBoundedJson } from './boundedJson.js';
 export { OversizedAnswerError } from './oversizedAnswerError.js';
--- a/packages/router/src/endpoints/readAnswer.ts
+++ b/packages/router/src/endpoints/readAnswer.ts
@@ -1,7 +1,7 @@
 import type { ActionOf } from '@filbertlatch/core';
 import type { Dispatcher } from 'undici';
 
-import { readText } from '../bounds/index.js';
+import { readBytes, readText } from '../bounds/index.js';
 import type { ServiceAnswer } from '../callers/exchange.js';
 import { isFramed } from '../gateway/headers.js';
 import { AttemptError } from './attemptError.js';
@@ -61,7 +61,8 @@
   for (const [name, value] of Object.entries(response.headers)) {
     if (typeof value === 'string' && !DROPPED_HEADERS.has(name)) headers[name] = value;
   }
-  const body = Buffer.from(await response.body.arrayBuffer());
+  // The endpoint's connections limit it.
+  const body = await readBytes(response.body, Number.POSITIVE_INFINITY);
   if (endsWithConnection(response) && !(await hasOutlived())) {
     throw new AttemptError('reset', 'may-have-run', 'the end of the answer is not shown');
   }
--- a/packages/router/src/gateway/answerBody.ts
+++ b/packages/router/src/gateway/answerBody.ts
@@ -1,3 +1,4 @@
+import { ByteCollector } from '../bounds/index.js';
 import type { AnswerBuffers, BufferedAnswer } from './answerBuffers.js';
 
 /** Maximum size of an answer that is buffered until it is complete. */
@@ -14,7 +15,7 @@
 
   readonly #resume: () => void;
 
-  readonly #chunks: Buffer[] = [];
+  readonly #chunks = new ByteCollector();
 
   /** The place of an answer whose length is known and more than one chunk. */
   #whole: Buffer | null = null;
@@ -49,7 +50,7 @@
 
   /** Adds bytes; false when no more are to be read for now. */
   push(chunk: Buffer): boolean {
-    if (this.#whole === null) this.#chunks.push(chunk);
+    if (this.#whole === null) this.#chunks.add(chunk);
     else chunk.copy(this.#whole, this.#bytes);
     this.#bytes += chunk.length;
     if (this.#bytes > MAX_ANSWER_BYTES) this.#reject('answer exceeds the size limit');
@@ -59,14 +60,14 @@
 
   /** Returns all bytes. */
   join(): Buffer {
-    return this.#whole?.subarray(0, this.#bytes) ?? Buffer.concat(this.#chunks);
+    return this.#whole?.subarray(0, this.#bytes) ?? this.#chunks.join();
   }
 
   /** Frees the memory. */
   release(): void {
     this.#isPaused = false;
     this.#buffers.release(this);
-    this.#chunks.length = 0;
+    this.#chunks.clear();
     this.#whole = null;
   }
 
