--- a/packages/router/__tests__/memory/bodyRoom.spec.ts
+++ b/packages/router/__tests__/memory/bodyRoom.spec.ts
@@ -1,6 +1,6 @@
 import { describe, it } from '@filbertlatch/core/testing';
 
-import { BodyRoom, MemoryAccount, type BodyAsk, type HeldBody } from '../../src/memory/index.js';
+import { BodyRoom, MemoryAccount, type BodyWaiter, type HeldBody } from '../../src/memory/index.js';
 
 const MEBIBYTE = 1_048_576;
 
@@ -18,8 +18,8 @@
   );
   const granted = new Map<string, HeldBody>();
   const refused: string[] = [];
-  const ask = (name: string, terms: Partial<BodyAsk> = {}): BodyAsk => {
-    const asked: BodyAsk = {
+  const ask = (name: string, terms: Partial<BodyWaiter> = {}): BodyWaiter => {
+    const asked: BodyWaiter = {
       ...{ kind: 'request', bytes: 4 * MEBIBYTE, priority: 1, owner: null, giveUpAt: 1000 },
       readBy: 8000,
       ...terms,
--- a/packages/router/src/gateway/readBody.ts
+++ b/packages/router/src/gateway/readBody.ts
@@ -1,7 +1,12 @@
 import type { IncomingMessage } from 'node:http';
 
 import { now } from '../clock.js';
-import { SMALL_BODY_BYTES, type BodyAsk, type BodyRoom, type HeldBody } from '../memory/index.js';
+import {
+  SMALL_BODY_BYTES,
+  type BodyWaiter,
+  type BodyRoom,
+  type HeldBody,
+} from '../memory/index.js';
 import type { RejectedRequest } from './admitRequest.js';
 import { readInTurns } from './readInTurns.js';
 
@@ -21,7 +26,7 @@
 export type BodyRefusal = 'too-large' | 'no-room' | 'stalled';
 
 /** Who asks for room, and until when. */
-export type BodyDescription = Pick<BodyAsk, 'priority' | 'owner' | 'giveUpAt' | 'readBy'>;
+export type BodyDescription = Pick<BodyWaiter, 'priority' | 'owner' | 'giveUpAt' | 'readBy'>;
 
 /** What the reader of a body asks for. */
 export interface BodyReadTerms {
@@ -55,7 +60,7 @@
 
   #held: HeldBody | null = null;
 
-  #ask: BodyAsk | null = null;
+  #waiter: BodyWaiter | null = null;
 
   #isOver = false;
 
@@ -96,21 +101,21 @@
       this.#end({ kind: 'refused', rejection: described });
       return;
     }
-    this.#ask = {
+    this.#waiter = {
       ...described,
       kind: this.#terms.kind,
       bytes,
       grant: (held) => this.#begin(held, bytes),
       refuse: () => this.#refuse('no-room'),
     };
-    this.#room.ask(this.#ask);
+    this.#room.ask(this.#waiter);
   }
 
   #begin(held: HeldBody, bytes: number): void {
     const isBegun = this.#held !== null;
     this.#held?.release();
     this.#held = held;
-    this.#ask = null;
+    this.#waiter = null;
     if (bytes > SMALL_BODY_BYTES) {
       // Pages that are not written cost no memory.
       this.#body = Buffer.allocUnsafeSlow(bytes);
@@ -186,7 +191,7 @@
     this.#isOver = true;
     this.#chunks = [];
     this.#body = null;
-    if (this.#ask !== null) this.#room.withdraw(this.#ask);
+    if (this.#waiter !== null) this.#room.withdraw(this.#waiter);
     this.#held?.release();
     this.#resolve(result);
   }
--- a/packages/router/src/memory/bodyQueue.ts
+++ b/packages/router/src/memory/bodyQueue.ts
@@ -2,7 +2,7 @@
 import type { HeldKind } from './heldKind.js';
 
 /** A request whose body is read once there is room for it. */
-export interface BodyAsk {
+export interface BodyWaiter {
   readonly kind: HeldKind;
   readonly bytes: number;
   /** 0 is the most urgent. */
@@ -19,47 +19,47 @@
   refuse(): void;
 }
 
-function isBehind(ask: BodyAsk, other: BodyAsk): boolean {
-  if (ask.priority !== other.priority) return ask.priority > other.priority;
-  return ask.bytes > other.bytes;
+function isBehind(waiter: BodyWaiter, other: BodyWaiter): boolean {
+  if (waiter.priority !== other.priority) return waiter.priority > other.priority;
+  return waiter.bytes > other.bytes;
 }
 
 /** Requests that wait for room: by priority, then size, then arrival. */
 export class BodyQueue {
-  readonly #maxAsks: number;
+  readonly #maxWaiters: number;
 
-  readonly #asks: BodyAsk[] = [];
+  readonly #waiters: BodyWaiter[] = [];
 
-  constructor(maxAsks: number) {
-    this.#maxAsks = maxAsks;
+  constructor(maxWaiters: number) {
+    this.#maxWaiters = maxWaiters;
   }
 
   /** Number of requests that wait. */
   get size(): number {
-    return this.#asks.length;
+    return this.#waiters.length;
   }
 
   /** Adds a request; returns the one that has no place, which is the least urgent and largest. */
-  add(ask: BodyAsk): BodyAsk | undefined {
-    const index = this.#asks.findIndex((other) => isBehind(other, ask));
-    this.#asks.splice(index < 0 ? this.#asks.length : index, 0, ask);
-    return this.#asks.length > this.#maxAsks ? this.#asks.pop() : undefined;
+  add(waiter: BodyWaiter): BodyWaiter | undefined {
+    const index = this.#waiters.findIndex((other) => isBehind(other, waiter));
+    this.#waiters.splice(index < 0 ? this.#waiters.length : index, 0, waiter);
+    return this.#waiters.length > this.#maxWaiters ? this.#waiters.pop() : undefined;
   }
 
   /** Removes a request; false when it does not wait. */
-  remove(ask: BodyAsk): boolean {
-    const index = this.#asks.indexOf(ask);
-    if (index >= 0) this.#asks.splice(index, 1);
+  remove(waiter: BodyWaiter): boolean {
+    const index = this.#waiters.indexOf(waiter);
+    if (index >= 0) this.#waiters.splice(index, 1);
     return index >= 0;
   }
 
   /** Returns the first request that meets a condition. */
-  find(condition: (ask: BodyAsk) => boolean): BodyAsk | undefined {
-    return this.#asks.find(condition);
+  find(condition: (waiter: BodyWaiter) => boolean): BodyWaiter | undefined {
+    return this.#waiters.find(condition);
   }
 
   /** Returns the requests that have waited for too long. */
-  listOverdue(now: number): BodyAsk[] {
-    return this.#asks.filter(({ giveUpAt }) => giveUpAt <= now);
+  listOverdue(now: number): BodyWaiter[] {
+    return this.#waiters.filter(({ giveUpAt }) => giveUpAt <= now);
   }
 }
--- a/packages/router/src/memory/bodyRoom.ts
+++ b/packages/router/src/memory/bodyRoom.ts
@@ -1,4 +1,4 @@
-import { BodyQueue, type BodyAsk } from './bodyQueue.js';
+import { BodyQueue, type BodyWaiter } from './bodyQueue.js';
 import { HeldBody } from './heldBody.js';
 import type { HeldKind } from './heldKind.js';
 import type { MemoryAccount } from './memoryAccount.js';
@@ -101,22 +101,22 @@
   }
 
   /** Grants room now or later, or refuses it. */
-  ask(ask: BodyAsk): void {
-    const queue = this.#queueOf(ask);
-    if (queue.size === 0 && this.#fits(ask)) {
-      ask.grant(this.#hold(ask));
+  ask(waiter: BodyWaiter): void {
+    const queue = this.#queueOf(waiter);
+    if (queue.size === 0 && this.#fits(waiter)) {
+      waiter.grant(this.#hold(waiter));
       return;
     }
     this.#markShort();
     this.#account.add('unread', UNREAD_BYTES);
-    const refused = queue.add(ask);
+    const refused = queue.add(waiter);
     if (refused !== undefined) this.#refuse(refused);
     this.#serve();
   }
 
   /** Withdraws a request whose caller has left. */
-  withdraw(ask: BodyAsk): void {
-    if (this.#queueOf(ask).remove(ask)) this.#account.remove('unread', UNREAD_BYTES);
+  withdraw(waiter: BodyWaiter): void {
+    if (this.#queueOf(waiter).remove(waiter)) this.#account.remove('unread', UNREAD_BYTES);
   }
 
   /** Refuses what has waited for too long, and ends bodies that hold up others. To be called often. */
@@ -130,9 +130,9 @@
       return;
     }
     [this.#smallQueue, this.#largeQueue].forEach((queue) => {
-      queue.listOverdue(this.#clock.now()).forEach((ask) => {
-        queue.remove(ask);
-        this.#refuse(ask);
+      queue.listOverdue(this.#clock.now()).forEach((waiter) => {
+        queue.remove(waiter);
+        this.#refuse(waiter);
       });
     });
     this.#endStalled();
@@ -148,7 +148,7 @@
       .slice(0, MAX_LISTED_HOLDERS);
   }
 
-  #queueOf({ bytes }: BodyAsk): BodyQueue {
+  #queueOf({ bytes }: BodyWaiter): BodyQueue {
     return bytes <= SMALL_BODY_BYTES ? this.#smallQueue : this.#largeQueue;
   }
 
@@ -163,12 +163,12 @@
     return this.#smallHeldBytes + bytes <= this.#smallBytes || bytes <= this.#freeBytes;
   }
 
-  #fits({ bytes }: BodyAsk): boolean {
+  #fits({ bytes }: BodyWaiter): boolean {
     return bytes <= SMALL_BODY_BYTES ? this.#fitsSmall(bytes) : bytes <= this.#freeBytes;
   }
 
-  #hold(ask: Pick<BodyAsk, 'kind' | 'owner' | 'bytes' | 'readBy'>): HeldBody {
-    const { kind, owner, bytes, readBy } = ask;
+  #hold(waiter: Pick<BodyWaiter, 'kind' | 'owner' | 'bytes' | 'readBy'>): HeldBody {
+    const { kind, owner, bytes, readBy } = waiter;
     const isSmall = bytes <= SMALL_BODY_BYTES;
     const terms = { kind, owner, isSmall, readAt: this.#clock.now(), readBy };
     const held = new HeldBody(terms, bytes, this.#giveBack);
@@ -197,7 +197,7 @@
   #serve(): void {
     [this.#smallQueue, this.#largeQueue].forEach((queue) => {
       for (;;) {
-        const next = queue.find((ask) => !this.#exceedsShare(ask, queue));
+        const next = queue.find((waiter) => !this.#exceedsShare(waiter, queue));
         if (next === undefined || !this.#fits(next)) return;
         this.withdraw(next);
         next.grant(this.#hold(next));
@@ -206,7 +206,7 @@
   }
 
   /** True when an account must wait behind others, although it came before. */
-  #exceedsShare({ bytes, owner }: BodyAsk, queue: BodyQueue): boolean {
+  #exceedsShare({ bytes, owner }: BodyWaiter, queue: BodyQueue): boolean {
     const ownerBytes = this.#bytesOfOwner.get(owner) ?? 0;
     if (bytes <= SMALL_BODY_BYTES || ownerBytes === 0) return false;
     if (ownerBytes + bytes <= this.#largeBytes * MAX_OWNER_FRACTION) return false;
@@ -222,9 +222,9 @@
       .forEach(({ endReading }) => endReading?.());
   }
 
-  #refuse(ask: BodyAsk): void {
+  #refuse(waiter: BodyWaiter): void {
     this.#account.remove('unread', UNREAD_BYTES);
-    ask.refuse();
+    waiter.refuse();
   }
 
   #markShort(): void {
