--- a/packages/router/src/gateway/connectionLimits.ts
+++ b/packages/router/src/gateway/connectionLimits.ts
@@ -1,8 +1,3 @@
-import { readFile } from 'node:fs/promises';
-
-/** Where the system says what this process may use. */
-const LIMITS_PATH = '/proc/self/limits';
-
 /** Descriptors for files, servers, the store, peers and checks; half of all where there are few. */
 const OWN_DESCRIPTORS = 64;
 
@@ -18,7 +13,7 @@
   readonly maxCount: number;
 }
 
-/** Limits of a process whose descriptors are not known. */
+/** Limits of a process whose settings name no number of descriptors. */
 export const UNLIMITED: ConnectionLimits = {
   refusalCount: Number.POSITIVE_INFINITY,
   maxCount: Number.POSITIVE_INFINITY,
@@ -32,10 +27,3 @@
     maxCount: Math.floor(shared * MAX_FRACTION),
   };
 }
-
-/** Reads how many descriptors this process may have, and divides them. */
-export async function readConnectionLimits(): Promise<ConnectionLimits> {
-  const text = await readFile(LIMITS_PATH, 'utf8').catch(() => '');
-  const [, descriptors] = /^Max open files +(\d+)/m.exec(text) ?? [];
-  return descriptors === undefined ? UNLIMITED : divideDescriptors(Number(descriptors));
-}
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -32,7 +32,7 @@
 import { AnswerBuffers } from './answerBuffers.js';
 import { BrittleTask } from './brittleTask.js';
 import { ConnectionTable } from './connectionTable.js';
-import { readConnectionLimits } from './connectionLimits.js';
+import { divideDescriptors, UNLIMITED } from './connectionLimits.js';
 import { ContactTask } from './contactTask.js';
 import { CrashRecorder } from './crashRecorder.js';
 import { DepartureRecorder } from './departureRecorder.js';
@@ -219,7 +219,10 @@
     },
     notifyPeers,
   };
-  const callerServer = new CallerServer(context, await readConnectionLimits());
+  const { maxDescriptors } = settings;
+  const connectionLimits =
+    maxDescriptors === undefined ? UNLIMITED : divideDescriptors(maxDescriptors);
+  const callerServer = new CallerServer(context, connectionLimits);
   const transitServer = new TransitServer(context);
   const countOpenRequests = () => callerServer.openRequests + transitServer.openRequests;
   peers.setContactReport(() => ({
--- a/packages/router/src/gateway/settings.ts
+++ b/packages/router/src/gateway/settings.ts
@@ -4,6 +4,9 @@
 import { machineBytes, MIN_LIMIT_BYTES } from '../memory/index.js';
 import { checkSettings, readSettings } from '../settings/readSettings.js';
 
+/** Fewer descriptors do not suffice for a server and its endpoints. */
+const MIN_DESCRIPTORS = 64;
+
 const address = z
   .string()
   .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'expected IP:PORT')
@@ -60,6 +63,14 @@
         .describe('Seconds of the window in which repeats are counted.'),
     })
     .describe('Limits on requests that are sent to another endpoint.'),
+  maxDescriptors: z
+    .number()
+    .int()
+    .min(MIN_DESCRIPTORS)
+    .optional()
+    .describe(
+      'Descriptors for sockets that the process may have; callers leave a part of them for calls to endpoints. Without it there is no bound on the connections of callers.',
+    ),
   memoryLimitBytes: z
     .number()
     .int()
