--- a/review/6/play.js
+++ b/review/6/play.js
@@ -139,6 +139,7 @@
           events: EVENTS,
           gapMs: GAP_MS,
           slots: 128,
+          isUnframed: true,
         },
         store,
         note,
--- a/review/standins-2/runners.js
+++ b/review/standins-2/runners.js
@@ -77,7 +77,14 @@
     this.#seq += 1;
   }
 
-  /** Crashes it. */
+  /** Its entry is removed, without a report that it drains; it serves on and says so in its answers. */
+  leave() {
+    clearInterval(this.#timer);
+    this.#process.send({ kind: 'leave' });
+    this.#store.remove(`servers/${this.id}`);
+  }
+
+  /** Crashes it, or ends it after it has left. */
   async crash() {
     clearInterval(this.#timer);
     const child = this.#process;
--- a/review/standins-2/streamer.js
+++ b/review/standins-2/streamer.js
@@ -1,13 +1,19 @@
-// Stand-in of a runner whose streams have neither a length nor chunks: they end with their channel. It
-// is a process of its own; each start is a new lifetime, which may have the id of the one before.
+// Stand-in of a runner that answers with streams. With `isUnframed` they have neither a length nor
+// chunks and end with their channel. It is a process of its own; each start is a new lifetime, which may
+// have the id of the one before. Told to leave it says so in all its answers, and serves on.
 import { createServer } from 'node:http';
 
 import { listenAgain } from '@filbertlatch/platform/soak/standins/ports.js';
 
-const { id, address, born, healthPath, events, gapMs, slots } = JSON.parse(process.argv[2]);
+const options = JSON.parse(process.argv[2]);
+const { id, address, born, healthPath, events, gapMs, slots, firstMs = 0 } = options;
 
 let running = 0;
 
+let isLeaving = false;
+
+const leavingHeaders = () => (isLeaving ? { 'Server-Leaving': '1' } : {});
+
 function tell(message) {
   process.send?.({ at: Date.now(), runner: id, born, ...message });
 }
@@ -19,7 +25,8 @@
 }
 
 function answerHealth(response) {
-  response.writeHead(200, { 'Instance-Id': id, 'Content-Length': 0 }).end();
+  const headers = { 'Instance-Id': id, ...leavingHeaders(), 'Content-Length': 0 };
+  response.writeHead(isLeaving ? 503 : 200, headers).end();
 }
 
 function answerReport(response) {
@@ -48,9 +55,13 @@
     running -= 1;
     tell({ kind: 'ended', attemptId, isWhole: response.writableFinished });
   });
-  response.useChunkedEncodingByDefault = false;
-  response.shouldKeepAlive = false;
+  if (options.isUnframed) {
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+  }
+  await wait(firstMs);
   response.writeHead(200, {
+    ...leavingHeaders(),
     'Attempt-Id': attemptId,
     'Response-Signature': `${id}.${attemptId}`,
     'Server-Load': `${running},0,${slots}`,
@@ -74,6 +85,9 @@
   });
 });
 
+process.on('message', ({ kind }) => {
+  if (kind === 'leave') isLeaving = true;
+});
 process.on('disconnect', () => {
   server.close();
   server.closeAllConnections();
