--- a/review/7/play.js
+++ b/review/7/play.js
@@ -15,10 +15,10 @@
 } from '../standins-2/scenario.js';
 
 const MACHINES = 3;
-const CALLERS = 45;
+const CALLERS = 112;
 
-/** Time from the end of a caller's stream to its next request. */
-const CALLER_PAUSE_MS = 100;
+/** Time from one request of a caller to its next one: 75 requests a second in all, as on the sheet. */
+const INTERVAL_MS = 1500;
 
 /** As the sheets have it: no request that a client sends later may reach a runner that leaves. */
 const DRAIN_MS = 2000;
@@ -28,8 +28,8 @@
 const STORE_LEAVES_AFTER_MS = 2200;
 const STORE_AWAY_MS = 1000;
 
-/** Time that the runner serves after its entry is removed, and ends. */
-const SERVES_ON_MS = 3800;
+/** Time for which the runner serves after its entry is removed. */
+const SERVES_ON_MS = 4100;
 
 /** The entry of a runner that says nothing more is removed after three heartbeats. */
 const EXPIRY_MS = 3600;
@@ -37,15 +37,17 @@
 const RUNNER = {
   service: 'drafting-model',
   healthPath: '/health',
-  events: 8,
-  gapMs: 60,
-  firstMs: 250,
+  events: 10,
+  gapMs: 100,
+  firstMs: 150,
   slots: 128,
 };
 
 async function call({ fleet, note }, index, isOver) {
   const { front } = fleet.gateways[index % MACHINES].listen;
+  await sleep((INTERVAL_MS / CALLERS) * index);
   while (!isOver()) {
+    const startedAt = Date.now();
     const seen = await send(front, {
       host: HOST,
       path: `/digest/${index}`,
@@ -53,10 +55,18 @@
       body: `digest ${index}`,
     });
     note({ kind: 'answered', ...seen });
-    await sleep(CALLER_PAUSE_MS);
+    await sleep(Math.max(0, startedAt + INTERVAL_MS - Date.now()));
   }
 }
 
+/** Returns the runner that has got the most requests in the last second. */
+function findBusiest(record, runners) {
+  const since = Date.now() - 1000;
+  const runs = record.filter(({ kind, at }) => kind === 'run' && at > since);
+  const countRuns = ({ id }) => runs.filter(({ runner }) => runner === id).length;
+  return [...runners].sort((a, b) => countRuns(b) - countRuns(a))[0];
+}
+
 /** Lists what reached the runner though its client sent it too late after that machine knew. */
 function listLateRuns(record, runnerId) {
   const answered = record.filter(({ kind }) => kind === 'answered');
@@ -106,15 +116,15 @@
 
 async function play(stage, runners) {
   const { store, note, record } = stage;
-  const [leaving] = runners;
   let isOver = false;
   await sleep(1000);
   const calls = Array.from({ length: CALLERS }, (_, index) => call(stage, index, () => isOver));
-  await sleep(2000);
+  await sleep(3000);
   const copy = store.copy();
   await sleep(COPY_AGE_MS);
+  const leaving = findBusiest(record, runners);
   note({ kind: 'leaves', at: Date.now(), runner: leaving.id });
-  leaving.leave();
+  await leaving.leave();
   const returned = HAS_TROUBLE ? comeBack(store, copy, note, leaving) : null;
   await sleep(SERVES_ON_MS);
   note({ kind: 'ends', at: Date.now(), runner: leaving.id });
--- a/review/standins-2/caller.js
+++ b/review/standins-2/caller.js
@@ -3,7 +3,7 @@
 import { drawAttemptId } from '@filbertlatch/platform/soak/standins/client.js';
 
 /**
- * Sends one client attempt on a channel of its own, or of `agent`; resolves with what the client has
+ * Sends one client attempt on a channel of its own, or a kept one of `agent`; resolves with what the client has
  * seen: `answer` is `whole`, `cut` (ended inside the answer) or `none`.
  */
 export function send(front, { method = 'POST', host, path, headers = {}, body = null, agent }) {
@@ -11,7 +11,16 @@
   const id = drawAttemptId();
   const sentAt = Date.now();
   return new Promise((resolve) => {
-    const seen = { id, front, sentAt, headAt: null, status: null, headers: {}, text: '' };
+    const seen = {
+      id,
+      front,
+      sentAt,
+      isReused: false,
+      headAt: null,
+      status: null,
+      headers: {},
+      text: '',
+    };
     const finish = (answer, error = null) =>
       resolve({ ...seen, answer, error: error?.code ?? null, endedAt: Date.now() });
     const call = request({
@@ -27,6 +36,9 @@
         ...(body === null ? {} : { 'Content-Length': Buffer.byteLength(body) }),
       },
     });
+    call.on('socket', () => {
+      seen.isReused = call.reusedSocket;
+    });
     call.on('error', (error) => finish(seen.status === null ? 'none' : 'cut', error));
     call.on('response', (response) => {
       seen.status = response.statusCode;
--- a/review/standins-2/runners.js
+++ b/review/standins-2/runners.js
@@ -1,4 +1,5 @@
 import { fork } from 'node:child_process';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 
 import { findFreeAddresses } from '@filbertlatch/platform/soak/standins/ports.js';
@@ -6,6 +7,9 @@
 
 const PROGRAM = fileURLToPath(new URL('streamer.js', import.meta.url));
 
+/** Time from the first answer in which a runner says that it leaves until its entry is removed. */
+const REMOVAL_MS = 300;
+
 /** Interval at which a runner renews its entry. */
 const HEARTBEAT_MS = 1200;
 
@@ -77,10 +81,14 @@
     this.#seq += 1;
   }
 
-  /** Its entry is removed, without a report that it drains; it serves on and says so in its answers. */
-  leave() {
+  /**
+   * It says in its answers that it leaves, and has its entry removed, without a report that it drains;
+   * it serves on. Resolves when the entry is removed.
+   */
+  async leave() {
     clearInterval(this.#timer);
     this.#process.send({ kind: 'leave' });
+    await sleep(REMOVAL_MS);
     this.#store.remove(`servers/${this.id}`);
   }
 
--- a/review/standins-2/scenario.js
+++ b/review/standins-2/scenario.js
@@ -3,8 +3,11 @@
 import { Fleet } from '@filbertlatch/platform/soak/standins/gateways.js';
 import { Store } from '@filbertlatch/platform/soak/standins/store.js';
 
-/** Exit codes of a case: the rule held, it was broken, or the case could not run. */
-export const EXIT = { held: 0, broken: 1, failed: 2 };
+/**
+ * Exit codes of a play: the rule held, it was broken, or the case could not run. An error of the runtime
+ * ends a process with 1, so `run.sh` translates them.
+ */
+export const EXIT = { held: 0, broken: 10, failed: 2 };
 
 /** False when the case is played without its disruption. */
 export const HAS_TROUBLE = process.env.TROUBLE !== '0';
@@ -51,13 +54,16 @@
   return { version, routes, services, limits: LIMITS, tenants: [{ name: 'desk', api_keys: keys }] };
 }
 
-/** Returns the headers of a request for a draft. */
-export function digestHeaders(index, key = KEY) {
+/** Returns the headers of a request for a draft, with the parts of its prompt. */
+export function digestHeaders(
+  index,
+  { key = KEY, tokens = '900,60', segments = `${(4096 + index).toString(16)}:900` } = {},
+) {
   return {
     Key: key,
     Model: 'm',
-    'Token-Usage': '900,60',
-    'Prompt-Prefix': `${(4096 + index).toString(16)}:900`,
+    'Token-Usage': tokens,
+    'Prompt-Prefix': segments,
     'Deadline-Remaining': '5000',
   };
 }
@@ -79,6 +85,22 @@
     note: (message) => record.push(message),
     cleanUp: (callback) => cleanUps.push(callback),
   };
+  const end = async (exitCode) => {
+    await fleet.stop();
+    cleanUps.forEach((callback) => callback());
+    const lines = record.map((message) => JSON.stringify(message));
+    await writeFile(recordUrl, `${lines.join('\n')}\n`);
+    // eslint-disable-next-line n/no-process-exit -- idle connections would keep the process alive
+    process.exit(exitCode);
+  };
+  // All processes that were started are ended in any case.
+  process.on('uncaughtException', (error) => {
+    process.stderr.write(`${error.stack}\n`);
+    void end(EXIT.failed);
+  });
+  process.on('SIGTERM', () => {
+    void end(EXIT.failed);
+  });
   let exitCode = EXIT.failed;
   try {
     await store.start();
@@ -87,12 +109,6 @@
     exitCode = await play(stage);
   } catch (error) {
     process.stderr.write(`${error.stack}\n`);
-  } finally {
-    await fleet.stop();
-    cleanUps.forEach((callback) => callback());
-    const lines = record.map((message) => JSON.stringify(message));
-    await writeFile(recordUrl, `${lines.join('\n')}\n`);
   }
-  // eslint-disable-next-line n/no-process-exit -- idle connections would keep the process alive
-  process.exit(exitCode);
+  await end(exitCode);
 }
