Log the lifetimes and the silence on which the check of an answer's end is based

The log could not tell a check that the later lifetime answered from one of the lifetime that gave the answer, unless the store's news stood beside it.

--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -387,6 +387,7 @@
       isInsideEvent:
         isStream && this.#stream.isBrokenOff(this.#rawHead.headers, this.#resumedEvents !== null),
       sinceSentMs: Math.round(now() - this.sentAt),
+      silentMs: Math.round(now() - this.#heardAt),
     });
   }
 
--- a/packages/router/src/gateway/livenessTask.ts
+++ b/packages/router/src/gateway/livenessTask.ts
@@ -94,6 +94,8 @@
       endpointId: endpoint.id,
       liveness,
       isPlanned,
+      startedAt: endpoint.startedAt,
+      registeredStartedAt: this.#state.directory.endpoints.get(endpoint.id)?.startedAt ?? null,
       tookMs: Math.round(now() - askedAt),
     });
     return liveness;
