Take the end of an unframed answer for proven only by the process that gave it

An endpoint had crashed behind a cut and started again under its id before the ends of its old connections arrived.

Cause: the check of such an end asks who answers at the address, and an id outlives the process that has it. 'open', which has no id, proves less still. The same end serves plain answers and those by way of a peer.

Why it works: the process of an answer is known by what a later one cannot have. Either the answer came without a gap in which a process could have started, or a connection answers that had answered while the answer's process lived; two processes cannot have the port at once. What neither shows is broken off.

--- a/packages/router/__tests__/gateway/unframedEndpoint.ts
+++ b/packages/router/__tests__/gateway/unframedEndpoint.ts
@@ -23,13 +23,15 @@
   readonly gapMs: number;
   /** Says whether the endpoint has ended. */
   readonly isOver: () => boolean;
+  /** Further times before the parts with these numbers are followed by the next, in milliseconds. */
+  readonly pauses?: Readonly<Record<number, number>>;
 }
 
 /** Sends an answer that ends with its connection; resolves with whether it was sent to its end. */
 export async function sendUnframedAnswer(
   request: IncomingMessage,
   response: ServerResponse,
-  { gapMs, isOver }: UnframedSending,
+  { gapMs, isOver, pauses = {} }: UnframedSending,
 ): Promise<boolean> {
   const path = request.url ?? '';
   request.resume();
@@ -45,7 +47,7 @@
   const after = Number(request.headers['x-after'] ?? 0);
   for (let part = after + 1; part <= PARTS; part += 1) {
     response.write(formatPart(path, part));
-    await sleep(gapMs);
+    await sleep(gapMs + (pauses[part] ?? 0));
     if (isOver() || response.destroyed) return false;
   }
   response.end();
--- a/packages/router/src/gateway/checkClient.ts
+++ b/packages/router/src/gateway/checkClient.ts
@@ -1,4 +1,4 @@
-import type { buildConnector } from 'undici';
+import type { buildConnector, Client } from 'undici';
 
 import { createBoundedClient } from '../bounds/index.js';
 import type { GuardedClient } from './guardedClient.js';
@@ -9,12 +9,14 @@
 /** Longer than all time-outs of checks, which end them. */
 const MAX_SILENCE_MS = 10_000;
 
-/** Creates the client of one health check of an endpoint. */
+/** Creates the client of one health check of an endpoint; `options` are those of several. */
 export function createCheckClient(
   address: string,
   connect: buildConnector.connector,
+  options: Pick<Client.Options, 'keepAliveTimeout' | 'pipelining'> = {},
 ): GuardedClient {
   return createBoundedClient(`http://${address}`, {
+    ...options,
     connect,
     headersTimeout: MAX_SILENCE_MS,
     bodyTimeout: MAX_SILENCE_MS,
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -23,6 +23,7 @@
 import type { AdmittedRequest } from './admitRequest.js';
 import { AnswerBody, MAX_ANSWER_BYTES } from './answerBody.js';
 import type { Attempt, AttemptObserver, AttemptRequest, RawAnswerHead } from './attempt.js';
+import { EndProof } from './endProof.js';
 import { EndpointRequest, type AttemptFailure } from './endpointRequest.js';
 import { hasTimeToSend } from './hasTimeToSend.js';
 import type { SendTimes } from './sendTimes.js';
@@ -104,6 +105,8 @@
 
   #liveness: Liveness | null = null;
 
+  readonly #endProof: EndProof;
+
   /** True while the end of the answer waits for a check of the endpoint. */
   #isEnding = false;
 
@@ -121,6 +124,7 @@
       (message) => this.#reject(message),
       () => this.resume(),
     );
+    this.#endProof = new EndProof(context.liveness, endpoint, context.log);
     this.endpoint = endpoint;
     this.predictedMs = predictedMs;
     const { connections, countFleetVms, limits, state } = context;
@@ -138,7 +142,10 @@
           context.pauses.leftMs(endpoint) === 0 &&
           !context.links.isLate &&
           hasTimeToSend(admitted.deadlineAt, now()),
-        sent: () => observer.sent(),
+        sent: () => {
+          this.#endProof.recordSend();
+          observer.sent();
+        },
         head: (status, headers, isFirst) => this.#handleHead(status, headers, isFirst),
         body: (chunk) => this.#handleBody(chunk),
         end: () => this.#handleEnd(),
@@ -257,6 +264,7 @@
   #handleHead(status: number, headers: string[], isFirst: boolean): void {
     const { contacts, dialect } = this.#context;
     this.#heardAt = now();
+    this.#endProof.recordBytes();
     contacts.recordRoundTrip(this.times.startedAt ?? this.sentAt);
     this.#rawHead = { status, headers };
     const metadata = dialect.parseAnswer(status, headers);
@@ -267,6 +275,7 @@
     else if (this.#isTooLong()) this.#reject('answer exceeds the size limit');
     else {
       this.#recordTerms(status, metadata);
+      if (this.#needsEndProof()) this.#endProof.require();
       if (metadata.isNotRun && metadata.requestId === null) {
         // Closes the connection, on which this refusal could come once more.
         this.#request.cancel();
@@ -275,6 +284,12 @@
     }
   }
 
+  /** True when a crash looks like the end of the answer, and matters. */
+  #needsEndProof(): boolean {
+    const { headers, status } = this.#rawHead;
+    return !isFramed(headers) && status < FIRST_SERVER_ERROR_STATUS;
+  }
+
   #expectBody(headers: readonly string[]): void {
     const length = findHeader(headers, 'content-length');
     if (length !== null) this.#body.expect(Number(length));
@@ -302,6 +317,7 @@
 
   #handleBody(chunk: Buffer): boolean {
     if (this.#isSettled) return true;
+    this.#endProof.recordBytes();
     if (this.#isStream()) return this.#handleEvents(chunk);
     return this.#body.push(chunk);
   }
@@ -326,7 +342,7 @@
 
   #handleEnd(): void {
     if (this.#isSettled) return;
-    const { headers, status } = this.#rawHead;
+    const { headers } = this.#rawHead;
     if (!isFramed(headers)) this.#logUnframedEnd();
     const isResumed = this.#resumedEvents !== null;
     if (this.#isStream() && this.#stream.isBrokenOff(headers, isResumed)) {
@@ -337,13 +353,11 @@
       });
     } else if (this.#metadata?.isNotRun === true) {
       this.#turnAway(this.#metadata);
-    } else if (isFramed(headers) || status >= FIRST_SERVER_ERROR_STATUS) {
+    } else if (!this.#needsEndProof()) {
       this.#complete();
     } else {
       this.#isEnding = true;
-      void this.#context.liveness
-        .check(this.endpoint)
-        .then((liveness) => this.#handleCheckedEnd(liveness));
+      void this.#endProof.check().then((liveness) => this.#handleCheckedEnd(liveness));
     }
   }
 
@@ -387,7 +401,7 @@
       isInsideEvent:
         isStream && this.#stream.isBrokenOff(this.#rawHead.headers, this.#resumedEvents !== null),
       sinceSentMs: Math.round(now() - this.sentAt),
-      silentMs: Math.round(now() - this.#heardAt),
+      silentMs: Math.round(this.#endProof.silentMs),
     });
   }
 
--- a/packages/router/src/gateway/livenessTask.ts
+++ b/packages/router/src/gateway/livenessTask.ts
@@ -6,6 +6,7 @@
 import { createCheckClient } from './checkClient.js';
 import type { ConnectionTable } from './connectionTable.js';
 import type { Dialect } from './dialect.js';
+import { LifetimeWitness, type Testimony } from './lifetimeWitness.js';
 import { ANSWER_TIMEOUT_MS, checkEnd, checkPort, type EndFinding } from './endCheck.js';
 import type { EndpointTerms } from './endpointTerms.js';
 import type { GatewayLog } from './gatewayLog.js';
@@ -20,12 +21,28 @@
  */
 export type Liveness = 'alive' | 'open' | 'ended' | 'left' | 'unknown';
 
+/** What a check has shown, and the older connection on which it was asked; null without one. */
+export interface EndCheck {
+  readonly liveness: Liveness;
+  readonly witness: LifetimeWitness | null;
+}
+
 /** Time in which checks of an endpoint are gathered into one. */
 const GATHER_MS = 5;
 
 /** Time between the ends of connections that one crash ends. */
 const CRASH_SPREAD_MS = 50;
 
+/** Time after which a closed connection to a process is opened again, in milliseconds. */
+const REOPEN_MS = 1000;
+
+function isOfLifetime(
+  { endpoint }: LifetimeWitness,
+  { address, startedAt }: RegisteredEndpoint,
+): boolean {
+  return endpoint.address === address && endpoint.startedAt === startedAt;
+}
+
 /**
  * Finds out whether an endpoint has outlived an answer that ended with its connection. A crash closes
  * connections as the end of an answer does, but also the endpoint's port.
@@ -46,7 +63,10 @@
   readonly #log: GatewayLog;
 
   /** Checks that have not begun, by endpoint id. */
-  readonly #gathered = new Map<string, Promise<Liveness>>();
+  readonly #gathered = new Map<string, Promise<EndCheck>>();
+
+  /** Connections to the processes of endpoints whose answers have no length, by endpoint id. */
+  readonly #witnesses = new Map<string, LifetimeWitness>();
 
   constructor(
     state: GatewayState,
@@ -66,12 +86,49 @@
     this.#log = log;
   }
 
+  /** Opens a connection to the process of an endpoint, unless there is one or was one just now. */
+  watch(endpoint: RegisteredEndpoint): void {
+    const known = this.#witnesses.get(endpoint.id);
+    const isRecent = known !== undefined && now() - known.openedAt < REOPEN_MS;
+    if (isRecent && isOfLifetime(known, endpoint)) return;
+    if (this.findWitness(endpoint) !== null || !this.#mayAsk(endpoint)) return;
+    known?.close();
+    const witness = new LifetimeWitness(endpoint, this.#dialect, this.#loopDelay);
+    this.#witnesses.set(endpoint.id, witness);
+    void this.#ask(witness);
+  }
+
+  /** Returns the open connection to the process of an endpoint; null without one. */
+  findWitness(endpoint: RegisteredEndpoint): LifetimeWitness | null {
+    const witness = this.#witnesses.get(endpoint.id);
+    return witness?.isOpen === true && isOfLifetime(witness, endpoint) ? witness : null;
+  }
+
+  /** Closes the connections to processes that have been closed or whose endpoints are gone. */
+  closeWitnesses(isRegistered: (endpointId: string) => boolean): void {
+    this.#witnesses.forEach((witness, id) => {
+      if (isRegistered(id) && (witness.isOpen || now() - witness.openedAt < REOPEN_MS)) return;
+      witness.close();
+      this.#witnesses.delete(id);
+    });
+  }
+
+  #ask(witness: LifetimeWitness): Promise<Testimony> {
+    this.#terms.limits.recordSend(witness.endpoint.id);
+    return witness.ask(this.#findHealthPath(witness.endpoint), ANSWER_TIMEOUT_MS);
+  }
+
+  #findHealthPath({ serviceId }: RegisteredEndpoint): string {
+    const { configuration } = this.#state.routing;
+    return configuration?.services.get(serviceId)?.healthPath ?? '/';
+  }
+
   /** Checks an endpoint now; never rejects. */
-  check(endpoint: RegisteredEndpoint): Promise<Liveness> {
+  check(endpoint: RegisteredEndpoint): Promise<EndCheck> {
     const gathered = this.#gathered.get(endpoint.id);
     if (gathered !== undefined) return gathered;
     const askedAt = now();
-    const check = new Promise<Liveness>((resolve) => {
+    const check = new Promise<EndCheck>((resolve) => {
       setTimeout(() => {
         this.#gathered.delete(endpoint.id);
         void this.#run(endpoint, askedAt).then(resolve);
@@ -81,11 +138,17 @@
     return check;
   }
 
-  async #run(endpoint: RegisteredEndpoint, askedAt: number): Promise<Liveness> {
-    const finding = await checkEnd(
-      (timeoutMs, wasReset) => this.#connect(endpoint, timeoutMs, wasReset),
-      askedAt,
-    );
+  async #run(endpoint: RegisteredEndpoint, askedAt: number): Promise<EndCheck> {
+    const witness = this.findWitness(endpoint);
+    const testimony =
+      witness !== null && this.#mayAsk(endpoint) ? await this.#ask(witness) : 'busy';
+    const finding =
+      testimony === 'answered'
+        ? 'alive'
+        : await checkEnd(
+            (timeoutMs, wasReset) => this.#connect(endpoint, timeoutMs, wasReset),
+            askedAt,
+          );
     const isPlanned = finding === 'ended' && !isTakingRequests(this.#state.directory, endpoint.id);
     const hasCrashed = this.#connections.lastBrokenAt(endpoint.id) > askedAt - CRASH_SPREAD_MS;
     const liveness = isPlanned && !hasCrashed ? 'left' : (finding ?? 'unknown');
@@ -93,12 +156,15 @@
     this.#log.decision('endpoint_checked', {
       endpointId: endpoint.id,
       liveness,
+      testimony,
       isPlanned,
       startedAt: endpoint.startedAt,
       registeredStartedAt: this.#state.directory.endpoints.get(endpoint.id)?.startedAt ?? null,
       tookMs: Math.round(now() - askedAt),
     });
-    return liveness;
+    // A question to a process that has ended closes its connection before a new one opens.
+    const isWitnessed = testimony === 'answered' || testimony === 'silent';
+    return { liveness, witness: isWitnessed && witness?.isOpen === true ? witness : null };
   }
 
   #mayAsk(endpoint: RegisteredEndpoint): boolean {
@@ -122,13 +188,10 @@
   }
 
   /** Asks who answers at the address: it may have another endpoint by now. */
-  async #askHealth(
-    { id, serviceId, address }: RegisteredEndpoint,
-    connectTimeoutMs: number,
-  ): Promise<EndFinding> {
+  async #askHealth(endpoint: RegisteredEndpoint, connectTimeoutMs: number): Promise<EndFinding> {
+    const { id, address } = endpoint;
     this.#terms.limits.recordSend(id);
-    const { routing } = this.#state;
-    const path = routing.configuration?.services.get(serviceId)?.healthPath ?? '/';
+    const path = this.#findHealthPath(endpoint);
     const timeout = new AbortController();
     const timer = new SilenceTimer(this.#loopDelay);
     timer.start(connectTimeoutMs, () => timeout.abort());
