--- a/packages/router/src/gateway/endpointAdoption.ts
+++ b/packages/router/src/gateway/endpointAdoption.ts
@@ -2,6 +2,7 @@
   advanceRevision,
   applyEntryChange,
   comparePositions,
+  isDeparting,
   isTakingRequests,
   LAPSE_GRACE_MS,
   removeLapsed,
@@ -123,16 +124,28 @@
     const endpoints = listings.flatMap(({ endpoint }) => endpoint ?? []);
     const unreadableIds = listings.filter(({ endpoint }) => endpoint === null).map(({ id }) => id);
     const isFirst = directory.revision < 0;
-    const before = [...directory.endpoints.keys()].filter((id) => isTakingRequests(directory, id));
+    const known = new Set(directory.endpoints.keys());
+    const before = [...known].filter((id) => isTakingRequests(directory, id));
     this.#resetRestarted(
       replaceEntries(directory, endpoints, position, now(), source, unreadableIds),
     );
     before.forEach((id) => {
       if (!directory.endpoints.has(id)) this.#crashes.recordEndpointEnd(id, 'removed');
     });
+    if (!isFirst) this.#logRegistered(known);
     if (isFirst) this.#notifyFirstRead?.(position.revision);
   }
 
+  #logRegistered(known: ReadonlySet<string>): void {
+    const { directory } = this.#state;
+    directory.endpoints.forEach((endpoint, endpointId) => {
+      if (known.has(endpointId)) return;
+      const { state, startedAt } = endpoint;
+      const isLeaving = isDeparting(directory, endpoint);
+      this.#log.change('endpoint_registered', { endpointId, state, startedAt, isLeaving });
+    });
+  }
+
   #resetRestarted(endpointIds: readonly string[]): void {
     endpointIds.forEach((endpointId) => {
       resetEndpointWork(this.#state.scheduling, endpointId);
