Keep the departure of an endpoint's lifetime when its entry is gone

Cause: what is known of an endpoint was kept with its entry. removeStaleDepartures dropped its word as soon as the entry was gone, a removal left nothing behind, and the copy's entry made it ready again. The same held for 'draining' entries, lapsed ones, and lists of peers that have read the copy.

Why it works: a departure is kept by lifetime, for a minute without an entry, and the removal of an entry is one as well. An entry that comes back is registered and gets nothing until a health check says that it stays, as for any endpoint whose entry says ready while this VM knows better. An entry that is written again, and a later lifetime, are free at once.

--- a/packages/core/src/directory/commands.ts
+++ b/packages/core/src/directory/commands.ts
@@ -1,3 +1,4 @@
+import { recordDroppedEntry, recordListedEntry } from './departures.js';
 import type { DirectoryState, RegisteredEndpoint } from './state.js';
 import { compareEras, comparePositions, type StorePosition } from './storePosition.js';
 
@@ -14,28 +15,38 @@
   readonly isRemoved: boolean;
 }
 
+function dropEndpoint(state: DirectoryState, endpoint: RegisteredEndpoint, now: number): void {
+  state.endpoints.delete(endpoint.id);
+  recordDroppedEntry(state, endpoint, now);
+}
+
 function removeEntry(state: DirectoryState, id: string, mayLapse: boolean, now: number): void {
   const endpoint = state.endpoints.get(id);
   if (endpoint === undefined || state.lapsed.has(id)) return;
   const lapses = mayLapse && endpoint.state === 'ready' && now < state.graceEndsAt;
   if (lapses) state.lapsed.set(id, state.graceEndsAt);
-  else state.endpoints.delete(id);
+  else dropEndpoint(state, endpoint, now);
 }
 
 /** True for an entry of a copy of the store that says less than what is known of the endpoint. */
-function isOutdated(state: DirectoryState, { id, startedAt, state: phase }: RegisteredEndpoint) {
-  const known = state.endpoints.get(id);
-  if (!state.isEraUnread || known === undefined) return false;
+function isOutdated(
+  { endpoints }: DirectoryState,
+  { id, startedAt, state: phase }: RegisteredEndpoint,
+): boolean {
+  const known = endpoints.get(id);
+  if (known === undefined) return false;
   if (known.startedAt === startedAt) return known.state === 'draining' && phase === 'ready';
   return (known.startedAt ?? 0) > (startedAt ?? 0);
 }
 
 // True when the endpoint has restarted under the same id.
-function putEntry(state: DirectoryState, endpoint: RegisteredEndpoint): boolean {
+function putEntry(state: DirectoryState, endpoint: RegisteredEndpoint, now: number): boolean {
   const before = state.endpoints.get(endpoint.id);
+  const isRestarted = before !== undefined && before.startedAt !== endpoint.startedAt;
+  if (isRestarted) recordDroppedEntry(state, before, now);
   state.endpoints.set(endpoint.id, endpoint);
   state.lapsed.delete(endpoint.id);
-  return before !== undefined && before.startedAt !== endpoint.startedAt;
+  return isRestarted;
 }
 
 /**
@@ -43,8 +54,12 @@
  * that cannot be read changes nothing: another writer may have left it.
  */
 export function applyEntryChange(state: DirectoryState, change: EntryChange, now: number): boolean {
-  if (change.endpoint !== null) return putEntry(state, change.endpoint);
-  if (change.isRemoved) removeEntry(state, change.id, true, now);
+  const { id, endpoint, isRemoved } = change;
+  if (endpoint !== null) {
+    recordListedEntry(state, endpoint, null);
+    return putEntry(state, endpoint, now);
+  }
+  if (isRemoved) removeEntry(state, id, true, now);
   return false;
 }
 
@@ -64,15 +79,16 @@
 ): string[] {
   if (comparePositions(position, state) < 0) return [];
   const listed = new Set([...endpoints.map(({ id }) => id), ...unreadableIds]);
-  const restarted = endpoints
-    .filter((endpoint) => !isOutdated(state, endpoint))
-    .filter((endpoint) => putEntry(state, endpoint));
-  for (const id of [...state.endpoints.keys()]) {
-    if (!listed.has(id)) removeEntry(state, id, source === 'store', now);
-  }
+  const isEraNew = state.isEraUnread || compareEras(position.era, state.era) > 0;
+  const current = endpoints.filter((endpoint) => !isEraNew || !isOutdated(state, endpoint));
+  current.forEach((endpoint) => recordListedEntry(state, endpoint, position.era));
+  const restarted = current.filter((endpoint) => putEntry(state, endpoint, now));
   state.revision = position.revision;
   state.era = position.era ?? state.era;
   state.isEraUnread = false;
+  for (const id of [...state.endpoints.keys()]) {
+    if (!listed.has(id)) removeEntry(state, id, source === 'store', now);
+  }
   return restarted.map(({ id }) => id);
 }
 
@@ -116,7 +132,8 @@
   const expired = [...state.lapsed].filter(([, expiresAt]) => expiresAt <= now).map(([id]) => id);
   expired.forEach((id) => {
     state.lapsed.delete(id);
-    state.endpoints.delete(id);
+    const endpoint = state.endpoints.get(id);
+    if (endpoint !== undefined) dropEndpoint(state, endpoint, now);
   });
   return expired;
 }
--- a/packages/core/src/directory/index.ts
+++ b/packages/core/src/directory/index.ts
@@ -26,6 +26,8 @@
 export {
   createDirectoryState,
   type Departure,
+  type DepartureSource,
   type DirectoryState,
+  type Lifetime,
   type RegisteredEndpoint,
 } from './state.js';
--- a/packages/core/src/directory/state.ts
+++ b/packages/core/src/directory/state.ts
@@ -14,12 +14,20 @@
   readonly version: string | null;
 }
 
-/** What is known of an endpoint that said in an answer that it leaves. */
-export interface Departure {
-  /** Lifetime of the endpoint that said so. */
-  readonly startedAt: number | null;
-  /** True when it told this VM, false when a peer has passed it on. */
-  readonly isFirstHand: boolean;
+/**
+ * What told this VM that an endpoint leaves or has left: its own answers, a peer that had one, or the
+ * store, which dropped its entry.
+ */
+export type DepartureSource = 'answer' | 'peer' | 'store';
+
+/** One lifetime of an endpoint: a restart under the same id begins another. */
+export type Lifetime = Pick<RegisteredEndpoint, 'id' | 'startedAt'>;
+
+/** What is known of a lifetime that ends or has ended. */
+export interface Departure extends Lifetime {
+  readonly source: DepartureSource;
+  /** Era of the store in which this VM was told; null when it names none. */
+  readonly era: number | null;
   /** Time at which this VM was last told; epoch milliseconds. */
   readonly toldAt: number;
 }
@@ -34,7 +42,10 @@
    * epoch milliseconds.
    */
   readonly lapsed: Map<string, number>;
-  /** Endpoints that leave by their own answers, by id; their entries may say otherwise. */
+  /**
+   * Departures by `lifetimeKey`. Entries may say otherwise: late, or since the store has come back from an
+   * older copy.
+   */
   readonly departures: Map<string, Departure>;
   /** Revision up to which changes were read; -1 before the first. */
   revision: number;
--- a/packages/router/__tests__/gateway/changingStore.ts
+++ b/packages/router/__tests__/gateway/changingStore.ts
@@ -12,11 +12,26 @@
 /** How long the store holds back changes when it falls silent. */
 const STORE_SILENCE_MS = 2500;
 
+interface EntryWrite {
+  readonly id: string;
+  readonly endpoint: RegisteredEndpoint | null;
+  readonly revision: number;
+}
+
+/** The entries that the store held at a revision. */
+export interface EntriesCopy {
+  readonly revision: number;
+  readonly changes: readonly EntryWrite[];
+  readonly endpoints: ReadonlyMap<string, RegisteredEndpoint>;
+}
+
 /** A store whose entries the test writes. */
 export class ChangingStore {
   #revision = 10;
 
-  #changes: { id: string; endpoint: RegisteredEndpoint | null; revision: number }[] = [];
+  #era: number | null;
+
+  #changes: EntryWrite[] = [];
 
   readonly #endpoints = new Map<string, RegisteredEndpoint>();
 
@@ -31,8 +46,10 @@
 
   #configurationRevision = 10;
 
-  constructor(configuration: Configuration) {
+  /** `era` is the first one; null if the store names none. */
+  constructor(configuration: Configuration, era: number | null = null) {
     this.#configuration = configuration;
+    this.#era = era;
   }
 
   put(endpoint: RegisteredEndpoint): void {
@@ -54,6 +71,25 @@
     if (this.#endpoints.delete(id)) this.#change(id, null);
   }
 
+  /** Copies all entries. */
+  copy(): EntriesCopy {
+    return {
+      revision: this.#revision,
+      changes: [...this.#changes],
+      endpoints: new Map(this.#endpoints),
+    };
+  }
+
+  /** Comes back with the entries of a copy, in its next era. */
+  comeBack({ revision, changes, endpoints }: EntriesCopy): void {
+    this.#era = (this.#era ?? 0) + 1;
+    this.#revision = revision;
+    this.#changes = [...changes];
+    this.#endpoints.clear();
+    endpoints.forEach((endpoint, id) => this.#endpoints.set(id, endpoint));
+    this.#wakeWatches();
+  }
+
   /** Publishes a new version of the configuration. */
   publish(configuration: Configuration): void {
     this.#configuration = configuration;
@@ -89,7 +125,12 @@
       part === 'configuration'
         ? [{ id: '', text: 'published' }]
         : [...this.#endpoints].map(([id, entry]) => ({ id, text: JSON.stringify(entry) }));
-    return { entries, revision: this.#revision };
+    return this.#createBatch(entries);
+  }
+
+  #createBatch(entries: PublicationBatch['entries']): PublicationBatch {
+    const batch = { entries, revision: this.#revision };
+    return this.#era === null ? batch : { ...batch, era: this.#era };
   }
 
   async #watch(
@@ -104,16 +145,17 @@
       return this.#readAll(part);
     }
     if (after < Math.min(this.#historyFrom, this.#revision)) throw new HistoryLostError('dropped');
+    const eraBefore = this.#era;
     const list = () =>
       this.#isSilent ? [] : this.#changes.filter(({ revision }) => revision > after);
-    while (list().length === 0) {
+    while (list().length === 0 && this.#era === eraBefore) {
       await this.#waitForChange(signal);
     }
     const entries = list().map(({ id, endpoint }) => ({
       id,
       text: endpoint === null ? null : JSON.stringify(endpoint),
     }));
-    return { entries, revision: this.#revision };
+    return this.#createBatch(entries);
   }
 
   #waitForChange(signal: AbortSignal): Promise<void> {
--- a/packages/router/__tests__/gateway/leavingEndpoints.spec.ts
+++ b/packages/router/__tests__/gateway/leavingEndpoints.spec.ts
@@ -22,9 +22,9 @@
   }
 }
 
-/** Counts the requests of all VMs that reach an endpoint from `SETTLE_MS` on. */
-async function countLateArrivals(endpoint: TermsEndpoint): Promise<number> {
-  await sleep(SETTLE_MS);
+/** Counts the requests of all VMs that reach an endpoint from `settleMs` on. */
+async function countLateArrivals(endpoint: TermsEndpoint, settleMs = SETTLE_MS): Promise<number> {
+  await sleep(settleMs);
   const before = endpoint.arrivals.length;
   await sleep(3000);
   return endpoint.arrivals.length - before;
@@ -75,6 +75,18 @@
     });
   });
 
+  itSerial('gets no more requests when the store comes back with its entry', async (t) => {
+    await withFleet(3, async ({ endpoints, store }) => {
+      const copy = store.copy();
+      endpoints[0]!.termsFor = () => leaving;
+      await sleep(SETTLE_MS);
+      endpoints[0]!.withdraw();
+      await sleep(SETTLE_MS);
+      store.comeBack(copy);
+      t.is(await countLateArrivals(endpoints[0]!, 0), 0);
+    });
+  });
+
   itSerial('is used again when only a stray answer said so', async (t) => {
     await withFleet(1, async ({ endpoints, answers }) => {
       let told = 0;
@@ -88,3 +100,25 @@
     });
   });
 });
+
+describe('an endpoint whose entry was dropped and comes back with an older copy of the store', () => {
+  const healths = {
+    'gets none while its health checks say that it leaves': leaving,
+    'is used again once a health check says that it stays': null,
+  };
+  Object.entries(healths).forEach(([title, terms]) => {
+    itSerial(title, async (t) => {
+      await withFleet(3, async ({ endpoints, store }) => {
+        const copy = store.copy();
+        endpoints[0]!.withdraw();
+        await sleep(SETTLE_MS);
+        endpoints[0]!.termsFor = (vm) => (vm === '' ? terms : null);
+        store.comeBack(copy);
+        const arrivals = await countLateArrivals(endpoints[0]!, 0);
+        t.log(arrivals);
+        if (terms === null) t.true(arrivals > 0);
+        else t.is(arrivals, 0);
+      });
+    });
+  });
+});
--- a/packages/router/__tests__/gateway/restartingEndpoint.ts
+++ b/packages/router/__tests__/gateway/restartingEndpoint.ts
@@ -158,6 +158,11 @@
     if (!this.#isStopped) await this.start();
   }
 
+  /** Has its entry removed, without a word before, and serves on. */
+  withdraw(): void {
+    this.#store.remove(this.#id);
+  }
+
   /** Ends for good; the store knows at once. */
   end(): void {
     this.#store.remove(this.#id);
--- a/packages/router/__tests__/gateway/termsFleet.ts
+++ b/packages/router/__tests__/gateway/termsFleet.ts
@@ -26,7 +26,7 @@
 
   readonly endpoints: readonly TermsEndpoint[];
 
-  readonly #store = new ChangingStore(configuration);
+  readonly store = new ChangingStore(configuration, 1);
 
   readonly #random = createRandom(1);
 
@@ -40,14 +40,14 @@
     const life = { end: 'close', identity: 'new' } as const;
     this.endpoints = Array.from(
       { length: endpoints },
-      (_, index) => new TermsEndpoint(`e${index}`, life, this.#store),
+      (_, index) => new TermsEndpoint(`e${index}`, life, this.store),
     );
   }
 
   /** Starts everything; callers send a request each `everyMs` to any VM. */
   async start(everyMs: number): Promise<void> {
     await Promise.all(this.endpoints.map((endpoint) => endpoint.start()));
-    this.#vms = await createVms(VMS, this.#store);
+    this.#vms = await createVms(VMS, this.store);
     await Promise.all(this.#vms.map((vm) => vm.start()));
     this.#sending = this.#sendAll(everyMs);
   }
--- a/packages/router/src/gateway/departureRecorder.ts
+++ b/packages/router/src/gateway/departureRecorder.ts
@@ -51,7 +51,7 @@
     this.recordAnswer(endpoint, status, answer);
     if (answer.isLeaving || status !== OK_STATUS) return;
     const { directory } = this.#state;
-    if (!isDeparting(directory, endpoint) || !revokeDeparture(directory, endpoint.id)) return;
+    if (!isDeparting(directory, endpoint) || !revokeDeparture(directory, endpoint)) return;
     this.#log.change('endpoint_staying', { endpointId: endpoint.id });
   }
 
