Break off an unframed answer that ends before its request is taken

Cause: the end of the answer was checked by whether the endpoint lives, which it does; nobody asked whether it had taken the request.

Evidence: 24 of 48 cases of earlyAnswers.spec failed before (an end with or without a reset after it, upload unread or read in part, each kind of route, direct and by way of a peer). Those with a reset alone passed.

Why it works: the operating system has not taken all bytes of the request, so the endpoint cannot have read them. An endpoint that reads on and then ends is complete as before (eight cases).

--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -355,6 +355,9 @@
       this.#turnAway(this.#metadata);
     } else if (!this.#needsEndProof()) {
       this.#complete();
+    } else if (!this.#request.isWritten) {
+      const message = 'connection ended before the request was taken';
+      this.#fail({ verdict: 'may-have-run', cause: 'broken', message });
     } else {
       this.#isEnding = true;
       void this.#endProof.check().then((liveness) => this.#handleCheckedEnd(liveness));
--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -115,6 +115,11 @@
     return this.#mayHaveSent;
   }
 
+  /** True when the operating system has taken all bytes of the request. */
+  get isWritten(): boolean {
+    return this.#times.writtenAt !== null;
+  }
+
   /** Sends the request, once a connection is free and this process is on time. */
   start(outgoing: OutgoingRequest): void {
     if (this.#held === null && outgoing.held != null && !this.#isOver && !this.#mayHaveSent) {
