Take an answer with a status outside of 200 to 599 for malformed

Cause: an answer that is no success was taken for a failure of the endpoint to be passed on, whatever its status.

Why it works: attempts at endpoints and by way of peers reject such an answer as they reject one that belongs to another request: 502, or another attempt where the request may be repeated.

The new case of transits is serial, since those that run at once use up the ports of the thread.

--- a/packages/router/__tests__/gateway/transits.spec.ts
+++ b/packages/router/__tests__/gateway/transits.spec.ts
@@ -2,7 +2,7 @@
 import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { describe, it } from '@filbertlatch/core/testing';
+import { describe, it, itSerial } from '@filbertlatch/core/testing';
 import type { ExecutionContext } from 'ava';
 
 import { findFreeAddress } from '../../src/testing/index.js';
@@ -180,6 +180,16 @@
       });
     });
 
+    itSerial('does not get an answer whose status none may have', (t) => {
+      const answer: Answer = (request, response) => {
+        response.writeHead(600, answerHeaders(request)).end('odd');
+      };
+      return checkAnswer(t, [answer, answer], '/plain/', ({ status }, peers) => {
+        t.is(status, 502);
+        t.is(countRequests(peers), 1);
+      });
+    });
+
     it('times out without a promise when nothing answers', (t) =>
       checkAnswer(t, [() => {}, () => {}], '/plain/', ({ status }, peers) => {
         t.is(status, 504);
--- a/packages/router/src/gateway/findAnswerFault.ts
+++ b/packages/router/src/gateway/findAnswerFault.ts
@@ -3,7 +3,14 @@
 import type { AnswerMetadata } from './dialect.js';
 import { findBodyFault } from './findBodyFault.js';
 
+const FIRST_ANSWER_STATUS = 200;
 const FIRST_REDIRECT_STATUS = 300;
+const FIRST_INVALID_STATUS = 600;
+
+/** Says whether an answer may have a status. */
+export function isAnswerStatus(status: number): boolean {
+  return status >= FIRST_ANSWER_STATUS && status < FIRST_INVALID_STATUS;
+}
 
 /** What an attempt knows of the answer that it waits for. */
 export interface ExpectedAnswer {
@@ -23,6 +30,7 @@
   admitted: AdmittedRequest,
   { isResumed, isFirst }: ExpectedAnswer,
 ): string | null {
+  if (!isAnswerStatus(head.status)) return `no answer has the status ${head.status}`;
   const isForeign = requestId !== null && requestId !== admitted.metadata.requestId;
   if (isForeign) return 'answer carries the id of another request';
   const isSuccess = head.status < FIRST_REDIRECT_STATUS;
--- a/packages/router/src/gateway/transitAttempt.ts
+++ b/packages/router/src/gateway/transitAttempt.ts
@@ -6,6 +6,7 @@
 import type { Attempt, AttemptObserver, AttemptRequest, RawAnswerHead } from './attempt.js';
 import type { AnswerNote } from './callerAnswer.js';
 import { EndpointRequest, type AttemptFailure } from './endpointRequest.js';
+import { isAnswerStatus } from './findAnswerFault.js';
 import { findBodyFault } from './findBodyFault.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { findHeader, isFramed } from './headers.js';
@@ -197,7 +198,8 @@
     const bodyFault = isSuccess
       ? findBodyFault(this.#head, this.#admitted.route, this.#isResumed)
       : null;
-    if (isForeign || isForged) this.#reject('answer of a peer belongs to another request');
+    if (!isAnswerStatus(status)) this.#reject(`no answer has the status ${status}`);
+    else if (isForeign || isForged) this.#reject('answer of a peer belongs to another request');
     else if (bodyFault !== null) this.#reject(bodyFault);
   }
 
