Bound the reads of prompt segments that wait for peers, and those that are known

Cause: each prompt added all its shared segments to a list of reads for peers, those that waited there already as well. 2,250 a second came and 320 were taken off, until the list had more entries than the stack takes as arguments (takeUnsentReads).

Evidence: process_failed with that RangeError 54 s after the other VMs had left. Four of five cases of prefixCacheEstimate.spec failed before, one with the same error.

Why it works: a read waits once for each segment and engine, and 2,048 do at most. The segments that engines are known to hold come from callers, too, and are 16,384 at most.

--- a/packages/core/src/scheduling/prefixCacheEstimate.ts
+++ b/packages/core/src/scheduling/prefixCacheEstimate.ts
@@ -7,12 +7,19 @@
   readonly endpointId: string;
 }
 
+/** A read that is still to be sent to peers. */
+interface UnsentRead {
+  readonly read: SegmentRead;
+  /** Messages that are left for it. */
+  sendsLeft: number;
+}
+
 /** The segments that each engine's prefix cache should hold, judged by the VMs' requests. */
 export interface PrefixCacheEstimate {
-  /** Instant of the last read by segment id, then by engine id. */
+  /** Instant of the last read by segment id, then by engine id; at most `MAX_SEGMENTS`. */
   readonly reads: Map<string, Map<string, number>>;
-  /** This VM's reads that are still to be sent to peers, with the messages left for each. */
-  readonly unsentReads: { readonly read: SegmentRead; sendsLeft: number }[];
+  /** This VM's reads for peers, by segment and engine; at most `MAX_UNSENT_READS`, earliest first. */
+  readonly unsentReads: Map<string, UnsentRead>;
 }
 
 /** Time after its last use for which a segment counts as cached: engines evict for memory. */
@@ -24,9 +31,26 @@
 /** Largest number of reads in one message to peers. */
 const MAX_READS_PER_MESSAGE = 64;
 
+/** Most reads that wait to be sent; the earliest are dropped, of which the engine evicts first. */
+const MAX_UNSENT_READS = 2048;
+
+/** Most segments that are known; those known first are dropped. */
+const MAX_SEGMENTS = 16_384;
+
 /** Creates an estimate in which no engine holds a segment. */
 export function createPrefixCacheEstimate(): PrefixCacheEstimate {
-  return { reads: new Map(), unsentReads: [] };
+  return { reads: new Map(), unsentReads: new Map() };
+}
+
+/** Makes room for a new key: the first eighth at once, since each deletion slows the search for the next. */
+function makeRoom(map: Map<string, unknown>, key: string, limit: number): void {
+  if (map.size < limit || map.has(key)) return;
+  let left = limit / 8;
+  for (const first of map.keys()) {
+    if (left === 0) return;
+    map.delete(first);
+    left -= 1;
+  }
 }
 
 function setLastRead(
@@ -34,11 +58,19 @@
   { segmentId, endpointId }: SegmentRead,
   now: number,
 ): void {
+  makeRoom(reads, segmentId, MAX_SEGMENTS);
   const engines = reads.get(segmentId) ?? new Map<string, number>();
   engines.set(endpointId, now);
   reads.set(segmentId, engines);
 }
 
+function queueRead({ unsentReads }: PrefixCacheEstimate, read: SegmentRead): void {
+  const key = `${read.segmentId} ${read.endpointId}`;
+  makeRoom(unsentReads, key, MAX_UNSENT_READS);
+  // One that waits already keeps its place, so that it is told however often it is renewed.
+  unsentReads.set(key, { read, sendsLeft: SENDS_PER_READ });
+}
+
 /** Records that an engine reads a prompt's shared segments, and queues the reads for peers. */
 export function recordReads(
   caches: PrefixCacheEstimate,
@@ -49,19 +81,20 @@
   for (const { id } of sharedSegments(size)) {
     const read = { segmentId: id, endpointId };
     setLastRead(caches, read, now);
-    caches.unsentReads.push({ read, sendsLeft: SENDS_PER_READ });
+    queueRead(caches, read);
   }
 }
 
 /** Takes the reads for the next message to peers; each is taken `SENDS_PER_READ` times. */
-export function takeUnsentReads(caches: PrefixCacheEstimate): SegmentRead[] {
-  const taken = caches.unsentReads.slice(0, MAX_READS_PER_MESSAGE);
-  taken.forEach((entry) => {
-    entry.sendsLeft -= 1;
-  });
-  const left = caches.unsentReads.filter(({ sendsLeft }) => sendsLeft > 0);
-  caches.unsentReads.splice(0, caches.unsentReads.length, ...left);
-  return taken.map(({ read }) => read);
+export function takeUnsentReads({ unsentReads }: PrefixCacheEstimate): SegmentRead[] {
+  const taken: SegmentRead[] = [];
+  for (const [key, unsent] of unsentReads) {
+    if (taken.length === MAX_READS_PER_MESSAGE) break;
+    taken.push(unsent.read);
+    unsent.sendsLeft -= 1;
+    if (unsent.sendsLeft === 0) unsentReads.delete(key);
+  }
+  return taken;
 }
 
 /** Records the reads that a peer reported. */
