--- a/packages/router/__tests__/gateway/storeReturns.spec.ts
+++ b/packages/router/__tests__/gateway/storeReturns.spec.ts
@@ -228,6 +228,75 @@
     });
   });
 
+  describe('without a version of the configuration that a VM which has just started has from a peer', () => {
+    /** A VM that starts while the store is away, and is told version 5 of the era before. */
+    async function startLate(t: ExecutionContext) {
+      const { store, copy } = await startVm(t);
+      store.isAway = true;
+      const vm = createVm(t, store);
+      await waitUntil(() => !vm.task.isConnected);
+      vm.task.offerConfiguration('5', 1, 'vm-2');
+      t.is(configurationVersion(vm.state.routing), 5);
+      store.comeBack(copy);
+      await waitUntil(() => vm.task.isConnected);
+      await sleep(50);
+      return { store, vm };
+    }
+
+    it('keeps it in force until it is written again', async (t) => {
+      const { store, vm } = await startLate(t);
+      wait(vm, CONFIGURATION_GRACE_MS - 1);
+      t.is(configurationVersion(vm.state.routing), 5);
+      store.publish(5);
+      await waitUntil(() => vm.state.routing.era === 2);
+      wait(vm, CONFIGURATION_GRACE_MS + 1);
+      t.is(configurationVersion(vm.state.routing), 5);
+    });
+
+    it('puts the one before in force that stays the latest', async (t) => {
+      const { vm } = await startLate(t);
+      wait(vm, CONFIGURATION_GRACE_MS + 1);
+      t.is(configurationVersion(vm.state.routing), 4);
+      t.is(vm.state.routing.era, 2);
+    });
+  });
+
+  describe('without a version of the configuration, which a VM that has just started reads first', () => {
+    async function startAfter(t: ExecutionContext) {
+      const { store, copy } = await startVm(t);
+      store.comeBack(copy);
+      const vm = createVm(t, store);
+      await hasVersion(vm, 4);
+      return { store, vm };
+    }
+
+    it('puts the version in force that a peer has from the era before', async (t) => {
+      const { store, vm } = await startAfter(t);
+      vm.task.offerConfiguration('5', 1, 'vm-2');
+      t.is(configurationVersion(vm.state.routing), 5);
+      wait(vm, CONFIGURATION_GRACE_MS - 1);
+      t.is(configurationVersion(vm.state.routing), 5);
+      store.publish(5);
+      await waitUntil(() => vm.state.routing.era === 2);
+      wait(vm, CONFIGURATION_GRACE_MS + 1);
+      t.is(configurationVersion(vm.state.routing), 5);
+    });
+
+    it('names the era to no peer until the store has settled', async (t) => {
+      const { vm } = await startAfter(t);
+      t.is(vm.state.routing.era, null);
+      wait(vm, CONFIGURATION_GRACE_MS + 1);
+      t.is(vm.state.routing.era, 2);
+    });
+
+    it('names the era at once of a version that is written since', async (t) => {
+      const { store, vm } = await startAfter(t);
+      store.publish(6);
+      await hasVersion(vm, 6);
+      t.is(vm.state.routing.era, 2);
+    });
+  });
+
   describe('to a VM that has lost it', () => {
     const e9 = createEndpoint('e9');
 
