Name the pinned connection, and leave answers without a body unchecked

An answer without a body (HEAD, 204, 304) has ended with its head, whatever the headers say. Since a slow one would have needed a proof of its end and been answered 502; three cases in unframedAnswers.spec.

--- a/packages/router/__tests__/gateway/unframedAnswers.spec.ts
+++ b/packages/router/__tests__/gateway/unframedAnswers.spec.ts
@@ -74,3 +74,28 @@
     t.true(answer.isComplete);
   });
 });
+
+describe('an answer without a body that is slow', () => {
+  const bodiless: Readonly<Record<string, readonly [method: string, status: number]>> = {
+    'to HEAD': ['HEAD', 200],
+    'with 204': ['POST', 204],
+    'with 304': ['GET', 304],
+  };
+  Object.entries(bodiless).forEach(([title, [method, status]]) => {
+    it(`needs no proof of its end: ${title}`, async (t) => {
+      const endpoint = await startEndpoint('e0', (request, { socket }) => {
+        const id = String(request.headers['x-request']);
+        const head = `HTTP/1.1 ${status} Fine\r\nx-request: ${id}\r\nx-mac: mac-1\r\n\r\n`;
+        setTimeout(() => socket?.write(head), 700);
+      });
+      const { gateway, callers } = await startGateway(
+        createSource(testConfiguration, [endpoint.endpoint]),
+      );
+      const answer = await call(callers, '/plain/1', { method });
+      gateway.stop();
+      endpoint.close();
+      t.is(answer.status, status);
+      t.true(answer.isComplete);
+    });
+  });
+});
--- a/packages/router/src/gateway/endProof.ts
+++ b/packages/router/src/gateway/endProof.ts
@@ -3,7 +3,7 @@
 import { now } from '../clock.js';
 import { AnswerContinuity } from './answerContinuity.js';
 import type { GatewayLog } from './gatewayLog.js';
-import type { LifetimeWitness } from './lifetimeWitness.js';
+import type { PinnedConnection } from './pinnedConnection.js';
 import type { Liveness, LivenessTask } from './livenessTask.js';
 
 /** What a check shows of an endpoint that lives. */
@@ -23,10 +23,10 @@
   #continuity = new AnswerContinuity(now());
 
   /** True when only the end of the connection delimits the answer. */
-  #isNeeded = false;
+  #isUnframed = false;
 
   /** A connection to the process that gives the answer; null while none is known. */
-  #witness: LifetimeWitness | null = null;
+  #pinned: PinnedConnection | null = null;
 
   constructor(liveness: LivenessTask, endpoint: RegisteredEndpoint, log: GatewayLog) {
     this.#liveness = liveness;
@@ -42,45 +42,45 @@
   /** Records that the request is sent. */
   recordSend(): void {
     this.#continuity = new AnswerContinuity(now());
-    this.#adoptWitness();
+    this.#adoptPinned();
   }
 
   /** Records that bytes of the answer were read. */
   recordBytes(): void {
-    this.#adoptWitness();
+    if (this.#isUnframed) this.#adoptPinned();
     this.#continuity.recordBytes(now());
-    if (this.#isNeeded && this.#witness?.isOpen !== true) this.#liveness.watch(this.#endpoint);
+    if (this.#isUnframed && this.#pinned?.isOpen !== true) this.#liveness.pin(this.#endpoint);
   }
 
-  /** Has the endpoint watched until the answer ends: it has neither a length nor chunks. */
-  require(): void {
-    this.#isNeeded = true;
-    this.#liveness.watch(this.#endpoint);
+  /** Has the endpoint watched until the answer ends, which only its connection will tell. */
+  expectUnframedEnd(): void {
+    this.#isUnframed = true;
+    this.#liveness.pin(this.#endpoint);
   }
 
   /** Finds out whether the endpoint has outlived the answer, which has ended; never rejects. */
   async check(): Promise<Liveness> {
-    this.#adoptWitness();
-    const { liveness, witness } = await this.#liveness.check(this.#endpoint);
+    this.#adoptPinned();
+    const { liveness, pinned } = await this.#liveness.check(this.#endpoint);
     if (!LIVING.has(liveness)) return liveness;
     const isSameProcess =
-      (witness !== null && witness === this.#witness) || this.#continuity.holdsAt(now());
+      (pinned !== null && pinned === this.#pinned) || this.#continuity.holdsAt(now());
     if (isSameProcess) return liveness;
     this.#log.decision('endpoint_end_unproven', {
       endpointId: this.#endpoint.id,
       liveness,
-      hasWitness: this.#witness !== null,
+      hasPinned: this.#pinned !== null,
       silentMs: Math.round(this.silentMs),
     });
     return 'unknown';
   }
 
-  /** Whoever has answered on the endpoint's witness while the answer's process lived is that process. */
-  #adoptWitness(): void {
-    if (this.#witness?.isOpen === true) return;
-    const witness = this.#liveness.findWitness(this.#endpoint);
-    if (witness?.answeredAt == null) return;
-    const at = Math.max(witness.answeredAt, this.#continuity.heardAt);
-    if (this.#continuity.holdsAt(at)) this.#witness = witness;
+  /** What answers on the pinned connection at a time at which the answer's process lives is that process. */
+  #adoptPinned(): void {
+    if (this.#pinned?.isOpen === true) return;
+    const pinned = this.#liveness.findPinned(this.#endpoint);
+    if (pinned?.answeredAt == null) return;
+    const at = Math.max(pinned.answeredAt, this.#continuity.heardAt);
+    if (this.#continuity.holdsAt(at)) this.#pinned = pinned;
   }
 }
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -50,6 +50,9 @@
 const OK_STATUS = 200;
 const FIRST_SERVER_ERROR_STATUS = 500;
 
+/** Statuses of answers that have no body. */
+const BODILESS_STATUSES = new Set([204, 304]);
+
 /** Endpoint of an attempt and its expected cost. */
 export interface AttemptPlan {
   readonly endpoint: RegisteredEndpoint;
@@ -90,6 +93,8 @@
 
   readonly #stream = new StreamProgress();
 
+  #method = '';
+
   #rawHead: RawAnswerHead = { status: 0, headers: [] };
 
   #metadata: AnswerMetadata | null = null;
@@ -217,6 +222,7 @@
   /** Sends the request. */
   send(request: AttemptRequest): void {
     const { method, path, headers, body, held, lastEventId, acceptsEmptyRest } = request;
+    this.#method = method;
     this.#acceptsEmptyRest = acceptsEmptyRest;
     const { accountId, deadlineAt, job } = this.#admitted;
     const { dialect, state } = this.#context;
@@ -275,7 +281,7 @@
     else if (this.#isTooLong()) this.#reject('answer exceeds the size limit');
     else {
       this.#recordTerms(status, metadata);
-      if (this.#needsEndProof()) this.#endProof.require();
+      if (this.#needsEndProof()) this.#endProof.expectUnframedEnd();
       if (metadata.isNotRun && metadata.requestId === null) {
         // Closes the connection, on which this refusal could come once more.
         this.#request.cancel();
@@ -284,10 +290,11 @@
     }
   }
 
-  /** True when a crash looks like the end of the answer, and matters. */
+  /** True when a crash of the endpoint would look like the end of its answer. */
   #needsEndProof(): boolean {
     const { headers, status } = this.#rawHead;
-    return !isFramed(headers) && status < FIRST_SERVER_ERROR_STATUS;
+    const hasBody = this.#method !== 'HEAD' && !BODILESS_STATUSES.has(status);
+    return hasBody && !isFramed(headers) && status < FIRST_SERVER_ERROR_STATUS;
   }
 
   #expectBody(headers: readonly string[]): void {
--- a/packages/router/src/gateway/livenessTask.ts
+++ b/packages/router/src/gateway/livenessTask.ts
@@ -6,7 +6,7 @@
 import { createCheckClient } from './checkClient.js';
 import type { ConnectionTable } from './connectionTable.js';
 import type { Dialect } from './dialect.js';
-import { LifetimeWitness, type Testimony } from './lifetimeWitness.js';
+import { PinnedConnection, type PinnedAnswer } from './pinnedConnection.js';
 import { ANSWER_TIMEOUT_MS, checkEnd, checkPort, type EndFinding } from './endCheck.js';
 import type { EndpointTerms } from './endpointTerms.js';
 import type { GatewayLog } from './gatewayLog.js';
@@ -21,10 +21,11 @@
  */
 export type Liveness = 'alive' | 'open' | 'ended' | 'left' | 'unknown';
 
-/** What a check has shown, and the older connection on which it was asked; null without one. */
+/** What a check has shown of an endpoint. */
 export interface EndCheck {
   readonly liveness: Liveness;
-  readonly witness: LifetimeWitness | null;
+  /** The connection whose process it has shown to live; null when it may be another's. */
+  readonly pinned: PinnedConnection | null;
 }
 
 /** Time in which checks of an endpoint are gathered into one. */
@@ -33,11 +34,11 @@
 /** Time between the ends of connections that one crash ends. */
 const CRASH_SPREAD_MS = 50;
 
-/** Time after which a closed connection to a process is opened again, in milliseconds. */
+/** Shortest time between the openings of two pinned connections of an endpoint, in milliseconds. */
 const REOPEN_MS = 1000;
 
 function isOfLifetime(
-  { endpoint }: LifetimeWitness,
+  { endpoint }: PinnedConnection,
   { address, startedAt }: RegisteredEndpoint,
 ): boolean {
   return endpoint.address === address && endpoint.startedAt === startedAt;
@@ -65,8 +66,8 @@
   /** Checks that have not begun, by endpoint id. */
   readonly #gathered = new Map<string, Promise<EndCheck>>();
 
-  /** Connections to the processes of endpoints whose answers have no length, by endpoint id. */
-  readonly #witnesses = new Map<string, LifetimeWitness>();
+  /** Pinned connections to endpoints whose answers have no length, by endpoint id. */
+  readonly #pinned = new Map<string, PinnedConnection>();
 
   constructor(
     state: GatewayState,
@@ -86,36 +87,35 @@
     this.#log = log;
   }
 
-  /** Opens a connection to the process of an endpoint, unless there is one or was one just now. */
-  watch(endpoint: RegisteredEndpoint): void {
-    const known = this.#witnesses.get(endpoint.id);
-    const isRecent = known !== undefined && now() - known.openedAt < REOPEN_MS;
-    if (isRecent && isOfLifetime(known, endpoint)) return;
-    if (this.findWitness(endpoint) !== null || !this.#mayAsk(endpoint)) return;
+  /** Pins a connection to the process of an endpoint, unless there is one or one was opened just now. */
+  pin(endpoint: RegisteredEndpoint): void {
+    const known = this.#pinned.get(endpoint.id);
+    if (known !== undefined && now() - known.openedAt < REOPEN_MS) return;
+    if (this.findPinned(endpoint) !== null || !this.#mayAsk(endpoint)) return;
     known?.close();
-    const witness = new LifetimeWitness(endpoint, this.#dialect, this.#loopDelay);
-    this.#witnesses.set(endpoint.id, witness);
-    void this.#ask(witness);
+    const pinned = new PinnedConnection(endpoint, this.#dialect, this.#loopDelay);
+    this.#pinned.set(endpoint.id, pinned);
+    void this.#ask(pinned);
   }
 
-  /** Returns the open connection to the process of an endpoint; null without one. */
-  findWitness(endpoint: RegisteredEndpoint): LifetimeWitness | null {
-    const witness = this.#witnesses.get(endpoint.id);
-    return witness?.isOpen === true && isOfLifetime(witness, endpoint) ? witness : null;
+  /** Returns the open connection to the process of a lifetime of an endpoint; null without one. */
+  findPinned(endpoint: RegisteredEndpoint): PinnedConnection | null {
+    const pinned = this.#pinned.get(endpoint.id);
+    return pinned?.isOpen === true && isOfLifetime(pinned, endpoint) ? pinned : null;
   }
 
-  /** Closes the connections to processes that have been closed or whose endpoints are gone. */
-  closeWitnesses(isRegistered: (endpointId: string) => boolean): void {
-    this.#witnesses.forEach((witness, id) => {
-      if (isRegistered(id) && (witness.isOpen || now() - witness.openedAt < REOPEN_MS)) return;
-      witness.close();
-      this.#witnesses.delete(id);
+  /** Closes the pinned connections of endpoints that are gone, and forgets those that were closed. */
+  closePinned(isRegistered: (endpointId: string) => boolean): void {
+    this.#pinned.forEach((pinned, id) => {
+      if (isRegistered(id) && (pinned.isOpen || now() - pinned.openedAt < REOPEN_MS)) return;
+      pinned.close();
+      this.#pinned.delete(id);
     });
   }
 
-  #ask(witness: LifetimeWitness): Promise<Testimony> {
-    this.#terms.limits.recordSend(witness.endpoint.id);
-    return witness.ask(this.#findHealthPath(witness.endpoint), ANSWER_TIMEOUT_MS);
+  #ask(pinned: PinnedConnection): Promise<PinnedAnswer> {
+    this.#terms.limits.recordSend(pinned.endpoint.id);
+    return pinned.ask(this.#findHealthPath(pinned.endpoint), ANSWER_TIMEOUT_MS);
   }
 
   #findHealthPath({ serviceId }: RegisteredEndpoint): string {
@@ -139,11 +139,11 @@
   }
 
   async #run(endpoint: RegisteredEndpoint, askedAt: number): Promise<EndCheck> {
-    const witness = this.findWitness(endpoint);
-    const testimony =
-      witness !== null && this.#mayAsk(endpoint) ? await this.#ask(witness) : 'busy';
+    const pinned = this.findPinned(endpoint);
+    const mayAskPinned = pinned !== null && this.#mayAsk(endpoint);
+    const pinnedAnswer = mayAskPinned ? await this.#ask(pinned) : null;
     const finding =
-      testimony === 'answered'
+      pinnedAnswer === 'answered'
         ? 'alive'
         : await checkEnd(
             (timeoutMs, wasReset) => this.#connect(endpoint, timeoutMs, wasReset),
@@ -156,15 +156,15 @@
     this.#log.decision('endpoint_checked', {
       endpointId: endpoint.id,
       liveness,
-      testimony,
+      pinnedAnswer,
       isPlanned,
       startedAt: endpoint.startedAt,
       registeredStartedAt: this.#state.directory.endpoints.get(endpoint.id)?.startedAt ?? null,
       tookMs: Math.round(now() - askedAt),
     });
     // A question to a process that has ended closes its connection before a new one opens.
-    const isWitnessed = testimony === 'answered' || testimony === 'silent';
-    return { liveness, witness: isWitnessed && witness?.isOpen === true ? witness : null };
+    const isProven = pinnedAnswer === 'answered' || pinnedAnswer === 'silent';
+    return { liveness, pinned: isProven && pinned?.isOpen === true ? pinned : null };
   }
 
   #mayAsk(endpoint: RegisteredEndpoint): boolean {
--- a/packages/router/src/gateway/lifetimeWitness.ts
+++ b/packages/router/src/gateway/pinnedConnection.ts
@@ -21,13 +21,13 @@
  * What came of a question: an answer; nothing in time; nothing, since the connection is closed; or it
  * was not asked, since too many wait.
  */
-export type Testimony = 'answered' | 'silent' | 'closed' | 'busy';
+export type PinnedAnswer = 'answered' | 'silent' | 'closed' | 'busy';
 
 /**
  * A connection to one process of an endpoint, which is never opened again: as long as it answers, that
  * process lives, whatever is registered under the endpoint's id.
  */
-export class LifetimeWitness {
+export class PinnedConnection {
   readonly endpoint: RegisteredEndpoint;
 
   /** Epoch milliseconds. */
@@ -54,7 +54,7 @@
     const openSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
     let hasConnected = false;
     const connect: buildConnector.connector = (target, callback) => {
-      if (hasConnected) callback(new Error('a witness is connected once'), null);
+      if (hasConnected) callback(new Error('a pinned connection is opened once'), null);
       else openSocket(target, callback);
       hasConnected = true;
     };
@@ -77,17 +77,17 @@
   }
 
   /** Asks for the endpoint's health and waits for the answer; one that comes later counts as well. */
-  async ask(path: string, timeoutMs: number): Promise<Testimony> {
+  async ask(path: string, timeoutMs: number): Promise<PinnedAnswer> {
     if (!this.#isOpen) return 'closed';
     if (this.#waiting === MAX_WAITING) return 'busy';
     this.#keep();
     const timer = new SilenceTimer(this.#clock);
-    const timeout = new Promise<Testimony>((resolve) => {
+    const timeout = new Promise<PinnedAnswer>((resolve) => {
       timer.start(timeoutMs, () => resolve('silent'));
     });
-    const testimony = await Promise.race([this.#request(path), timeout]);
+    const pinnedAnswer = await Promise.race([this.#request(path), timeout]);
     timer.stop();
-    return testimony;
+    return pinnedAnswer;
   }
 
   /** Closes the connection. */
@@ -98,7 +98,7 @@
     void this.#client.destroy();
   }
 
-  async #request(path: string): Promise<Testimony> {
+  async #request(path: string): Promise<PinnedAnswer> {
     this.#waiting += 1;
     try {
       const options = { method: 'GET', path, responseHeaders: 'raw' } as const;
