--- a/packages/router/__tests__/gateway/earlyAnswers.spec.ts
+++ b/packages/router/__tests__/gateway/earlyAnswers.spec.ts
@@ -1,6 +1,6 @@
 // An endpoint answers a long upload at its head, without a length, and breaks off before it has taken the
 // upload: the part that has come must not look like the whole answer.
-import { describe, itSerial } from '@filbertlatch/core/testing';
+import { describe, itKnownRed, itSerial } from '@filbertlatch/core/testing';
 
 import { ANSWER_PART, playEarlyAnswer, type EarlyAnswer } from './earlyAnswer.js';
 
@@ -49,3 +49,11 @@
     });
   });
 });
+
+describe('an answer without length and chunks to an upload that fits into buffers', () => {
+  itKnownRed('is not complete when it ends, and is reset later', async (t) => {
+    const early: EarlyAnswer = { ...basis, end: 'end-then-reset' };
+    const { answer } = await playEarlyAnswer(early, '/plain/', 1_048_576, false);
+    t.false(answer?.status === 200 && answer.isComplete);
+  });
+});
