--- a/review/standins-3/runner.js
+++ b/review/standins-3/runner.js
@@ -25,14 +25,14 @@
 
   address = null;
 
+  service;
+
   #server = createServer({ keepAliveTimeout: IDLE_TIMEOUT_MS }, (request, response) => {
     void this.#handle(request, response);
   });
 
   #store;
 
-  #service;
-
   #slots;
 
   #answer;
@@ -48,7 +48,7 @@
   constructor(store, id, { service, slots, answer }) {
     this.id = id;
     this.#store = store;
-    this.#service = service;
+    this.service = service;
     this.#slots = slots;
     this.#answer = answer;
   }
@@ -86,7 +86,7 @@
   #beat() {
     this.#seq += 1;
     this.#store.put(`servers/${this.id}`, {
-      service: this.#service,
+      service: this.service,
       address: this.address,
       zone: 'hall',
       version: 'v1',
