--- a/review/standins-3/runner.js
+++ b/review/standins-3/runner.js
@@ -16,8 +16,8 @@
 }
 
 /**
- * Stand-in of one runner. `answer` is called with each request that it runs; what it has run is told to
- * `record`.
+ * Stand-in of one runner. `answer` is called with each request that it runs, once it has read it, or at
+ * its head if `isEarly` says so.
  */
 export class Runner {
   /** What it has run, in order. */
@@ -37,6 +37,8 @@
 
   #answer;
 
+  #isEarly;
+
   #born = Date.now();
 
   #seq = 0;
@@ -45,12 +47,13 @@
 
   #isLeaving = false;
 
-  constructor(store, id, { service, slots, answer }) {
+  constructor(store, id, { service, slots, answer, isEarly = () => false }) {
     this.id = id;
     this.#store = store;
     this.service = service;
     this.#slots = slots;
     this.#answer = answer;
+    this.#isEarly = isEarly;
   }
 
   /** Listens, and registers itself from now on. */
@@ -99,7 +102,8 @@
   }
 
   async #handle(request, response) {
-    const body = await readBody(request);
+    const isEarly = this.#isEarly(request);
+    const body = isEarly ? null : await readBody(request);
     const { 'attempt-id': attemptId, 'expect-instance': expected } = request.headers;
     const leaving = this.#isLeaving ? { 'Server-Leaving': '1' } : {};
     if (request.method === 'GET' && request.url === '/health') {
@@ -118,6 +122,6 @@
       run.isAnswered = true;
       run.answeredAt = Date.now();
     });
-    await this.#answer(request, response, { runner: this, attemptId, body });
+    await this.#answer(request, response, { runner: this, attemptId, body, isEarly });
   }
 }
