--- a/review/standins-3/runCase.js
+++ b/review/standins-3/runCase.js
@@ -47,6 +47,11 @@
     // eslint-disable-next-line n/no-process-exit -- `play` hangs
     void deployment.stop().finally(() => process.exit(NOT_RUN));
   }, MAX_CASE_MS);
+  process.on('uncaughtException', (error) => {
+    record.write(`the case could not run: ${error.stack}`);
+    // eslint-disable-next-line n/no-process-exit -- its state is unknown
+    void deployment.stop().finally(() => process.exit(NOT_RUN));
+  });
   let exitCode = NOT_RUN;
   try {
     record.write(`disruption: ${isTroubled ? 'yes' : 'no'}`);
