--- a/packages/router/src/gateway/endProof.ts
+++ b/packages/router/src/gateway/endProof.ts
@@ -20,7 +20,9 @@
 
   readonly #log: GatewayLog;
 
-  #continuity = new AnswerContinuity(now());
+  #sentAt = now();
+
+  #continuity = new AnswerContinuity(this.#sentAt);
 
   /** True when only the end of the connection delimits the answer. */
   #isUnframed = false;
@@ -41,7 +43,8 @@
 
   /** Records that the request is sent. */
   recordSend(): void {
-    this.#continuity = new AnswerContinuity(now());
+    this.#sentAt = now();
+    this.#continuity = new AnswerContinuity(this.#sentAt);
     this.#adoptPinned();
   }
 
@@ -66,13 +69,24 @@
     const isSameProcess =
       (pinned !== null && pinned === this.#pinned) || this.#continuity.holdsAt(now());
     if (isSameProcess) return liveness;
+    this.#logUnproven(liveness);
+    return 'unknown';
+  }
+
+  /** Logs what was known of the process; the times of the pinned connection count from the send. */
+  #logUnproven(liveness: Liveness): void {
+    const latest = this.#liveness.findPinned(this.#endpoint);
+    const sinceSentMs = (at: number | null) => (at === null ? null : Math.round(at - this.#sentAt));
     this.#log.decision('endpoint_end_unproven', {
       endpointId: this.#endpoint.id,
       liveness,
       hasPinned: this.#pinned !== null,
+      isPinnedOpen: this.#pinned?.isOpen ?? null,
+      latestOpenedMs: sinceSentMs(latest?.openedAt ?? null),
+      latestAnsweredMs: sinceSentMs(latest?.answeredAt ?? null),
+      sinceSentMs: sinceSentMs(now()),
       silentMs: Math.round(this.silentMs),
     });
-    return 'unknown';
   }
 
   /** What answers on the pinned connection at a time at which the answer's process lives is that process. */
