gateway: prove late answers by a connection that is pinned before they begin

Cause: the connection that shows which process gave an answer was opened at its head, after the silence in which another process could have begun. Two more: it idled out before the end, and beyond eight questions that wait at a full endpoint none was asked, so that the end was not shown.

Why this works: from 200 ms after the send on, a request without an answer uses a pinned connection, which answers within the 500 ms in which no other process can have begun, and is asked again before it idles out. At a full endpoint, which answers the check late, bytes on other connections show that the link passes.

--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -192,6 +192,9 @@
   close(): void;
 }
 
+/** Time after which an endpoint closes an idle connection. */
+const DEFAULT_IDLE_MS = 5000;
+
 /** Starts an endpoint; health checks succeed unless the test answers them, and are not recorded. */
 export async function startEndpoint(
   id: string,
@@ -200,9 +203,10 @@
     response.setHeader('x-instance', id);
     response.end();
   },
+  keepAliveTimeout = DEFAULT_IDLE_MS,
 ): Promise<TestEndpoint> {
   const requests: IncomingMessage[] = [];
-  const server = createServer((request, response) => {
+  const server = createServer({ keepAliveTimeout }, (request, response) => {
     if (request.url === '/health') {
       answerHealth(request, response);
       return;
--- a/packages/router/__tests__/gateway/rebornEndpoints.spec.ts
+++ b/packages/router/__tests__/gateway/rebornEndpoints.spec.ts
@@ -14,6 +14,7 @@
   isStoreAway: false,
   silentMs: 900,
   silence: 'within',
+  headMs: 0,
   isFull: false,
   isByPeer: false,
   isKnown: true,
@@ -25,6 +26,13 @@
   'behind a cut while the store is away': { isStoreAway: true },
   'behind a cut, and is full': { isFull: true },
   'behind a cut from a peer': { isByPeer: true },
+  'behind a cut that holds the head, too': { headMs: 110 },
+  'behind a cut that holds the head, and is the first to answer so': {
+    headMs: 110,
+    isKnown: false,
+  },
+  'behind a cut that holds the head, and is full': { headMs: 110, isFull: true, isKnown: false },
+  'behind a cut from a peer that holds the head': { headMs: 110, isByPeer: true },
 };
 
 describe('an answer without length and chunks whose endpoint restarts under its id', () => {
@@ -46,6 +54,7 @@
   'within its answer while it is full': { isFull: true },
   'before the end of its answer': { silence: 'last' },
   'before its answer': { silence: 'before' },
+  'before its answer, when it is the first to answer so': { silence: 'before', isKnown: false },
   'within its answer to a peer': { isByPeer: true },
 };
 
--- a/packages/router/__tests__/gateway/rebornFleet.ts
+++ b/packages/router/__tests__/gateway/rebornFleet.ts
@@ -19,6 +19,8 @@
   readonly silentMs: number;
   /** Whether the silence comes before the answer begins, in its middle, or before its end. */
   readonly silence: 'before' | 'within' | 'last';
+  /** Time from the request to the head of its answer, in milliseconds. */
+  readonly headMs: number;
   /** Whether the endpoint is full: a health check waits until it has no request. */
   readonly isFull: boolean;
   /** Whether the caller's VM sends the request by way of another one. */
@@ -102,12 +104,14 @@
   }
 
   async #run(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { silence, silentMs, restarts } = this.#scenario;
+    const { headMs, silence, silentMs, restarts } = this.#scenario;
     const isFirst = request.headers['x-request'] === 'first';
     const pauseMs = isFirst || restarts ? 0 : silentMs;
     const lifetime = this.#lifetime;
     this.#running += 1;
     if (silence === 'before') await sleep(pauseMs);
+    if (!isFirst) await sleep(headMs);
+    if (this.#lifetime !== lifetime || response.destroyed) return;
     await sendUnframedAnswer(request, response, {
       gapMs: PART_GAP_MS,
       isOver: () => this.#lifetime !== lifetime,
--- a/packages/router/src/gateway/checkClient.ts
+++ b/packages/router/src/gateway/checkClient.ts
@@ -13,7 +13,10 @@
 export function createCheckClient(
   address: string,
   connect: buildConnector.connector,
-  options: Pick<Client.Options, 'keepAliveTimeout' | 'pipelining'> = {},
+  options: Pick<
+    Client.Options,
+    'keepAliveTimeout' | 'keepAliveTimeoutThreshold' | 'pipelining'
+  > = {},
 ): GuardedClient {
   return createBoundedClient(`http://${address}`, {
     ...options,
--- a/packages/router/src/gateway/endProof.ts
+++ b/packages/router/src/gateway/endProof.ts
@@ -6,6 +6,15 @@
 import type { PinnedConnection } from './pinnedConnection.js';
 import type { Liveness, LivenessTask } from './livenessTask.js';
 
+/**
+ * Time after the send from which a request without an answer uses a pinned connection, in milliseconds.
+ * The connection has to answer before another process could have taken the place of the one that was asked.
+ */
+const PIN_AFTER_MS = 200;
+
+/** Interval at which an unfinished answer uses its pinned connection, in milliseconds. */
+const USE_INTERVAL_MS = 250;
+
 /** What a check shows of an endpoint that lives. */
 const LIVING: ReadonlySet<Liveness> = new Set<Liveness>(['alive', 'open']);
 
@@ -27,6 +36,8 @@
   /** True when only the end of the connection delimits the answer. */
   #isUnframed = false;
 
+  #timer: NodeJS.Timeout | null = null;
+
   /** A connection to the process that gives the answer; null while none is known. */
   #pinned: PinnedConnection | null = null;
 
@@ -46,19 +57,37 @@
     this.#sentAt = now();
     this.#continuity = new AnswerContinuity(this.#sentAt);
     this.#adoptPinned();
+    this.stop();
+    this.#usePinnedAfter(PIN_AFTER_MS);
+  }
+
+  /** Records that the head of the answer was read; `isUnframed` says whether only its connection will tell its end. */
+  recordHead(isUnframed: boolean): void {
+    this.#isUnframed = isUnframed;
+    if (!isUnframed) this.stop();
+    this.recordBytes();
   }
 
   /** Records that bytes of the answer were read. */
   recordBytes(): void {
+    // Before they end a silence: the connection may have answered within it.
     if (this.#isUnframed) this.#adoptPinned();
     this.#continuity.recordBytes(now());
     if (this.#isUnframed && this.#pinned?.isOpen !== true) this.#liveness.pin(this.#endpoint);
   }
 
-  /** Has the endpoint watched until the answer ends, which only its connection will tell. */
-  expectUnframedEnd(): void {
-    this.#isUnframed = true;
-    this.#liveness.pin(this.#endpoint);
+  /** Stops using the pinned connection; the answer has ended, or its end needs no proof. */
+  stop(): void {
+    if (this.#timer !== null) clearTimeout(this.#timer);
+    this.#timer = null;
+  }
+
+  #usePinnedAfter(delayMs: number): void {
+    this.#timer = setTimeout(() => {
+      this.#adoptPinned();
+      this.#liveness.pin(this.#endpoint);
+      this.#usePinnedAfter(USE_INTERVAL_MS);
+    }, delayMs).unref();
   }
 
   /** Finds out whether the endpoint has outlived the answer, which has ended; never rejects. */
@@ -93,8 +122,10 @@
   #adoptPinned(): void {
     if (this.#pinned?.isOpen === true) return;
     const pinned = this.#liveness.findPinned(this.#endpoint);
-    if (pinned?.answeredAt == null) return;
-    const at = Math.max(pinned.answeredAt, this.#continuity.heardAt);
+    if (pinned === null) return;
+    const reachedAt = this.#liveness.reachedAt(pinned);
+    if (reachedAt === null) return;
+    const at = Math.max(reachedAt, this.#continuity.heardAt);
     if (this.#continuity.holdsAt(at)) this.#pinned = pinned;
   }
 }
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -270,9 +270,9 @@
   #handleHead(status: number, headers: string[], isFirst: boolean): void {
     const { contacts, dialect } = this.#context;
     this.#heardAt = now();
-    this.#endProof.recordBytes();
     contacts.recordRoundTrip(this.times.startedAt ?? this.sentAt);
     this.#rawHead = { status, headers };
+    this.#endProof.recordHead(this.#needsEndProof());
     const metadata = dialect.parseAnswer(status, headers);
     this.#metadata = metadata;
     const expected = { isResumed: this.#resumedEvents !== null, isFirst };
@@ -281,7 +281,6 @@
     else if (this.#isTooLong()) this.#reject('answer exceeds the size limit');
     else {
       this.#recordTerms(status, metadata);
-      if (this.#needsEndProof()) this.#endProof.expectUnframedEnd();
       if (metadata.isNotRun && metadata.requestId === null) {
         // Closes the connection, on which this refusal could come once more.
         this.#request.cancel();
@@ -503,6 +502,7 @@
 
   #end(outcome: string): void {
     this.#isSettled = true;
+    this.#endProof.stop();
     this.#body.release();
     recordEnd(this.#context.state.scheduling, this.#work);
     const isAnswered = ANSWERED_OUTCOMES.has(outcome);
--- a/packages/router/src/gateway/livenessTask.ts
+++ b/packages/router/src/gateway/livenessTask.ts
@@ -37,6 +37,9 @@
 /** Shortest time between the openings of two pinned connections of an endpoint, in milliseconds. */
 const REOPEN_MS = 1000;
 
+/** Time in which bytes arrive that an endpoint sent before a link was cut, in milliseconds. */
+const IN_FLIGHT_MS = 100;
+
 function isOfLifetime(
   { endpoint }: PinnedConnection,
   { address, startedAt }: RegisteredEndpoint,
@@ -87,11 +90,20 @@
     this.#log = log;
   }
 
-  /** Pins a connection to the process of an endpoint, unless there is one or one was opened just now. */
+  /**
+   * Pins a connection to the process of an endpoint, unless one was opened just now. One that is open is
+   * kept from being closed as idle.
+   */
   pin(endpoint: RegisteredEndpoint): void {
+    const current = this.findPinned(endpoint);
+    if (current !== null) {
+      current.keep();
+      if (current.isIdleForLong && this.#mayAsk(endpoint)) void this.#ask(current);
+      return;
+    }
     const known = this.#pinned.get(endpoint.id);
     if (known !== undefined && now() - known.openedAt < REOPEN_MS) return;
-    if (this.findPinned(endpoint) !== null || !this.#mayAsk(endpoint)) return;
+    if (!this.#mayAsk(endpoint)) return;
     known?.close();
     const pinned = new PinnedConnection(endpoint, this.#dialect, this.#loopDelay);
     this.#pinned.set(endpoint.id, pinned);
@@ -104,6 +116,16 @@
     return pinned?.isOpen === true && isOfLifetime(pinned, endpoint) ? pinned : null;
   }
 
+  /**
+   * Returns a time at which the process behind a pinned connection lived: it has answered there, or, since a
+   * full one answers late, the endpoint was heard elsewhere after the connection had opened. Null if none is known.
+   */
+  reachedAt({ answeredAt, connectedAt, endpoint }: PinnedConnection): number | null {
+    if (answeredAt !== null || connectedAt === null) return answeredAt;
+    const aliveAt = this.#connections.lastAliveAt(endpoint.id);
+    return aliveAt >= connectedAt + IN_FLIGHT_MS ? aliveAt : null;
+  }
+
   /** Closes the pinned connections of endpoints that are gone, and forgets those that were closed. */
   closePinned(isRegistered: (endpointId: string) => boolean): void {
     this.#pinned.forEach((pinned, id) => {
