gateway: log when an upload was written before the end of its answer

Callers of review/15 get 400 of 800 bytes as a whole answer. The log did not say whether the upload had been taken when the answer ended; unframed_answer_ended has writtenMs. No logic changes.

--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -401,6 +401,7 @@
   /** Logs an end that only the connection tells: an endpoint that crashes closes it too. */
   #logUnframedEnd(): void {
     const { log, metrics } = this.#context;
+    const { writtenAt } = this.times;
     const isStream = this.#isStream();
     metrics.countUnframedEnd(isStream ? 'stream' : 'body');
     log.decision('unframed_answer_ended', {
@@ -410,6 +411,7 @@
       isInsideEvent:
         isStream && this.#stream.isBrokenOff(this.#rawHead.headers, this.#resumedEvents !== null),
       sinceSentMs: Math.round(now() - this.sentAt),
+      writtenMs: writtenAt === null ? null : Math.round(writtenAt - this.sentAt),
       silentMs: Math.round(this.#endProof.silentMs),
     });
   }
