gateway: wait for the reset of a long upload before its unframed answer counts as whole

Cause: the client closes its socket at the end (FIN), and the reset that the endpoint's close brings is never seen. That the operating system has taken the upload says nothing of what the endpoint has read.

Evidence: unframed_answer_ended has writtenMs: uploads were written 1 to 6 ms before the end, the reset came 23 ms or more after it. A trial: a half-open socket shows the reset 30 and 300 ms after the end, and none if the upload was read. earlyAnswers.spec: the 48 new cases (resets after 5 to 300 ms, 70,000 bytes to 1 MiB, all kinds of route, direct and by way of a peer) failed before.

Why this works: a connection whose request has more than one read takes stays half open for 400 ms, and a reset that has come by then fails the answer as any reset does. The check of the endpoint runs meanwhile. At the deadline, and now at the end of a drain too, what is known counts.

Controls: 124 cases with endpoints that read 100 bytes to 4 MiB and answer at once or after 30 ms are whole before and after, and with a deadline that ends the wait.

--- a/packages/router/__tests__/gateway/earlyAnswer.ts
+++ b/packages/router/__tests__/gateway/earlyAnswer.ts
@@ -16,12 +16,13 @@
   readonly status: string;
   /** Bytes of the request that it reads after its head; the rest stays unread. */
   readonly readsBytes: number;
-  /** What ends the answer, after `holdMs`: a reset, or an end that a reset follows 30 ms later. */
-  readonly end: 'reset' | 'end' | 'end-then-reset';
+  /** What ends the answer, after `holdMs`: a reset, an end, a close, or an end that a reset follows. */
+  readonly end: 'reset' | 'end' | 'close' | 'end-then-reset';
   readonly holdMs: number;
+  /** Time from an end to the reset that follows it, in milliseconds; 30 unless set. */
+  readonly resetAfterMs?: number;
 }
 
-const RESET_AFTER_END_MS = 30;
 const MAX_BODY_BYTES = 8_388_608;
 
 /** The part of an answer that arrives. */
@@ -103,7 +104,7 @@
 
   async #run(socket: Socket, head: string, bytesBefore: number): Promise<void> {
     this.runs += 1;
-    const { status, readsBytes, end, holdMs } = this.#answer;
+    const { status, readsBytes, end, holdMs, resetAfterMs = 30 } = this.#answer;
     const id = /^x-request: (.*)$/im.exec(head)?.[1];
     const type = /^POST \/(stream|resumed)/.test(head) ? 'text/event-stream' : 'text/plain';
     socket.write(
@@ -112,8 +113,9 @@
     await readBytes(socket, readsBytes - bytesBefore);
     await sleep(holdMs);
     if (end !== 'reset') socket.end();
-    if (end === 'end-then-reset') await sleep(RESET_AFTER_END_MS);
-    if (end !== 'end') socket.resetAndDestroy();
+    if (end === 'end-then-reset') await sleep(resetAfterMs);
+    if (end === 'close') socket.destroySoon();
+    else if (end !== 'end') socket.resetAndDestroy();
   }
 }
 
@@ -129,6 +131,7 @@
   path: string,
   bodyBytes: number,
   isByPeer: boolean,
+  deadlineMs = 3000,
 ): Promise<EarlyOutcome> {
   const store = new ChangingStore(configuration);
   const endpoint = new EarlyEndpoint(early);
@@ -149,7 +152,7 @@
     endpoint.runs = 0;
     const body = 'x'.repeat(bodyBytes);
     const headers = {
-      ...{ 'x-request': 'upload', 'x-remaining': '3000' },
+      ...{ 'x-request': 'upload', 'x-remaining': String(deadlineMs) },
       'content-length': String(bodyBytes),
     };
     const answer = await call(vm!.callers, path, { method: 'POST', headers, body }).catch(
--- a/packages/router/__tests__/gateway/earlyAnswers.spec.ts
+++ b/packages/router/__tests__/gateway/earlyAnswers.spec.ts
@@ -1,13 +1,16 @@
 // An endpoint answers a long upload at its head, without a length, and breaks off before it has taken the
 // upload: the part that has come must not look like the whole answer.
-import { describe, itKnownRed, itSerial } from '@filbertlatch/core/testing';
+import { describe, itSerial } from '@filbertlatch/core/testing';
 
 import { ANSWER_PART, playEarlyAnswer, type EarlyAnswer } from './earlyAnswer.js';
 
 const PATHS = ['/plain/', '/safe/', '/stream/', '/resumed/'];
 const UPLOAD_BYTES = 4_194_304;
 
-const basis: EarlyAnswer = { status: '200 OK', readsBytes: 0, end: 'reset', holdMs: 0 };
+const basis: EarlyAnswer = {
+  ...{ status: '200 OK', readsBytes: 0, end: 'reset', holdMs: 0 },
+  resetAfterMs: 30,
+};
 
 const ends: Readonly<Record<string, Partial<EarlyAnswer>>> = {
   'is reset at once': {},
@@ -51,9 +54,60 @@
 });
 
 describe('an answer without length and chunks to an upload that fits into buffers', () => {
-  itKnownRed('is not complete when it ends, and is reset later', async (t) => {
-    const early: EarlyAnswer = { ...basis, end: 'end-then-reset' };
-    const { answer } = await playEarlyAnswer(early, '/plain/', 1_048_576, false);
-    t.false(answer?.status === 200 && answer.isComplete);
+  const resets: readonly (readonly [bodyBytes: number, resetAfterMs: number])[] = [
+    [70_000, 30],
+    [300_000, 5],
+    [300_000, 30],
+    [300_000, 100],
+    [300_000, 300],
+    [1_048_576, 30],
+  ];
+  [false, true].forEach((isByPeer) => {
+    const way = isByPeer ? ', by way of a peer' : '';
+    resets.forEach(([bodyBytes, resetAfterMs]) => {
+      PATHS.forEach((path) => {
+        const title = `is not complete when a reset follows ${resetAfterMs} ms after its end`;
+        itSerial(`${title}${way}: ${bodyBytes} bytes, ${path}`, async (t) => {
+          const early: EarlyAnswer = { ...basis, end: 'end-then-reset', resetAfterMs };
+          const { answer, runs } = await playEarlyAnswer(early, path, bodyBytes, isByPeer);
+          t.false(answer?.status === 200 && answer.isComplete);
+          if (path === '/plain/' || path === '/stream/') t.true(runs <= 1);
+        });
+      });
+    });
+  });
+});
+
+describe('an answer without length and chunks of an endpoint that has read the upload', () => {
+  const reads: Readonly<Record<string, Partial<EarlyAnswer>>> = {
+    'ends at once': { end: 'end' },
+    'is closed at once': { end: 'close' },
+    'ends later': { end: 'end', holdMs: 30 },
+  };
+  [false, true].forEach((isByPeer) => {
+    const way = isByPeer ? ', by way of a peer' : '';
+    Object.entries(reads).forEach(([title, changes]) => {
+      [100, 70_000, 300_000, 1_048_576, 4_194_304].forEach((bodyBytes) => {
+        PATHS.forEach((path) => {
+          itSerial(`is whole when it ${title}${way}: ${bodyBytes} bytes, ${path}`, async (t) => {
+            const early = { ...basis, ...changes, readsBytes: bodyBytes };
+            const { answer } = await playEarlyAnswer(early, path, bodyBytes, isByPeer);
+            t.is(answer?.status, 200);
+            t.true(answer?.isComplete);
+            t.is(answer?.body, ANSWER_PART);
+          });
+        });
+      });
+    });
+  });
+
+  PATHS.forEach((path) => {
+    itSerial(`is whole when its deadline ends the wait for a reset: ${path}`, async (t) => {
+      const early: EarlyAnswer = { ...basis, end: 'end', readsBytes: 300_000 };
+      const { answer } = await playEarlyAnswer(early, path, 300_000, false, 300);
+      t.is(answer?.status, 200);
+      t.true(answer?.isComplete);
+      t.is(answer?.body, ANSWER_PART);
+    });
   });
 });
--- a/packages/router/src/gateway/endpointAttempt.ts
+++ b/packages/router/src/gateway/endpointAttempt.ts
@@ -112,9 +112,14 @@
 
   readonly #endProof: EndProof;
 
-  /** True while the end of the answer waits for a check of the endpoint. */
+  /** True while the end of the answer waits for a check of the endpoint, or for a reset that may follow. */
   #isEnding = false;
 
+  #endCheck: Promise<Liveness> | null = null;
+
+  /** What the check of the end has shown; null before. */
+  #checkedLiveness: Liveness | null = null;
+
   constructor(
     context: GatewayContext,
     admitted: AdmittedRequest,
@@ -153,6 +158,7 @@
         },
         head: (status, headers, isFirst) => this.#handleHead(status, headers, isFirst),
         body: (chunk) => this.#handleBody(chunk),
+        ending: () => this.#handleEnding(),
         end: () => this.#handleEnd(),
         fail: (failure) => this.#fail(failure),
       },
@@ -214,9 +220,14 @@
     return isFramed(this.#rawHead.headers) || this.#liveness === 'alive';
   }
 
-  /** Gives up an answer whose endpoint is being checked, when there is no time left for the check. */
+  /** Ends an answer whose end is being checked by what is known, when there is no time left. */
   endUnchecked(): void {
-    if (this.#isEnding) this.#handleCheckedEnd('unknown');
+    if (!this.#isEnding) return;
+    if (!this.#request.isOver) {
+      this.#request.cancel();
+      this.#handleEnd();
+    }
+    this.#handleCheckedEnd(this.#checkedLiveness ?? 'unknown');
   }
 
   /** Sends the request. */
@@ -346,6 +357,22 @@
     recordFirstEvent(this.#context.state.scheduling, this.#work, now());
   }
 
+  /** Checks the endpoint at once, though a reset may still follow: later another process may have its port. */
+  #handleEnding(): void {
+    if (this.#isSettled) return;
+    this.#isEnding = true;
+    if (this.#needsEndProof()) void this.#checkEnd();
+  }
+
+  #checkEnd(): Promise<Liveness> {
+    this.#isEnding = true;
+    this.#endCheck ??= this.#endProof.check().then((liveness) => {
+      this.#checkedLiveness = liveness;
+      return liveness;
+    });
+    return this.#endCheck;
+  }
+
   #handleEnd(): void {
     if (this.#isSettled) return;
     const { headers } = this.#rawHead;
@@ -365,8 +392,7 @@
       const message = 'connection ended before the request was taken';
       this.#fail({ verdict: 'may-have-run', cause: 'broken', message });
     } else {
-      this.#isEnding = true;
-      void this.#endProof.check().then((liveness) => this.#handleCheckedEnd(liveness));
+      void this.#checkEnd().then((liveness) => this.#handleCheckedEnd(liveness));
     }
   }
 
--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -5,6 +5,7 @@
 import type { HeldBody } from '../memory/index.js';
 import type { EndpointConnections } from './endpointConnections.js';
 import { EndlessAnswerError, type GuardedClient, type GuardedHandler } from './guardedClient.js';
+import { isFramed } from './headers.js';
 import { isConnectionReset } from './isConnectionReset.js';
 import type { LoopDelay } from './loopDelay.js';
 import { createSendTimes, type SendTimes } from './sendTimes.js';
@@ -12,6 +13,15 @@
 /** Age of formatted headers, which name the time left, above which they are formatted anew. */
 const MAX_HEADER_AGE_MS = 200;
 
+/** Bytes of a body that an endpoint may read together with the head; it may leave more than these unread. */
+const MAX_READ_BYTES = 65_536;
+
+/**
+ * Time after the end of an answer in which an endpoint that has not read its request closes its socket,
+ * which resets the connection; in milliseconds.
+ */
+const RESET_WATCH_MS = 400;
+
 const PROCESSING_STATUS = 102;
 const FIRST_ANSWER_STATUS = 200;
 
@@ -47,6 +57,8 @@
   head(status: number, headers: string[], isFirst: boolean): void;
   /** Returns false to pause reading until `EndpointRequest.resume`. */
   body(chunk: Buffer): boolean;
+  /** The connection has ended; the answer ends later, since a reset may follow. */
+  ending?(): void;
   end(): void;
   fail(failure: AttemptFailure): void;
 }
@@ -95,6 +107,8 @@
 
   #isWithheld = false;
 
+  #resetWatch: NodeJS.Timeout | null = null;
+
   constructor(
     connections: EndpointConnections,
     loopDelay: LoopDelay,
@@ -120,6 +134,11 @@
     return this.#times.writtenAt !== null;
   }
 
+  /** True when it has ended or was cancelled. */
+  get isOver(): boolean {
+    return this.#isOver;
+  }
+
   /** Sends the request, once a connection is free and this process is on time. */
   start(outgoing: OutgoingRequest): void {
     if (this.#held === null && outgoing.held != null && !this.#isOver && !this.#mayHaveSent) {
@@ -134,7 +153,9 @@
     const { method, path, formatHeaders, body } = outgoing;
     const formattedAt = now();
     const options = { method, path, headers: formatHeaders(), body };
+    const isLong = body !== null && body.length > MAX_READ_BYTES;
     let isFirst = false;
+    let isUnframed = false;
     let freeClient: GuardedClient | null = null;
     const handler: GuardedHandler = {
       onConnection: (isNew, client) => {
@@ -157,7 +178,9 @@
         if (status === PROCESSING_STATUS && !this.#isOver) this.#observer.processing?.();
         if (status < FIRST_ANSWER_STATUS) return true;
         this.#times.answeredAt ??= now();
-        this.#observer.head(status, decodeHeaders(rawHeaders), isFirst);
+        const decodedHeaders = decodeHeaders(rawHeaders);
+        isUnframed = !isFramed(decodedHeaders);
+        this.#observer.head(status, decodedHeaders, isFirst);
         return true;
       },
       onData: (chunk) => {
@@ -168,6 +191,7 @@
         this.#loopDelay.addWork(now() - startedAt);
         return isRead;
       },
+      onHalfClose: (release) => isLong && isUnframed && this.#watchReset(release),
       onComplete: () => this.#complete(),
       onError: (error) => {
         if (error instanceof UnsentError) {
@@ -178,6 +202,17 @@
     dispatcher.dispatch(options, handler);
   }
 
+  /**
+   * Keeps a connection that has ended for a time: an endpoint that closes its socket with unread bytes resets
+   * it. Returns false if the answer ends at once, since the end is no complete one or nobody waits.
+   */
+  #watchReset(release: () => void): boolean {
+    if (this.#isOver || !this.isWritten) return false;
+    this.#resetWatch = setTimeout(release, RESET_WATCH_MS);
+    this.#observer.ending?.();
+    return true;
+  }
+
   /** Records when the first byte leaves, and the last: a link that is slow or cut takes no more. */
   #recordSend(client: GuardedClient | null): void {
     this.#times.startedAt = now();
@@ -228,6 +263,7 @@
 
   #end(): void {
     this.#isOver = true;
+    if (this.#resetWatch !== null) clearTimeout(this.#resetWatch);
     if (this.#mayHaveSent && this.#times.writtenAt === null) this.#held?.releaseUnwritten();
     else this.#held?.release();
     this.#held = null;
--- a/packages/router/src/gateway/exchange.ts
+++ b/packages/router/src/gateway/exchange.ts
@@ -147,7 +147,7 @@
     this.#stopWatching = this.#context.callers.onLeave(this.#request.socket, handleCallerLeft);
     const { loopDelay, state } = this.#context;
     // An answer may wait to be read.
-    const handleDeadline = () => loopDelay.afterPoll(() => this.#handleDeadline());
+    const handleDeadline = () => loopDelay.afterPoll(() => this.#endUnfinished('timed_out'));
     this.#deadlineTimer = setTimeout(handleDeadline, Math.max(0, deadlineAt - now()));
     // The VM that carries the request credits it.
     if (this.#peers.choose() === undefined) creditRequest(state.retryBudget, job.serviceId, now());
@@ -544,13 +544,9 @@
     this.#finish(reason);
   }
 
-  #handleDeadline(): void {
-    this.#pair.open.forEach((attempt) => attempt.endUnchecked?.());
-    this.#endUnfinished('timed_out');
-  }
-
   /** Ends a request that gets no answer of an endpoint any more. */
   #endUnfinished(reason: 'timed_out' | 'leaving'): void {
+    this.#pair.open.forEach((attempt) => attempt.endUnchecked?.());
     if (this.#isFinished) return;
     this.#mayHaveRun ||= this.#pair.current?.mayHaveSent === true;
     this.#pair.open.forEach((attempt) => {
--- a/packages/router/src/gateway/guardedClient.ts
+++ b/packages/router/src/gateway/guardedClient.ts
@@ -14,10 +14,15 @@
 /** Above what the guard accepts, so that the parser does not report each further header. */
 const MAX_PARSED_HEAD_BYTES = 1_048_576;
 
-/** A handler that is told on which connection its request is sent. */
+/** A handler that is told on which connection its request is sent, and when the other end closes its side. */
 export interface GuardedHandler extends Dispatcher.DispatchHandler {
   /** `isNew` is true for the first request on the connection, which `client` owns. */
   onConnection?(isNew: boolean, client: GuardedClient): void;
+  /**
+   * The other end has closed its side within an answer. Returns true to keep the connection half open and
+   * have the answer end when `release` is called.
+   */
+  onHalfClose?(release: () => void): boolean;
 }
 
 /**
@@ -63,6 +68,9 @@
   /** Resumes the paused answer; null while none is paused. */
   #resume: (() => void) | null = null;
 
+  /** Handler of the answer that is being read; null without one. */
+  #answering: GuardedHandler | null = null;
+
   constructor(maxFrameFactor: number) {
     this.#maxFrameFactor = maxFrameFactor;
   }
@@ -77,6 +85,24 @@
     // The parser throws at the end of a connection while it is paused; there is nothing to hold back.
     socket.prependListener('end', () => this.#resume?.());
     socket.prependListener('error', hideReset);
+    this.#interceptEnd(socket);
+  }
+
+  /** Lets the handler hold back the end of its answer, at which the client would destroy the socket. */
+  #interceptEnd(socket: Socket): void {
+    const emit = socket.emit.bind(socket) as (...event: unknown[]) => boolean;
+    const release = () => {
+      if (!socket.destroyed) emit('end');
+    };
+    const intercept = (...event: unknown[]) => {
+      if (event[0] !== 'end' || this.#answering?.onHalfClose?.(release) !== true) {
+        return emit(...event);
+      }
+      // Otherwise the runtime closes this side, too.
+      Object.assign(socket, { allowHalfOpen: true });
+      return true;
+    };
+    Object.assign(socket, { emit: intercept });
   }
 
   /** Returns a handler that also counts the bytes of the body and knows when it is paused. */
@@ -86,6 +112,7 @@
     return {
       ...handler,
       onHeaders: (status, headers, resumeParser, statusText) => {
+        this.#answering = handler;
         resume = () => {
           // The connection may have another answer by now.
           if (isOver) return;
@@ -111,10 +138,12 @@
       },
       onComplete: (trailers) => {
         isOver = true;
+        this.#answering = null;
         handler.onComplete?.(trailers);
       },
       onError: (error) => {
         isOver = true;
+        this.#answering = null;
         handler.onError?.(error);
       },
     };
