--- a/packages/router/src/gateway/endpointAdoption.ts
+++ b/packages/router/src/gateway/endpointAdoption.ts
@@ -79,7 +79,9 @@
       const wasTakingRequests = isTakingRequests(directory, entry.id);
       const isRemoved = entry.text === null;
       const change = { id: entry.id, endpoint: this.#decode(entry), isRemoved };
+      const hadLapsed = directory.lapsed.has(entry.id);
       if (applyEntryChange(directory, change, now())) this.#resetRestarted([entry.id]);
+      if (!hadLapsed) this.#reportLapse(entry.id, position);
       const after = directory.endpoints.get(entry.id)?.state ?? 'gone';
       if (before !== after) {
         const { revision } = position;
@@ -126,9 +128,13 @@
     const isFirst = directory.revision < 0;
     const known = new Set(directory.endpoints.keys());
     const before = [...known].filter((id) => isTakingRequests(directory, id));
+    const lapsedBefore = new Set(directory.lapsed.keys());
     this.#resetRestarted(
       replaceEntries(directory, endpoints, position, now(), source, unreadableIds),
     );
+    known.forEach((id) => {
+      if (!lapsedBefore.has(id)) this.#reportLapse(id, position);
+    });
     before.forEach((id) => {
       if (!directory.endpoints.has(id)) this.#crashes.recordEndpointEnd(id, 'removed');
     });
@@ -136,6 +142,12 @@
     if (isFirst) this.#notifyFirstRead?.(position.revision);
   }
 
+  /** Reports an endpoint that stays in use without an entry: it may write it again. */
+  #reportLapse(endpointId: string, { revision }: StorePosition): void {
+    if (!this.#state.directory.lapsed.has(endpointId)) return;
+    this.#log.change('endpoint_lapsed', { endpointId, revision });
+  }
+
   #logRegistered(known: ReadonlySet<string>): void {
     const { directory } = this.#state;
     directory.endpoints.forEach((endpoint, endpointId) => {
