gateway: ask the store on another connection before it counts as lost

Cause: a watch that gets no answer marked the store as lost, though it was the connection that had failed. The removal came with the next answer, on a new connection, within 2 s of the store's "return", and counted as an entry that had lapsed in an outage: the endpoint stayed in use.

Why this works: after 2.7 s of silence, or when a watch is cut, the same changes are read on a connection of its own. If it brings them, they are read as they are; if not, the watch runs to its time-out, and the store is lost as before.

--- a/packages/router/__tests__/gateway/changingStore.ts
+++ b/packages/router/__tests__/gateway/changingStore.ts
@@ -114,7 +114,8 @@
   createSource(): PublicationSource {
     return {
       read: (part) => Promise.resolve(this.#readAll(part)),
-      watch: (part, after, signal) => this.#watch(part, after, signal),
+      watch: (part, after, signal) => this.#watch(part, after, true, signal),
+      readChanges: (part, after, signal) => this.#watch(part, after, false, signal),
       decodeConfiguration: () => this.#configuration,
       decodeEndpoint: (_id, text) => JSON.parse(text) as RegisteredEndpoint,
     };
@@ -136,19 +137,19 @@
   async #watch(
     part: PublicationPart,
     after: number,
+    waits: boolean,
     signal: AbortSignal,
   ): Promise<PublicationBatch> {
     if (part === 'configuration') {
-      while (this.#isSilent || this.#configurationRevision <= after) {
+      while (this.#isSilent || (waits && this.#configurationRevision <= after)) {
         await this.#waitForChange(signal);
       }
-      return this.#readAll(part);
+      return this.#configurationRevision <= after ? this.#createBatch([]) : this.#readAll(part);
     }
     if (after < Math.min(this.#historyFrom, this.#revision)) throw new HistoryLostError('dropped');
     const eraBefore = this.#era;
-    const list = () =>
-      this.#isSilent ? [] : this.#changes.filter(({ revision }) => revision > after);
-    while (list().length === 0 && this.#era === eraBefore) {
+    const list = () => this.#changes.filter(({ revision }) => revision > after);
+    while (this.#isSilent || (waits && list().length === 0 && this.#era === eraBefore)) {
       await this.#waitForChange(signal);
     }
     const entries = list().map(({ id, endpoint }) => ({
--- a/packages/router/__tests__/gateway/fixtures.ts
+++ b/packages/router/__tests__/gateway/fixtures.ts
@@ -174,6 +174,7 @@
   return {
     read: (part) => Promise.resolve({ entries: entries[part], revision: 10 }),
     watch: (_part, _after, signal) => waitForAbort(signal),
+    readChanges: (_part, after) => Promise.resolve({ entries: [], revision: after }),
     decodeConfiguration: () => configuration!,
     decodeEndpoint: (id) => endpoints.find((endpoint) => endpoint.id === id) ?? null,
   };
--- a/packages/router/__tests__/gateway/returningStore.ts
+++ b/packages/router/__tests__/gateway/returningStore.ts
@@ -67,7 +67,8 @@
   createSource(): PublicationSource {
     return {
       read: (part) => this.#read(part),
-      watch: (part, after, signal) => this.#watch(part, after, signal),
+      watch: (part, after, signal) => this.#watch(part, after, WATCH_WAIT_MS, signal),
+      readChanges: (part, after, signal) => this.#watch(part, after, 0, signal),
       decodeConfiguration: (text) => ({ ...testConfiguration, version: Number(text) }),
       decodeEndpoint: (_id, text) => JSON.parse(text) as RegisteredEndpoint,
     };
@@ -96,11 +97,12 @@
   async #watch(
     part: PublicationPart,
     after: number,
+    waitMs: number,
     signal: AbortSignal,
   ): Promise<PublicationBatch> {
     const list = () =>
       this.#changes.filter((change) => change.part === part && change.revision > after);
-    for (let waitedMs = 0; waitedMs < WATCH_WAIT_MS; waitedMs += STEP_MS) {
+    for (let waitedMs = 0; waitedMs < waitMs; waitedMs += STEP_MS) {
       if (!this.isAway && after > this.#revision) throw new HistoryLostError('ahead');
       if (this.isAway || list().length > 0) break;
       await sleep(STEP_MS, undefined, { signal });
--- a/packages/router/src/gateway/publicationTask.ts
+++ b/packages/router/src/gateway/publicationTask.ts
@@ -19,6 +19,7 @@
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
 import type { LoopDelay } from './loopDelay.js';
+import { isConnectionCut } from './isConnectionCut.js';
 import { SilenceTimer } from './silenceTimer.js';
 import { StoreEra } from './storeEra.js';
 import {
@@ -40,11 +41,14 @@
  */
 const ENDPOINT_BATCH_MS = 150;
 
+/** Time-out of a watch, in milliseconds; longer than the store waits. */
+const WATCH_TIMEOUT_MS = 3200;
+
 /**
- * Time-out of a watch; longer than the store waits, so a call that exceeds it is on a dead
- * connection.
+ * Silence of a watch after which its connection may be dead, in milliseconds; longer than the store waits. A
+ * connection of its own tells before the time-out whether it is the store that is silent.
  */
-const WATCH_TIMEOUT_MS = 3200;
+const WATCH_SILENCE_MS = 2700;
 
 /** VMs that read the store completely after its return begin within this time of each other. */
 const RETURN_SPREAD_MS = 300;
@@ -204,7 +208,7 @@
     try {
       const batch = isFullRead
         ? await this.#source.read(part, signal)
-        : await this.#source.watch(part, position.revision, signal);
+        : await this.#watch(part, position.revision, signal);
       this.#advanceEra(part, batch);
       this.#markRegained(part);
       if (!isFullRead && position.revision < 0) {
@@ -231,6 +235,55 @@
     }
   }
 
+  /**
+   * Waits for changes. A watch that falls silent or is cut says only that its connection has failed: a call
+   * on another one shows whether the store is there, and brings what the watch would have brought.
+   */
+  async #watch(
+    part: PublicationPart,
+    revision: number,
+    callSignal: AbortSignal,
+  ): Promise<PublicationBatch> {
+    const isOver = new AbortController();
+    const signal = AbortSignal.any([callSignal, isOver.signal]);
+    const silence = new SilenceTimer(this.#loopDelay);
+    const watch = this.#source.watch(part, revision, signal);
+    const failed = new Promise<null>((resolve) => {
+      silence.start(WATCH_SILENCE_MS, () => resolve(null));
+    });
+    const cut = watch.catch((error: unknown) => {
+      if (signal.aborted || !isConnectionCut(error)) throw error;
+      return null;
+    });
+    try {
+      return (
+        (await Promise.race([cut, failed])) ??
+        (await this.#replaceWatch(part, revision, watch, signal))
+      );
+    } finally {
+      silence.stop();
+      isOver.abort();
+    }
+  }
+
+  async #replaceWatch(
+    part: PublicationPart,
+    revision: number,
+    watch: Promise<PublicationBatch>,
+    signal: AbortSignal,
+  ): Promise<PublicationBatch> {
+    const readChanges = async () => {
+      const batch = await this.#source.readChanges(part, revision, signal);
+      this.#log.warn('store_connection_failed', { part });
+      return batch;
+    };
+    const changes = readChanges().catch((error: unknown) => {
+      if (error instanceof HistoryLostError || error instanceof OversizedAnswerError) throw error;
+      return watch;
+    });
+    return Promise.race([watch.catch(() => changes), changes]);
+  }
+
   /** Has each part read completely that was read in an earlier era than that of an answer. */
   #advanceEra(answered: PublicationPart, { era: named, revision }: PublicationBatch): void {
     const { directory } = this.#state;
