gateway: keep a pinned connection while answers of its endpoint are pending

Callers saw: whole answers without a length broken off that began late, after the entry of their endpoint had been removed while it served on, as planned work does.

Cause: pinned connections were closed with the entry. What is known of the process belongs to the connection, which does not end with the entry.

--- a/packages/router/__tests__/gateway/lateHeadFleet.ts
+++ b/packages/router/__tests__/gateway/lateHeadFleet.ts
@@ -31,6 +31,8 @@
   readonly hasQuickRequests: boolean;
   /** Whether the callers' VM sends the requests by way of another one. */
   readonly isByPeer: boolean;
+  /** Time from the first request until all entries are removed, in milliseconds; null for never. */
+  readonly leavesAfterMs: number | null;
 }
 
 /** How many answers reached their callers whole, of those that were sent. */
@@ -112,7 +114,8 @@
 export async function playLateHeads(scenario: LateHeads): Promise<LateHeadOutcome> {
   const ids = Array.from({ length: ENDPOINTS }, (_, index) => `e${index}`);
   const endpoints = await Promise.all(ids.map(async (id) => startLateEndpoint(id, scenario)));
-  const vms = await createVms(2, await createStores(endpoints, scenario.isByPeer));
+  const stores = await createStores(endpoints, scenario.isByPeer);
+  const vms = await createVms(2, stores);
   let sent = 0;
   let whole = 0;
   const sendAll = async (caller: number) => {
@@ -138,7 +141,13 @@
         return (await readMetric(vms[0]!, 'change="lost"')) > 0;
       });
     }
-    await Promise.all(Array.from({ length: scenario.callers }, (_, caller) => sendAll(caller)));
+    const { callers, leavesAfterMs } = scenario;
+    const calls = Array.from({ length: callers }, async (_, caller) => sendAll(caller));
+    if (leavesAfterMs !== null) {
+      await sleep(leavesAfterMs);
+      endpoints.forEach(({ endpoint }) => stores.at(-1)!.remove(endpoint.id));
+    }
+    await Promise.all(calls);
     return { sent, whole };
   } finally {
     vms.forEach((vm) => vm.stop());
--- a/packages/router/__tests__/gateway/lateHeads.spec.ts
+++ b/packages/router/__tests__/gateway/lateHeads.spec.ts
@@ -13,6 +13,7 @@
   pauseMs: 50,
   hasQuickRequests: false,
   isByPeer: false,
+  leavesAfterMs: null,
 };
 
 const fleets: Readonly<Record<string, Partial<LateHeads>>> = {
@@ -23,6 +24,7 @@
   'beside answers with a length': { hasQuickRequests: true },
   'with a silence before its end, too': { pauses: { 6: 700 } },
   'by way of a peer': { isByPeer: true },
+  'while its endpoint leaves': { headMs: 2500, requestsPerCaller: 1, leavesAfterMs: 300 },
   'at once': { headMs: 0 },
 };
 
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -280,7 +280,7 @@
     // The rest is clean-up, which is needed only about once a second.
     if (maintenanceCount % 10 !== 0) return;
     connections.closeRemoved(isRegistered);
-    liveness.closePinned(isRegistered);
+    liveness.forgetClosed();
     transits.closeRemoved();
     probes.forgetRemoved(isRegistered);
     dropStaleWork(state.scheduling, isRegistered, instant - PEER_LOAD_EXPIRY_MS, instant);
@@ -310,7 +310,7 @@
     control.close();
     control.closeAllConnections();
     connections.closeRemoved(() => false);
-    liveness.closePinned(() => false);
+    liveness.close();
   };
 
   const report: WantedAddress['report'] = (event, fields) => log.warn(event, { ...fields });
--- a/packages/router/src/gateway/livenessTask.ts
+++ b/packages/router/src/gateway/livenessTask.ts
@@ -126,15 +126,19 @@
     return aliveAt >= connectedAt + IN_FLIGHT_MS ? aliveAt : null;
   }
 
-  /** Closes the pinned connections of endpoints that are gone, and forgets those that were closed. */
-  closePinned(isRegistered: (endpointId: string) => boolean): void {
+  /** Forgets the pinned connections that are closed, also by this end when nothing uses them any more. */
+  forgetClosed(): void {
     this.#pinned.forEach((pinned, id) => {
-      if (isRegistered(id) && (pinned.isOpen || now() - pinned.openedAt < REOPEN_MS)) return;
-      pinned.close();
-      this.#pinned.delete(id);
+      if (!pinned.isOpen && now() - pinned.openedAt >= REOPEN_MS) this.#pinned.delete(id);
     });
   }
 
+  /** Closes all pinned connections. */
+  close(): void {
+    this.#pinned.forEach((pinned) => pinned.close());
+    this.#pinned.clear();
+  }
+
   #ask(pinned: PinnedConnection): Promise<PinnedAnswer> {
     this.#terms.limits.recordSend(pinned.endpoint.id);
     return pinned.ask(this.#findHealthPath(pinned.endpoint), ANSWER_TIMEOUT_MS);
