tests: a store that a VM cannot reach answers no call

staleVersions.spec, while it is cut off: 4 or 5 of 60 streams joined since complete changes are read on a connection of their own. The VM's store in this test stands for one whose view of the store ends; it answered no watch, but said on the new call that nothing had changed, which a store that cannot be reached does not, and which one that can be (linearizable) says only if it is so. It answers nothing now, for the VM that is cut off.

--- a/packages/router/__tests__/gateway/changingStore.ts
+++ b/packages/router/__tests__/gateway/changingStore.ts
@@ -103,6 +103,11 @@
     this.#historyFrom = forever ? Number.POSITIVE_INFINITY : this.#revision;
   }
 
+  /** Answers nothing from now on. */
+  hang(): void {
+    this.#isSilent = true;
+  }
+
   /** Holds back changes for `STORE_SILENCE_MS`. */
   async fallSilent(): Promise<void> {
     this.#isSilent = true;
--- a/packages/router/__tests__/gateway/staleVersions.spec.ts
+++ b/packages/router/__tests__/gateway/staleVersions.spec.ts
@@ -100,6 +100,7 @@
   try {
     await sleep(JOIN_MS);
     if (trouble === 'is cut off') network.cutOff(vms.at(-1)!.control);
+    if (trouble === 'is cut off') stale.hang();
     if (trouble !== null) {
       void standing?.standStill(STANDSTILL);
       await Promise.all(newer.map((endpoint) => endpoint.start()));
