gateway: begin a cut watch again later, and replace only a silent one

Cause: replaced a watch that is cut at once by a call on another connection. The store there comes back at the moment at which it cuts all watches, and loses the first call to it. That call waited for the rest of the watch's time-out, up to 3.2 s.

Why this works: a cut watch fails, and is begun again with the usual backoff, as before. Complete reads use the watches' connections again: they follow an answer there.

--- a/packages/router/__tests__/gateway/faultyStore.ts
+++ b/packages/router/__tests__/gateway/faultyStore.ts
@@ -40,6 +40,9 @@
   /** Whether changes from before now are dropped. */
   hasHistory = true;
 
+  /** Calls so far that read changes on a connection of their own. */
+  ownConnections = 0;
+
   #fault: StoreFault | null = null;
 
   /** Number of faults so far: a connection is as old as the number that it was opened at. */
@@ -72,7 +75,10 @@
     return {
       read: (part, signal) => this.#read(part, signal),
       watch: (part, after, signal) => this.#watch(part, after, WATCH_WAIT_MS, signal),
-      readChanges: (part, after, signal) => this.#watch(part, after, 0, signal),
+      readChanges: (part, after, signal) => {
+        this.ownConnections += 1;
+        return this.#watch(part, after, 0, signal);
+      },
       decodeConfiguration: (text) => ({ ...testConfiguration, version: Number(text) }),
       decodeEndpoint: (_id, text) => JSON.parse(text) as RegisteredEndpoint,
     };
--- a/packages/router/__tests__/gateway/silentStore.spec.ts
+++ b/packages/router/__tests__/gateway/silentStore.spec.ts
@@ -121,6 +121,16 @@
   });
 });
 
+describe('a watch that is cut', () => {
+  it('is begun again later: the store loses what comes at the moment of its return', async (t) => {
+    const vm = await startVm(t);
+    vm.store.fail('cut-connections');
+    vm.store.publish(2);
+    await waitUntil(() => configurationVersion(vm.state.routing) === 2);
+    t.is(vm.store.ownConnections, 0);
+  });
+});
+
 describe('a store that is away', () => {
   const faults: readonly StoreFault[] = ['hung', 'refusing'];
   faults.forEach((fault) => {
--- a/packages/router/src/gateway/publication.ts
+++ b/packages/router/src/gateway/publication.ts
@@ -32,13 +32,13 @@
  * answer.
  */
 export interface PublicationSource {
-  /** Reads all entries of a part, on a connection of its own: those that are open may be dead. */
+  /** Reads all entries of a part. */
   read(part: PublicationPart, signal: AbortSignal): Promise<PublicationBatch>;
   /**
    * Waits for changes after a revision. Rejects with HistoryLostError when they are no longer kept.
    */
   watch(part: PublicationPart, after: number, signal: AbortSignal): Promise<PublicationBatch>;
-  /** Reads the changes after a revision without waiting for one, otherwise like `watch`; on a connection of its own. */
+  /** Reads the changes after a revision at once, otherwise like `watch`; on a connection of its own. */
   readChanges(part: PublicationPart, after: number, signal: AbortSignal): Promise<PublicationBatch>;
   /** Returns the time that passed between the first and last of these changes, at the least. */
   measureSpan?(entries: readonly PublishedEntry[]): number;
--- a/packages/router/src/gateway/publicationTask.ts
+++ b/packages/router/src/gateway/publicationTask.ts
@@ -19,7 +19,6 @@
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayState } from './gatewayState.js';
 import type { LoopDelay } from './loopDelay.js';
-import { isConnectionCut } from './isConnectionCut.js';
 import { SilenceTimer } from './silenceTimer.js';
 import { StoreEra } from './storeEra.js';
 import {
@@ -236,8 +235,8 @@
   }
 
   /**
-   * Waits for changes. A watch that falls silent or is cut says only that its connection has failed: a call
-   * on another one shows whether the store is there, and brings what the watch would have brought.
+   * Waits for changes. A watch that falls silent says only that its connection may have failed: a call on
+   * another one shows whether the store is there, and brings what the watch would have brought.
    */
   async #watch(
     part: PublicationPart,
@@ -248,24 +247,19 @@
     const signal = AbortSignal.any([callSignal, isOver.signal]);
     const silence = new SilenceTimer(this.#loopDelay);
     const watch = this.#source.watch(part, revision, signal);
-    const failed = new Promise<null>((resolve) => {
+    const silent = new Promise<null>((resolve) => {
       silence.start(WATCH_SILENCE_MS, () => resolve(null));
     });
-    const cut = watch.catch((error: unknown) => {
-      if (signal.aborted || !isConnectionCut(error)) throw error;
-      return null;
-    });
     try {
-      return (
-        (await Promise.race([cut, failed])) ??
-        (await this.#replaceWatch(part, revision, watch, signal))
-      );
+      const batch = await Promise.race([watch, silent]);
+      return batch ?? (await this.#replaceWatch(part, revision, watch, signal));
     } finally {
       silence.stop();
       isOver.abort();
     }
   }
 
+  /** Reads on another connection what a silent watch waits for; the watch may still answer. */
   async #replaceWatch(
     part: PublicationPart,
     revision: number,
@@ -281,7 +275,7 @@
       if (error instanceof HistoryLostError || error instanceof OversizedAnswerError) throw error;
       return watch;
     });
-    return Promise.race([watch.catch(() => changes), changes]);
+    return Promise.race([watch, changes]);
   }
 
   /** Has each part read completely that was read in an earlier era than that of an answer. */
