--- a/packages/router/src/gateway/endProof.ts
+++ b/packages/router/src/gateway/endProof.ts
@@ -36,6 +36,7 @@
   /** True when only the end of the connection delimits the answer. */
   #isUnframed = false;
 
+  /** Uses the pinned connection next. */
   #timer: NodeJS.Timeout | null = null;
 
   /** A connection to the process that gives the answer; null while none is known. */
@@ -118,7 +119,7 @@
     });
   }
 
-  /** What answers on the pinned connection at a time at which the answer's process lives is that process. */
+  /** What is reached by the pinned connection at a time at which the answer's process lives is that process. */
   #adoptPinned(): void {
     if (this.#pinned?.isOpen === true) return;
     const pinned = this.#liveness.findPinned(this.#endpoint);
--- a/packages/router/src/gateway/endpointRequest.ts
+++ b/packages/router/src/gateway/endpointRequest.ts
@@ -204,7 +204,7 @@
 
   /**
    * Keeps a connection that has ended for a time: an endpoint that closes its socket with unread bytes resets
-   * it. Returns false if the answer ends at once, since the end is no complete one or nobody waits.
+   * it. Returns false where the answer ends at once: it is given up, or its request is still being written.
    */
   #watchReset(release: () => void): boolean {
     if (this.#isOver || !this.isWritten) return false;
